--- /dev/null
+++ b/rattanroute/actions.py
@@ -0,0 +1,132 @@
+"""Actions that systems return and hosts execute."""
+
+import dataclasses
+import enum
+
+
+class Execution(enum.StrEnum):
+    """What a refusal says about the work of the request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    PARTIAL = "partial"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The final answer to a request that is not served.
+
+    Attributes:
+        type: Machine-readable reason, for example "overloaded".
+        message: One sentence for the caller.
+        status: HTTP status code.
+        execution: What is known about the work; NOT_RUN only when certain.
+        retry_after_s: Seconds after which a retry makes sense; None when a
+            retry does not help.
+    """
+
+    type: str
+    message: str
+    status: int
+    execution: Execution = Execution.NOT_RUN
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Hop:
+    """One target of a chain with the layers that it runs.
+
+    Attributes:
+        target_id: The target.
+        address: Base URL of the target.
+        first_layer: First layer to run; 0 for a whole model or a service.
+        last_layer: Last layer to run, inclusive.
+    """
+
+    target_id: str
+    address: str
+    first_layer: int = 0
+    last_layer: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SendMessage:
+    """Send a message to a peer; delivery is best effort."""
+
+    peer: str
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Dispatch:
+    """Start an attempt of a request on a chain of targets.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number, from 1.
+        chain: Hops in layer order; one hop for a whole model or a service.
+    """
+
+    request_id: str
+    attempt: int
+    chain: tuple[Hop, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReplaceStage:
+    """Replace one stage of a running pipeline attempt by other targets.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number of the new chain.
+        failed_target_id: The target whose hop is replaced.
+        hops: Hops that together run the layers of the failed hop.
+    """
+
+    request_id: str
+    attempt: int
+    failed_target_id: str
+    hops: tuple[Hop, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelAttempt:
+    """Stop an attempt and drop its later answers."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Finish:
+    """End a request whose answer is complete."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse:
+    """End a request with a refusal."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Claimed:
+    """The claim system's verdict on an idempotency key.
+
+    Attributes:
+        request_id: The request that asked for the claim.
+        granted: Whether the request may be dispatched.
+        answer: The stored first answer when the key is already done.
+        refusal: Why the claim is refused, when it is neither granted nor done.
+    """
+
+    request_id: str
+    granted: bool
+    answer: bytes | None = None
+    refusal: Refusal | None = None
+
+
+Action = object
--- /dev/null
+++ b/rattanroute/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of targets and peers."""
--- /dev/null
+++ b/rattanroute/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated configuration log."""
--- /dev/null
+++ b/rattanroute/events.py
@@ -0,0 +1,88 @@
+"""Events that the request core takes."""
+
+import dataclasses
+import enum
+
+from rattanroute.tables.requests import Request
+
+
+class Provenance(enum.StrEnum):
+    """What is known about the dispatch of a failed attempt."""
+
+    NOT_DISPATCHED = "not_dispatched"
+    UNKNOWN = "unknown"
+    STARTED = "started"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestArrived:
+    """A validated request of an authenticated caller."""
+
+    request: Request
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptStarted:
+    """The first token or byte of an attempt arrived."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptSucceeded:
+    """An attempt delivered its complete answer.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number.
+        tokens_in: Prompt tokens.
+        tokens_out: Generated tokens of this attempt.
+    """
+
+    request_id: str
+    attempt: int
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without a complete answer.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number.
+        target_id: The target at which the failure arose.
+        provenance: What is known about the dispatch.
+        crashed: Whether the target closed the connection without an answer,
+            as a crash does; a refusal by the target is not a crash.
+        reason: One sentence for logs.
+        retry_after_s: The target's own request to stay away, in seconds.
+        tokens_out: Tokens of this attempt that the caller already has.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+    provenance: Provenance
+    crashed: bool = False
+    reason: str = ""
+    retry_after_s: float | None = None
+    tokens_out: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before the answer was complete."""
+
+    request_id: str
+
+
+Event = (
+    RequestArrived
+    | AttemptStarted
+    | AttemptSucceeded
+    | AttemptFailed
+    | CallerGone
+)
--- /dev/null
+++ b/rattanroute/messages/claims.py
@@ -0,0 +1,3 @@
+"""Messages of the claims subsystem; kinds 80 to 99."""
+
+KINDS: dict[int, type] = {}
--- /dev/null
+++ b/rattanroute/messages/distributions.py
@@ -0,0 +1,3 @@
+"""Messages of the distributions subsystem; kinds 40 to 59."""
+
+KINDS: dict[int, type] = {}
--- /dev/null
+++ b/rattanroute/messages/ledgers.py
@@ -0,0 +1,3 @@
+"""Messages of the ledgers subsystem; kinds 120 to 139."""
+
+KINDS: dict[int, type] = {}
--- /dev/null
+++ b/rattanroute/messages/memberships.py
@@ -0,0 +1,3 @@
+"""Messages of the memberships subsystem; kinds 60 to 79."""
+
+KINDS: dict[int, type] = {}
--- /dev/null
+++ b/rattanroute/messages/quarantines.py
@@ -0,0 +1,3 @@
+"""Messages of the quarantines subsystem; kinds 160 to 179."""
+
+KINDS: dict[int, type] = {}
--- /dev/null
+++ b/rattanroute/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Schema files and their generated code."""
--- /dev/null
+++ b/rattanroute/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Servers towards callers, targets, operators and peers."""
--- /dev/null
+++ b/rattanroute/settings.py
@@ -0,0 +1,257 @@
+"""Settings of a daemon: documented defaults, loading and checking."""
+
+import pathlib
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import pydantic
+import yaml
+
+from rattanroute.errors import SettingsError
+
+
+class Section(pydantic.BaseModel):
+    """A group of settings; unknown names are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class ListenSettings(Section):
+    """Addresses that the daemon listens on, as `IP:port`."""
+
+    callers: str = pydantic.Field(
+        default="127.0.0.1:8080", description="HTTP interface for callers."
+    )
+    targets: str = pydantic.Field(
+        default="127.0.0.1:8081",
+        description="HTTP interface on which targets announce themselves.",
+    )
+    peers: str = pydantic.Field(
+        default="127.0.0.1:8082", description="gRPC interface for peers."
+    )
+    operators: str = pydantic.Field(
+        default="127.0.0.1:8083", description="gRPC interface for operators."
+    )
+
+    @pydantic.field_validator("*")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Checks that an address is an IP number and a port."""
+        parse_address(value)
+        return value
+
+
+class PeersSettings(Section):
+    """How the daemon finds and talks to other daemons."""
+
+    seeds: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description="Peer addresses (`IP:port`) of a few VMs to join through.",
+    )
+    advertise: str = pydantic.Field(
+        default="",
+        description="Peer address told to others; default `listen.peers`.",
+    )
+    batch_ms: float = pydantic.Field(
+        default=5.0,
+        ge=0,
+        le=1000,
+        description="Longest wait before a batch of messages is sent.",
+    )
+
+
+class StorageSettings(Section):
+    """The data folder of a VM with a disk."""
+
+    folder: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description="Data folder; a VM without one keeps no state on disk.",
+    )
+    voter: bool = pydantic.Field(
+        default=False,
+        description="Whether the VM takes part in the configuration log.",
+    )
+    bootstrap_voters: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description=(
+            "VM identifiers of the first voters; read only while the data "
+            "folder is empty."
+        ),
+    )
+
+
+class LimitsSettings(Section):
+    """Limits that bound memory and time."""
+
+    max_body_bytes: int = pydantic.Field(
+        default=1_048_576, gt=0, description="Largest request body."
+    )
+    max_json_depth: int = pydantic.Field(
+        default=32, gt=0, description="Deepest nesting of a JSON body."
+    )
+    body_timeout_s: float = pydantic.Field(
+        default=10.0, gt=0, description="Longest time to receive a body."
+    )
+    default_deadline_s: float = pydantic.Field(
+        default=60.0, gt=0, description="Deadline of a request without one."
+    )
+    max_queued: int = pydantic.Field(
+        default=1000, gt=0, description="Requests that may wait for a slot."
+    )
+    stream_buffer_chunks: int = pydantic.Field(
+        default=64, gt=0, description="Chunks buffered for a slow reader."
+    )
+    shutdown_grace_s: float = pydantic.Field(
+        default=120.0,
+        gt=0,
+        description="Longest time that a planned stop waits for requests.",
+    )
+
+
+class TargetsSettings(Section):
+    """How targets are watched."""
+
+    heartbeat_timeout_s: float = pydantic.Field(
+        default=2.5,
+        gt=0,
+        le=3.0,
+        description=(
+            "Age of the last heartbeat after which a target gets no new "
+            "work; at most 3 s, the bound for targets that leave."
+        ),
+    )
+    token_file: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description="File with the bearer token that targets must present.",
+    )
+
+
+class SecuritySettings(Section):
+    """Authentication of operators and peers."""
+
+    operators_token_file: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description="File with operators' bearer tokens, one a line.",
+    )
+    peers_token_file: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description="File with peers' bearer tokens; the first one is sent.",
+    )
+
+
+class TelemetrySettings(Section):
+    """Logs and traces."""
+
+    log_level: str = pydantic.Field(
+        default="INFO",
+        pattern="^(DEBUG|INFO|WARNING|ERROR)$",
+        description="Least severe level that is logged.",
+    )
+    trace_file: pathlib.Path | None = pydantic.Field(
+        default=None, description="File to which spans are appended as JSON."
+    )
+    otlp_endpoint: str = pydantic.Field(
+        default="", description="OTLP/HTTP endpoint for spans; empty for none."
+    )
+
+
+class DaemonSettings(Section):
+    """All settings of a daemon."""
+
+    vm_id: str = pydantic.Field(
+        pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$",
+        description="Unique identifier of the VM.",
+    )
+    data_centre: str = pydantic.Field(
+        pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
+        description="Data centre of the VM.",
+    )
+    region: str = pydantic.Field(
+        default="local",
+        pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
+        description="Region of the data centre.",
+    )
+    data_centres: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description=(
+            "Names of all data centres; the home of an idempotency key "
+            "without a prefix is chosen among them."
+        ),
+    )
+    claim_holders: dict[str, tuple[str, ...]] = pydantic.Field(
+        default_factory=dict,
+        description=(
+            "VM identifiers that hold the claims of idempotency keys, for "
+            "each data centre; 1, 3 or 5 of them."
+        ),
+    )
+    listen: ListenSettings = ListenSettings()
+    peers: PeersSettings = PeersSettings()
+    storage: StorageSettings = StorageSettings()
+    limits: LimitsSettings = LimitsSettings()
+    targets: TargetsSettings = TargetsSettings()
+    security: SecuritySettings = SecuritySettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    @pydantic.model_validator(mode="after")
+    def check_consistency(self) -> "DaemonSettings":
+        """Checks settings against each other."""
+        if self.storage.voter and self.storage.folder is None:
+            raise ValueError("storage.voter needs storage.folder")
+        if self.data_centres and self.data_centre not in self.data_centres:
+            raise ValueError("data_centres does not contain data_centre")
+        return self
+
+    @property
+    def peer_address(self) -> str:
+        """Address that other daemons use for this one."""
+        return self.peers.advertise or self.listen.peers
+
+
+def parse_address(value: str) -> tuple[str, int]:
+    """Splits `IP:port`.
+
+    Raises:
+        ValueError: If the value has another form.
+    """
+    host, separator, port = value.rpartition(":")
+    if not separator or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{value!r} is not of the form IP:port")
+    return host.strip("[]"), int(port)
+
+
+def describe_problem(problem: dict[str, Any]) -> str:
+    """Returns one line with the path, the value and what would be right."""
+    path = ".".join(str(part) for part in problem["loc"]) or "settings"
+    if problem["type"] == "extra_forbidden":
+        return f"{path}: unknown setting"
+    if problem["type"] == "missing":
+        return f"{path}: required setting is missing"
+    value = problem.get("input")
+    shown = "" if isinstance(value, dict) else f" (value {value!r})"
+    return f"{path}: {problem['msg']}{shown}"
+
+
+def load_settings(
+    path: pathlib.Path,
+) -> Result[DaemonSettings, SettingsError]:
+    """Loads and checks a YAML settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or an error that names each wrong setting.
+    """
+    try:
+        data = yaml.safe_load(path.read_text(encoding="utf-8"))
+        return Ok(DaemonSettings.model_validate(data or {}))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        message = " ".join(str(error).split())
+    except pydantic.ValidationError as error:
+        message = "; ".join(describe_problem(p) for p in error.errors())
+    return Error(
+        SettingsError(step="load settings", peer=str(path), message=message)
+    )
--- /dev/null
+++ b/rattanroute/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in targets for the demo, the tests and the benchmarks."""
--- /dev/null
+++ b/rattanroute/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router, a module per decision; no input or output."""
--- /dev/null
+++ b/rattanroute/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities of the router, a module per kind."""
--- /dev/null
+++ b/rattanroute/tables/requests.py
@@ -0,0 +1,124 @@
+"""Requests that this VM has taken and their attempts."""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+
+from rattanroute.actions import Hop
+
+
+class RequestKind(enum.StrEnum):
+    """What a request asks for."""
+
+    CHAT = "chat"
+    SERVICE = "service"
+
+
+class RequestState(enum.StrEnum):
+    """Where a request stands."""
+
+    ARRIVED = "arrived"
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    STARTED = "started"
+    DONE = "done"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Attempt:
+    """One try of a request on a chain of targets.
+
+    Attributes:
+        number: Attempt number, from 1.
+        chain: Hops in layer order.
+        dispatched_at: Time of dispatch, in seconds of the host's clock.
+        started_at: Time of the first token; None before it.
+    """
+
+    number: int
+    chain: tuple[Hop, ...]
+    dispatched_at: float
+    started_at: float | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Request:
+    """A request of a caller.
+
+    Attributes:
+        request_id: Identifier, unique over all VMs.
+        kind: Chat completion or service call.
+        workspace: The calling workspace.
+        neighbour: Owner of the workspace.
+        model: Model name, or service name for a service call.
+        version: Wanted model version; empty for the one in force.
+        adapter: Wanted adapter; empty for none.
+        operation: Operation of a service call.
+        repeatable: Whether the call may run more than once.
+        idempotency_key: The caller's key; empty when it sent none.
+        fingerprint: Hash of workspace, model and content.
+        prefix_hashes: Hashes of the prompt's prefix blocks, shortest first.
+        tokens_in: Estimated prompt tokens.
+        max_tokens: Upper limit of generated tokens.
+        priority: Higher runs first.
+        arrived_at: Time of arrival, in seconds of the host's clock.
+        deadline: Time by which the answer must be complete, same clock.
+        state: Where the request stands.
+        attempts: Attempts so far, oldest first.
+        tokens_out: Tokens that the caller already has.
+        stream: Whether the caller reads a stream.
+    """
+
+    request_id: str
+    kind: RequestKind
+    workspace: str
+    neighbour: str
+    model: str
+    version: str = ""
+    adapter: str = ""
+    operation: str = ""
+    repeatable: bool = True
+    idempotency_key: str = ""
+    fingerprint: str = ""
+    prefix_hashes: tuple[int, ...] = ()
+    tokens_in: int = 0
+    max_tokens: int = 0
+    priority: int = 0
+    arrived_at: float
+    deadline: float
+    state: RequestState = RequestState.ARRIVED
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    tokens_out: int = 0
+    stream: bool = False
+
+    @property
+    def current(self) -> Attempt | None:
+        """The latest attempt."""
+        return self.attempts[-1] if self.attempts else None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RequestTable:
+    """Requests by identifier."""
+
+    rows: dict[str, Request] = dataclasses.field(default_factory=dict)
+
+    def add(self, request: Request) -> None:
+        """Adds a request."""
+        self.rows[request.request_id] = request
+
+    def get(self, request_id: str) -> Request | None:
+        """Returns the request, or None when it has ended."""
+        return self.rows.get(request_id)
+
+    def remove(self, request_id: str) -> None:
+        """Removes a request that has ended."""
+        self.rows.pop(request_id, None)
+
+    def __iter__(self) -> Iterator[Request]:
+        return iter(self.rows.values())
+
+    def __len__(self) -> int:
+        return len(self.rows)
--- /dev/null
+++ b/rattanroute/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run real processes."""
--- /dev/null
+++ b/rattanroute/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tools."""
