--- /dev/null
+++ b/rattanroute/standins/batches.py
@@ -0,0 +1,135 @@
+"""Slots, queue and prefix cache of a stand-in engine."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import heapq
+import itertools
+import time
+
+MAX_REPORTED_PREFIXES = 512
+
+
+class QueueFullError(Exception):
+    """The engine's queue has no room."""
+
+
+class SlotQueue:
+    """Gives a fixed number of slots by priority, then by arrival."""
+
+    def __init__(self, *, slots: int, max_queued: int) -> None:
+        self.slots = slots
+        self.max_queued = max_queued
+        self.running = 0
+        self.waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self.arrivals = itertools.count()
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return sum(not item[2].done() for item in self.waiting)
+
+    @property
+    def full(self) -> bool:
+        """Whether neither a slot nor a place in the queue is free."""
+        return self.running >= self.slots and self.queued >= self.max_queued
+
+    @contextlib.asynccontextmanager
+    async def slot(self, priority: int):
+        """Waits for a slot and holds it for the block.
+
+        Raises:
+            QueueFullError: If the queue has no room.
+        """
+        await self.acquire(priority)
+        try:
+            yield
+        finally:
+            self.release()
+
+    async def acquire(self, priority: int) -> None:
+        """Waits for a slot."""
+        if self.running < self.slots:
+            self.running += 1
+            return
+        if self.full:
+            raise QueueFullError
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (-priority, next(self.arrivals), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Passes the slot to the next waiter, or frees it."""
+        while self.waiting:
+            future = heapq.heappop(self.waiting)[2]
+            if not future.done():
+                future.set_result(None)
+                return
+        self.running -= 1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PrefixCache:
+    """Prefix blocks in limited memory, published late and with gaps.
+
+    Attributes:
+        blocks: Most blocks held.
+        event_lag_s: Delay of published events.
+        event_gap: Every n-th event is lost; 0 for none.
+    """
+
+    blocks: int
+    event_lag_s: float = 0.0
+    event_gap: int = 0
+    held: collections.OrderedDict[int, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    events: collections.deque[tuple[float, int, bool]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    published: dict[int, None] = dataclasses.field(default_factory=dict)
+    event_count: int = 0
+
+    def match(self, hashes: tuple[int, ...]) -> int:
+        """Returns the number of leading blocks that are held."""
+        count = 0
+        for value in hashes:
+            if value not in self.held:
+                break
+            self.held.move_to_end(value)
+            count += 1
+        return count
+
+    def insert(self, hashes: tuple[int, ...]) -> None:
+        """Holds blocks and evicts those unused for longest."""
+        for value in hashes:
+            if value not in self.held:
+                self.add_event(value, True)
+            self.held[value] = None
+            self.held.move_to_end(value)
+        while len(self.held) > self.blocks:
+            self.add_event(self.held.popitem(last=False)[0], False)
+
+    def add_event(self, value: int, present: bool) -> None:
+        """Queues an event for publication, or loses it."""
+        self.event_count += 1
+        if self.event_gap and self.event_count % self.event_gap == 0:
+            return
+        self.events.append((time.monotonic(), value, present))
+
+    def publish(self) -> tuple[int, ...]:
+        """Returns the hashes to report now."""
+        due = time.monotonic() - self.event_lag_s
+        while self.events and self.events[0][0] <= due:
+            _, value, present = self.events.popleft()
+            if present:
+                self.published[value] = None
+            else:
+                self.published.pop(value, None)
+        return tuple(self.published)[-MAX_REPORTED_PREFIXES:]
--- /dev/null
+++ b/rattanroute/standins/configurations.py
@@ -0,0 +1,97 @@
+"""Configuration files of the stand-in targets."""
+
+import pathlib
+from typing import TypeVar
+
+import pydantic
+import yaml
+
+
+class FaultSettings(pydantic.BaseModel):
+    """Fault switches; `POST /v1/faults` changes them at run time.
+
+    Indexes are token indexes of chat answers, and positions for stages; -1
+    switches a fault off.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    only_marker: str = ""
+    """Stream faults apply only to prompts with this text; empty for all."""
+    crash_marker: str = ""
+    """The process exits when it starts a prompt with this text."""
+    crash_at: int = -1
+    freeze: bool = False
+    """Work stops while heartbeats go on."""
+    slow_factor: float = pydantic.Field(default=1.0, gt=0)
+    wrong_request_id_at: int = -1
+    duplicate_at: int = -1
+    skip_at: int = -1
+    malformed_at: int = -1
+    close_at: int = -1
+    refuse: bool = False
+    silent_heartbeats: bool = False
+
+
+class TargetSettings(pydantic.BaseModel):
+    """Settings that engines and services share."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    target_id: str
+    listen: str = "127.0.0.1:0"
+    advertise: str = ""
+    """Base URL told to the VMs; default `http://` and the bound address."""
+    data_centre: str
+    announce_to: tuple[str, ...] = ()
+    """Target interfaces (`IP:port`) of the VMs, tried in order."""
+    token: str = ""
+    """Bearer token for the VMs' target interfaces."""
+    heartbeat_s: float = pydantic.Field(default=0.5, gt=0)
+    report_lag_s: float = pydantic.Field(default=0.0, ge=0)
+    slots: int = pydantic.Field(default=4, gt=0)
+    max_queued: int = pydantic.Field(default=64, ge=0)
+    max_executions: int = pydantic.Field(default=1_000_000, ge=0)
+    """Entries kept in the executions log."""
+    faults: FaultSettings = pydantic.Field(default_factory=FaultSettings)
+
+
+class EngineSettings(TargetSettings):
+    """Settings of a model engine."""
+
+    model: str = "m"
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    first_layer: int = pydantic.Field(default=0, ge=0)
+    last_layer: int = pydantic.Field(default=7, ge=0)
+    total_layers: int = pydantic.Field(default=8, gt=0)
+    accelerator: str = "kind-a"
+    prefill_tokens_per_second: float = pydantic.Field(default=5000.0, gt=0)
+    tokens_per_second: float = pydantic.Field(default=100.0, gt=0)
+    batch_slowdown: float = pydantic.Field(default=0.0, ge=0)
+    """Relative slowdown of decoding for each further running request."""
+    cache_blocks: int = pydantic.Field(default=1024, ge=0)
+    cache_event_lag_s: float = pydantic.Field(default=0.0, ge=0)
+    cache_event_gap: int = pydantic.Field(default=0, ge=0)
+    """Every n-th cache event is lost; 0 for none."""
+    checks_fencing: bool = True
+    load_seconds: float = pydantic.Field(default=1.0, ge=0)
+    """Time that the weight store needs for one load."""
+
+
+class ServiceSettings(TargetSettings):
+    """Settings of a plain service."""
+
+    service: str = "records"
+    lookups: tuple[str, ...] = ("lookup", "status")
+    """Operations that only read."""
+    delay_s: float = pydantic.Field(default=0.0, ge=0)
+
+
+Settings = TypeVar("Settings", bound=TargetSettings)
+
+
+def load_configuration(path: pathlib.Path, kind: type[Settings]) -> Settings:
+    """Loads a YAML configuration file as `kind`."""
+    data = yaml.safe_load(path.read_text(encoding="utf-8")) or {}
+    return kind.model_validate(data)
--- /dev/null
+++ b/rattanroute/standins/hosts.py
@@ -0,0 +1,151 @@
+"""Running a stand-in target as a process or inside a test."""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Callable
+import os
+import pathlib
+import signal
+
+from aiohttp import web
+import msgspec
+
+from rattanroute.settings import parse_address
+from rattanroute.standins.announcers import Announcer
+from rattanroute.standins.configurations import FaultSettings
+from rattanroute.standins.configurations import load_configuration
+from rattanroute.standins.configurations import TargetSettings
+from rattanroute.tables.targets import TargetReport
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+CRASH_EXIT_CODE = 70
+DRAIN_POLL_S = 0.02
+
+
+class TargetHost:
+    """Parts that the stand-in engine and service share.
+
+    Attributes:
+        settings: The configuration.
+        faults: Fault switches in force.
+        executions: Log of what ran, oldest first.
+        exit_process: Called with an exit code to crash; tests replace it.
+        leaving: Whether a planned stop is under way.
+        active: Requests that are being served.
+    """
+
+    def __init__(self, settings: TargetSettings) -> None:
+        self.settings = settings
+        self.faults = settings.faults.model_copy()
+        self.executions: collections.deque[tuple[object, ...]] = (
+            collections.deque(maxlen=settings.max_executions)
+        )
+        self.exit_process: Callable[[int], None] = os._exit
+        self.leaving = False
+        self.active = 0
+        self.runner: web.AppRunner | None = None
+        self.address = settings.advertise
+        self.announcer = Announcer(
+            addresses=settings.announce_to,
+            build_report=self.build_report,
+            heartbeat_s=settings.heartbeat_s,
+            token=settings.token,
+            silent=lambda: self.faults.silent_heartbeats,
+        )
+
+    def build_report(self) -> TargetReport:
+        """Returns the present report."""
+        raise NotImplementedError
+
+    def build_app(self) -> web.Application:
+        """Builds the application with the shared routes."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/v1/executions", self.get_executions)
+        app.router.add_post("/v1/faults", self.set_faults)
+        app.router.add_get("/healthz", self.get_health)
+        return app
+
+    async def get_executions(self, request: web.Request) -> web.Response:
+        """Answers with the executions log."""
+        return json_response({"executions": list(self.executions)})
+
+    async def get_health(self, request: web.Request) -> web.Response:
+        """Answers with the present report."""
+        return json_response(msgspec.to_builtins(self.build_report()))
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets all fault switches; those not named go back to defaults."""
+        self.faults = FaultSettings.model_validate_json(await request.read())
+        return json_response(self.faults.model_dump())
+
+    async def pause(self, seconds: float) -> None:
+        """Takes the time of some work; never ends while frozen."""
+        await asyncio.sleep(seconds * self.faults.slow_factor)
+        while self.faults.freeze:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def crash(self) -> None:
+        """Ends the process without a word, as a fatal fault does."""
+        self.exit_process(CRASH_EXIT_CODE)
+
+    async def start(self) -> None:
+        """Binds the port and starts to announce."""
+        self.runner = web.AppRunner(
+            self.build_app(), handler_cancellation=True, access_log=None
+        )
+        await self.runner.setup()
+        host, port = parse_address(self.settings.listen)
+        await web.TCPSite(self.runner, host, port).start()
+        bound = self.runner.addresses[0][1]
+        self.address = self.address or f"http://{host}:{bound}"
+        self.announcer.start()
+
+    async def drain(self) -> None:
+        """Announces the leave and waits for the running requests."""
+        self.leaving = True
+        await self.announcer.leave()
+        while self.active:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Closes the port."""
+        await self.announcer.stop()
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+
+def json_response(data: object, status: int = 200, **headers: str):
+    """Builds a JSON response; `_` in header names stands for `-`."""
+    return web.Response(
+        body=msgspec.json.encode(data),
+        status=status,
+        content_type="application/json",
+        headers={name.replace("_", "-"): v for name, v in headers.items()},
+    )
+
+
+def error_response(status: int, kind: str, **headers: str) -> web.Response:
+    """Builds an error response."""
+    return json_response({"error": {"type": kind}}, status, **headers)
+
+
+async def serve(host: TargetHost) -> None:
+    """Serves until SIGTERM, then drains and ends."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    await host.start()
+    print(f"listening address={host.address}", flush=True)
+    await stopping.wait()
+    await host.drain()
+    await host.stop()
+
+
+def main(host_type: type[TargetHost], kind: type[TargetSettings]) -> None:
+    """Runs a stand-in process from its command line."""
+    parser = argparse.ArgumentParser(description=host_type.__doc__)
+    parser.add_argument("--config", type=pathlib.Path, required=True)
+    path = parser.parse_args().config
+    asyncio.run(serve(host_type(load_configuration(path, kind))))
