--- /dev/null
+++ b/rattanroute/bodies.py
@@ -0,0 +1,128 @@
+"""Bodies of callers' requests: limits, decoding and validation."""
+
+import asyncio
+
+from aiohttp import web
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+import pydantic
+
+from rattanroute.actions import Refusal
+
+MAX_MESSAGES = 4096
+MAX_NAME_CHARACTERS = 128
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 131_072
+
+
+class ChatMessage(pydantic.BaseModel):
+    """One message of a chat."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    role: str = pydantic.Field(min_length=1, max_length=32)
+    content: str
+
+
+class ChatBody(pydantic.BaseModel):
+    """Body of a chat completion in the common format.
+
+    Fields that are not listed go to the engine unchanged.
+    """
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    model: str = pydantic.Field(min_length=1, max_length=MAX_NAME_CHARACTERS)
+    messages: tuple[ChatMessage, ...] = pydantic.Field(
+        min_length=1, max_length=MAX_MESSAGES
+    )
+    stream: bool = False
+    max_tokens: int = pydantic.Field(
+        default=DEFAULT_MAX_TOKENS, ge=1, le=MAX_TOKENS_LIMIT
+    )
+    version: str = pydantic.Field(default="", max_length=MAX_NAME_CHARACTERS)
+    adapter: str = pydantic.Field(default="", max_length=MAX_NAME_CHARACTERS)
+
+
+def invalid(message: str, *, status: int = 400) -> Refusal:
+    """Returns a refusal of a request that was never dispatched."""
+    types = {408: "body_timeout", 413: "body_too_large"}
+    return Refusal(
+        type=types.get(status, "invalid_request"),
+        message=message,
+        status=status,
+    )
+
+
+async def read_body(
+    http_request: web.Request, *, max_bytes: int, timeout_s: float
+) -> Result[bytes, Refusal]:
+    """Reads a body within a size and a time.
+
+    Args:
+        http_request: The caller's request.
+        max_bytes: Largest accepted size.
+        timeout_s: Longest time to receive the body.
+    """
+    declared = http_request.content_length
+    too_large = invalid(f"body exceeds {max_bytes} bytes", status=413)
+    if declared is not None and declared > max_bytes:
+        return Error(too_large)
+    received = bytearray()
+    try:
+        async with asyncio.timeout(timeout_s):
+            async for piece in http_request.content.iter_any():
+                received += piece
+                if len(received) > max_bytes:
+                    return Error(too_large)
+    except TimeoutError:
+        message = f"body did not arrive within {timeout_s:g} s"
+        return Error(invalid(message, status=408))
+    except web.RequestPayloadError as error:
+        return Error(invalid(f"body is incomplete: {error}"))
+    return Ok(bytes(received))
+
+
+def decode_json(data: bytes, *, max_depth: int) -> Result[object, Refusal]:
+    """Decodes JSON whose nesting is bounded."""
+    try:
+        value = msgspec.json.decode(data)
+    except RecursionError:
+        return Error(invalid(f"body is nested deeper than {max_depth} levels"))
+    except msgspec.DecodeError as error:
+        return Error(invalid(f"body is not valid JSON: {error}"))
+    if is_deeper_than(value, max_depth):
+        return Error(invalid(f"body is nested deeper than {max_depth} levels"))
+    return Ok(value)
+
+
+def is_deeper_than(value: object, max_depth: int) -> bool:
+    """Returns whether containers are nested deeper than a limit."""
+    level = [value]
+    for _ in range(max_depth + 1):
+        children: list[object] = []
+        for item in level:
+            if isinstance(item, dict):
+                children.extend(item.values())
+            elif isinstance(item, list):
+                children.extend(item)
+        if not children:
+            return False
+        level = children
+    return True
+
+
+def parse_chat(value: object) -> Result[ChatBody, Refusal]:
+    """Validates a chat body; the refusal names each wrong field."""
+    try:
+        return Ok(ChatBody.model_validate(value))
+    except pydantic.ValidationError as error:
+        problems = "; ".join(
+            ".".join(str(part) for part in problem["loc"])
+            + ": "
+            + problem["msg"]
+            for problem in error.errors()[:3]
+        )
+        return Error(invalid(problems))
--- /dev/null
+++ b/rattanroute/callers.py
@@ -0,0 +1,96 @@
+"""Callers: the workspace behind a bearer key, and their headers."""
+
+import dataclasses
+import hashlib
+import re
+
+from aiohttp import web
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from rattanroute.actions import Refusal
+from rattanroute.bodies import invalid
+from rattanroute.refusals import UNAUTHENTICATED
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.configurations import Workspace
+
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_PRIORITY = 9
+IDEMPOTENCY_KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
+
+
+def hash_key(key: str) -> str:
+    """Returns the SHA-256 of a bearer key in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclasses.dataclass(kw_only=True)
+class KeyIndex:
+    """Workspaces by key hash, rebuilt for each configuration version.
+
+    Attributes:
+        version: Configuration version of the index.
+        workspaces: Workspaces by the hash of their keys.
+    """
+
+    version: int = -1
+    workspaces: dict[str, Workspace] = dataclasses.field(default_factory=dict)
+
+    def find(self, configuration: Configuration, key: str) -> Workspace | None:
+        """Returns the workspace of a bearer key."""
+        if configuration.version != self.version:
+            self.workspaces = {
+                key_hash: workspace
+                for workspace in configuration.workspaces.values()
+                for key_hash in workspace.key_hashes
+            }
+            self.version = configuration.version
+        return self.workspaces.get(hash_key(key))
+
+
+def authenticate(
+    http_request: web.Request, index: KeyIndex, configuration: Configuration
+) -> Result[Workspace, Refusal]:
+    """Returns the workspace that a request's bearer key names."""
+    scheme, _, key = http_request.headers.get("Authorization", "").partition(
+        " "
+    )
+    if scheme.lower() != "bearer" or not key:
+        return Error(UNAUTHENTICATED)
+    workspace = index.find(configuration, key.strip())
+    return Ok(workspace) if workspace else Error(UNAUTHENTICATED)
+
+
+def parse_deadline(
+    http_request: web.Request, *, default_s: float
+) -> Result[float, Refusal]:
+    """Returns the seconds until the caller's deadline."""
+    text = http_request.headers.get("X-Deadline-Ms")
+    if text is None:
+        return Ok(default_s)
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        return Error(invalid("X-Deadline-Ms is not a number of milliseconds"))
+    return Ok(min(int(text) / 1000, MAX_DEADLINE_SECONDS))
+
+
+def parse_priority(
+    http_request: web.Request, workspace: Workspace
+) -> Result[int, Refusal]:
+    """Returns the priority; a caller may lower its workspace's default."""
+    text = http_request.headers.get("X-Priority")
+    if text is None:
+        return Ok(workspace.priority)
+    if not text.isascii() or not text.isdigit() or int(text) > MAX_PRIORITY:
+        return Error(invalid(f"X-Priority is not between 0 and {MAX_PRIORITY}"))
+    return Ok(min(int(text), workspace.priority))
+
+
+def parse_idempotency_key(http_request: web.Request) -> Result[str, Refusal]:
+    """Returns the idempotency key, or an empty string when there is none."""
+    key = http_request.headers.get("Idempotency-Key", "")
+    if key and not IDEMPOTENCY_KEY_PATTERN.fullmatch(key):
+        return Error(
+            invalid("Idempotency-Key is not 1 to 200 printable characters")
+        )
+    return Ok(key)
--- /dev/null
+++ b/rattanroute/clients/peers.py
@@ -0,0 +1,278 @@
+"""Streams to other daemons, opened on demand and written in batches."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import time
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+
+from rattanroute import codecs
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.proto.peers_grpc import PeersStub
+from rattanroute.proto.peers_pb2 import Frame
+from rattanroute.proto.peers_pb2 import Item
+from rattanroute.settings import parse_address
+
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+MAX_FRAME_BYTES = 512 * 1024
+CONNECT_TIMEOUT_SECONDS = 1.0
+# The server acknowledges frames at least every half second; three missed
+# acknowledgements mean that the path drops packets without an error.
+ACK_TIMEOUT_SECONDS = 1.5
+FIRST_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 1.0
+IDLE_CLOSE_SECONDS = 60.0
+LINK_ERRORS = (
+    OSError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+)
+
+log = get_logger(__name__)
+
+
+class PeerLink:
+    """One stream to a peer's address; it carries messages in one direction.
+
+    Args:
+        vm_id: Identifier of this VM.
+        address: Address to dial, as `IP:port`.
+        batch_seconds: Longest wait before a batch is sent.
+        metadata: gRPC metadata with the credentials.
+        metrics: Metrics of the daemon.
+        on_state: Called with the peer's identifier and whether it is
+            connected; the identifier comes from the peer itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        address: str,
+        batch_seconds: float,
+        metadata: Callable[[], dict[str, str]],
+        metrics: MetricsRegistry,
+        on_state: Callable[[str, str, bool], None],
+        ssl: object = None,
+    ) -> None:
+        self.vm_id = vm_id
+        self.address = address
+        self.batch_seconds = batch_seconds
+        self.metadata = metadata
+        self.metrics = metrics
+        self.on_state = on_state
+        self.ssl = ssl
+        self.peer = ""
+        self.queue: collections.deque[tuple[int, bytes]] = collections.deque()
+        self.queued_bytes = 0
+        self.wakeup = asyncio.Event()
+        self.last_used = time.monotonic()
+        self.oldest_unacknowledged: float | None = None
+        self.task = asyncio.create_task(self.run())
+
+    def send(self, kind: int, body: bytes) -> None:
+        """Queues a message; the oldest ones are dropped past the limit."""
+        self.queue.append((kind, body))
+        self.queued_bytes += len(body)
+        while self.queued_bytes > MAX_QUEUED_BYTES:
+            self.queued_bytes -= len(self.queue.popleft()[1])
+        self.last_used = time.monotonic()
+        self.wakeup.set()
+
+    async def run(self) -> None:
+        """Keeps the stream open while it is used."""
+        delay = FIRST_RETRY_SECONDS
+        while True:
+            started = time.monotonic()
+            try:
+                await self.exchange()
+            except LINK_ERRORS as error:
+                log.debug("peer link lost", address=self.address, error=error)
+            if self.peer:
+                self.on_state(self.peer, self.address, False)
+            if time.monotonic() - started > MAX_RETRY_SECONDS:
+                delay = FIRST_RETRY_SECONDS
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, MAX_RETRY_SECONDS)
+
+    async def exchange(self) -> None:
+        """Opens the stream and sends batches until it breaks."""
+        host, port = parse_address(self.address)
+        channel = Channel(host, port, ssl=self.ssl)
+        try:
+            async with PeersStub(channel).Exchange.open(
+                metadata=self.metadata()
+            ) as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                    await stream.send_message(Frame(vm_id=self.vm_id))
+                    hello = await stream.recv_message()
+                if hello is None:
+                    return
+                self.peer = hello.vm_id
+                self.oldest_unacknowledged = None
+                self.on_state(self.peer, self.address, True)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self.read_acknowledgements(stream))
+                    group.create_task(self.write_batches(stream))
+        except* LINK_ERRORS as errors:
+            raise first_error(errors) from None
+        finally:
+            channel.close()
+
+    async def read_acknowledgements(self, stream: object) -> None:
+        """Notes that the peer still receives."""
+        while True:
+            frame = await stream.recv_message()
+            if frame is None:
+                raise ConnectionResetError("peer ended the stream")
+            self.oldest_unacknowledged = None
+
+    async def write_batches(self, stream: object) -> None:
+        """Sends queued messages, several to a frame."""
+        while True:
+            await self.wait_for_work()
+            if not self.queue:
+                continue
+            frame = self.take_frame()
+            if self.oldest_unacknowledged is None:
+                self.oldest_unacknowledged = time.monotonic()
+            async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
+                await stream.send_message(frame)
+
+    async def wait_for_work(self) -> None:
+        """Waits for messages and lets a batch gather.
+
+        Raises:
+            TimeoutError: If the peer has not acknowledged for too long.
+        """
+        try:
+            async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
+                await self.wakeup.wait()
+            await asyncio.sleep(self.batch_seconds)
+        except TimeoutError:
+            pass
+        self.wakeup.clear()
+        oldest = self.oldest_unacknowledged
+        if oldest and time.monotonic() - oldest > ACK_TIMEOUT_SECONDS:
+            raise TimeoutError("peer does not acknowledge")
+
+    def take_frame(self) -> Frame:
+        """Removes messages from the queue up to the size of a frame."""
+        items = []
+        size = 0
+        while self.queue and size < MAX_FRAME_BYTES:
+            kind, body = self.queue.popleft()
+            items.append(Item(kind=kind, body=body))
+            size += len(body)
+        self.queued_bytes -= size
+        if self.queue:
+            self.wakeup.set()
+        self.metrics.peer_messages.add({"direction": "out"}, len(items))
+        self.metrics.peer_bytes.add({"direction": "out"}, size)
+        return Frame(items=items)
+
+    async def close(self) -> None:
+        """Ends the stream."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+def first_error(errors: BaseExceptionGroup) -> BaseException:
+    """Returns the first plain exception of a group."""
+    error: BaseException = errors
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+class PeerLinks:
+    """Links by address, with the addresses of the known peers.
+
+    Args:
+        vm_id: Identifier of this VM.
+        batch_seconds: Longest wait before a batch is sent.
+        address_map: Address to dial in place of an advertised one.
+        metadata: gRPC metadata with the credentials.
+        metrics: Metrics of the daemon.
+        on_state: Called with a peer's identifier and whether it is connected.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        batch_seconds: float,
+        address_map: dict[str, str],
+        metadata: Callable[[], dict[str, str]],
+        metrics: MetricsRegistry,
+        on_state: Callable[[str, bool], None],
+        ssl: object = None,
+    ) -> None:
+        self.vm_id = vm_id
+        self.batch_seconds = batch_seconds
+        self.address_map = address_map
+        self.metadata = metadata
+        self.metrics = metrics
+        self.on_state = on_state
+        self.ssl = ssl
+        self.links: dict[str, PeerLink] = {}
+        self.addresses: dict[str, str] = {}
+
+    def learn(self, *, peer: str, address: str) -> None:
+        """Notes the advertised address of a peer."""
+        self.addresses[peer] = address
+
+    def open(self, address: str) -> PeerLink:
+        """Returns the link to an advertised address, dialling if needed."""
+        link = self.links.get(address)
+        if link is None:
+            link = PeerLink(
+                vm_id=self.vm_id,
+                address=self.address_map.get(address, address),
+                batch_seconds=self.batch_seconds,
+                metadata=self.metadata,
+                metrics=self.metrics,
+                on_state=lambda peer, _, up: self.note_state(peer, address, up),
+                ssl=self.ssl,
+            )
+            self.links[address] = link
+        return link
+
+    def note_state(self, peer: str, address: str, connected: bool) -> None:
+        """Records who answers at an address and passes it on."""
+        self.addresses[peer] = address
+        self.on_state(peer, connected)
+
+    def send(self, *, peer: str, message: object) -> bool:
+        """Queues a message; returns False when no address is known."""
+        address = self.addresses.get(peer)
+        if address is None:
+            return False
+        kind, body = codecs.encode(message)
+        self.open(address).send(kind, body)
+        return True
+
+    async def close_idle(self, *, keep: frozenset[str]) -> None:
+        """Closes links that carried nothing for a while.
+
+        Args:
+            keep: Advertised addresses that stay open, such as the seeds'.
+        """
+        oldest = time.monotonic() - IDLE_CLOSE_SECONDS
+        for address, link in list(self.links.items()):
+            if link.last_used < oldest and address not in keep:
+                del self.links[address]
+                await link.close()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        links = list(self.links.values())
+        self.links.clear()
+        await asyncio.gather(*(link.close() for link in links))
--- /dev/null
+++ b/rattanroute/refusals.py
@@ -0,0 +1,79 @@
+"""Refusals as HTTP answers and stream events."""
+
+import math
+
+from aiohttp import web
+import msgspec
+
+from rattanroute.actions import Execution
+from rattanroute.actions import Refusal
+
+
+class RequestRefusedError(Exception):
+    """Ends the handling of a request with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def describe_refusal(refusal: Refusal, request_id: str) -> dict[str, object]:
+    """Returns the JSON body of a refusal."""
+    return {
+        "error": {
+            "type": refusal.type,
+            "message": refusal.message,
+            "execution": refusal.execution.value,
+            "retry_after_s": refusal.retry_after_s,
+            "request_id": request_id,
+        }
+    }
+
+
+def build_refusal_response(
+    refusal: Refusal, request_id: str, headers: dict[str, str]
+) -> web.Response:
+    """Returns a refusal as an HTTP answer with `Retry-After` where it has one.
+
+    `Retry-After` is in whole seconds, so that it is rounded up.
+    """
+    headers = dict(headers)
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
+    return web.Response(
+        status=refusal.status,
+        body=msgspec.json.encode(describe_refusal(refusal, request_id)),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def build_refusal_event(refusal: Refusal, request_id: str) -> bytes:
+    """Returns a refusal as the last event of a stream that broke."""
+    body = msgspec.json.encode(describe_refusal(refusal, request_id))
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+UNAUTHENTICATED = Refusal(
+    type="unauthenticated",
+    message="the bearer key is missing or unknown",
+    status=401,
+)
+NOT_READY = Refusal(
+    type="not_ready",
+    message="this VM has no current configuration yet",
+    status=503,
+    retry_after_s=1.0,
+)
+STOPPING = Refusal(
+    type="stopping",
+    message="this VM is shutting down; another VM takes the request",
+    status=503,
+    retry_after_s=0.5,
+)
+INTERNAL = Refusal(
+    type="internal",
+    message="the router failed while it served the request",
+    status=500,
+    execution=Execution.UNKNOWN,
+)
--- /dev/null
+++ b/rattanroute/servers/callers.py
@@ -0,0 +1,413 @@
+"""HTTP interface for callers."""
+
+import time
+from typing import Protocol
+from typing import TypeVar
+import uuid
+
+from aiohttp import web
+from expression import Result
+import msgspec
+from opentelemetry import trace
+import xxhash
+
+from rattanroute import VERSION
+from rattanroute.actions import Refusal
+from rattanroute.bodies import ChatBody
+from rattanroute.bodies import decode_json
+from rattanroute.bodies import parse_chat
+from rattanroute.bodies import read_body
+from rattanroute.callers import authenticate
+from rattanroute.callers import KeyIndex
+from rattanroute.callers import parse_deadline
+from rattanroute.callers import parse_priority
+from rattanroute.clients.attempts import prefix_hashes
+from rattanroute.clients.attempts import prompt_words
+from rattanroute.logs import get_logger
+from rattanroute.refusals import build_refusal_response
+from rattanroute.refusals import INTERNAL
+from rattanroute.refusals import NOT_READY
+from rattanroute.refusals import RequestRefusedError
+from rattanroute.refusals import STOPPING
+from rattanroute.servers.streams import ChatStream
+from rattanroute.sessions import ChatSession
+from rattanroute.sessions import Session
+from rattanroute.sessions import SessionHost
+from rattanroute.settings import DaemonSettings
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.configurations import Workspace
+from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestKind
+
+REQUEST_ID_HEADER = "X-Request-Id"
+ROUTE_HEADER = "X-Rattanroute-Route"
+VM_HEADER = "X-Rattanroute-Vm"
+DATA_CENTRE_HEADER = "X-Rattanroute-Data-Centre"
+MODEL_NOT_FOUND_STATUS = 404
+
+log = get_logger(__name__)
+Value = TypeVar("Value")
+
+
+class CallersHost(SessionHost, Protocol):
+    """What the callers' interface needs from the daemon."""
+
+    settings: DaemonSettings
+
+    @property
+    def ready(self) -> bool:
+        """Whether the VM has a configuration that may be used."""
+        ...
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        ...
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        ...
+
+
+class CallersServer:
+    """Serves chat completions, service calls, health and metrics.
+
+    Args:
+        host: The daemon.
+    """
+
+    def __init__(self, *, host: CallersHost) -> None:
+        self.host = host
+        self.index = KeyIndex()
+
+    def build_application(self) -> web.Application:
+        """Returns the web application."""
+        application = web.Application(
+            client_max_size=self.host.settings.limits.max_body_bytes
+        )
+        router = application.router
+        router.add_post("/v1/chat/completions", self.handle_chat)
+        router.add_get("/v1/models", self.handle_models)
+        router.add_get("/healthz", self.handle_health)
+        router.add_get("/readyz", self.handle_ready)
+        router.add_get("/metrics", self.handle_metrics)
+        return application
+
+    async def handle_health(self, http_request: web.Request) -> web.Response:
+        """Answers that the process runs."""
+        settings = self.host.settings
+        return web.json_response(
+            {
+                "status": "ok",
+                "vm": settings.vm_id,
+                "data_centre": settings.data_centre,
+                "version": VERSION,
+            }
+        )
+
+    async def handle_ready(self, http_request: web.Request) -> web.Response:
+        """Answers whether the balancer may send requests."""
+        ready = self.host.ready and not self.host.stopping
+        body = {
+            "ready": ready,
+            "stopping": self.host.stopping,
+            "configuration_version": self.host.configuration.version,
+        }
+        return web.json_response(body, status=200 if ready else 503)
+
+    async def handle_metrics(self, http_request: web.Request) -> web.Response:
+        """Answers a scrape."""
+        accept = http_request.headers.getall("Accept", [])
+        content, headers = self.host.metrics.render(accept)
+        return web.Response(body=content, headers=headers)
+
+    async def handle_models(self, http_request: web.Request) -> web.Response:
+        """Lists the models that the caller's workspace may call."""
+        request_id = new_request_id()
+        try:
+            workspace = self.admit(http_request)
+        except RequestRefusedError as error:
+            return self.answer_refusal(error.refusal, request_id, None)
+        models = self.host.configuration.models
+        names = [name for name in workspace.models if name in models]
+        data = [
+            {"id": name, "object": "model", "owned_by": "rattanroute"}
+            for name in sorted(names)
+        ]
+        return web.json_response({"object": "list", "data": data})
+
+    async def handle_chat(
+        self, http_request: web.Request
+    ) -> web.StreamResponse:
+        """Serves a chat completion, whole or streamed."""
+        request_id = new_request_id()
+        span = self.start_span("chat", http_request, request_id)
+        session: ChatSession | None = None
+        stream: ChatStream | None = None
+        try:
+            session, stream = await self.open_chat(
+                http_request, request_id, span
+            )
+            await session.run()
+            return await self.finish_chat(session, stream)
+        except RequestRefusedError as error:
+            return await self.refuse_chat(
+                error.refusal, request_id, session, stream
+            )
+        except (ConnectionResetError, TimeoutError):
+            log.info("caller gone", request_id=request_id)
+            raise
+        except Exception as error:
+            log.exception("request failed", request_id=request_id, error=error)
+            return await self.refuse_chat(INTERNAL, request_id, session, stream)
+        finally:
+            span.end()
+
+    async def open_chat(
+        self, http_request: web.Request, request_id: str, span: trace.Span
+    ) -> tuple[ChatSession, ChatStream | None]:
+        """Checks a chat request and opens its session.
+
+        Raises:
+            RequestRefusedError: If the request is refused.
+        """
+        workspace = self.admit(http_request)
+        value = unwrap(await self.read_json(http_request))
+        body = unwrap(parse_chat(value))
+        self.check_model(workspace, body.model)
+        request = self.build_request(
+            http_request, workspace, body, request_id, value
+        )
+        stream = None
+        if body.stream:
+            stream = ChatStream(
+                http_request=http_request,
+                request_id=request_id,
+                model=body.model,
+                headers=self.describe_route(request_id, None),
+            )
+        write = stream.write if stream else discard
+        session = ChatSession(
+            host=self.host,
+            request=request,
+            span=span,
+            body=value,
+            write=write,
+        )
+        return session, stream
+
+    async def finish_chat(
+        self, session: ChatSession, stream: ChatStream | None
+    ) -> web.StreamResponse:
+        """Sends the end of a complete answer."""
+        self.count(session, "done")
+        if stream is not None:
+            return await stream.finish(session.usage.finish_reason)
+        request = session.request
+        usage = {
+            "prompt_tokens": session.usage.tokens_in,
+            "completion_tokens": len(session.tokens),
+            "total_tokens": session.usage.tokens_in + len(session.tokens),
+        }
+        choice = {
+            "index": 0,
+            "message": {
+                "role": "assistant",
+                "content": "".join(session.tokens),
+            },
+            "finish_reason": session.usage.finish_reason,
+        }
+        body = {
+            "id": request.request_id,
+            "object": "chat.completion",
+            "created": int(time.time()),
+            "model": request.model,
+            "choices": [choice],
+            "usage": usage,
+        }
+        return web.Response(
+            body=msgspec.json.encode(body),
+            content_type="application/json",
+            headers=self.describe_route(request.request_id, session),
+        )
+
+    async def refuse_chat(
+        self,
+        refusal: Refusal,
+        request_id: str,
+        session: ChatSession | None,
+        stream: ChatStream | None,
+    ) -> web.StreamResponse:
+        """Sends a refusal, as an event where a stream has started."""
+        if session is not None:
+            self.count(session, refusal.type)
+        if stream is not None and stream.started:
+            return await stream.fail(refusal)
+        return self.answer_refusal(refusal, request_id, session)
+
+    def admit(self, http_request: web.Request) -> Workspace:
+        """Returns the workspace of a request that this VM may serve.
+
+        Raises:
+            RequestRefusedError: If the VM is not ready or the key is unknown.
+        """
+        if self.host.stopping:
+            raise RequestRefusedError(STOPPING)
+        if not self.host.ready:
+            raise RequestRefusedError(NOT_READY)
+        return unwrap(
+            authenticate(http_request, self.index, self.host.configuration)
+        )
+
+    async def read_json(
+        self, http_request: web.Request
+    ) -> Result[object, Refusal]:
+        """Reads and decodes a JSON body within the limits."""
+        limits = self.host.settings.limits
+        body = await read_body(
+            http_request,
+            max_bytes=limits.max_body_bytes,
+            timeout_s=limits.body_timeout_s,
+        )
+        return body.bind(
+            lambda data: decode_json(data, max_depth=limits.max_json_depth)
+        )
+
+    def check_model(self, workspace: Workspace, model: str) -> None:
+        """Checks that a workspace may call a model or service.
+
+        Raises:
+            RequestRefusedError: If it may not; the answer does not tell
+                whether others may.
+        """
+        if model in workspace.models:
+            return
+        raise RequestRefusedError(
+            Refusal(
+                type="model_not_found",
+                message=f"model or service {model!r} does not exist",
+                status=MODEL_NOT_FOUND_STATUS,
+            )
+        )
+
+    def build_request(
+        self,
+        http_request: web.Request,
+        workspace: Workspace,
+        body: ChatBody,
+        request_id: str,
+        value: object,
+    ) -> Request:
+        """Builds the table row of a chat request."""
+        now = time.monotonic()
+        default_s = self.host.settings.limits.default_deadline_s
+        deadline_s = unwrap(parse_deadline(http_request, default_s=default_s))
+        words = prompt_words(m.model_dump() for m in body.messages)
+        model = self.host.configuration.models.get(body.model)
+        version = body.version or (model.version if model else "")
+        return Request(
+            request_id=request_id,
+            kind=RequestKind.CHAT,
+            workspace=workspace.name,
+            neighbour=workspace.neighbour,
+            model=body.model,
+            version=version,
+            adapter=body.adapter,
+            fingerprint=build_fingerprint(workspace.name, body.model, words),
+            prefix_hashes=prefix_hashes(words),
+            tokens_in=len(words),
+            max_tokens=body.max_tokens,
+            priority=unwrap(parse_priority(http_request, workspace)),
+            arrived_at=now,
+            deadline=now + deadline_s,
+            stream=body.stream,
+        )
+
+    def describe_route(
+        self, request_id: str, session: Session | None
+    ) -> dict[str, str]:
+        """Returns the headers that name the request and its route."""
+        settings = self.host.settings
+        headers = {
+            REQUEST_ID_HEADER: request_id,
+            VM_HEADER: settings.vm_id,
+            DATA_CENTRE_HEADER: settings.data_centre,
+        }
+        if session is not None and session.route:
+            headers[ROUTE_HEADER] = ">".join(session.route)
+        return headers
+
+    def answer_refusal(
+        self, refusal: Refusal, request_id: str, session: Session | None
+    ) -> web.Response:
+        """Returns a refusal as an HTTP answer and logs it."""
+        log.info(
+            "request refused",
+            request_id=request_id,
+            type=refusal.type,
+            execution=refusal.execution.value,
+        )
+        headers = self.describe_route(request_id, session)
+        return build_refusal_response(refusal, request_id, headers)
+
+    def start_span(
+        self, name: str, http_request: web.Request, request_id: str
+    ) -> trace.Span:
+        """Starts the entry span, a child of the caller's trace."""
+        parent = self.host.traces.extract(dict(http_request.headers))
+        return self.host.traces.start(
+            f"entry {name}",
+            request_id=request_id,
+            parent=parent,
+            vm=self.host.settings.vm_id,
+            data_centre=self.host.settings.data_centre,
+        )
+
+    def count(self, session: Session, outcome: str) -> None:
+        """Counts an ended request."""
+        request = session.request
+        labels = {"kind": request.kind.value, "outcome": outcome}
+        self.host.metrics.requests.inc(labels)
+        self.host.metrics.attempts.observe({}, len(request.attempts))
+        if isinstance(session, ChatSession):
+            self.host.metrics.tokens.add(
+                {"model": request.model}, len(session.tokens)
+            )
+        session.span.set_attribute("outcome", outcome)
+        log.info(
+            "request ended",
+            request_id=request.request_id,
+            workspace=request.workspace,
+            model=request.model,
+            outcome=outcome,
+            attempts=len(request.attempts),
+            route=">".join(session.route),
+            seconds=time.monotonic() - request.arrived_at,
+        )
+
+
+def new_request_id() -> str:
+    """Returns an identifier that is unique over all VMs."""
+    return uuid.uuid4().hex
+
+
+def build_fingerprint(workspace: str, model: str, words: list[str]) -> str:
+    """Hashes what makes two requests the same for quarantine."""
+    content = "\0".join((workspace, model, *words))
+    return xxhash.xxh3_128_hexdigest(content.encode())
+
+
+async def discard(_: str) -> None:
+    """Writes no token; the session keeps those of a whole answer."""
+
+
+def unwrap(result: Result[Value, Refusal]) -> Value:
+    """Returns the value of a result.
+
+    Raises:
+        RequestRefusedError: If the result is a refusal.
+    """
+    if result.is_error():
+        raise RequestRefusedError(result.error)
+    return result.ok
--- /dev/null
+++ b/rattanroute/servers/peers.py
@@ -0,0 +1,133 @@
+"""gRPC service on which other daemons open their streams."""
+
+import asyncio
+from collections.abc import Callable
+import hmac
+import time
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+
+from rattanroute import codecs
+from rattanroute.errors import CodecError
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.proto.peers_grpc import PeersBase
+from rattanroute.proto.peers_pb2 import Frame
+
+ACK_INTERVAL_SECONDS = 0.5
+STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
+log = get_logger(__name__)
+
+
+class PeersServer(PeersBase):
+    """Receives the messages of peers.
+
+    Args:
+        vm_id: Identifier of this VM.
+        tokens: Returns the accepted bearer tokens; none means that peers are
+            not authenticated.
+        deliver: Called with each peer's identifier and message.
+        metrics: Metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        tokens: Callable[[], tuple[str, ...]],
+        deliver: Callable[[str, object], None],
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.vm_id = vm_id
+        self.tokens = tokens
+        self.deliver = deliver
+        self.metrics = metrics
+
+    async def Exchange(self, stream: "Stream[Frame, Frame]") -> None:  # noqa: N802
+        """Serves one peer's stream until it ends."""
+        self.check_token(stream)
+        hello = await stream.recv_message()
+        if hello is None or not hello.vm_id:
+            raise GRPCError(Status.INVALID_ARGUMENT, "first frame has no vm_id")
+        await stream.send_message(Frame(vm_id=self.vm_id))
+        acknowledger = StreamAcknowledger(stream=stream)
+        try:
+            while (frame := await stream.recv_message()) is not None:
+                acknowledger.note_received()
+                self.receive(hello.vm_id, frame)
+        finally:
+            acknowledger.close()
+
+    def check_token(self, stream: "Stream[Frame, Frame]") -> None:
+        """Refuses a peer without an accepted token."""
+        accepted = self.tokens()
+        if not accepted:
+            return
+        given = str((stream.metadata or {}).get("authorization", "")).encode()
+        expected = [f"Bearer {token}".encode() for token in accepted]
+        matches = [hmac.compare_digest(given, value) for value in expected]
+        if not any(matches):
+            raise GRPCError(Status.UNAUTHENTICATED, "unknown peer token")
+
+    def receive(self, peer: str, frame: Frame) -> None:
+        """Decodes and delivers the messages of a frame."""
+        labels = {"direction": "in"}
+        for item in frame.items:
+            self.metrics.peer_messages.inc(labels)
+            self.metrics.peer_bytes.add(labels, len(item.body))
+            try:
+                message = codecs.decode(
+                    kind=item.kind, body=item.body, peer=peer
+                )
+            except CodecError as error:
+                log.warning("peer message refused", peer=peer, error=error)
+                continue
+            self.deliver(peer, message)
+
+
+class StreamAcknowledger:
+    """Tells a sender now and then that its frames arrive.
+
+    Args:
+        stream: The peer's stream.
+    """
+
+    def __init__(self, *, stream: "Stream[Frame, Frame]") -> None:
+        self.stream = stream
+        self.last_sent = time.monotonic()
+        self.timer: asyncio.TimerHandle | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def note_received(self) -> None:
+        """Schedules an acknowledgement unless one is due already."""
+        if self.timer is not None:
+            return
+        due = self.last_sent + ACK_INTERVAL_SECONDS - time.monotonic()
+        self.timer = asyncio.get_running_loop().call_later(
+            max(0.0, due), self.start_sending
+        )
+
+    def start_sending(self) -> None:
+        """Sends the acknowledgement in a task of its own."""
+        self.timer = None
+        self.last_sent = time.monotonic()
+        task = asyncio.create_task(self.send())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def send(self) -> None:
+        """Sends an empty frame; a lost stream is no error."""
+        try:
+            await self.stream.send_message(Frame())
+        except STREAM_ERRORS as error:
+            log.debug("acknowledgement not sent", error=error)
+
+    def close(self) -> None:
+        """Stops the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
--- /dev/null
+++ b/rattanroute/servers/streams.py
@@ -0,0 +1,91 @@
+"""Server-sent events of a chat completion."""
+
+import time
+
+from aiohttp import web
+import msgspec
+
+from rattanroute.actions import Refusal
+from rattanroute.refusals import build_refusal_event
+
+DONE_EVENT = b"data: [DONE]\n\n"
+# A reader that takes nothing for this long is disconnected, so that it cannot
+# hold a slot of a target for ever.
+WRITE_TIMEOUT_SECONDS = 60.0
+WRITE_BUFFER_BYTES = 16 * 1024
+
+
+class ChatStream:
+    """Writes tokens as chunks; the headers leave with the first token.
+
+    Args:
+        http_request: The caller's request.
+        request_id: Identifier of the request.
+        model: Model name.
+        headers: Headers of the response.
+    """
+
+    def __init__(
+        self,
+        *,
+        http_request: web.Request,
+        request_id: str,
+        model: str,
+        headers: dict[str, str],
+    ) -> None:
+        self.http_request = http_request
+        self.request_id = request_id
+        self.response = web.StreamResponse(headers=headers)
+        self.started = False
+        created = int(time.time())
+        opening = msgspec.json.encode(
+            {
+                "id": request_id,
+                "object": "chat.completion.chunk",
+                "created": created,
+                "model": model,
+            }
+        )[:-1]
+        self.prefix = (
+            b"data: " + opening + b',"choices":[{"index":0,"delta":{"content":'
+        )
+        self.suffix = b'},"finish_reason":null}]}\n\n'
+        self.final = (
+            b"data: "
+            + opening
+            + b',"choices":[{"index":0,"delta":{},"finish_reason":%s}]}\n\n'
+        )
+        self.encoder = msgspec.json.Encoder()
+
+    async def start(self) -> None:
+        """Sends the status and headers."""
+        self.started = True
+        self.response.content_type = "text/event-stream"
+        self.response.headers["Cache-Control"] = "no-store"
+        await self.response.prepare(self.http_request)
+        transport = self.http_request.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    async def write(self, text: str) -> None:
+        """Sends one token."""
+        if not self.started:
+            await self.start()
+        await self.response.write(
+            self.prefix + self.encoder.encode(text) + self.suffix
+        )
+
+    async def finish(self, finish_reason: str) -> web.StreamResponse:
+        """Sends the end of a complete answer."""
+        if not self.started:
+            await self.start()
+        reason = self.encoder.encode(finish_reason)
+        await self.response.write(self.final % reason + DONE_EVENT)
+        await self.response.write_eof()
+        return self.response
+
+    async def fail(self, refusal: Refusal) -> web.StreamResponse:
+        """Sends an error event in place of the rest of the answer."""
+        await self.response.write(build_refusal_event(refusal, self.request_id))
+        await self.response.write_eof()
+        return self.response
--- /dev/null
+++ b/rattanroute/servers/targets.py
@@ -0,0 +1,206 @@
+"""HTTP interface on which targets announce themselves."""
+
+from collections.abc import Callable
+import hmac
+from typing import Annotated
+
+from aiohttp import web
+import pydantic
+
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.tables.targets import TargetKind
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+MAX_BODY_BYTES = 256 * 1024
+MAX_CACHED_PREFIXES = 512
+MAX_STATEMENTS = 1024
+
+log = get_logger(__name__)
+
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:@/-]{0,127}$")
+]
+Count = Annotated[int, pydantic.Field(ge=0, le=2**53)]
+PrefixHash = Annotated[int, pydantic.Field(ge=0, lt=2**64)]
+
+
+class UsageStatement(pydantic.BaseModel):
+    """A target's statement of one attempt's work."""
+
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    request_id: Name
+    attempt: Count
+    account: str = pydantic.Field(default="", max_length=256)
+    tokens_in: Count = 0
+    tokens_out: Count = 0
+    seconds: float = pydantic.Field(default=0.0, ge=0, le=1e6)
+    layers: Count = 0
+
+
+class TargetBody(pydantic.BaseModel):
+    """Body of an announcement, a heartbeat or a leave notice.
+
+    Only the identifier is required in a heartbeat: fields that are missing
+    keep the values of the announcement.
+    """
+
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    target_id: Name
+    incarnation: Count | None = None
+    sequence: Count | None = None
+    address: str | None = pydantic.Field(
+        default=None, pattern=r"^https?://[0-9A-Fa-f.:\[\]]+$", max_length=128
+    )
+    data_centre: Name | None = None
+    kind: TargetKind | None = None
+    model: Name | None = None
+    version: str | None = pydantic.Field(default=None, max_length=64)
+    adapters: tuple[Name, ...] | None = pydantic.Field(
+        default=None, max_length=256
+    )
+    first_layer: int | None = pydantic.Field(default=None, ge=0, le=10_000)
+    last_layer: int | None = pydantic.Field(default=None, ge=0, le=10_000)
+    total_layers: int | None = pydantic.Field(default=None, ge=0, le=10_000)
+    accelerator: str | None = pydantic.Field(default=None, max_length=64)
+    slots: int | None = pydantic.Field(default=None, ge=1, le=4096)
+    tokens_per_second: float | None = pydantic.Field(default=None, ge=0, le=1e7)
+    running: Count | None = None
+    queued: Count | None = None
+    cached_prefixes: tuple[PrefixHash, ...] | None = pydantic.Field(
+        default=None, max_length=MAX_CACHED_PREFIXES
+    )
+    checks_fencing: bool | None = None
+    leaving: bool = False
+    usage: tuple[UsageStatement, ...] = pydantic.Field(
+        default=(), max_length=MAX_STATEMENTS
+    )
+
+
+def merge_report(
+    body: TargetBody, known: TargetReport | None
+) -> TargetReport | str:
+    """Builds a report from a body and the report that is known.
+
+    Returns:
+        The report, or what is wrong with the body.
+    """
+    values = body.model_dump(exclude_none=True, exclude={"usage"})
+    base: dict[str, object] = {}
+    if known is not None and body.incarnation in (None, known.incarnation):
+        base = {name: getattr(known, name) for name in known.__slots__}
+        if body.sequence is None:
+            base["sequence"] = known.sequence + 1
+    try:
+        report = TargetReport(**{**base, **values})
+    except TypeError:
+        return "address, data_centre and model are required"
+    if report.first_layer > report.last_layer:
+        return "first_layer is greater than last_layer"
+    if report.total_layers and report.last_layer >= report.total_layers:
+        return "last_layer is not below total_layers"
+    if base and report.address != known.address:
+        return "another address has announced this incarnation"
+    return report
+
+
+class TargetsServer:
+    """Takes announcements, heartbeats and leave notices.
+
+    Args:
+        targets: Known targets.
+        data_centre: Data centre of this VM.
+        tokens: Returns the accepted bearer tokens; none means that targets
+            are not authenticated.
+        announce: Called with each new report.
+        state: Called with a target's usage statements; returns the
+            (request_id, attempt) pairs that the target may forget.
+        metrics: Metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: TargetTable,
+        data_centre: str,
+        tokens: Callable[[], tuple[str, ...]],
+        announce: Callable[[TargetReport], None],
+        state: Callable[
+            [TargetReport, tuple[UsageStatement, ...]], list[tuple[str, int]]
+        ],
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.targets = targets
+        self.data_centre = data_centre
+        self.tokens = tokens
+        self.announce = announce
+        self.state = state
+        self.metrics = metrics
+
+    def build_application(self) -> web.Application:
+        """Returns the web application."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.router.add_post("/v1/targets/announce", self.handle)
+        application.router.add_post("/v1/targets/heartbeat", self.handle)
+        application.router.add_post("/v1/targets/leave", self.handle_leave)
+        return application
+
+    async def handle(self, http_request: web.Request) -> web.Response:
+        """Takes an announcement or a heartbeat."""
+        return await self.take_body(http_request, leaving=False)
+
+    async def handle_leave(self, http_request: web.Request) -> web.Response:
+        """Takes a leave notice."""
+        return await self.take_body(http_request, leaving=True)
+
+    async def take_body(
+        self, http_request: web.Request, *, leaving: bool
+    ) -> web.Response:
+        """Checks a body and stores what it says."""
+        if not self.is_accepted(http_request):
+            return self.refuse(401, "unknown target token")
+        try:
+            body = TargetBody.model_validate_json(await http_request.read())
+        except pydantic.ValidationError as error:
+            return self.refuse(400, describe_validation(error))
+        except web.HTTPRequestEntityTooLarge:
+            return self.refuse(413, f"body exceeds {MAX_BODY_BYTES} bytes")
+        known = self.targets.get(body.target_id)
+        report = merge_report(body, known.report if known else None)
+        if isinstance(report, str):
+            return self.refuse(409, report, target=body.target_id)
+        stays = known is not None and known.incarnation == report.incarnation
+        report.leaving = report.leaving or leaving or (stays and known.leaving)
+        self.announce(report)
+        self.metrics.target_reports.inc({"verdict": "accepted"})
+        acknowledged = self.state(report, body.usage)
+        return web.json_response({"acknowledged": acknowledged})
+
+    def is_accepted(self, http_request: web.Request) -> bool:
+        """Returns whether the target presents an accepted token."""
+        accepted = self.tokens()
+        if not accepted:
+            return True
+        given = http_request.headers.get("Authorization", "").encode()
+        expected = [f"Bearer {token}".encode() for token in accepted]
+        matches = [hmac.compare_digest(given, value) for value in expected]
+        return any(matches)
+
+    def refuse(
+        self, status: int, message: str, *, target: str = ""
+    ) -> web.Response:
+        """Returns an error answer and logs it."""
+        log.warning("target report refused", target=target, reason=message)
+        self.metrics.target_reports.inc({"verdict": "refused"})
+        return web.json_response({"error": {"message": message}}, status=status)
+
+
+def describe_validation(error: pydantic.ValidationError) -> str:
+    """Returns the first problems of a body as one line."""
+    return "; ".join(
+        ".".join(str(part) for part in problem["loc"]) + ": " + problem["msg"]
+        for problem in error.errors()[:3]
+    )
