--- a/rattanroute/actions.py
+++ b/rattanroute/actions.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from rattanroute.tables.members import Member
+
 
 class Execution(enum.StrEnum):
     """What a refusal says about the work of the request."""
@@ -129,4 +131,11 @@
     refusal: Refusal | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberChanged:
+    """A member joined, changed, failed or left; links follow it."""
+
+    member: Member
+
+
 Action = object
--- /dev/null
+++ b/rattanroute/tables/members.py
@@ -0,0 +1,151 @@
+"""Members of the cluster as this VM sees them."""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+
+import xxhash
+
+# 64 buckets keep a digest list at 512 bytes and, at 410 members, a bucket at
+# about 6 records, so that a sync sends little more than what differs.
+DIGEST_BUCKETS = 64
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; of two at equal incarnation the greater one wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    FAILED = 2
+    LEFT = 3
+
+
+class Reach(enum.StrEnum):
+    """How this VM reaches a member."""
+
+    DIRECT = "direct"
+    INDIRECT = "indirect"
+    NONE = "none"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """A VM of the cluster.
+
+    Attributes:
+        vm_id: Identifier of the VM.
+        address: Peer address, as `IP:port`.
+        data_centre: Data centre of the VM.
+        region: Region of the data centre.
+        voter: Whether the VM takes part in the configuration log.
+        state: Verdict of the cluster on the VM.
+        incarnation: Grows with each start and each statement of the VM.
+        ready: Whether the VM serves requests.
+        draining: Whether the VM is stopping as planned.
+        reach: How this VM reaches the member; DIRECT until a probe says
+            otherwise, INDIRECT when only other VMs get an answer from it, as
+            with a one-way cut.
+    """
+
+    vm_id: str
+    address: str
+    data_centre: str
+    region: str
+    voter: bool = False
+    state: MemberState = MemberState.ALIVE
+    incarnation: int = 0
+    ready: bool = False
+    draining: bool = False
+    reach: Reach = Reach.DIRECT
+
+    @property
+    def present(self) -> bool:
+        """Whether the member counts as running; a suspect one does."""
+        return self.state <= MemberState.SUSPECT
+
+    def precedes(self, other: "Member") -> bool:
+        """Whether `other` is newer than this record of the same VM."""
+        return (self.incarnation, self.state) < (
+            other.incarnation,
+            other.state,
+        )
+
+
+def hash_member(member: Member) -> int:
+    """Returns the share of a present member in the digest of its bucket."""
+    return xxhash.xxh3_64_intdigest(
+        f"{member.vm_id} {member.incarnation}".encode()
+    )
+
+
+def choose_bucket(vm_id: str) -> int:
+    """Returns the digest bucket of a VM."""
+    return xxhash.xxh3_64_intdigest(vm_id.encode()) % DIGEST_BUCKETS
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class MemberTable:
+    """Members by identifier, with digests of those that are present.
+
+    Failed members and those that left are outside the digests, because each
+    VM forgets them at its own time.
+    """
+
+    rows: dict[str, Member] = dataclasses.field(default_factory=dict)
+    present_ids: list[str] = dataclasses.field(default_factory=list)
+    buckets: list[set[str]] = dataclasses.field(
+        default_factory=lambda: [set() for _ in range(DIGEST_BUCKETS)]
+    )
+    digests: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * DIGEST_BUCKETS
+    )
+    digest: int = 0
+
+    def put(self, member: Member) -> None:
+        """Adds a member or replaces its record."""
+        old = self.rows.get(member.vm_id)
+        self.rows[member.vm_id] = member
+        was_present = old is not None and old.present
+        if was_present and member.present:
+            if old.incarnation != member.incarnation:
+                self.toggle_digest(old)
+                self.toggle_digest(member)
+            return
+        bucket = self.buckets[choose_bucket(member.vm_id)]
+        if was_present:
+            self.toggle_digest(old)
+            bucket.discard(member.vm_id)
+            self.present_ids.remove(member.vm_id)
+        if member.present:
+            self.toggle_digest(member)
+            bucket.add(member.vm_id)
+            self.present_ids.append(member.vm_id)
+
+    def remove(self, vm_id: str) -> None:
+        """Forgets a member that is not present."""
+        if vm_id in self.rows and not self.rows[vm_id].present:
+            del self.rows[vm_id]
+
+    def toggle_digest(self, member: Member) -> None:
+        """Adds a member to the digests, or takes it out."""
+        value = hash_member(member)
+        self.digests[choose_bucket(member.vm_id)] ^= value
+        self.digest ^= value
+
+    def get(self, vm_id: str) -> Member | None:
+        """Returns the member, or None when it is not known."""
+        return self.rows.get(vm_id)
+
+    def present(self) -> list[Member]:
+        """Returns the members that count as running."""
+        return [self.rows[vm_id] for vm_id in self.present_ids]
+
+    def in_bucket(self, bucket: int) -> list[Member]:
+        """Returns the present members of a digest bucket."""
+        return [self.rows[vm_id] for vm_id in sorted(self.buckets[bucket])]
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self.rows.values())
+
+    def __len__(self) -> int:
+        return len(self.rows)
