--- /dev/null
+++ b/rattanroute/tests/test_records.py
@@ -0,0 +1,217 @@
+"""Tests of record files."""
+
+import errno
+import os
+import pathlib
+import tempfile
+import unittest
+
+from rattanroute import records
+from rattanroute.errors import StorageError
+from rattanroute.records import RecordFile
+from rattanroute.records import SystemFileAccess
+
+
+class Killed(BaseException):
+    """Stands for the process being killed."""
+
+
+class FaultyFileAccess(SystemFileAccess):
+    """File access that fails at a chosen operation.
+
+    Attributes:
+        kill_at: Number of the changing operation that kills the process;
+            a killed write leaves half of its bytes.
+        full: Whether writes fail with ENOSPC after half of the bytes.
+        sync_fails: Whether syncs fail with EIO.
+        max_write: Most bytes taken by one write.
+    """
+
+    def __init__(self, kill_at: int = -1) -> None:
+        self.kill_at = kill_at
+        self.operations = 0
+        self.full = False
+        self.sync_fails = False
+        self.max_write = 1 << 30
+
+    def count(self) -> bool:
+        """Counts an operation; tells whether it kills the process."""
+        self.operations += 1
+        return self.operations - 1 == self.kill_at
+
+    def write(self, handle: int, data: bytes) -> int:
+        """Writes, fails or is killed in the middle."""
+        if self.count():
+            super().write(handle, data[: len(data) // 2])
+            raise Killed
+        if self.full:
+            super().write(handle, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return super().write(handle, data[: self.max_write])
+
+    def sync(self, handle: int) -> None:
+        """Syncs, fails or is killed before it."""
+        if self.count():
+            raise Killed
+        if self.sync_fails:
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        super().sync(handle)
+
+    def truncate(self, handle: int, size: int) -> None:
+        """Truncates or is killed before it."""
+        if self.count():
+            raise Killed
+        super().truncate(handle, size)
+
+    def rename(self, old: pathlib.Path, new: pathlib.Path) -> None:
+        """Renames or is killed before it."""
+        if self.count():
+            raise Killed
+        super().rename(old, new)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """Removes or is killed before it."""
+        if self.count():
+            raise Killed
+        super().remove(path)
+
+    def sync_folder(self, path: pathlib.Path) -> None:
+        """Syncs a folder or is killed before it."""
+        if self.count():
+            raise Killed
+        super().sync_folder(path)
+
+
+class RecordFileTest(unittest.TestCase):
+    """Guards against records that are lost, altered or invented."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, "a.rec")
+
+    def write_records(self, payloads: list[bytes]) -> None:
+        """Writes each payload with a sync of its own."""
+        file = RecordFile(self.path, files=SystemFileAccess())
+        for payload in payloads:
+            file.append(payload)
+            file.sync()
+        file.close()
+
+    def read_payloads(self) -> list[bytes]:
+        """Opens the file anew and returns its records."""
+        file = RecordFile(self.path, files=SystemFileAccess())
+        file.close()
+        return file.payloads
+
+    def test_records_survive_reopening(self) -> None:
+        payloads = [b"", b"one", bytes(2000), b"\x00\xff" * 99]
+        self.write_records(payloads)
+        self.assertEqual(self.read_payloads(), payloads)
+
+    def test_tail_cut_at_every_byte_keeps_earlier_records(self) -> None:
+        self.write_records([b"first", b"second"])
+        whole = self.path.read_bytes()
+        last = len(whole) - records.RECORD_HEADER.size - len(b"second")
+        for size in range(last, len(whole)):
+            self.path.write_bytes(whole[:size])
+            self.assertEqual(self.read_payloads(), [b"first"])
+            self.write_records([b"third"])
+            self.assertEqual(self.read_payloads(), [b"first", b"third"])
+
+    def test_tail_of_zeros_is_cut(self) -> None:
+        self.write_records([b"first", b"x" * 1500])
+        whole = self.path.read_bytes()
+        self.path.write_bytes(whole[:-1400] + bytes(1400))
+        self.assertEqual(self.read_payloads(), [b"first"])
+        self.path.write_bytes(self.path.read_bytes() + bytes(700))
+        self.assertEqual(self.read_payloads(), [b"first"])
+
+    def test_every_bit_flip_is_refused_with_file_and_offset(self) -> None:
+        self.write_records([b"first", b"second", b"third"])
+        whole = self.path.read_bytes()
+        for position in range(len(whole)):
+            broken = bytearray(whole)
+            broken[position] ^= 1 << (position % 8)
+            self.path.write_bytes(broken)
+            with self.assertRaisesRegex(StorageError, r"a\.rec.*offset \d+"):
+                self.read_payloads()
+            self.assertEqual(self.path.read_bytes(), broken)
+
+    def test_kill_at_every_operation_keeps_synced_records(self) -> None:
+        for kill_at in range(9):
+            self.path.unlink(missing_ok=True)
+            files = FaultyFileAccess(kill_at)
+            synced = []
+            with self.assertRaises(Killed):
+                file = RecordFile(self.path, files=files)
+                for number in range(9):
+                    file.append(b"%d" % number)
+                    file.sync()
+                    synced.append(b"%d" % number)
+            found = self.read_payloads()
+            self.assertEqual(found[: len(synced)], synced)
+            self.assertLessEqual(len(found), len(synced) + 1)
+
+    def test_full_disk_is_an_error_and_leaves_the_file_usable(self) -> None:
+        files = FaultyFileAccess()
+        file = RecordFile(self.path, files=files)
+        file.append(b"kept")
+        file.sync()
+        for fault in ("full", "sync_fails"):
+            setattr(files, fault, True)
+            file.append(b"dropped")
+            with self.assertRaises(StorageError):
+                file.sync()
+            setattr(files, fault, False)
+            file.append(fault.encode())
+            file.sync()
+        file.close()
+        self.assertEqual(
+            self.read_payloads(), [b"kept", b"full", b"sync_fails"]
+        )
+
+    def test_short_writes_are_continued(self) -> None:
+        files = FaultyFileAccess()
+        files.max_write = 3
+        file = RecordFile(self.path, files=files)
+        file.append(b"a long record")
+        file.sync()
+        file.close()
+        self.assertEqual(self.read_payloads(), [b"a long record"])
+
+    def test_other_format_version_is_refused(self) -> None:
+        self.write_records([b"first"])
+        start = records.MAGIC + (2).to_bytes(4, "little")
+        checksum = records.crc32c(start).to_bytes(4, "little")
+        self.path.write_bytes(start + checksum)
+        with self.assertRaisesRegex(StorageError, "version 2"):
+            self.read_payloads()
+
+
+class WriteFileSyncedTest(unittest.TestCase):
+    """Guards against files that are half old and half new."""
+
+    def test_kill_at_every_operation_leaves_old_or_new(self) -> None:
+        old = records.encode_file([b"old"])
+        new = records.encode_file([b"new"])
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "b.rec")
+            for kill_at in range(4):
+                path.write_bytes(old)
+                files = FaultyFileAccess(kill_at)
+                with self.assertRaises(Killed):
+                    records.write_file_synced(path, new, files=files)
+                found = records.read_records(path, files=SystemFileAccess())
+                self.assertIn(found, ([b"old"], [b"new"]))
+
+    def test_full_disk_keeps_the_old_file(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "b.rec")
+            path.write_bytes(records.encode_file([b"old"]))
+            files = FaultyFileAccess()
+            files.full = True
+            with self.assertRaisesRegex(StorageError, "No space"):
+                records.write_file_synced(path, b"new", files=files)
+            found = records.read_records(path, files=SystemFileAccess())
+            self.assertEqual(found, [b"old"])
