--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
 import time
 
 from grpclib.client import Channel
@@ -74,7 +75,8 @@
         self.queued_bytes = 0
         self.wakeup = asyncio.Event()
         self.last_used = time.monotonic()
-        self.oldest_unacknowledged: float | None = None
+        self.frames_sent = 0
+        self.unacknowledged_since: float | None = None
         self.task = asyncio.create_task(self.run())
 
     def send(self, kind: int, body: bytes) -> None:
@@ -116,13 +118,13 @@
                 if hello is None:
                     return
                 self.peer = hello.vm_id
-                self.oldest_unacknowledged = None
+                self.frames_sent = 0
+                self.unacknowledged_since = None
                 self.on_state(self.peer, self.address, True)
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self.read_acknowledgements(stream))
-                    group.create_task(self.write_batches(stream))
-        except* LINK_ERRORS as errors:
-            raise first_error(errors) from None
+                await run_until_first_ends(
+                    self.read_acknowledgements(stream),
+                    self.write_batches(stream),
+                )
         finally:
             channel.close()
 
@@ -132,7 +134,9 @@
             frame = await stream.recv_message()
             if frame is None:
                 raise ConnectionResetError("peer ended the stream")
-            self.oldest_unacknowledged = None
+            self.unacknowledged_since = (
+                time.monotonic() if frame.received < self.frames_sent else None
+            )
 
     async def write_batches(self, stream: object) -> None:
         """Sends queued messages, several to a frame."""
@@ -141,8 +145,9 @@
             if not self.queue:
                 continue
             frame = self.take_frame()
-            if self.oldest_unacknowledged is None:
-                self.oldest_unacknowledged = time.monotonic()
+            self.frames_sent += 1
+            if self.unacknowledged_since is None:
+                self.unacknowledged_since = time.monotonic()
             async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
                 await stream.send_message(frame)
 
@@ -159,8 +164,8 @@
         except TimeoutError:
             pass
         self.wakeup.clear()
-        oldest = self.oldest_unacknowledged
-        if oldest and time.monotonic() - oldest > ACK_TIMEOUT_SECONDS:
+        since = self.unacknowledged_since
+        if since and time.monotonic() - since > ACK_TIMEOUT_SECONDS:
             raise TimeoutError("peer does not acknowledge")
 
     def take_frame(self) -> Frame:
@@ -184,12 +189,17 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
 
-def first_error(errors: BaseExceptionGroup) -> BaseException:
-    """Returns the first plain exception of a group."""
-    error: BaseException = errors
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
+async def run_until_first_ends(*works: Coroutine[None, None, None]) -> None:
+    """Runs works until one ends, cancels the others and raises its error."""
+    tasks = [asyncio.create_task(work) for work in works]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
 
 
 class PeerLinks:
--- /dev/null
+++ b/rattanroute/daemons.py
@@ -0,0 +1,325 @@
+"""A daemon: composes its parts from settings and runs the tick loop."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+from grpclib.server import Server
+
+from rattanroute.actions import Action
+from rattanroute.actions import MemberChanged
+from rattanroute.clients.engines import EngineClient
+from rattanroute.clients.peers import PeerLinks
+from rattanroute.cores import CoreSettings
+from rattanroute.cores import RequestCore
+from rattanroute.events import Event
+from rattanroute.hosts import SubsystemHost
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.peers import PeersServer
+from rattanroute.servers.targets import TargetsServer
+from rattanroute.servers.targets import UsageStatement
+from rattanroute.sessions import AttemptUsage
+from rattanroute.sessions import SessionRegistry
+from rattanroute.settings import DaemonSettings
+from rattanroute.settings import parse_address
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.systems.reports import TargetReportSystem
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.requests import RequestTable
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+from rattanroute.traces import TraceRecorder
+
+TICK_SECONDS = 0.05
+HOUSEKEEPING_SECONDS = 1.0
+# Time for the balancer to see that the VM is not ready before the listeners
+# close; requests that still arrive are told that they were not run.
+DRAIN_NOTICE_SECONDS = 1.0
+MILLISECONDS_PER_SECOND = 1000
+
+log = get_logger(__name__)
+
+
+class Daemon:
+    """One VM of the system.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, *, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.metrics = MetricsRegistry()
+        self.traces = TraceRecorder(
+            vm_id=settings.vm_id,
+            file=settings.telemetry.trace_file,
+            otlp_endpoint=settings.telemetry.otlp_endpoint,
+        )
+        self.random = random.Random()
+        self.stopping = False
+        self.targets = TargetTable()
+        self.sessions = SessionRegistry()
+        self.core = self.build_core()
+        self.subsystems = SubsystemHost(
+            send=self.send, execute_other=self.execute
+        )
+        self.membership = self.build_membership()
+        self.reports = TargetReportSystem(
+            vm_id=settings.vm_id,
+            data_centre=settings.data_centre,
+            targets=self.targets,
+            members=self.membership.alive,
+        )
+        self.subsystems.add(self.membership)
+        self.subsystems.add(self.reports)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.runners: list[web.AppRunner] = []
+        self.servers: list[Server] = []
+
+    def build_core(self) -> RequestCore:
+        """Builds the request core."""
+        settings = self.settings
+        return RequestCore(
+            vm_id=settings.vm_id,
+            data_centre=settings.data_centre,
+            targets=self.targets,
+            requests=RequestTable(),
+            configuration=lambda: self.configuration,
+            settings=CoreSettings(
+                max_queued=settings.limits.max_queued,
+                heartbeat_timeout_s=settings.targets.heartbeat_timeout_s,
+            ),
+            random=self.random,
+        )
+
+    def build_membership(self) -> MembershipSystem:
+        """Builds the membership system with this VM as its only member."""
+        settings = self.settings
+        return MembershipSystem(
+            vm_id=settings.vm_id,
+            address=settings.peer_address,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            voter=settings.storage.voter,
+            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            random=self.random,
+            seeds=settings.peers.seeds,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether this VM may serve requests."""
+        return self.configuration.version > 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return Configuration()
+
+    def handle(self, event: Event) -> None:
+        """Passes an event to the core and executes its actions."""
+        for action in self.core.handle(event, now=time.monotonic()):
+            self.sessions.deliver(action)
+
+    def execute(self, action: Action) -> None:
+        """Executes an action of a subsystem."""
+        if isinstance(action, MemberChanged):
+            member = action.member
+            self.links.learn(peer=member.vm_id, address=member.address)
+            log.info(
+                "member changed",
+                peer=member.vm_id,
+                state=member.state.name.lower(),
+                incarnation=member.incarnation,
+            )
+
+    def send(self, peer: str, message: object) -> bool:
+        """Sends a message to a peer; one to this VM is delivered directly."""
+        if peer == self.settings.vm_id:
+            asyncio.get_running_loop().call_soon(
+                self.subsystems.deliver, peer, message
+            )
+            return True
+        return self.links.send(peer=peer, message=message)
+
+    def record_usage(self, usage: AttemptUsage) -> None:
+        """Adds an attempt to the accounts."""
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the tick loop."""
+        source_ip = self.settings.listen.source
+        source = (source_ip, 0) if source_ip else None
+        self.client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=30, local_addr=source
+            ),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
+            read_bufsize=16 * 1024,
+        )
+        self.engines = EngineClient(session=self.client)
+        self.links = PeerLinks(
+            vm_id=self.settings.vm_id,
+            batch_seconds=self.settings.peers.batch_ms
+            / MILLISECONDS_PER_SECOND,
+            address_map=self.settings.peers.address_map,
+            metadata=self.peer_metadata,
+            metrics=self.metrics,
+            on_state=self.note_link,
+        )
+        await self.open_peers()
+        await self.open_http(
+            CallersServer(host=self).build_application(),
+            self.settings.listen.callers,
+        )
+        await self.open_http(
+            self.build_targets_server().build_application(),
+            self.settings.listen.targets,
+        )
+        for address in self.settings.peers.seeds:
+            if address != self.settings.peer_address:
+                self.links.open(address)
+        self.repeat(TICK_SECONDS, self.tick)
+        self.repeat(HOUSEKEEPING_SECONDS, self.keep_house)
+        log.info("daemon started", data_centre=self.settings.data_centre)
+
+    def repeat(self, seconds: float, work: Callable[[], object]) -> None:
+        """Starts a task that does some work at an interval."""
+        self.tasks.append(asyncio.create_task(run_repeatedly(seconds, work)))
+
+    async def open_peers(self) -> None:
+        """Opens the gRPC interface for peers."""
+        server = Server(
+            [
+                PeersServer(
+                    vm_id=self.settings.vm_id,
+                    tokens=self.peer_tokens,
+                    deliver=self.subsystems.deliver,
+                    metrics=self.metrics,
+                )
+            ]
+        )
+        await server.start(*parse_address(self.settings.listen.peers))
+        self.servers.append(server)
+
+    async def open_http(
+        self, application: web.Application, address: str
+    ) -> None:
+        """Opens an HTTP interface."""
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=self.settings.limits.shutdown_grace_s,
+        )
+        await runner.setup()
+        host, port = parse_address(address)
+        await web.TCPSite(runner, host, port).start()
+        self.runners.append(runner)
+
+    def build_targets_server(self) -> TargetsServer:
+        """Builds the interface on which targets announce themselves."""
+        return TargetsServer(
+            targets=self.targets,
+            data_centre=self.settings.data_centre,
+            tokens=self.target_tokens,
+            announce=self.announce,
+            state=self.take_statements,
+            metrics=self.metrics,
+        )
+
+    def announce(self, report: TargetReport) -> None:
+        """Takes the report of a target."""
+        self.subsystems.execute(
+            self.reports.announce(report=report, now=time.monotonic())
+        )
+
+    def take_statements(
+        self, report: TargetReport, usage: tuple[UsageStatement, ...]
+    ) -> list[tuple[str, int]]:
+        """Takes a target's usage statements; returns those it may forget."""
+        return [(item.request_id, item.attempt) for item in usage]
+
+    def peer_tokens(self) -> tuple[str, ...]:
+        """Returns the bearer tokens that peers may present."""
+        return ()
+
+    def peer_metadata(self) -> dict[str, str]:
+        """Returns the metadata that authenticates this VM to peers."""
+        return {}
+
+    def target_tokens(self) -> tuple[str, ...]:
+        """Returns the bearer tokens that targets may present."""
+        return ()
+
+    def note_link(self, peer: str, connected: bool) -> None:
+        """Tells membership that a link to a peer opened or closed."""
+        now = time.monotonic()
+        if connected:
+            actions = self.membership.host_connected(peer=peer, now=now)
+        else:
+            actions = self.membership.host_disconnected(peer=peer, now=now)
+        self.subsystems.execute(actions)
+
+    def tick(self) -> None:
+        """Runs all systems once."""
+        self.subsystems.tick()
+        for action in self.core.tick(now=time.monotonic()):
+            self.sessions.deliver(action)
+
+    async def keep_house(self) -> None:
+        """Updates gauges, exports spans and closes idle links."""
+        self.metrics.open_requests.set({}, len(self.sessions.sessions))
+        self.metrics.known_targets.set({}, len(self.targets))
+        self.metrics.live_members.set({}, len(self.membership.alive()))
+        self.metrics.configuration_version.set({}, self.configuration.version)
+        await self.traces.export()
+        await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
+
+    async def stop(self) -> None:
+        """Stops as planned: serves what it has, then closes everything."""
+        self.stopping = True
+        now = time.monotonic()
+        self.subsystems.execute(
+            self.membership.set_status(ready=False, draining=True, now=now)
+        )
+        log.info("planned stop", open_requests=len(self.sessions.sessions))
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
+                await self.sessions.empty.wait()
+        self.subsystems.execute(self.membership.leave(time.monotonic()))
+        await asyncio.sleep(2 * TICK_SECONDS)
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes listeners, links and tasks."""
+        for runner in self.runners:
+            await runner.cleanup()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.links.close()
+        for server in self.servers:
+            server.close()
+            await server.wait_closed()
+        await self.traces.export()
+        await self.client.close()
+        log.info("daemon stopped")
+
+
+async def run_repeatedly(seconds: float, work: Callable[[], object]) -> None:
+    """Does some work at an interval; a failure is logged and work goes on."""
+    while True:
+        await asyncio.sleep(seconds)
+        try:
+            result = work()
+            if asyncio.iscoroutine(result):
+                await result
+        except Exception as error:
+            log.exception("periodic work failed", error=error)
--- a/rattanroute/servers/peers.py
+++ b/rattanroute/servers/peers.py
@@ -99,12 +99,14 @@
 
     def __init__(self, *, stream: "Stream[Frame, Frame]") -> None:
         self.stream = stream
+        self.received = 0
         self.last_sent = time.monotonic()
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
     def note_received(self) -> None:
         """Schedules an acknowledgement unless one is due already."""
+        self.received += 1
         if self.timer is not None:
             return
         due = self.last_sent + ACK_INTERVAL_SECONDS - time.monotonic()
@@ -121,9 +123,9 @@
         task.add_done_callback(self.tasks.discard)
 
     async def send(self) -> None:
-        """Sends an empty frame; a lost stream is no error."""
+        """Sends the number of received frames; a lost stream is no error."""
         try:
-            await self.stream.send_message(Frame())
+            await self.stream.send_message(Frame(received=self.received))
         except STREAM_ERRORS as error:
             log.debug("acknowledgement not sent", error=error)
 
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -34,8 +34,15 @@
     operators: str = pydantic.Field(
         default="127.0.0.1:8083", description="gRPC interface for operators."
     )
+    source: str = pydantic.Field(
+        default="",
+        description=(
+            "IP number from which connections to targets are opened; empty "
+            "for the system's choice."
+        ),
+    )
 
-    @pydantic.field_validator("*")
+    @pydantic.field_validator("callers", "targets", "peers", "operators")
     @classmethod
     def check_address(cls, value: str) -> str:
         """Checks that an address is an IP number and a port."""
@@ -54,6 +61,13 @@
         default="",
         description="Peer address told to others; default `listen.peers`.",
     )
+    address_map: dict[str, str] = pydantic.Field(
+        default_factory=dict,
+        description=(
+            "Address to dial in place of an advertised one, for paths with "
+            "address translation."
+        ),
+    )
     batch_ms: float = pydantic.Field(
         default=5.0,
         ge=0,
--- /dev/null
+++ b/rattanroute/tests/test_peers.py
@@ -0,0 +1,131 @@
+"""Tests of the streams between daemons."""
+
+import asyncio
+import time
+import unittest
+
+from grpclib.server import Server
+
+from rattanroute.clients.peers import MAX_QUEUED_BYTES
+from rattanroute.clients.peers import PeerLinks
+from rattanroute.messages.targets import TargetReports
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.servers.peers import PeersServer
+from rattanroute.tests.support import build_report
+from rattanroute.tools.proxies import Direction
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
+from rattanroute.tools.proxies import FaultProxy
+from rattanroute.tools.proxies import Route
+
+TOKEN = "peer-token"
+
+
+def build_message(target_id: str = "t1") -> TargetReports:
+    """Builds a message with one report."""
+    return TargetReports(reports=(build_report(target_id),), ages=(0.0,))
+
+
+class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against lost, unauthenticated or stuck peer streams."""
+
+    async def asyncSetUp(self) -> None:
+        self.received: list[tuple[str, object]] = []
+        self.states: list[tuple[str, bool]] = []
+        self.arrived = asyncio.Event()
+        self.server = Server(
+            [
+                PeersServer(
+                    vm_id="vm-b",
+                    tokens=lambda: (TOKEN,),
+                    deliver=self.deliver,
+                    metrics=MetricsRegistry(),
+                )
+            ]
+        )
+        await self.server.start("127.0.0.1", 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.links = self.build_links(TOKEN)
+
+    async def asyncTearDown(self) -> None:
+        await self.links.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    def deliver(self, peer: str, message: object) -> None:
+        """Keeps a delivered message."""
+        self.received.append((peer, message))
+        self.arrived.set()
+
+    def build_links(self, token: str, **address_map: str) -> PeerLinks:
+        """Builds the links of vm-a."""
+        return PeerLinks(
+            vm_id="vm-a",
+            batch_seconds=0.001,
+            address_map=address_map,
+            metadata=lambda: {"authorization": f"Bearer {token}"},
+            metrics=MetricsRegistry(),
+            on_state=lambda peer, up: self.states.append((peer, up)),
+        )
+
+    async def wait_arrival(self, seconds: float = 2.0) -> None:
+        """Waits for the next delivered message."""
+        async with asyncio.timeout(seconds):
+            await self.arrived.wait()
+        self.arrived.clear()
+
+    async def test_message_arrives_with_the_sender(self) -> None:
+        self.links.learn(peer="vm-b", address=self.address)
+        self.assertTrue(self.links.send(peer="vm-b", message=build_message()))
+        await self.wait_arrival()
+        self.assertEqual(self.received, [("vm-a", build_message())])
+        self.assertEqual(self.states, [("vm-b", True)])
+
+    async def test_unknown_peer_has_no_link(self) -> None:
+        self.assertFalse(self.links.send(peer="vm-x", message=build_message()))
+
+    async def test_wrong_token_delivers_nothing(self) -> None:
+        links = self.build_links("other")
+        links.learn(peer="vm-b", address=self.address)
+        links.send(peer="vm-b", message=build_message())
+        await asyncio.sleep(0.3)
+        await links.close()
+        self.assertEqual(self.received, [])
+        self.assertEqual(self.states, [])
+
+    async def test_queue_to_an_unreachable_peer_is_bounded(self) -> None:
+        self.links.learn(peer="vm-x", address="127.0.0.1:1")
+        for number in range(3000):
+            report = build_report(f"t{number}", cached_prefixes=(2**60,) * 512)
+            message = TargetReports(reports=(report,), ages=(0.0,))
+            self.links.send(peer="vm-x", message=message)
+        link = self.links.open("127.0.0.1:1")
+        self.assertLessEqual(link.queued_bytes, MAX_QUEUED_BYTES)
+
+    async def test_held_stream_is_replaced_after_the_path_heals(self) -> None:
+        """A path that drops packets must not delay messages after it heals."""
+        proxy = FaultProxy()
+        self.addAsyncCleanup(proxy.close)
+        route = Route(name="r", listen="127.0.0.1:28471", upstream=self.address)
+        await proxy.set_routes([route])
+        self.links.learn(peer="vm-b", address=route.listen)
+        self.links.send(peer="vm-b", message=build_message("t1"))
+        await self.wait_arrival()
+        proxy.faults = (
+            Fault(
+                route="r",
+                kind=FaultKind.HOLD,
+                direction=Direction.TO_SERVER,
+            ),
+        )
+        self.links.send(peer="vm-b", message=build_message("t2"))
+        await asyncio.sleep(4.0)
+        self.assertIn(("vm-b", False), self.states)
+        proxy.faults = ()
+        healed = time.monotonic()
+        self.arrived.clear()
+        while ("vm-a", build_message("t3")) not in self.received:
+            self.links.send(peer="vm-b", message=build_message("t3"))
+            await asyncio.sleep(0.05)
+            self.assertLess(time.monotonic() - healed, 2.0)
--- /dev/null
+++ b/rattanroute/tools/clusters.py
@@ -0,0 +1,471 @@
+"""Local clusters of real processes for the demo, the tests and benchmarks."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from typing import Self
+
+import aiohttp
+import msgspec
+import yaml
+
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
+from rattanroute.tools.proxies import Route
+
+CALLERS_PORT = 8080
+TARGETS_PORT = 8081
+PEERS_PORT = 8082
+OPERATORS_PORT = 8083
+PROXY_CONTROL_PORT = 8090
+TARGET_PORT = 9000
+TARGET_PROXY_PORT = 9100
+FIRST_PEER_ROUTE_PORT = 20000
+LOCK_PORT = 8099
+FIRST_TARGET_HOST = 100
+START_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
+OPERATORS_TOKEN = "operators-token"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Vm:
+    """A VM of a local cluster.
+
+    Attributes:
+        name: Identifier.
+        data_centre: Its data centre.
+        address: IP number.
+        voter: Whether it takes part in the configuration log.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    voter: bool
+
+    @property
+    def callers_url(self) -> str:
+        """Base URL of the callers' interface."""
+        return f"http://{self.address}:{CALLERS_PORT}"
+
+    @property
+    def operators_address(self) -> str:
+        """Address of the operators' interface."""
+        return f"{self.address}:{OPERATORS_PORT}"
+
+    @property
+    def peers_address(self) -> str:
+        """Address of the peers' interface."""
+        return f"{self.address}:{PEERS_PORT}"
+
+
+@dataclasses.dataclass(kw_only=True)
+class StandIn:
+    """A stand-in target of a local cluster.
+
+    Attributes:
+        name: Identifier.
+        data_centre: Its data centre.
+        address: IP number.
+        module: Module that runs it.
+        configuration: Contents of its configuration file.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    module: str
+    configuration: dict[str, object]
+
+    @property
+    def url(self) -> str:
+        """Base URL, not through the proxy."""
+        return f"http://{self.address}:{TARGET_PORT}"
+
+
+class LocalCluster:
+    """Starts, stops and disturbs processes on loopback addresses.
+
+    Each VM and target has a loopback address of its own, so that ports are
+    fixed and the proxy can tell data centres apart by source address.
+
+    Args:
+        data_centres: Number of VMs in each data centre.
+        voters: VMs with a disk in each data centre.
+        claim_holders: Claim holders in each data centre.
+        proxied: Whether connections between data centres and to targets pass
+            through the fault-injecting proxy.
+        settings: Changes to the settings of each daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centres: dict[str, int],
+        voters: int = 1,
+        claim_holders: int = 3,
+        proxied: bool = False,
+        settings: dict[str, object] | None = None,
+    ) -> None:
+        self.proxied = proxied
+        self.extra_settings = settings or {}
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattanroute-"))
+        self.lock, self.network = reserve_network()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.vms: dict[str, Vm] = {}
+        self.targets: dict[str, StandIn] = {}
+        self.data_centres = list(data_centres)
+        self.claim_holders: dict[str, list[str]] = {}
+        self.routes: list[Route] = []
+        self.faults: list[Fault] = []
+        self.routes_open = False
+        for data_centre, count in data_centres.items():
+            names = [f"{data_centre}-{i + 1}" for i in range(count)]
+            for i, name in enumerate(names):
+                self.vms[name] = Vm(
+                    name=name,
+                    data_centre=data_centre,
+                    address=self.choose_address(data_centre, i + 1),
+                    voter=i < voters,
+                )
+            holders = min(claim_holders, count)
+            self.claim_holders[data_centre] = names[
+                : holders - (holders + 1) % 2
+            ]
+        self.address_maps = self.plan_peer_routes() if proxied else {}
+
+    async def __aenter__(self) -> Self:
+        self.client = aiohttp.ClientSession()
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.close()
+
+    def choose_address(self, data_centre: str, host: int) -> str:
+        """Returns the loopback address of a host of a data centre."""
+        number = self.data_centres.index(data_centre) + 1
+        return f"{self.network}.{number}.{host}"
+
+    def source_prefix(self, data_centre: str) -> str:
+        """Returns the prefix of the addresses of a data centre."""
+        return f"{self.network}.{self.data_centres.index(data_centre) + 1}."
+
+    def plan_peer_routes(self) -> dict[str, dict[str, str]]:
+        """Plans a route for each ordered pair of VMs of two data centres.
+
+        Returns:
+            The address map of each VM.
+        """
+        maps: dict[str, dict[str, str]] = {name: {} for name in self.vms}
+        port = FIRST_PEER_ROUTE_PORT
+        for source in self.vms.values():
+            for peer in self.vms.values():
+                if source.name == peer.name:
+                    continue
+                listen = f"{self.network}.0.1:{port}"
+                port += 1
+                name = f"peer:{source.name}:{peer.name}"
+                self.routes.append(
+                    Route(name=name, listen=listen, upstream=peer.peers_address)
+                )
+                maps[source.name][peer.peers_address] = listen
+        return maps
+
+    async def start(self) -> None:
+        """Starts the proxy and all VMs and waits until they answer."""
+        if self.proxied:
+            await self.start_proxy()
+        for name in self.vms:
+            await self.start_vm(name)
+        for name in self.vms:
+            await self.wait_healthy(name)
+
+    async def start_proxy(self) -> None:
+        """Starts the proxy and opens its routes."""
+        control = f"{self.network}.0.1:{PROXY_CONTROL_PORT}"
+        await self.spawn("proxy", "rattanroute.tools.proxies", control)
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while True:
+            try:
+                await self.send_routes()
+                return
+            except aiohttp.ClientError:
+                if time.monotonic() > deadline:
+                    raise
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def send_routes(self) -> None:
+        """Sends the routes to the proxy."""
+        await self.put_control("routes", self.routes)
+        self.routes_open = True
+
+    async def put_control(self, path: str, items: list[object]) -> None:
+        """Replaces a list of the proxy."""
+        url = f"http://{self.network}.0.1:{PROXY_CONTROL_PORT}/{path}"
+        async with self.client.put(
+            url, data=msgspec.json.encode(items)
+        ) as response:
+            response.raise_for_status()
+
+    async def set_faults(self, *faults: Fault) -> None:
+        """Replaces all faults of the proxy."""
+        self.faults = list(faults)
+        await self.put_control("faults", self.faults)
+
+    def cut_data_centre(self, data_centre: str) -> list[Fault]:
+        """Returns faults that separate a data centre from the others."""
+        inside = [
+            vm.name for vm in self.vms.values() if vm.data_centre == data_centre
+        ]
+        outside = [name for name in self.vms if name not in inside]
+        faults = [
+            Fault(route=f"peer:{a}:{b}", kind=FaultKind.HOLD)
+            for a, b in [(i, o) for i in inside for o in outside]
+            + [(o, i) for i in inside for o in outside]
+        ]
+        for target in self.targets.values():
+            route = f"target:{target.name}"
+            for other in self.data_centres:
+                if (other == data_centre) != (
+                    target.data_centre == data_centre
+                ):
+                    faults.append(
+                        Fault(
+                            route=route,
+                            kind=FaultKind.HOLD,
+                            source=self.source_prefix(other),
+                        )
+                    )
+        return faults
+
+    def build_settings(self, vm: Vm) -> dict[str, object]:
+        """Builds the settings file of a VM."""
+        token_file = self.folder / "operators.token"
+        token_file.write_text(OPERATORS_TOKEN + "\n", encoding="utf-8")
+        voters = [v.name for v in self.vms.values() if v.voter]
+        storage: dict[str, object] = {}
+        if vm.voter:
+            storage = {
+                "folder": str(self.folder / vm.name),
+                "voter": True,
+                "bootstrap_voters": voters,
+            }
+        settings: dict[str, object] = {
+            "vm_id": vm.name,
+            "data_centre": vm.data_centre,
+            "data_centres": self.data_centres,
+            "claim_holders": self.claim_holders,
+            "listen": {
+                "callers": f"{vm.address}:{CALLERS_PORT}",
+                "targets": f"{vm.address}:{TARGETS_PORT}",
+                "peers": vm.peers_address,
+                "operators": vm.operators_address,
+                "source": vm.address,
+            },
+            "peers": {
+                "seeds": [self.vms[name].peers_address for name in voters],
+                "address_map": self.address_maps.get(vm.name, {}),
+            },
+            "storage": storage,
+            "security": {"operators_token_file": str(token_file)},
+            "telemetry": {"trace_file": str(self.folder / f"{vm.name}.spans")},
+        }
+        return merge_settings(settings, self.extra_settings)
+
+    async def start_vm(self, name: str) -> None:
+        """Starts a VM's daemon."""
+        path = self.folder / f"{name}.yaml"
+        path.write_text(
+            yaml.safe_dump(self.build_settings(self.vms[name])),
+            encoding="utf-8",
+        )
+        await self.spawn(name, "rattanroute", "--config", str(path))
+
+    async def add_engine(
+        self, name: str, data_centre: str, **configuration: object
+    ) -> StandIn:
+        """Starts a stand-in model engine."""
+        return await self.add_target(
+            name, data_centre, "rattanroute.standins.engine", configuration
+        )
+
+    async def add_service(
+        self, name: str, data_centre: str, **configuration: object
+    ) -> StandIn:
+        """Starts a stand-in service."""
+        return await self.add_target(
+            name, data_centre, "rattanroute.standins.service", configuration
+        )
+
+    async def add_target(
+        self,
+        name: str,
+        data_centre: str,
+        module: str,
+        configuration: dict[str, object],
+    ) -> StandIn:
+        """Starts a stand-in target, behind the proxy where there is one."""
+        host = FIRST_TARGET_HOST + len(self.targets)
+        address = self.choose_address(data_centre, host)
+        advertise = f"http://{address}:{TARGET_PORT}"
+        if self.proxied:
+            listen = f"{address}:{TARGET_PROXY_PORT}"
+            upstream = f"{address}:{TARGET_PORT}"
+            self.routes.append(
+                Route(name=f"target:{name}", listen=listen, upstream=upstream)
+            )
+            advertise = f"http://{listen}"
+            await self.send_routes()
+        values: dict[str, object] = {
+            "target_id": name,
+            "listen": f"{address}:{TARGET_PORT}",
+            "advertise": advertise,
+            "data_centre": data_centre,
+            "announce_to": [
+                f"{vm.address}:{TARGETS_PORT}"
+                for vm in self.vms.values()
+                if vm.data_centre == data_centre
+            ],
+            **configuration,
+        }
+        target = StandIn(
+            name=name,
+            data_centre=data_centre,
+            address=address,
+            module=module,
+            configuration=values,
+        )
+        self.targets[name] = target
+        await self.start_target(name)
+        return target
+
+    async def start_target(self, name: str) -> None:
+        """Starts the process of a stand-in target."""
+        target = self.targets[name]
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(target.configuration), encoding="utf-8")
+        await self.spawn(name, target.module, "--config", str(path))
+
+    async def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Starts a Python module as a process; its output goes to a file."""
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=output,
+                stderr=output,
+                stdin=asyncio.subprocess.DEVNULL,
+            )
+
+    async def wait_healthy(self, name: str) -> None:
+        """Waits until a VM answers."""
+        await self.wait_status(f"{self.vms[name].callers_url}/healthz")
+
+    async def wait_ready(self, *names: str) -> None:
+        """Waits until VMs, or all of them, are ready."""
+        for name in names or tuple(self.vms):
+            await self.wait_status(f"{self.vms[name].callers_url}/readyz")
+
+    async def wait_status(self, url: str) -> None:
+        """Waits until a URL answers with status 200."""
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.client.get(
+                    url, timeout=aiohttp.ClientTimeout(total=1)
+                ) as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(POLL_SECONDS)
+        raise TimeoutError(f"{url} did not answer with status 200")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        with contextlib.suppress(ProcessLookupError):
+            self.processes[name].send_signal(number)
+
+    def freeze(self, name: str) -> None:
+        """Stops a process without its noticing."""
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        self.signal(name, signal.SIGCONT)
+
+    async def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        self.signal(name, signal.SIGKILL)
+        await self.processes[name].wait()
+
+    async def stop(self, name: str) -> int:
+        """Stops a process as planned and returns its exit code."""
+        self.signal(name, signal.SIGTERM)
+        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+            return await self.processes[name].wait()
+
+    def read_log(self, name: str) -> str:
+        """Returns the output of a process."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    async def close(self) -> None:
+        """Kills all processes and removes the folder."""
+        for name, process in self.processes.items():
+            if process.returncode is None:
+                self.signal(name, signal.SIGKILL)
+        for process in self.processes.values():
+            await process.wait()
+        await self.client.close()
+        self.lock.close()
+        kept = os.environ.get("RATTANROUTE_KEEP_FOLDER")
+        if not kept:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def reserve_network() -> tuple[socket.socket, str]:
+    """Reserves a /16 of the loopback range for one cluster.
+
+    Returns:
+        A socket that holds the reservation, and the first two numbers.
+    """
+    numbers = list(range(2, 250))
+    random.shuffle(numbers)
+    for number in numbers:
+        lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            lock.bind((f"127.{number}.0.1", LOCK_PORT))
+            return lock, f"127.{number}"
+        except OSError:
+            lock.close()
+    raise RuntimeError("all loopback networks are in use")
+
+
+def merge_settings(
+    base: dict[str, object], changes: dict[str, object]
+) -> dict[str, object]:
+    """Merges nested settings; a value of `changes` goes first."""
+    merged = dict(base)
+    for name, value in changes.items():
+        known = merged.get(name)
+        if isinstance(known, dict) and isinstance(value, dict):
+            merged[name] = merge_settings(known, value)
+        else:
+            merged[name] = value
+    return merged
