Add the state machine of configuration changes

Cause: voters need one deterministic rule for accepting changes, and a copy of the configuration that other VMs can follow by deltas. Entities become immutable, so replicas may share them. Conclusion: changes can be proposed through any log that calls apply().

--- /dev/null
+++ b/rattanroute/systems/configurations.py
@@ -0,0 +1,251 @@
+"""The state machine of the replicated log: accepts or refuses changes."""
+
+import collections
+import dataclasses
+
+import msgspec
+import xxhash
+
+from rattanroute.errors import StorageError
+from rattanroute.systems.validations import ChangeValidator
+from rattanroute.tables.changes import ANY_VERSION
+from rattanroute.tables.changes import AuditRecord
+from rattanroute.tables.changes import Change
+from rattanroute.tables.changes import ChangeOutcome
+from rattanroute.tables.changes import decode_change
+from rattanroute.tables.changes import Delta
+from rattanroute.tables.changes import describe_operation
+from rattanroute.tables.changes import ENCODER
+from rattanroute.tables.changes import Problem
+from rattanroute.tables.changes import Verdict
+from rattanroute.tables.changes import Winner
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.replicas import ConfigurationContent
+from rattanroute.tables.replicas import ConfigurationReplica
+
+# More than a day of changes at design scale, so a command that is resent
+# within a day gets its first answer.
+REMEMBERED_COMMANDS = 4096
+AUDIT_RECORDS = 4096
+# Bounds the size of the audit record of a large change.
+SUMMARY_OPERATIONS = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RememberedCommand:
+    """The first answer to a command.
+
+    Attributes:
+        digest: Hash of the content of the change.
+        outcome: The answer.
+    """
+
+    digest: str
+    outcome: ChangeOutcome
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MachineSnapshot:
+    """Everything that the state machine holds."""
+
+    applied_index: int
+    content: ConfigurationContent
+    deltas: tuple[Delta, ...]
+    commands: dict[str, RememberedCommand]
+    audits: tuple[AuditRecord, ...]
+
+
+SNAPSHOT_DECODER = msgspec.msgpack.Decoder(MachineSnapshot)
+
+
+def digest_change(change: Change) -> str:
+    """Returns a hash of what a change asks for.
+
+    The time is left out, because a resent change may have another one.
+    """
+    content = (change.operator, change.expected_version, change.operations)
+    return xxhash.xxh3_128_hexdigest(ENCODER.encode(content))
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ConfigurationStateMachine:
+    """Applies committed changes in the order of the log.
+
+    The result depends on the entries only, so every voter comes to the same
+    state and gives the same answer.
+
+    Attributes:
+        replica: The configuration; a voter's distribution system shares it.
+        applied_index: Index of the last applied log entry.
+        commands: First answers by command id, oldest first.
+        audits: Accepted changes, oldest first, without gaps.
+    """
+
+    replica: ConfigurationReplica = dataclasses.field(
+        default_factory=ConfigurationReplica
+    )
+    applied_index: int = 0
+    commands: dict[str, RememberedCommand] = dataclasses.field(
+        default_factory=dict
+    )
+    audits: collections.deque[AuditRecord] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=AUDIT_RECORDS)
+    )
+
+    @property
+    def configuration(self) -> Configuration:
+        """The accepted configuration."""
+        return self.replica.configuration
+
+    def apply(self, index: int, data: bytes) -> ChangeOutcome:
+        """Applies a committed log entry.
+
+        Args:
+            index: Position in the log; an entry that was already applied is
+                ignored.
+            data: An encoded `Change`.
+
+        Returns:
+            The verdict; the answer to the operator who sent the change.
+        """
+        version = self.replica.version
+        if index <= self.applied_index:
+            return ChangeOutcome(verdict=Verdict.IGNORED, version=version)
+        self.applied_index = index
+        try:
+            change = decode_change(data)
+        except msgspec.DecodeError as error:
+            problem = Problem(path="change", message=str(error))
+            return ChangeOutcome(
+                verdict=Verdict.REFUSED, version=version, problems=(problem,)
+            )
+        outcome = self.dry_run(change)
+        if change.dry_run or change.command_id in self.commands:
+            return outcome
+        if outcome.verdict is Verdict.ACCEPTED:
+            self._accept(change)
+        self._remember(change, outcome)
+        return outcome
+
+    def dry_run(self, change: Change) -> ChangeOutcome:
+        """Returns the verdict that `apply` would give, without effect."""
+        known = self.commands.get(change.command_id)
+        if known is not None:
+            return self._repeat(known, change)
+        # A malformed change is refused whatever its version, so that the
+        # problems do not depend on a race.
+        validator = ChangeValidator(
+            configuration=self.configuration, change=change
+        )
+        version = self.replica.version
+        problems = validator.check_envelope()
+        if not problems:
+            if change.expected_version not in (version, ANY_VERSION):
+                return self._conflict(change.expected_version)
+            problems = validator.check_operations()
+        if problems:
+            return ChangeOutcome(
+                verdict=Verdict.REFUSED, version=version, problems=problems
+            )
+        return ChangeOutcome(verdict=Verdict.ACCEPTED, version=version + 1)
+
+    def _repeat(
+        self, known: RememberedCommand, change: Change
+    ) -> ChangeOutcome:
+        if known.digest == digest_change(change):
+            return known.outcome
+        problem = Problem(
+            path="command_id",
+            message=f"{change.command_id!r} was used for another change",
+        )
+        return ChangeOutcome(
+            verdict=Verdict.REFUSED,
+            version=self.replica.version,
+            problems=(problem,),
+        )
+
+    def _conflict(self, expected_version: int) -> ChangeOutcome:
+        version = self.replica.version
+        if expected_version > version:
+            problem = Problem(
+                path="expected_version",
+                message=f"{expected_version} is ahead of version {version}",
+            )
+            return ChangeOutcome(
+                verdict=Verdict.CONFLICT, version=version, problems=(problem,)
+            )
+        # The winner took the version after the expected one. When its audit
+        # record is gone, the oldest known one after it is named.
+        winner = None
+        if self.audits:
+            offset = expected_version + 1 - self.audits[0].version
+            record = self.audits[max(offset, 0)]
+            winner = Winner(
+                version=record.version,
+                operator=record.operator,
+                command_id=record.command_id,
+            )
+        return ChangeOutcome(
+            verdict=Verdict.CONFLICT, version=version, winner=winner
+        )
+
+    def _accept(self, change: Change) -> None:
+        delta = self.replica.advance(change.operations)
+        summary = tuple(
+            describe_operation(operation)
+            for operation in change.operations[:SUMMARY_OPERATIONS]
+        )
+        self.audits.append(
+            AuditRecord(
+                version=delta.version,
+                command_id=change.command_id,
+                operator=change.operator,
+                created_at=change.created_at,
+                summary=summary,
+                operation_count=len(change.operations),
+            )
+        )
+
+    def _remember(self, change: Change, outcome: ChangeOutcome) -> None:
+        self.commands[change.command_id] = RememberedCommand(
+            digest=digest_change(change), outcome=outcome
+        )
+        if len(self.commands) > REMEMBERED_COMMANDS:
+            del self.commands[next(iter(self.commands))]
+
+    def snapshot(self) -> bytes:
+        """Encodes the whole state."""
+        return ENCODER.encode(
+            MachineSnapshot(
+                applied_index=self.applied_index,
+                content=self.replica.content(),
+                deltas=tuple(self.replica.deltas),
+                commands=self.commands,
+                audits=tuple(self.audits),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot.
+
+        A snapshot of an index that was already applied is ignored, so the
+        version in force never goes down.
+
+        Raises:
+            StorageError: If the data is not a snapshot.
+        """
+        try:
+            snapshot = SNAPSHOT_DECODER.decode(data)
+        except msgspec.DecodeError as error:
+            raise StorageError(
+                step="restore snapshot", message=str(error)
+            ) from error
+        if snapshot.applied_index < self.applied_index:
+            return
+        self.replica.load(snapshot.content)
+        for delta in snapshot.deltas:
+            self.replica.keep(delta)
+        self.applied_index = snapshot.applied_index
+        self.commands = dict(snapshot.commands)
+        self.audits.clear()
+        self.audits.extend(snapshot.audits)
--- /dev/null
+++ b/rattanroute/tables/changes.py
@@ -0,0 +1,246 @@
+"""Changes of the configuration: operations, verdicts and audit records."""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.configurations import DrainKind
+from rattanroute.tables.configurations import EntityKind
+from rattanroute.tables.configurations import Model
+from rattanroute.tables.configurations import Neighbour
+from rattanroute.tables.configurations import Service
+from rattanroute.tables.configurations import Workspace
+
+# Expected version of a change of drains only. Drains commute with every other
+# operation, so an urgent drain need not lose a race against other changes.
+ANY_VERSION = -1
+
+
+# Operations are msgspec structs because only structs can be told apart by a
+# tag within a union.
+class PutNeighbour(msgspec.Struct, frozen=True, kw_only=True, tag="pn"):
+    """Adds or replaces a neighbour, with its share."""
+
+    entity: Neighbour
+
+
+class PutWorkspace(msgspec.Struct, frozen=True, kw_only=True, tag="pw"):
+    """Adds or replaces a workspace."""
+
+    entity: Workspace
+
+
+class PutModel(msgspec.Struct, frozen=True, kw_only=True, tag="pm"):
+    """Adds or replaces a model, with its versions."""
+
+    entity: Model
+
+
+class PutService(msgspec.Struct, frozen=True, kw_only=True, tag="ps"):
+    """Adds or replaces a service."""
+
+    entity: Service
+
+
+class DeleteEntity(msgspec.Struct, frozen=True, kw_only=True, tag="de"):
+    """Removes an entity."""
+
+    kind: EntityKind
+    name: str
+
+
+class Drain(msgspec.Struct, frozen=True, kw_only=True, tag="dr"):
+    """Takes a target or a VM out of service."""
+
+    kind: DrainKind
+    name: str
+
+
+class Undrain(msgspec.Struct, frozen=True, kw_only=True, tag="ud"):
+    """Returns a target or a VM to service."""
+
+    kind: DrainKind
+    name: str
+
+
+Put = PutNeighbour | PutWorkspace | PutModel | PutService
+Operation = (
+    PutNeighbour
+    | PutWorkspace
+    | PutModel
+    | PutService
+    | DeleteEntity
+    | Drain
+    | Undrain
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """A batch of operations that is accepted or refused as a whole.
+
+    Attributes:
+        command_id: Chosen by the sender; a resent change has the same one.
+        operator: Name of the operator.
+        expected_version: Version that the change is made for, or ANY_VERSION.
+        operations: What to do, each entity at most once.
+        created_at: Time in seconds since 1970, set by the VM that received
+            the change; a resent change may have another one.
+        dry_run: Whether only the verdict is asked for.
+    """
+
+    command_id: str
+    operator: str
+    expected_version: int
+    operations: tuple[Operation, ...]
+    created_at: float = 0.0
+    dry_run: bool = False
+
+
+class Verdict(enum.StrEnum):
+    """What became of a change.
+
+    IGNORED is the answer to a log entry that was already applied.
+    """
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    IGNORED = "ignored"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """Why a change is refused.
+
+    Attributes:
+        path: Place in the change, for example `operations[0].model.version`.
+        message: One sentence without a final full stop.
+    """
+
+    path: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Winner:
+    """The change that took the version that another change expected."""
+
+    version: int
+    operator: str
+    command_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeOutcome:
+    """The answer to a change.
+
+    Attributes:
+        verdict: What became of it.
+        version: Version in force after the change.
+        problems: Why it is refused; empty otherwise.
+        winner: The change that won, for a conflict.
+    """
+
+    verdict: Verdict
+    version: int
+    problems: tuple[Problem, ...] = ()
+    winner: Winner | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AuditRecord:
+    """An accepted change: who changed what, and when.
+
+    Attributes:
+        version: Version that the change made.
+        command_id: Its command identifier.
+        operator: Who sent it.
+        created_at: Time in seconds since 1970.
+        summary: One text per operation, up to a limit.
+        operation_count: Number of operations.
+    """
+
+    version: int
+    command_id: str
+    operator: str
+    created_at: float
+    summary: tuple[str, ...]
+    operation_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Delta:
+    """The operations that lead from a version to the next one.
+
+    Attributes:
+        version: Version after the operations.
+        content_hash: Hash of the whole configuration after the operations.
+        operations: The operations of the accepted change.
+    """
+
+    version: int
+    content_hash: int
+    operations: tuple[Operation, ...]
+
+
+ENCODER = msgspec.msgpack.Encoder()
+CHANGE_DECODER = msgspec.msgpack.Decoder(Change)
+OUTCOME_DECODER = msgspec.msgpack.Decoder(ChangeOutcome)
+
+
+def encode_change(change: Change) -> bytes:
+    """Encodes a change as the data of a log entry."""
+    return ENCODER.encode(change)
+
+
+def decode_change(data: bytes) -> Change:
+    """Decodes the data of a log entry.
+
+    Raises:
+        msgspec.DecodeError: If the data is not a change.
+    """
+    return CHANGE_DECODER.decode(data)
+
+
+def encode_outcome(outcome: ChangeOutcome) -> bytes:
+    """Encodes an outcome for a VM that forwarded the change."""
+    return ENCODER.encode(outcome)
+
+
+def decode_outcome(data: bytes) -> ChangeOutcome:
+    """Decodes an outcome.
+
+    Raises:
+        msgspec.DecodeError: If the data is not an outcome.
+    """
+    return OUTCOME_DECODER.decode(data)
+
+
+def describe_operation(operation: Operation) -> str:
+    """Returns a short text such as `put workspace w`."""
+    match operation:
+        case DeleteEntity(kind=kind, name=name):
+            return f"delete {kind} {name}"
+        case Drain(kind=kind, name=name):
+            return f"drain {kind} {name}"
+        case Undrain(kind=kind, name=name):
+            return f"undrain {kind} {name}"
+        case _:
+            kind = type(operation.entity).__name__.lower()
+            return f"put {kind} {operation.entity.name}"
+
+
+def apply_operation(configuration: Configuration, operation: Operation) -> None:
+    """Applies an operation that is known to be valid."""
+    match operation:
+        case DeleteEntity(kind=kind, name=name):
+            configuration.delete(kind, name)
+        case Drain(kind=kind, name=name):
+            configuration.drains(kind).add(name)
+        case Undrain(kind=kind, name=name):
+            configuration.drains(kind).discard(name)
+        case _:
+            configuration.put(operation.entity)
--- a/rattanroute/tables/configurations.py
+++ b/rattanroute/tables/configurations.py
@@ -1,9 +1,10 @@
 """The configuration in force: what operators have set and the log accepted."""
 
 import dataclasses
+import enum
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Neighbour:
     """An organisation that pays for a share of the pool.
 
@@ -16,7 +17,7 @@
     share: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Workspace:
     """A workspace of a neighbour.
 
@@ -37,7 +38,7 @@
     priority: int = 0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Model:
     """A model and the version in force.
 
@@ -56,7 +57,7 @@
     min_replicas: int = 1
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
     """A plain service.
 
@@ -70,10 +71,39 @@
     repeatable_operations: tuple[str, ...] = ()
 
 
+Entity = Neighbour | Workspace | Model | Service
+
+
+class EntityKind(enum.StrEnum):
+    """The kinds of named entities."""
+
+    NEIGHBOUR = "neighbour"
+    WORKSPACE = "workspace"
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class DrainKind(enum.StrEnum):
+    """What operators can take out of service."""
+
+    TARGET = "target"
+    VM = "vm"
+
+
+KIND_BY_CLASS: dict[type, EntityKind] = {
+    Neighbour: EntityKind.NEIGHBOUR,
+    Workspace: EntityKind.WORKSPACE,
+    Model: EntityKind.MODEL,
+    Service: EntityKind.SERVICE,
+}
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Configuration:
     """All accepted settings of operators at one version.
 
+    Entities are immutable; a change replaces them.
+
     Attributes:
         version: Grows by one with each accepted change; 0 before the first.
         neighbours: Neighbours by name.
@@ -81,6 +111,8 @@
         models: Models by name.
         services: Services by name.
         drained_targets: Targets that operators take out of service.
+        drained_vms: VMs that operators take out of service.
+        workspaces_by_key_hash: Names of workspaces by the hash of a key.
     """
 
     version: int = 0
@@ -89,3 +121,56 @@
     models: dict[str, Model] = dataclasses.field(default_factory=dict)
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
     drained_targets: set[str] = dataclasses.field(default_factory=set)
+    drained_vms: set[str] = dataclasses.field(default_factory=set)
+    workspaces_by_key_hash: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def entities(self, kind: EntityKind) -> dict[str, Entity]:
+        """Returns the entities of a kind by name."""
+        match kind:
+            case EntityKind.NEIGHBOUR:
+                return self.neighbours
+            case EntityKind.WORKSPACE:
+                return self.workspaces
+            case EntityKind.MODEL:
+                return self.models
+            case _:
+                return self.services
+
+    def drains(self, kind: DrainKind) -> set[str]:
+        """Returns the identifiers of a kind that are taken out of service."""
+        if kind is DrainKind.TARGET:
+            return self.drained_targets
+        return self.drained_vms
+
+    def put(self, entity: Entity) -> None:
+        """Adds or replaces an entity."""
+        kind = KIND_BY_CLASS[type(entity)]
+        if isinstance(entity, Workspace):
+            self._drop_keys(entity.name)
+            for key_hash in entity.key_hashes:
+                self.workspaces_by_key_hash[key_hash] = entity.name
+        self.entities(kind)[entity.name] = entity
+
+    def delete(self, kind: EntityKind, name: str) -> None:
+        """Removes an entity that exists."""
+        if kind is EntityKind.WORKSPACE:
+            self._drop_keys(name)
+        del self.entities(kind)[name]
+
+    def _drop_keys(self, workspace: str) -> None:
+        known = self.workspaces.get(workspace)
+        for key_hash in known.key_hashes if known else ():
+            # A key that this change moved to another workspace stays there.
+            if self.workspaces_by_key_hash.get(key_hash) == workspace:
+                del self.workspaces_by_key_hash[key_hash]
+
+    def clear(self) -> None:
+        """Removes everything and returns to version 0."""
+        self.version = 0
+        for kind in EntityKind:
+            self.entities(kind).clear()
+        for kind in DrainKind:
+            self.drains(kind).clear()
+        self.workspaces_by_key_hash.clear()
--- /dev/null
+++ b/rattanroute/tables/replicas.py
@@ -0,0 +1,224 @@
+"""A copy of the configuration with its content hash and latest deltas."""
+
+import collections
+import dataclasses
+
+import msgspec
+import xxhash
+
+from rattanroute.tables.changes import apply_operation
+from rattanroute.tables.changes import DeleteEntity
+from rattanroute.tables.changes import Delta
+from rattanroute.tables.changes import Drain
+from rattanroute.tables.changes import Operation
+from rattanroute.tables.changes import Undrain
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.configurations import DrainKind
+from rattanroute.tables.configurations import Entity
+from rattanroute.tables.configurations import EntityKind
+from rattanroute.tables.configurations import KIND_BY_CLASS
+from rattanroute.tables.configurations import Model
+from rattanroute.tables.configurations import Neighbour
+from rattanroute.tables.configurations import Service
+from rattanroute.tables.configurations import Workspace
+
+# At 3,600 changes a day the kept deltas cover about three hours, which is
+# longer than regions lose contact with each other.
+KEPT_DELTAS = 512
+# Bounds the memory of kept deltas that hold many operations each.
+KEPT_OPERATIONS = 8192
+# 64 bits fit a msgpack integer; the hash detects faults, not attacks.
+HASH_MODULUS = 1 << 64
+
+ENCODER = msgspec.msgpack.Encoder()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationContent:
+    """A whole configuration in the form of a snapshot."""
+
+    version: int
+    neighbours: tuple[Neighbour, ...]
+    workspaces: tuple[Workspace, ...]
+    models: tuple[Model, ...]
+    services: tuple[Service, ...]
+    drained_targets: tuple[str, ...]
+    drained_vms: tuple[str, ...]
+
+
+CONTENT_DECODER = msgspec.msgpack.Decoder(ConfigurationContent)
+
+
+def hash_entity(entity: Entity) -> int:
+    """Returns the hash of an entity and its kind."""
+    kind = KIND_BY_CLASS[type(entity)].encode()
+    return xxhash.xxh3_64_intdigest(kind + b":" + ENCODER.encode(entity))
+
+
+def hash_drain(kind: DrainKind, name: str) -> int:
+    """Returns the hash of a drained target or VM."""
+    return xxhash.xxh3_64_intdigest(f"drained {kind}:{name}".encode())
+
+
+def hash_configuration(configuration: Configuration) -> int:
+    """Returns the hash of a whole configuration.
+
+    The hash is the sum of the hashes of its parts, so that a change costs
+    only the parts that it touches and the order of parts does not matter.
+    """
+    total = configuration.version
+    for kind in EntityKind:
+        entities = configuration.entities(kind).values()
+        total += sum(hash_entity(entity) for entity in entities)
+    for kind in DrainKind:
+        total += sum(hash_drain(kind, x) for x in configuration.drains(kind))
+    return total % HASH_MODULUS
+
+
+def hash_difference(configuration: Configuration, operation: Operation) -> int:
+    """Returns by how much an operation changes the hash."""
+    match operation:
+        case DeleteEntity(kind=kind, name=name):
+            old = configuration.entities(kind).get(name)
+            return -hash_entity(old) if old else 0
+        case Drain(kind=kind, name=name):
+            known = name in configuration.drains(kind)
+            return 0 if known else hash_drain(kind, name)
+        case Undrain(kind=kind, name=name):
+            known = name in configuration.drains(kind)
+            return -hash_drain(kind, name) if known else 0
+        case _:
+            entity = operation.entity
+            kind = KIND_BY_CLASS[type(entity)]
+            old = configuration.entities(kind).get(entity.name)
+            return hash_entity(entity) - (hash_entity(old) if old else 0)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ConfigurationReplica:
+    """A configuration that moves from version to version.
+
+    `configuration` stays the same object, so its readers may hold on to it.
+
+    Attributes:
+        configuration: The configuration at its latest version.
+        content_hash: Hash of the configuration.
+        deltas: Latest deltas, oldest first, without gaps.
+        kept_operations: Number of operations in `deltas`.
+    """
+
+    configuration: Configuration = dataclasses.field(
+        default_factory=Configuration
+    )
+    content_hash: int = 0
+    deltas: collections.deque[Delta] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    kept_operations: int = 0
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration."""
+        return self.configuration.version
+
+    def hash_after(self, operations: tuple[Operation, ...]) -> int:
+        """Returns the content hash that the next version would have.
+
+        Each entity occurs at most once in `operations`, so the differences
+        do not depend on each other.
+        """
+        difference = sum(
+            hash_difference(self.configuration, operation)
+            for operation in operations
+        )
+        return (self.content_hash + 1 + difference) % HASH_MODULUS
+
+    def advance(self, operations: tuple[Operation, ...]) -> Delta:
+        """Applies the operations of an accepted change."""
+        delta = Delta(
+            version=self.version + 1,
+            content_hash=self.hash_after(operations),
+            operations=operations,
+        )
+        self.apply_delta(delta)
+        return delta
+
+    def accepts(self, delta: Delta) -> bool:
+        """Whether a delta is the successor of this very content."""
+        return (
+            delta.version == self.version + 1
+            and self.hash_after(delta.operations) == delta.content_hash
+        )
+
+    def apply_delta(self, delta: Delta) -> None:
+        """Applies a delta that `accepts` holds for."""
+        for operation in delta.operations:
+            apply_operation(self.configuration, operation)
+        self.configuration.version = delta.version
+        self.content_hash = delta.content_hash
+        self.keep(delta)
+
+    def keep(self, delta: Delta) -> None:
+        """Keeps a delta for peers and drops the oldest ones."""
+        self.deltas.append(delta)
+        self.kept_operations += len(delta.operations)
+        while len(self.deltas) > 1 and (
+            len(self.deltas) > KEPT_DELTAS
+            or self.kept_operations > KEPT_OPERATIONS
+        ):
+            self.kept_operations -= len(self.deltas.popleft().operations)
+
+    def deltas_since(self, version: int) -> tuple[Delta, ...] | None:
+        """Returns the deltas after a version; None when they are not kept."""
+        count = self.version - version
+        if count <= 0:
+            return ()
+        if count > len(self.deltas):
+            return None
+        size = len(self.deltas)
+        return tuple(self.deltas[i] for i in range(size - count, size))
+
+    def content(self) -> ConfigurationContent:
+        """Returns the configuration in the form of a snapshot."""
+        source = self.configuration
+        return ConfigurationContent(
+            version=source.version,
+            neighbours=tuple(source.neighbours.values()),
+            workspaces=tuple(source.workspaces.values()),
+            models=tuple(source.models.values()),
+            services=tuple(source.services.values()),
+            drained_targets=tuple(sorted(source.drained_targets)),
+            drained_vms=tuple(sorted(source.drained_vms)),
+        )
+
+    def encode(self) -> bytes:
+        """Encodes the configuration as a snapshot."""
+        return ENCODER.encode(self.content())
+
+    def load(self, content: ConfigurationContent) -> None:
+        """Replaces the whole configuration and drops the kept deltas."""
+        configuration = self.configuration
+        configuration.clear()
+        for entities in (
+            content.neighbours,
+            content.workspaces,
+            content.models,
+            content.services,
+        ):
+            for entity in entities:
+                configuration.put(entity)
+        configuration.drained_targets.update(content.drained_targets)
+        configuration.drained_vms.update(content.drained_vms)
+        configuration.version = content.version
+        self.content_hash = hash_configuration(configuration)
+        self.deltas.clear()
+        self.kept_operations = 0
+
+
+def decode_content(data: bytes) -> ConfigurationContent:
+    """Decodes a snapshot.
+
+    Raises:
+        msgspec.DecodeError: If the data is not a snapshot.
+    """
+    return CONTENT_DECODER.decode(data)
