Add sessions for pipelines and services and the services interface

Cause: layer-split requests and at-most-once calls need a host. Change: pipeline runs ask the core for replacements; non-repeatable calls run under a claim in a task that outlives the caller's connection.

--- a/rattanroute/events.py
+++ b/rattanroute/events.py
@@ -72,6 +72,21 @@
     tokens_out: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StageDegraded:
+    """A pipeline stage still works, but far slower than it did.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number.
+        target_id: The target of the stage.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallerGone:
     """The caller closed its connection before the answer was complete."""
@@ -84,5 +99,6 @@
     | AttemptStarted
     | AttemptSucceeded
     | AttemptFailed
+    | StageDegraded
     | CallerGone
 )
--- a/rattanroute/refusals.py
+++ b/rattanroute/refusals.py
@@ -1,13 +1,17 @@
 """Refusals as HTTP answers and stream events."""
 
 import math
+from typing import TypeVar
 
 from aiohttp import web
+from expression import Result
 import msgspec
 
 from rattanroute.actions import Execution
 from rattanroute.actions import Refusal
 
+Value = TypeVar("Value")
+
 
 class RequestRefusedError(Exception):
     """Ends the handling of a request with a refusal."""
@@ -17,6 +21,17 @@
         self.refusal = refusal
 
 
+def unwrap(result: Result[Value, Refusal]) -> Value:
+    """Returns the value of a result.
+
+    Raises:
+        RequestRefusedError: If the result is a refusal.
+    """
+    if result.is_error():
+        raise RequestRefusedError(result.error)
+    return result.ok
+
+
 def describe_refusal(refusal: Refusal, request_id: str) -> dict[str, object]:
     """Returns the JSON body of a refusal."""
     return {
--- a/rattanroute/servers/callers.py
+++ b/rattanroute/servers/callers.py
@@ -2,7 +2,6 @@
 
 import time
 from typing import Protocol
-from typing import TypeVar
 import uuid
 
 from aiohttp import web
@@ -29,6 +28,7 @@
 from rattanroute.refusals import NOT_READY
 from rattanroute.refusals import RequestRefusedError
 from rattanroute.refusals import STOPPING
+from rattanroute.refusals import unwrap
 from rattanroute.servers.streams import ChatStream
 from rattanroute.sessions import ChatSession
 from rattanroute.sessions import Session
@@ -46,7 +46,6 @@
 MODEL_NOT_FOUND_STATUS = 404
 
 log = get_logger(__name__)
-Value = TypeVar("Value")
 
 
 class CallersHost(SessionHost, Protocol):
@@ -400,14 +399,3 @@
 
 async def discard(_: str) -> None:
     """Writes no token; the session keeps those of a whole answer."""
-
-
-def unwrap(result: Result[Value, Refusal]) -> Value:
-    """Returns the value of a result.
-
-    Raises:
-        RequestRefusedError: If the result is a refusal.
-    """
-    if result.is_error():
-        raise RequestRefusedError(result.error)
-    return result.ok
--- /dev/null
+++ b/rattanroute/servers/services.py
@@ -0,0 +1,245 @@
+"""HTTP interface for calls of plain services."""
+
+import asyncio
+import dataclasses
+import time
+from typing import Protocol
+
+from aiohttp import web
+import msgspec
+import xxhash
+
+from rattanroute.actions import Claimed
+from rattanroute.actions import Execution
+from rattanroute.actions import Refusal
+from rattanroute.bodies import decode_json
+from rattanroute.bodies import invalid
+from rattanroute.bodies import read_body
+from rattanroute.callers import parse_deadline
+from rattanroute.callers import parse_idempotency_key
+from rattanroute.callers import parse_priority
+from rattanroute.clients.services import ServiceAnswer
+from rattanroute.logs import get_logger
+from rattanroute.refusals import INTERNAL
+from rattanroute.refusals import RequestRefusedError
+from rattanroute.refusals import unwrap
+from rattanroute.servers.callers import CallersHost
+from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.callers import new_request_id
+from rattanroute.sessions import ServiceSession
+from rattanroute.tables.configurations import Workspace
+from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestKind
+
+REPEATED_HEADER = "Idempotent-Replayed"
+KEY_REQUIRED = Refusal(
+    type="idempotency_key_required",
+    message="this operation runs at most once and needs an Idempotency-Key",
+    status=400,
+)
+
+log = get_logger(__name__)
+
+
+class ClaimHost(Protocol):
+    """Obtains and ends claims on idempotency keys."""
+
+    async def claim(self, request: Request, content_hash: str) -> Claimed:
+        """Claims the key of a request."""
+        ...
+
+    def release(self, request_id: str) -> None:
+        """Gives a claim back whose call certainly did not run."""
+        ...
+
+    async def complete(self, request_id: str, answer: bytes) -> bool:
+        """Stores the first answer; returns whether a majority has it."""
+        ...
+
+    def mark_unknown(self, request_id: str) -> None:
+        """Leaves a claim whose call may have run."""
+        ...
+
+
+class ServicesHost(CallersHost, Protocol):
+    """What the interface for services needs from the daemon."""
+
+    claims: ClaimHost
+
+    def keep_running(self, task: "asyncio.Task[object]") -> None:
+        """Keeps a task alive until it ends, also when its caller is gone."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceOutcome:
+    """The answer to a service call.
+
+    Attributes:
+        answer: The service's answer.
+        session: The session that ran the call; None for a repeated call that
+            gets the first answer.
+    """
+
+    answer: ServiceAnswer
+    session: ServiceSession | None
+
+
+class ServicesServer:
+    """Serves calls of plain services.
+
+    Args:
+        host: The daemon.
+        callers: The interface whose checks the calls share.
+    """
+
+    def __init__(self, *, host: ServicesHost, callers: CallersServer) -> None:
+        self.host = host
+        self.callers = callers
+
+    def add_routes(self, application: web.Application) -> None:
+        """Adds the routes to the callers' application."""
+        application.router.add_post(
+            "/v1/services/{service}/{operation}", self.handle_call
+        )
+
+    async def handle_call(self, http_request: web.Request) -> web.Response:
+        """Serves one call."""
+        request_id = new_request_id()
+        span = self.callers.start_span("service", http_request, request_id)
+        try:
+            request, body = await self.open_call(http_request, request_id)
+            session = ServiceSession(
+                host=self.host, request=request, span=span, body=body
+            )
+            if request.repeatable:
+                outcome = await self.run_repeatable(session)
+            else:
+                task = asyncio.create_task(self.run_at_most_once(session))
+                self.host.keep_running(task)
+                outcome = await asyncio.shield(task)
+            return self.answer(request_id, outcome)
+        except RequestRefusedError as error:
+            return self.callers.answer_refusal(error.refusal, request_id, None)
+        except Exception as error:
+            log.exception("request failed", request_id=request_id, error=error)
+            return self.callers.answer_refusal(INTERNAL, request_id, None)
+        finally:
+            span.end()
+
+    async def open_call(
+        self, http_request: web.Request, request_id: str
+    ) -> tuple[Request, bytes]:
+        """Checks a call and builds its table row.
+
+        Raises:
+            RequestRefusedError: If the call is refused.
+        """
+        workspace = self.callers.admit(http_request)
+        service = http_request.match_info["service"]
+        self.callers.check_model(workspace, service)
+        limits = self.host.settings.limits
+        body = unwrap(
+            await read_body(
+                http_request,
+                max_bytes=limits.max_body_bytes,
+                timeout_s=limits.body_timeout_s,
+            )
+        )
+        unwrap(decode_json(body, max_depth=limits.max_json_depth))
+        request = self.build_request(http_request, workspace, request_id, body)
+        if not request.repeatable and not request.idempotency_key:
+            raise RequestRefusedError(KEY_REQUIRED)
+        return request, body
+
+    def build_request(
+        self,
+        http_request: web.Request,
+        workspace: Workspace,
+        request_id: str,
+        body: bytes,
+    ) -> Request:
+        """Builds the table row of a service call."""
+        now = time.monotonic()
+        name = http_request.match_info["service"]
+        operation = http_request.match_info["operation"]
+        service = self.host.configuration.services.get(name)
+        if service is None:
+            raise RequestRefusedError(
+                invalid(f"{name!r} is not a service", status=404)
+            )
+        default_s = self.host.settings.limits.default_deadline_s
+        deadline_s = unwrap(parse_deadline(http_request, default_s=default_s))
+        content = b"\0".join(
+            (workspace.name.encode(), name.encode(), operation.encode(), body)
+        )
+        return Request(
+            request_id=request_id,
+            kind=RequestKind.SERVICE,
+            workspace=workspace.name,
+            neighbour=workspace.neighbour,
+            model=name,
+            operation=operation,
+            repeatable=operation in service.repeatable_operations,
+            idempotency_key=unwrap(parse_idempotency_key(http_request)),
+            fingerprint=xxhash.xxh3_128_hexdigest(content),
+            priority=unwrap(parse_priority(http_request, workspace)),
+            arrived_at=now,
+            deadline=now + deadline_s,
+        )
+
+    async def run_repeatable(self, session: ServiceSession) -> ServiceOutcome:
+        """Runs a call that may run more than once."""
+        try:
+            await session.run()
+        except RequestRefusedError as error:
+            self.callers.count(session, error.refusal.type)
+            raise
+        self.callers.count(session, "done")
+        return ServiceOutcome(answer=session.answer, session=session)
+
+    async def run_at_most_once(self, session: ServiceSession) -> ServiceOutcome:
+        """Runs a call under a claim on its idempotency key.
+
+        A repeat of a key that is done gets the first answer.
+        """
+        request = session.request
+        claims = self.host.claims
+        claimed = await claims.claim(request, request.fingerprint)
+        if claimed.answer is not None:
+            self.callers.count(session, "repeated")
+            answer = msgspec.msgpack.decode(claimed.answer, type=ServiceAnswer)
+            return ServiceOutcome(answer=answer, session=None)
+        if not claimed.granted:
+            refusal = claimed.refusal or INTERNAL
+            self.callers.count(session, refusal.type)
+            raise RequestRefusedError(refusal)
+        try:
+            outcome = await self.run_repeatable(session)
+        except RequestRefusedError as error:
+            if error.refusal.execution is Execution.NOT_RUN:
+                claims.release(request.request_id)
+            else:
+                claims.mark_unknown(request.request_id)
+            raise
+        except BaseException:
+            claims.mark_unknown(request.request_id)
+            raise
+        stored = await claims.complete(
+            request.request_id, msgspec.msgpack.encode(outcome.answer)
+        )
+        if not stored:
+            log.warning("answer not stored", request_id=request.request_id)
+        return outcome
+
+    def answer(self, request_id: str, outcome: ServiceOutcome) -> web.Response:
+        """Returns the service's answer with the headers of the route."""
+        headers = self.callers.describe_route(request_id, outcome.session)
+        if outcome.session is None:
+            headers[REPEATED_HEADER] = "true"
+        return web.Response(
+            status=outcome.answer.status,
+            body=outcome.answer.body,
+            content_type=outcome.answer.content_type,
+            headers=headers,
+        )
--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -1,6 +1,7 @@
 """Open requests of callers: execute the core's actions for each of them."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -14,11 +15,18 @@
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Finish
 from rattanroute.actions import Refuse
+from rattanroute.actions import ReplaceStage
 from rattanroute.clients.attempts import AttemptError
 from rattanroute.clients.attempts import AttemptOrder
 from rattanroute.clients.attempts import TokenChunk
 from rattanroute.clients.attempts import Usage
 from rattanroute.clients.engines import EngineClient
+from rattanroute.clients.services import ServiceAnswer
+from rattanroute.clients.services import ServiceClient
+from rattanroute.clients.services import ServiceOrder
+from rattanroute.clients.sockets import FailureKind
+from rattanroute.clients.stages import PipelineClient
+from rattanroute.clients.stages import StageFailure
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
@@ -26,6 +34,7 @@
 from rattanroute.events import Event
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.events import StageDegraded
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.refusals import RequestRefusedError
@@ -68,6 +77,8 @@
     """What a session needs from the daemon."""
 
     engines: EngineClient
+    pipelines: PipelineClient
+    services: ServiceClient
     metrics: MetricsRegistry
     traces: TraceRecorder
     sessions: "SessionRegistry"
@@ -123,22 +134,25 @@
         self.request = request
         self.span = span
         self.inbox: asyncio.Queue[Action] = asyncio.Queue()
-        self.running: Dispatch | None = None
+        self.attempt = 0
+        self.replacement: ReplaceStage | None = None
         self.scope: asyncio.Timeout | None = None
         self.route: list[str] = []
         self.attempt_tokens = 0
 
     def take(self, action: Action) -> None:
         """Queues an action; one that ends the running attempt interrupts it."""
-        running = self.running
+        if isinstance(action, ReplaceStage):
+            self.replacement = action
+            self.attempt = action.attempt
+            return
+        cancels = isinstance(action, CancelAttempt)
         ends = isinstance(action, Refuse) or (
-            isinstance(action, CancelAttempt)
-            and running is not None
-            and action.attempt == running.attempt
+            cancels and action.attempt == self.attempt
         )
-        if ends and running is not None and self.scope is not None:
+        if ends and self.scope is not None:
             self.scope.reschedule(asyncio.get_running_loop().time())
-        if not isinstance(action, CancelAttempt):
+        if not cancels:
             self.inbox.put_nowait(action)
 
     async def run(self) -> None:
@@ -170,7 +184,7 @@
         names = tuple(hop.target_id for hop in dispatch.chain)
         self.route.append(",".join(names))
         span = self.start_attempt_span(dispatch)
-        self.running = dispatch
+        self.attempt = dispatch.attempt
         self.attempt_tokens = 0
         started = time.monotonic()
         try:
@@ -187,7 +201,6 @@
             self.record(dispatch, None, started, "cancelled")
             raise
         finally:
-            self.running = None
             self.scope = None
             span.end()
         self.record(dispatch, event, started, describe_outcome(event))
@@ -227,7 +240,7 @@
         )
         return AttemptFailed(
             request_id=self.request.request_id,
-            attempt=dispatch.attempt,
+            attempt=self.attempt,
             target_id=error.peer or dispatch.chain[0].target_id,
             provenance=error.provenance,
             crashed=error.crashed,
@@ -242,7 +255,7 @@
         """Returns the event of an attempt that the router ended."""
         return AttemptFailed(
             request_id=self.request.request_id,
-            attempt=dispatch.attempt,
+            attempt=self.attempt,
             target_id=dispatch.chain[0].target_id,
             provenance=provenance,
             reason=reason,
@@ -262,7 +275,7 @@
         self.host.record_usage(
             AttemptUsage(
                 request=self.request,
-                attempt=dispatch.attempt,
+                attempt=self.attempt,
                 target_ids=tuple(hop.target_id for hop in dispatch.chain),
                 tokens_in=getattr(event, "tokens_in", self.request.tokens_in),
                 tokens_out=event.tokens_out if event else 0,
@@ -305,18 +318,71 @@
     ) -> AttemptSucceeded | AttemptFailed:
         """Streams one attempt's tokens to the caller."""
         order = self.build_order(dispatch, span)
-        async for chunk in self.host.engines.run(order):
+        async for chunk in self.open_run(order, dispatch):
             if isinstance(chunk, TokenChunk):
-                await self.pass_on(dispatch, chunk.text)
+                await self.pass_on(chunk.text)
             else:
                 self.usage = chunk
         return AttemptSucceeded(
             request_id=self.request.request_id,
-            attempt=dispatch.attempt,
+            attempt=self.attempt,
             tokens_in=self.usage.tokens_in,
             tokens_out=self.attempt_tokens,
         )
 
+    def open_run(
+        self, order: AttemptOrder, dispatch: Dispatch
+    ) -> AsyncIterator[TokenChunk | Usage]:
+        """Starts a run on a whole-model engine or on a chain of stages."""
+        if len(dispatch.chain) == 1:
+            return self.host.engines.run(order)
+        return self.host.pipelines.open(
+            order=order, chain=dispatch.chain, on_failure=self.replace_stage
+        ).run()
+
+    async def replace_stage(self, failure: StageFailure) -> ReplaceStage | None:
+        """Asks the core for a replacement of a failed or slow stage.
+
+        Returns:
+            The replacement, or None; the core has then decided what becomes
+            of the request, and its action waits in the inbox.
+        """
+        self.replacement = None
+        log.warning(
+            "stage failed",
+            request_id=self.request.request_id,
+            attempt=self.attempt,
+            peer=failure.hop.target_id,
+            kind=failure.kind.value,
+            reason=failure.error.message,
+        )
+        if failure.kind is FailureKind.DEGRADED:
+            self.host.handle(
+                StageDegraded(
+                    request_id=self.request.request_id,
+                    attempt=self.attempt,
+                    target_id=failure.hop.target_id,
+                )
+            )
+        else:
+            self.host.handle(
+                AttemptFailed(
+                    request_id=self.request.request_id,
+                    attempt=self.attempt,
+                    target_id=failure.hop.target_id,
+                    provenance=failure.error.provenance,
+                    crashed=failure.error.crashed,
+                    reason=failure.error.message,
+                    retry_after_s=failure.error.retry_after_s,
+                    tokens_out=self.attempt_tokens,
+                )
+            )
+        if self.replacement is not None:
+            self.attempt_tokens = 0
+            names = [hop.target_id for hop in self.replacement.hops]
+            self.route.append(f"{failure.hop.target_id}={','.join(names)}")
+        return self.replacement
+
     def build_order(self, dispatch: Dispatch, span: trace.Span) -> AttemptOrder:
         """Builds the order for a whole-model engine."""
         request = self.request
@@ -335,7 +401,7 @@
             trace_headers=self.host.traces.inject(span),
         )
 
-    async def pass_on(self, dispatch: Dispatch, text: str) -> None:
+    async def pass_on(self, text: str) -> None:
         """Counts a token and writes it to the caller."""
         now = time.monotonic()
         if self.last_token_at == 0.0:
@@ -353,13 +419,59 @@
         if attempt is not None and attempt.started_at is None:
             self.host.handle(
                 AttemptStarted(
-                    request_id=self.request.request_id,
-                    attempt=dispatch.attempt,
+                    request_id=self.request.request_id, attempt=self.attempt
                 )
             )
         await self.write(text)
 
 
+class ServiceSession(Session):
+    """A call of a plain service.
+
+    Args:
+        host: The daemon.
+        request: The request.
+        span: Span of the entry hop.
+        body: The caller's JSON body.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: SessionHost,
+        request: Request,
+        span: trace.Span,
+        body: bytes,
+    ) -> None:
+        super().__init__(host=host, request=request, span=span)
+        self.body = body
+        self.answer: ServiceAnswer | None = None
+
+    async def execute(
+        self, dispatch: Dispatch, span: trace.Span
+    ) -> AttemptSucceeded | AttemptFailed:
+        """Calls the operation once."""
+        request = self.request
+        self.answer = await self.host.services.call(
+            ServiceOrder(
+                request_id=request.request_id,
+                attempt=dispatch.attempt,
+                target_id=dispatch.chain[0].target_id,
+                address=dispatch.chain[0].address,
+                operation=request.operation,
+                body=self.body,
+                repeatable=request.repeatable,
+                deadline_s=request.deadline - time.monotonic(),
+                account=f"{request.neighbour}/{request.workspace}",
+                priority=request.priority,
+                trace_headers=self.host.traces.inject(span),
+            )
+        )
+        return AttemptSucceeded(
+            request_id=request.request_id, attempt=dispatch.attempt
+        )
+
+
 def describe_outcome(event: AttemptSucceeded | AttemptFailed) -> str:
     """Returns the outcome of an attempt for the accounts."""
     if isinstance(event, AttemptSucceeded):
