--- /dev/null
+++ b/rattanroute/tools/bench_relay.py
@@ -0,0 +1,280 @@
+"""Costs of the router's request path beside a bare aiohttp relay.
+
+Both stand before the same stand-in engine and take turns under the same load,
+in one run.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+
+import aiohttp
+import msgspec
+import psutil
+import uvloop
+
+from rattanroute.tools.clusters import LocalCluster
+from rattanroute.tools.clusters import Vm
+from rattanroute.tools.demo_configuration import apply_configuration
+from rattanroute.tools.demo_configuration import LOAD_KEYS
+from rattanroute.tools.loads import LoadClient
+from rattanroute.tools.loads import LoadPlan
+from rattanroute.tools.loads import LoadReport
+
+MODEL = "chat"
+RELAY_PORT = 8095
+ENGINE_SLOTS = 4000
+LATENCY_RATE = 100.0
+LATENCY_SECONDS = 15.0
+LATENCY_TOKENS = 8
+CHUNK_REQUESTS = 40
+CHUNK_TOKENS = 400
+OPEN_STREAMS = 1000
+OPEN_STREAM_TOKENS = 60
+OPEN_STREAM_TOKENS_PER_SECOND = 4.0
+MEMORY_DELAY_SECONDS = 5.0
+MAX_CHUNK_RATIO = 1.5
+MAX_ADDED_MEDIAN_MS = 2.0
+MAX_ADDED_P99_MS = 8.0
+MAX_STREAM_KIB = 64.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Subject:
+    """A process under measurement.
+
+    Attributes:
+        url: Base URL.
+        pid: Process identifier.
+    """
+
+    url: str
+    pid: int
+
+    def cpu_seconds(self) -> float:
+        """Returns the processor time used so far."""
+        times = psutil.Process(self.pid).cpu_times()
+        return times.user + times.system
+
+    def resident_bytes(self) -> int:
+        """Returns the resident memory."""
+        return psutil.Process(self.pid).memory_info().rss
+
+
+def build_row(
+    name: str, value: float, unit: str, target: float | None, baseline: float
+) -> dict[str, object]:
+    """Builds one row of the results."""
+    return {
+        "name": name,
+        "value": value,
+        "unit": unit,
+        "target": target,
+        "met": None if target is None else value <= target,
+        "baseline": baseline,
+    }
+
+
+async def open_subjects(cluster: LocalCluster, vm: Vm) -> list[Subject]:
+    """Starts the engine and the relay; returns the daemon and the relay."""
+    engine = await cluster.add_engine(
+        "engine",
+        vm.data_centre,
+        model=MODEL,
+        slots=ENGINE_SLOTS,
+        max_queued=ENGINE_SLOTS,
+        tokens_per_second=OPEN_STREAM_TOKENS_PER_SECOND,
+        prefill_tokens_per_second=1e6,
+        max_executions=0,
+    )
+    fast = await cluster.add_engine(
+        "engine-fast",
+        vm.data_centre,
+        model="instruct",
+        slots=ENGINE_SLOTS,
+        max_queued=ENGINE_SLOTS,
+        tokens_per_second=100.0,
+        prefill_tokens_per_second=1e6,
+        max_executions=0,
+    )
+    await cluster.wait_status(f"{engine.url}/healthz")
+    await cluster.wait_status(f"{fast.url}/healthz")
+    for name, target in (("relay-slow", engine), ("relay", fast)):
+        port = RELAY_PORT + (name == "relay-slow")
+        await cluster.spawn(
+            name, "rattanroute.tools.relays", vm.address, str(port), target.url
+        )
+        await cluster.wait_status(f"http://{vm.address}:{port}/healthz")
+    return [
+        Subject(url=vm.callers_url, pid=cluster.processes[vm.name].pid),
+        Subject(
+            url=f"http://{vm.address}:{RELAY_PORT}",
+            pid=cluster.processes["relay"].pid,
+        ),
+        Subject(
+            url=f"http://{vm.address}:{RELAY_PORT + 1}",
+            pid=cluster.processes["relay-slow"].pid,
+        ),
+    ]
+
+
+async def measure_latency(
+    loads: LoadClient, subject: Subject, seed: int
+) -> LoadReport:
+    """Measures the time to the first token under a steady load."""
+    return await loads.run(
+        LoadPlan(
+            urls=(subject.url,),
+            keys=LOAD_KEYS,
+            model="instruct",
+            rate=LATENCY_RATE,
+            seconds=LATENCY_SECONDS,
+            max_tokens=LATENCY_TOKENS,
+            seed=seed,
+        )
+    )
+
+
+async def measure_chunk(loads: LoadClient, subject: Subject) -> float:
+    """Returns microseconds of processor time for each streamed chunk.
+
+    The idle cost of a second is measured first and taken off.
+    """
+    idle_started = subject.cpu_seconds()
+    await asyncio.sleep(2.0)
+    idle = (subject.cpu_seconds() - idle_started) / 2.0
+    started = time.monotonic()
+    before = subject.cpu_seconds()
+    report = await loads.run(
+        LoadPlan(
+            urls=(subject.url,),
+            keys=LOAD_KEYS,
+            model="instruct",
+            rate=float(CHUNK_REQUESTS),
+            seconds=1.0,
+            max_tokens=CHUNK_TOKENS,
+            seed=3,
+        )
+    )
+    used = subject.cpu_seconds() - before
+    used -= idle * (time.monotonic() - started)
+    return used / max(report.tokens, 1) * 1e6
+
+
+async def measure_memory(
+    client: aiohttp.ClientSession, subject: Subject
+) -> float:
+    """Returns KiB of resident memory for each open stream."""
+    before = subject.resident_bytes()
+    tasks = [
+        asyncio.create_task(hold_stream(client, subject.url, number))
+        for number in range(OPEN_STREAMS)
+    ]
+    await asyncio.sleep(MEMORY_DELAY_SECONDS)
+    used = subject.resident_bytes() - before
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return used / OPEN_STREAMS / 1024
+
+
+async def hold_stream(
+    client: aiohttp.ClientSession, url: str, number: int
+) -> None:
+    """Opens a slow stream and reads it until cancelled."""
+    body = {
+        "model": MODEL,
+        "stream": True,
+        "max_tokens": OPEN_STREAM_TOKENS,
+        "messages": [{"role": "user", "content": f"hold {number}"}],
+    }
+    headers = {"Authorization": f"Bearer {LOAD_KEYS[0]}"}
+    async with client.post(
+        f"{url}/v1/chat/completions",
+        data=msgspec.json.encode(body),
+        headers=headers,
+    ) as response:
+        async for _ in response.content:
+            pass
+
+
+async def run_all() -> list[dict[str, object]]:
+    """Runs all measurements."""
+    async with contextlib.AsyncExitStack() as stack:
+        cluster = await stack.enter_async_context(
+            LocalCluster(data_centres={"dc-a": 1})
+        )
+        client = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+        )
+        vm = next(iter(cluster.vms.values()))
+        await apply_configuration(cluster)
+        router, relay, slow_relay = await open_subjects(cluster, vm)
+        await asyncio.sleep(1.5)
+        loads = LoadClient(client=client)
+        rows = await compare_latency(loads, router, relay)
+        chunk = await measure_chunk(loads, router)
+        bare = await measure_chunk(loads, relay)
+        rows.append(
+            build_row("processor time per chunk", chunk, "us", None, bare)
+        )
+        rows.append(
+            build_row(
+                "processor time per chunk against the relay",
+                chunk / bare,
+                "ratio",
+                MAX_CHUNK_RATIO,
+                1.0,
+            )
+        )
+        bare = await measure_memory(client, slow_relay)
+        used = await measure_memory(client, router)
+        rows.append(
+            build_row(
+                "memory per open stream beyond the relay",
+                used - bare,
+                "KiB",
+                MAX_STREAM_KIB,
+                bare,
+            )
+        )
+        return rows
+
+
+async def compare_latency(
+    loads: LoadClient, router: Subject, relay: Subject
+) -> list[dict[str, object]]:
+    """Compares the times to the first token; each side runs twice."""
+    reports: dict[str, list[LoadReport]] = {"router": [], "relay": []}
+    for seed in (1, 2):
+        reports["relay"].append(await measure_latency(loads, relay, seed))
+        reports["router"].append(await measure_latency(loads, router, seed))
+    for pair in reports.values():
+        pair[0].first_token.add(pair[1].first_token)
+    routed, bare = reports["router"][0], reports["relay"][0]
+    rows = []
+    for percentile, target in (
+        (50.0, MAX_ADDED_MEDIAN_MS),
+        (99.0, MAX_ADDED_P99_MS),
+    ):
+        base = bare.first_token_ms(percentile)
+        added = routed.first_token_ms(percentile) - base
+        rows.append(
+            build_row(
+                f"added time to first token, p{percentile:g}",
+                added,
+                "ms",
+                target,
+                base,
+            )
+        )
+    return rows
+
+
+def run() -> list[dict[str, object]]:
+    """Runs the part."""
+    return uvloop.run(run_all())
