Compose the request core from systems

Cause: the first core chose the least loaded target from a scan of all targets, queued in order of arrival and knew neither shares, health, retry budgets nor requests that crash targets. Change: systems for routing (sampled index per model, completion time), admission (fair queue, deadline check, shedding), retries, detection, quarantine, shares, selection and expiry; the core only composes them. A target's load is its report corrected by dispatches and ends since then. With the check for non-repeatable calls removed, the property test and a focused test fail; restored. Failed try: an attempt that had answered was moved when its host then reported it as not dispatched; the property test found the second run.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -1,14 +1,18 @@
-"""The request core: decides what happens to each request of this VM."""
+"""The request core: decides what happens to each request of this VM.
+
+Every request ends in exactly one `Finish` or `Refuse`, unless its caller has
+gone. The core gives back the slots of an attempt before it decides what
+follows, so that a request that waits for a retry holds no slot.
+"""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import random as randoms
-from typing import Protocol
 
 from rattanroute.actions import Action
 from rattanroute.actions import CancelAttempt
 from rattanroute.actions import Dispatch
-from rattanroute.actions import Execution
 from rattanroute.actions import Finish
 from rattanroute.actions import Hop
 from rattanroute.actions import Refusal
@@ -21,37 +25,32 @@
 from rattanroute.events import Event
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.systems import refusals
+from rattanroute.systems.admissions import AdmissionSystem
+from rattanroute.systems.admissions import OpenGate
+from rattanroute.systems.admissions import ShareGate
+from rattanroute.systems.admissions import weights_of
+from rattanroute.systems.attempts import AttemptSystem
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.systems.drains import DrainSystem
+from rattanroute.systems.expirations import ExpirationSystem
+from rattanroute.systems.quarantines import QuarantineSystem
+from rattanroute.systems.retries import HedgeSystem
+from rattanroute.systems.retries import RetrySystem
+from rattanroute.systems.routing import hop_of
+from rattanroute.systems.routing import RoutingSystem
+from rattanroute.systems.selections import ChainPlanner
+from rattanroute.systems.selections import SelectionSystem
 from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.pools import PoolKey
 from rattanroute.tables.requests import Attempt
 from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.requests import RequestState
 from rattanroute.tables.requests import RequestTable
-from rattanroute.tables.targets import Target
-from rattanroute.tables.targets import TargetHealth
 from rattanroute.tables.targets import TargetTable
 
 
-class ChainPlanner(Protocol):
-    """Chooses chains over targets that hold ranges of layers."""
-
-    def plan(
-        self, *, model: str, version: str, targets: TargetTable, now: float
-    ) -> tuple[Hop, ...] | None:
-        """Returns a chain over all layers, or None when there is none."""
-        ...
-
-    def replace(
-        self,
-        *,
-        request: Request,
-        failed_target_id: str,
-        targets: TargetTable,
-        now: float,
-    ) -> tuple[Hop, ...] | None:
-        """Returns hops for the layers of a failed hop, or None."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CoreSettings:
     """Settings of the request core.
@@ -61,16 +60,32 @@
         heartbeat_timeout_s: Age of a report after which its target gets no
             new work.
         max_attempts: Attempts of one request.
+        hedging: Whether late whole answers are asked of a second target. The
+            host must then run two attempts of a request side by side.
     """
 
     max_queued: int = 1000
     heartbeat_timeout_s: float = 2.5
     max_attempts: int = 4
+    hedging: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RequestCore:
-    """Takes events of requests and returns actions for the host."""
+    """Takes events of requests and returns actions for the host.
+
+    Attributes:
+        vm_id: This VM.
+        data_centre: Its data centre.
+        targets: All targets; the core counts its attempts in them.
+        requests: Requests that have not ended.
+        configuration: Returns the configuration in force.
+        settings: Settings of the core.
+        random: Random numbers for all decisions.
+        planner: Chains for models that are split over targets.
+        gate: Shares of the neighbours.
+        quarantines: Requests that crash targets.
+    """
 
     vm_id: str
     data_centre: str
@@ -80,7 +95,61 @@
     settings: CoreSettings
     random: randoms.Random
     planner: ChainPlanner | None = None
-    queue: list[str] = dataclasses.field(default_factory=list)
+    gate: ShareGate = dataclasses.field(default_factory=OpenGate)
+    quarantines: QuarantineSystem | None = None
+    routing: RoutingSystem = dataclasses.field(init=False)
+    admissions: AdmissionSystem = dataclasses.field(init=False)
+    detections: DetectionSystem = dataclasses.field(init=False)
+    retries: RetrySystem = dataclasses.field(init=False)
+    hedges: HedgeSystem = dataclasses.field(init=False)
+    attempts: AttemptSystem = dataclasses.field(init=False)
+    selections: SelectionSystem = dataclasses.field(init=False)
+    expirations: ExpirationSystem = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        if self.quarantines is None:
+            self.quarantines = QuarantineSystem(
+                vm_id=self.vm_id, peers=tuple, random=self.random
+            )
+        self.routing = RoutingSystem(
+            data_centre=self.data_centre,
+            targets=self.targets,
+            configuration=self.configuration,
+            drains=DrainSystem(
+                heartbeat_timeout_s=self.settings.heartbeat_timeout_s
+            ),
+            random=self.random,
+        )
+        self.admissions = AdmissionSystem(
+            max_queued=self.settings.max_queued, gate=self.gate
+        )
+        self.detections = DetectionSystem(targets=self.targets)
+        self.retries = RetrySystem(
+            random=self.random, max_attempts=self.settings.max_attempts
+        )
+        self.hedges = HedgeSystem()
+        self.attempts = AttemptSystem(
+            targets=self.targets,
+            gate=self.gate,
+            admissions=self.admissions,
+            detections=self.detections,
+            quarantines=self.quarantines,
+            routing=self.routing,
+            hedges=self.hedges,
+            hedging=self.settings.hedging,
+        )
+        self.selections = SelectionSystem(
+            targets=self.targets,
+            routing=self.routing,
+            quarantines=self.quarantines,
+            planner=self.planner,
+            random=self.random,
+        )
+        self.expirations = ExpirationSystem(
+            requests=self.requests,
+            admissions=self.admissions,
+            selections=self.selections,
+        )
 
     def handle(self, event: Event, *, now: float) -> list[Action]:
         """Handles an event; events of ended requests are ignored."""
@@ -90,277 +159,342 @@
             case AttemptStarted():
                 return self.start(event, now)
             case AttemptSucceeded():
-                return self.succeed(event)
+                return self.succeed(event, now)
             case AttemptFailed():
                 return self.fail(event, now)
             case CallerGone():
-                return self.abandon(event)
+                return self.abandon(event, now)
 
     def tick(self, *, now: float) -> list[Action]:
-        """Dispatches queued requests and expires those past the deadline."""
+        """Does what is due: retries, deadlines, probes and the queues."""
         actions: list[Action] = []
-        for request_id in list(self.queue):
+        self.detections.wake(now)
+        stopped = self.quarantines.take_stopped()
+        actions += self.stop_suspects(stopped, "", now)
+        for request_id, number in self.detections.silent(now):
+            actions += self.give_up(request_id, number, now)
+        actions += self.expire(now)
+        for request_id in self.retries.release(now):
             request = self.requests.get(request_id)
-            if request is None:
-                self.queue.remove(request_id)
-            elif request.deadline <= now:
-                actions += self.refuse(request, deadline_refusal(request))
-            elif (chain := self.choose(request, now)) is not None:
-                self.queue.remove(request_id)
-                actions.append(self.dispatch(request, chain, now))
+            if request is not None and not request.live:
+                actions += self.retry(request, now)
+        for key in list(self.admissions.queues):
+            actions += self.drain(key, now)
+        for request_id, number in self.hedges.late(now):
+            actions += self.hedge(request_id, number, now)
+        self.gate.set_backlog(self.admissions.backlog())
         return actions
 
     def arrive(self, request: Request, now: float) -> list[Action]:
         """Dispatches, queues or refuses a new request."""
         self.requests.add(request)
-        chain = self.choose(request, now)
-        if chain is not None:
-            return [self.dispatch(request, chain, now)]
-        if not any(self.usable(request, row, now) for row in self.targets):
-            return self.refuse(
-                request,
-                Refusal(
-                    type="no_target",
-                    message=f"no target serves {request.model} at present",
-                    status=503,
-                    execution=execution_of(request),
-                    retry_after_s=1.0,
-                ),
-            )
-        if len(self.queue) >= self.settings.max_queued:
-            return self.refuse(
-                request,
-                Refusal(
-                    type="overloaded",
-                    message="the queue is full",
-                    status=503,
-                    execution=execution_of(request),
-                    retry_after_s=1.0,
-                ),
-            )
+        self.expirations.watch(request)
+        self.retries.budget.earn()
+        self.hedges.budget.earn()
+        if request.kind is RequestKind.CHAT:
+            request.pool = self.routing.key_of(request)
+            work = self.selections.run_seconds(request)
+            self.gate.offer(request.neighbour, work=work)
+        return self.route(request, now)
+
+    def route(self, request: Request, now: float) -> list[Action]:
+        """Dispatches, queues or refuses a request without an attempt."""
+        banned = self.quarantines.banned_for(request.fingerprint, now)
+        if banned:
+            return self.refuse(request, refusals.quarantined(request, banned))
+        key = request.pool = self.routing.key_of(request)
+        if not self.selections.is_known(request):
+            return self.refuse(request, refusals.no_target(request))
+        queue = self.admissions.queue(key)
+        if not len(queue):
+            placed = self.place(request, now)
+            if placed:
+                share, weight = weights_of(request, self.configuration())
+                cost = self.selections.run_seconds(request)
+                queue.charge(request, share=share, weight=weight, cost=cost)
+                return placed
+        return self.enqueue(request, now)
+
+    def enqueue(self, request: Request, now: float) -> list[Action]:
+        """Makes a request wait for a slot unless that is of no use."""
+        key = request.pool
+        if not self.selections.is_servable(request, now):
+            return self.refuse(request, refusals.no_target(request))
+        run = self.selections.run_seconds(request)
+        if run > request.deadline - now:
+            return self.refuse(request, refusals.deadline_unreachable(request))
+        refusal = self.admissions.check(request, key=key, run=run, now=now)
+        if refusal is not None:
+            return self.refuse(request, refusal)
         request.state = RequestState.QUEUED
-        self.queue.append(request.request_id)
+        self.admissions.enqueue(
+            request, key=key, run=run, configuration=self.configuration()
+        )
         return []
 
+    def place(self, request: Request, now: float) -> list[Action]:
+        """Starts an attempt where a slot is free; returns no action else."""
+        if not self.admits(request, now):
+            return []
+        chain = self.selections.select(request, now)
+        return self.dispatch(request, chain, now) if chain else []
+
+    def admits(self, request: Request, now: float) -> bool:
+        """Tells whether the neighbour's share allows a start.
+
+        A request that has already used work goes on, and services do not use
+        the pooled accelerators.
+        """
+        if request.kind is RequestKind.SERVICE or request.attempts:
+            return True
+        return self.gate.admits(request.neighbour, now=now)
+
+    def dispatch(
+        self, request: Request, chain: tuple[Hop, ...], now: float
+    ) -> list[Action]:
+        """Starts the next attempt on a chain."""
+        attempt, messages = self.attempts.begin(request, chain, now)
+        started = Dispatch(
+            request_id=request.request_id,
+            attempt=attempt.number,
+            chain=chain,
+        )
+        return [started, *messages]
+
     def start(self, event: AttemptStarted, now: float) -> list[Action]:
-        """Notes the first token of the latest attempt."""
-        request = self.requests.get(event.request_id)
-        if request is not None and is_current(request, event.attempt):
+        """Notes the first token of a running attempt."""
+        request, attempt = self.find(event.request_id, event.attempt)
+        if attempt is not None and attempt.started_at is None:
             request.state = RequestState.STARTED
-            request.attempts[-1].started_at = now
+            attempt.started_at = now
+            self.attempts.note_started(request, attempt, now)
         return []
 
-    def succeed(self, event: AttemptSucceeded) -> list[Action]:
+    def succeed(self, event: AttemptSucceeded, now: float) -> list[Action]:
         """Ends a request whose answer is complete."""
-        request = self.requests.get(event.request_id)
-        if request is None or not is_current(request, event.attempt):
+        request, attempt = self.find(event.request_id, event.attempt)
+        if attempt is None:
             return []
-        self.release(request)
-        for hop in request.attempts[-1].chain:
-            row = self.targets.get(hop.target_id)
-            if row is not None:
-                row.failures = 0
+        actions = self.attempts.complete(request, attempt, event, now)
+        actions += self.cancel(request, now)
         request.state = RequestState.DONE
         self.requests.remove(request.request_id)
-        return [Finish(request_id=request.request_id)]
+        actions.insert(0, Finish(request_id=request.request_id))
+        return actions + self.drain(request.pool, now)
 
     def fail(self, event: AttemptFailed, now: float) -> list[Action]:
         """Moves or refuses a request by what is known of its attempt."""
-        request = self.requests.get(event.request_id)
-        if request is None or not is_current(request, event.attempt):
+        request, attempt = self.find(event.request_id, event.attempt)
+        if attempt is None:
             return []
-        failed = self.targets.get(event.target_id)
-        if failed is not None:
-            failed.failures += 1
-        request.tokens_out += event.tokens_out
+        if attempt.started_at is not None:
+            # An attempt that answered has run, whatever the host says later.
+            event = dataclasses.replace(event, provenance=Provenance.STARTED)
         clean = event.provenance is Provenance.NOT_DISPATCHED
-        if not clean and not request.repeatable:
-            self.release(request)
-            return self.refuse(request, ambiguous_refusal(request))
-        if len(request.attempts[-1].chain) > 1 and self.planner is not None:
-            hops = self.planner.replace(
-                request=request,
-                failed_target_id=event.target_id,
-                targets=self.targets,
-                now=now,
-            )
-            if hops is not None:
-                return [self.replace(request, event.target_id, hops, now)]
-        self.release(request)
-        if len(request.attempts) >= self.settings.max_attempts:
-            return self.refuse(request, exhausted_refusal(request))
-        return self.arrive(request, now)
-
-    def abandon(self, event: CallerGone) -> list[Action]:
-        """Cancels the work of a caller that closed its connection."""
-        request = self.requests.get(event.request_id)
-        if request is None:
-            return []
-        self.requests.remove(request.request_id)
-        if request.request_id in self.queue:
-            self.queue.remove(request.request_id)
-            return []
-        self.release(request)
-        return [
-            CancelAttempt(
-                request_id=request.request_id,
-                attempt=request.attempts[-1].number,
-            )
-        ]
-
-    def usable(self, request: Request, row: Target, now: float) -> bool:
-        """Tells whether a target may get the request, slots aside."""
-        report = row.report
-        fresh = now - row.heard_at <= self.settings.heartbeat_timeout_s
-        return (
-            report.model == request.model
-            and (not request.version or report.version == request.version)
-            and (not request.adapter or request.adapter in report.adapters)
-            and fresh
-            and not report.leaving
-            and report.target_id not in self.configuration().drained_targets
-            and row.health is not TargetHealth.EJECTED
-            and row.blocked_until <= now
-        )
-
-    def choose(self, request: Request, now: float) -> tuple[Hop, ...] | None:
-        """Returns a chain with a free slot, or None."""
-        tried = {h.target_id for a in request.attempts for h in a.chain}
-        free = [
-            row
-            for row in self.targets
-            if self.usable(request, row, now)
-            and row.report.whole
-            and load_of(row) < row.report.slots
-        ]
-        free = [r for r in free if r.report.target_id not in tried] or free
-        if free:
-            self.random.shuffle(free)
-            best = min(free, key=lambda row: load_of(row) / row.report.slots)
-            report = best.report
-            return (
-                Hop(
-                    target_id=report.target_id,
-                    address=report.address,
-                    last_layer=report.last_layer,
-                ),
-            )
-        if self.planner is None:
-            return None
-        return self.planner.plan(
-            model=request.model,
-            version=request.version,
-            targets=self.targets,
+        request.tokens_out += event.tokens_out
+        actions: list[Action] = []
+        if event.crashed and not clean:
+            actions += self.note_crash(attempt, event, now)
+        attempt.clean = clean
+        actions += self.attempts.end(request, attempt, now)
+        self.attempts.note_failure(event, now)
+        if not request.live:
+            actions += self.move(request, attempt, event, now)
+        return actions + self.drain(request.pool, now)
+
+    def note_crash(
+        self,
+        attempt: Attempt,
+        event: AttemptFailed,
+        now: float,
+    ) -> list[Action]:
+        """Reports a crash with all requests that ran on the target."""
+        incarnation = 0
+        for hop, number in zip(
+            attempt.chain, attempt.incarnations, strict=True
+        ):
+            if hop.target_id == event.target_id:
+                incarnation = number
+        running = self.attempts.running.get(event.target_id, ())
+        rows = [self.requests.get(request_id) for request_id in running]
+        suspects, actions = self.quarantines.note_crash(
+            target_id=event.target_id,
+            incarnation=incarnation,
+            fingerprints={row.fingerprint for row in rows if row},
             now=now,
         )
+        return actions + self.stop_suspects(suspects, event.target_id, now)
 
-    def dispatch(
-        self, request: Request, chain: tuple[Hop, ...], now: float
-    ) -> Dispatch:
-        """Starts the next attempt on a chain."""
-        number = len(request.attempts) + 1
-        request.attempts.append(
-            Attempt(number=number, chain=chain, dispatched_at=now)
+    def move(
+        self,
+        request: Request,
+        attempt: Attempt,
+        event: AttemptFailed,
+        now: float,
+    ) -> list[Action]:
+        """Starts the next attempt, or refuses, after a failed one."""
+        refusal = self.retries.judge(
+            request,
+            event,
+            banned=self.quarantines.banned_for(request.fingerprint, now),
         )
-        request.state = RequestState.DISPATCHED
-        for hop in chain:
-            row = self.targets.get(hop.target_id)
-            if row is not None:
-                row.in_flight += 1
-                row.sent_since_report += 1
-        return Dispatch(
-            request_id=request.request_id, attempt=number, chain=chain
+        if refusal is not None:
+            return self.refuse(request, refusal)
+        hops = self.selections.replacement(
+            request, failed_target_id=event.target_id, now=now
         )
+        if hops is not None:
+            return self.replace(request, attempt, event, hops, now)
+        placed = self.place(request, now)
+        if placed:
+            return placed
+        if not self.selections.is_servable(request, now):
+            return self.refuse(request, refusals.no_target(request))
+        request.state = RequestState.QUEUED
+        self.retries.delay(
+            request.request_id, failures=len(request.attempts), now=now
+        )
+        return []
+
+    def retry(self, request: Request, now: float) -> list[Action]:
+        """Starts a request whose back-off has passed, ahead of the queue."""
+        return self.place(request, now) or self.route(request, now)
 
     def replace(
         self,
         request: Request,
-        failed_target_id: str,
+        attempt: Attempt,
+        event: AttemptFailed,
         hops: tuple[Hop, ...],
         now: float,
-    ) -> ReplaceStage:
+    ) -> list[Action]:
         """Starts an attempt that keeps all hops but the failed one."""
-        old = request.attempts[-1].chain
-        self.release(request)
         chain: tuple[Hop, ...] = ()
-        for hop in old:
-            chain += hops if hop.target_id == failed_target_id else (hop,)
-        started = self.dispatch(request, chain, now)
-        return ReplaceStage(
+        for hop in attempt.chain:
+            chain += hops if hop.target_id == event.target_id else (hop,)
+        started, *messages = self.dispatch(request, chain, now)
+        replaced = ReplaceStage(
             request_id=request.request_id,
             attempt=started.attempt,
-            failed_target_id=failed_target_id,
+            failed_target_id=event.target_id,
             hops=hops,
         )
+        return [replaced, *messages]
 
-    def release(self, request: Request) -> None:
-        """Gives back the slots of the latest attempt."""
-        for hop in request.attempts[-1].chain:
-            row = self.targets.get(hop.target_id)
-            if row is not None:
-                row.in_flight = max(0, row.in_flight - 1)
-                row.sent_since_report = max(0, row.sent_since_report - 1)
+    def abandon(self, event: CallerGone, now: float) -> list[Action]:
+        """Cancels the work of a caller that closed its connection."""
+        request = self.requests.get(event.request_id)
+        if request is None:
+            return []
+        self.requests.remove(request.request_id)
+        self.admissions.remove(request.request_id, request.pool)
+        actions = self.cancel(request, now)
+        return actions + self.drain(request.pool, now)
+
+    def cancel(self, request: Request, now: float) -> list[Action]:
+        """Cancels all running attempts of a request."""
+        actions: list[Action] = []
+        for attempt in request.live:
+            actions.append(
+                CancelAttempt(
+                    request_id=request.request_id, attempt=attempt.number
+                )
+            )
+            actions += self.attempts.end(request, attempt, now)
+        return actions
 
     def refuse(self, request: Request, refusal: Refusal) -> list[Action]:
-        """Ends a request with a refusal."""
+        """Ends a request that has no running attempt with a refusal."""
         request.state = RequestState.REFUSED
         self.requests.remove(request.request_id)
-        if request.request_id in self.queue:
-            self.queue.remove(request.request_id)
+        self.admissions.remove(request.request_id, request.pool)
         return [Refuse(request_id=request.request_id, refusal=refusal)]
 
+    def find(
+        self, request_id: str, number: int
+    ) -> tuple[Request | None, Attempt | None]:
+        """Returns a request and its running attempt of a number."""
+        request = self.requests.get(request_id)
+        if request is None or not 1 <= number <= len(request.attempts):
+            return request, None
+        attempt = request.attempts[number - 1]
+        return request, attempt if attempt.live else None
+
+    def give_up(self, request_id: str, number: int, now: float) -> list[Action]:
+        """Moves a request whose target has not started to answer."""
+        _, attempt = self.find(request_id, number)
+        if attempt is None or attempt.started_at is not None:
+            return []
+        cancel = CancelAttempt(request_id=request_id, attempt=number)
+        silent = AttemptFailed(
+            request_id=request_id,
+            attempt=number,
+            target_id=attempt.chain[0].target_id,
+            provenance=Provenance.UNKNOWN,
+            reason="no answer within the expected time",
+        )
+        return [cancel, *self.fail(silent, now)]
+
+    def stop_suspects(
+        self, fingerprints: Collection[str], crashed: str, now: float
+    ) -> list[Action]:
+        """Restarts attempts of suspects so that a single one runs.
+
+        Args:
+            fingerprints: The suspects.
+            crashed: A target whose attempts fail by themselves.
+            now: Time in seconds.
+        """
+        actions: list[Action] = []
+        for request in list(self.requests) if fingerprints else ():
+            if request.fingerprint in fingerprints and request.repeatable:
+                targets = {h.target_id for a in request.live for h in a.chain}
+                if targets and crashed not in targets:
+                    actions += self.cancel(request, now)
+                    actions += self.route(request, now)
+        return actions
+
+    def expire(self, now: float) -> list[Action]:
+        """Refuses requests that are late or wait in vain."""
+        actions: list[Action] = []
+        for request, refusal in self.expirations.due(now):
+            actions += self.cancel(request, now)
+            actions += self.refuse(request, refusal)
+        return actions
 
-def is_current(request: Request, attempt: int) -> bool:
-    """Tells whether an event belongs to the running attempt."""
-    running = (RequestState.DISPATCHED, RequestState.STARTED)
-    current = request.current
-    return (
-        request.state in running
-        and current is not None
-        and current.number == attempt
-    )
-
-
-def load_of(row: Target) -> int:
-    """Returns requests on a target: reported, and sent since the report."""
-    reported = row.report.running + row.report.queued
-    return max(row.in_flight, reported + row.sent_since_report)
-
-
-def execution_of(request: Request) -> Execution:
-    """Returns what is known about the work of a request without attempt."""
-    if request.tokens_out:
-        return Execution.PARTIAL
-    return Execution.UNKNOWN if request.attempts else Execution.NOT_RUN
-
-
-def deadline_refusal(request: Request) -> Refusal:
-    """Builds the refusal of a request that waited past its deadline."""
-    return Refusal(
-        type="deadline_exceeded",
-        message="no slot became free before the deadline",
-        status=503,
-        execution=execution_of(request),
-        retry_after_s=1.0,
-    )
-
-
-def ambiguous_refusal(request: Request) -> Refusal:
-    """Builds the refusal of a non-repeatable call that may have run."""
-    return Refusal(
-        type="outcome_unknown",
-        message="the target failed and may have run the call",
-        status=502,
-        execution=Execution.UNKNOWN,
-    )
-
-
-def exhausted_refusal(request: Request) -> Refusal:
-    """Builds the refusal of a request that failed on several targets."""
-    return Refusal(
-        type="attempts_exhausted",
-        message=f"{len(request.attempts)} attempts failed",
-        status=502,
-        execution=execution_of(request),
-        retry_after_s=1.0,
-    )
+    def drain(self, key: PoolKey | None, now: float) -> list[Action]:
+        """Starts waiting requests of a pool while it has free slots."""
+        actions: list[Action] = []
+        queue = self.admissions.queues.get(key)
+        if queue is None:
+            return actions
+
+        def place(request: Request) -> bool:
+            started = self.place(request, now)
+            actions.extend(started)
+            return bool(started)
+
+        def admits(neighbour: str) -> bool:
+            return self.gate.admits(neighbour, now=now)
+
+        while len(queue):
+            request = queue.pop(
+                admits=admits,
+                place=place,
+                cost=self.selections.run_seconds,
+            )
+            if request is None:
+                break
+        return actions
+
+    def hedge(self, request_id: str, number: int, now: float) -> list[Action]:
+        """Asks a second target for a whole answer that is late."""
+        request, attempt = self.find(request_id, number)
+        if attempt is None or len(request.live) > 1:
+            return []
+        if len(self.admissions.queue(request.pool)):
+            return []
+        target = self.selections.hedge_target(request, now)
+        if target is None or not self.hedges.budget.spend():
+            return []
+        return self.dispatch(request, (hop_of(target),), now)
--- /dev/null
+++ b/rattanroute/systems/keepers.py
@@ -0,0 +1,161 @@
+"""The keeper's part of the shares: dividing a data centre's capacity.
+
+The keeper never lets the rates that VMs may be using exceed the capacity. It
+counts a VM's old and new lease at the higher rate of each until the VM
+confirms the new one or the old one has ended.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+
+from rattanroute.tables.slices import Grant
+from rattanroute.tables.slices import SliceTable
+
+LEASE_SECONDS = 2.0
+# Name of slices that any neighbour may use.
+ANY = ""
+# Part of each share that is leased to all VMs evenly, so that the first
+# request of a neighbour on a VM need not wait for a lease.
+RESERVE_PART = 0.04
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Keeper:
+    """Leases slices to the VMs of a data centre.
+
+    Attributes:
+        since: Time since which this VM is the keeper; None while it is not.
+        slices: VMs that take leases from this one.
+    """
+
+    since: float | None = None
+    slices: SliceTable = dataclasses.field(default_factory=SliceTable)
+
+    def take_over(self, now: float) -> None:
+        """Starts the wait for leases of an earlier keeper to end."""
+        if self.since is None:
+            self.since = now
+            self.slices.rows.clear()
+
+    def step_down(self) -> None:
+        """Stops leasing; leases that are in use end by themselves."""
+        self.since = None
+
+    def grant(
+        self,
+        *,
+        vm_id: str,
+        number: int,
+        held: int,
+        wanted: Mapping[str, float],
+        shares: Mapping[str, float],
+        capacity: float,
+        vms: int,
+        now: float,
+    ) -> dict[str, float] | None:
+        """Answers a demand.
+
+        Args:
+            vm_id: The VM that asks.
+            number: Number of its demand.
+            held: Number of the lease that it uses.
+            wanted: Slot seconds per second that it wants, by neighbour.
+            shares: Configured share of each neighbour.
+            capacity: Slot seconds per second of the data centre.
+            vms: VMs in the data centre, live or recently so. Only VMs that
+                take leases here count towards the leased part of the
+                capacity, so that two keepers in a partition do not lease it
+                twice.
+            now: Time in seconds.
+
+        Returns:
+            The rates by neighbour, or None when no lease can be given.
+        """
+        if self.since is None or now - self.since < LEASE_SECONDS:
+            return None
+        self.slices.prune(now=now, lease=LEASE_SECONDS)
+        row = self.slices.holder(vm_id, now)
+        if number <= row.number:
+            return None
+        row.heard_at = now
+        row.number = number
+        row.wanted = dict(wanted)
+        row.forget(held=held, now=now)
+        clients = len(self.slices.rows)
+        capacity *= min(1.0, clients / max(1, vms))
+        goal = self.goal(row.wanted, shares, capacity, clients)
+        old = row.committed(now)
+        others = self.slices.committed(now=now, without=vm_id)
+        free = capacity - sum(others.values()) - sum(old.values())
+        raises = {
+            name: max(0.0, rate - old.get(name, 0.0))
+            for name, rate in goal.items()
+        }
+        total = sum(raises.values())
+        scale = min(1.0, max(0.0, free) / total) if total else 0.0
+        rates = {
+            name: min(rate, old.get(name, 0.0)) + raises[name] * scale
+            for name, rate in goal.items()
+        }
+        until = now + LEASE_SECONDS
+        row.grants.append(Grant(number=number, until=until, rates=rates))
+        return rates
+
+    def goal(
+        self,
+        wanted: Mapping[str, float],
+        shares: Mapping[str, float],
+        capacity: float,
+        clients: int,
+    ) -> dict[str, float]:
+        """Returns the rates that a VM has once the others have given way."""
+        total: dict[str, float] = {}
+        for row in self.slices.rows.values():
+            for name, rate in row.wanted.items():
+                total[name] = total.get(name, 0.0) + rate
+        weight = max(1.0, sum(shares.values()))
+        reserve = RESERVE_PART * capacity / weight
+        left = capacity - reserve * sum(shares.values())
+        parts = divide(left, total, shares)
+        even = reserve / max(1, clients)
+        goal = {name: share * even for name, share in shares.items()}
+        for name, rate in wanted.items():
+            if rate > 0 and name in parts:
+                goal[name] += parts[name] * rate / total[name]
+        goal[ANY] = (left - sum(parts.values())) / max(1, clients)
+        return goal
+
+
+def divide(
+    capacity: float, wanted: Mapping[str, float], shares: Mapping[str, float]
+) -> dict[str, float]:
+    """Divides a capacity by share and lends what is not wanted.
+
+    Args:
+        capacity: What is divided.
+        wanted: Demand by neighbour.
+        shares: Weight of each neighbour; those without one get nothing.
+
+    Returns:
+        Parts by neighbour, of which none exceeds its demand; each neighbour
+        gets at least the lesser of its demand and its share.
+    """
+    parts: dict[str, float] = {}
+    open_names = {n for n, w in wanted.items() if w > 0 and shares.get(n, 0)}
+    left = capacity
+    while open_names:
+        weight = sum(shares[name] for name in open_names)
+        done = {
+            name
+            for name in open_names
+            if wanted[name] <= left * shares[name] / weight
+        }
+        if not done:
+            for name in open_names:
+                parts[name] = left * shares[name] / weight
+            break
+        for name in done:
+            parts[name] = wanted[name]
+        left -= sum(parts[name] for name in done)
+        open_names -= done
+    return parts
--- /dev/null
+++ b/rattanroute/tables/fingerprints.py
@@ -0,0 +1,82 @@
+"""Requests, by fingerprint, that were running when a target crashed."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashKey:
+    """A crash: one incarnation of a target crashes at most once."""
+
+    target_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Fingerprint:
+    """A suspected or banned request.
+
+    Attributes:
+        value: The fingerprint.
+        crashes: Crashes during which it ran, with their times.
+        banned_until: Time until which it is refused.
+        runs: Targets that run it at present, by VM.
+        run_until: Time after which a run is taken as ended, by VM.
+    """
+
+    value: str
+    crashes: dict[CrashKey, float] = dataclasses.field(default_factory=dict)
+    banned_until: float = 0.0
+    runs: dict[str, str] = dataclasses.field(default_factory=dict)
+    run_until: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def changed_at(self) -> float:
+        """Time of the latest crash."""
+        return max(self.crashes.values(), default=0.0)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class FingerprintTable:
+    """Suspected and banned requests by fingerprint.
+
+    Attributes:
+        rows: The requests.
+        suspects: Suspects in each crash, over all VMs.
+    """
+
+    rows: dict[str, Fingerprint] = dataclasses.field(default_factory=dict)
+    suspects: dict[CrashKey, set[str]] = dataclasses.field(default_factory=dict)
+
+    def get(self, value: str) -> Fingerprint | None:
+        """Returns a suspected or banned request, or None."""
+        return self.rows.get(value)
+
+    def add_crash(self, value: str, key: CrashKey, at: float) -> bool:
+        """Records that a request ran during a crash.
+
+        Returns:
+            Whether this was not known before.
+        """
+        row = self.rows.get(value)
+        if row is None:
+            row = self.rows[value] = Fingerprint(value=value)
+        if key in row.crashes:
+            return False
+        row.crashes[key] = at
+        self.suspects.setdefault(key, set()).add(value)
+        return True
+
+    def remove(self, value: str) -> None:
+        """Removes a request that is no longer suspected."""
+        row = self.rows.pop(value, None)
+        if row is None:
+            return
+        for key in row.crashes:
+            names = self.suspects.get(key)
+            if names is not None:
+                names.discard(value)
+                if not names:
+                    del self.suspects[key]
+
+    def __len__(self) -> int:
+        return len(self.rows)
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -5,6 +5,7 @@
 import enum
 
 from rattanroute.actions import Hop
+from rattanroute.tables.pools import PoolKey
 
 
 class RequestKind(enum.StrEnum):
@@ -35,12 +36,18 @@
         chain: Hops in layer order.
         dispatched_at: Time of dispatch, in seconds of the host's clock.
         started_at: Time of the first token; None before it.
+        live: Whether the attempt runs.
+        clean: Whether it failed, provably, before it was dispatched.
+        incarnations: Incarnation of each target of the chain at dispatch.
     """
 
     number: int
     chain: tuple[Hop, ...]
     dispatched_at: float
     started_at: float | None = None
+    live: bool = True
+    clean: bool = False
+    incarnations: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -69,6 +76,7 @@
         attempts: Attempts so far, oldest first.
         tokens_out: Tokens that the caller already has.
         stream: Whether the caller reads a stream.
+        pool: Pool of the targets that may run it; None before routing.
     """
 
     request_id: str
@@ -92,6 +100,17 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     tokens_out: int = 0
     stream: bool = False
+    pool: PoolKey | None = None
+
+    @property
+    def live(self) -> list[Attempt]:
+        """The running attempts; more than one while a hedge runs."""
+        return [attempt for attempt in self.attempts if attempt.live]
+
+    @property
+    def tried(self) -> set[str]:
+        """Targets that attempts of the request used."""
+        return {h.target_id for a in self.attempts for h in a.chain}
 
     @property
     def current(self) -> Attempt | None:
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -1,9 +1,23 @@
 """Targets that announced themselves, with their load as last reported."""
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import enum
 
+from rattanroute.tables.pools import Pool
+from rattanroute.tables.pools import PoolIndex
+from rattanroute.tables.pools import PoolKey
+
+# Cached prefixes of one target that are indexed; the rest of a report is
+# ignored, which bounds the index at the design scale to a few megabytes.
+MAX_PREFIXES = 64
+# Weights of a new sample in the moving averages of one target and of all
+# targets of one accelerator kind.
+TARGET_WEIGHT = 0.2
+KIND_WEIGHT = 0.05
+DEFAULT_TOKENS_PER_SECOND = 50.0
+
 
 class TargetKind(enum.StrEnum):
     """What a target runs."""
@@ -77,7 +91,7 @@
         )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Target:
     """A target with what this VM knows of it.
 
@@ -89,11 +103,19 @@
         health: The verdict of failure detection.
         in_flight: Attempts of this VM that run on the target.
         sent_since_report: Attempts that this VM dispatched since the report.
+        finished_since_report: Attempts of this VM that ended since the report.
+        changes: Times of those dispatches (+1) and ends (-1), oldest first.
         link_seconds: Measured one-way delay to the target.
         measured_tokens_per_second: Measured speed; 0 before a measurement.
         first_heard_at: Time of the first report of this incarnation.
         failures: Consecutive failed attempts.
         blocked_until: Time before which no attempt is dispatched to it.
+        slowness: Moving average of measured over expected duration.
+        samples: Measurements in `slowness`.
+        ejections: Recent ejections; they lengthen the next one.
+        ejected_at: Time of the last ejection.
+        prefixes: Indexed part of the reported cached prefixes.
+        keys: Pools that contain the target.
     """
 
     report: TargetReport
@@ -107,13 +129,59 @@
     first_heard_at: float = 0.0
     failures: int = 0
     blocked_until: float = 0.0
+    finished_since_report: int = 0
+    changes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    slowness: float = 1.0
+    samples: int = 0
+    ejections: int = 0
+    ejected_at: float = 0.0
+    prefixes: frozenset[int] = frozenset()
+    keys: tuple[PoolKey, ...] = ()
+
+    @property
+    def load(self) -> int:
+        """Requests on the target: the report corrected by own changes."""
+        report = self.report
+        estimate = (
+            report.running
+            + report.queued
+            + self.sent_since_report
+            - self.finished_since_report
+        )
+        return max(self.in_flight, estimate)
+
+    def drop_changes(self, until: float) -> None:
+        """Forgets dispatches and ends that a report already contains."""
+        changes = self.changes
+        while changes and changes[0][0] <= until:
+            if changes.popleft()[1] > 0:
+                self.sent_since_report -= 1
+            else:
+                self.finished_since_report -= 1
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TargetTable:
-    """Targets by identifier."""
+    """Targets by identifier.
+
+    Attributes:
+        rows: Targets by identifier.
+        index: Pools of whole-model targets and services.
+        ranged: Targets that hold part of the layers, by model.
+        kind_speeds: Mean tokens per second of one running request, by model
+            and accelerator kind.
+    """
 
     rows: dict[str, Target] = dataclasses.field(default_factory=dict)
+    index: PoolIndex = dataclasses.field(default_factory=PoolIndex)
+    ranged: dict[str, dict[str, Target]] = dataclasses.field(
+        default_factory=dict
+    )
+    kind_speeds: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def record(
         self, *, report: TargetReport, observer: str, heard_at: float
@@ -130,41 +198,169 @@
         """
         row = self.rows.get(report.target_id)
         if row is None:
-            self.rows[report.target_id] = Target(
+            row = self.rows[report.target_id] = Target(
                 report=report,
                 observer=observer,
                 heard_at=heard_at,
                 first_heard_at=heard_at,
             )
+            self.insert(row)
             return True
-        known = (row.report.incarnation, row.report.sequence)
+        old = row.report
+        known = (old.incarnation, old.sequence)
         if (report.incarnation, report.sequence) <= known:
             return False
-        if report.incarnation > row.report.incarnation:
-            row.first_heard_at = heard_at
-            row.failures = 0
-            row.blocked_until = 0.0
-            row.health = TargetHealth.HEALTHY
-        row.report = report
+        if report.incarnation > old.incarnation:
+            restart(row, heard_at)
         row.observer = observer
         row.heard_at = heard_at
-        row.sent_since_report = 0
+        # The report was written one link delay before it was heard.
+        row.drop_changes(heard_at - row.link_seconds)
+        if placing(report) != placing(old):
+            self.delete(row)
+            row.report = report
+            self.insert(row)
+        else:
+            row.report = report
+            if row.keys and report.cached_prefixes != old.cached_prefixes:
+                prefixes = frozenset(report.cached_prefixes[:MAX_PREFIXES])
+                self.index.change_prefixes(row, prefixes)
+            self.refresh(row)
         return True
 
+    def insert(self, row: Target) -> None:
+        """Adds a row to the indexes."""
+        report = row.report
+        if not report.whole:
+            ranged = self.ranged.setdefault(report.model, {})
+            ranged[report.target_id] = row
+            return
+        row.keys = pool_keys(report)
+        row.prefixes = frozenset(report.cached_prefixes[:MAX_PREFIXES])
+        self.index.insert(row)
+        self.refresh(row)
+
+    def delete(self, row: Target) -> None:
+        """Removes a row from the indexes."""
+        report = row.report
+        if row.keys:
+            self.index.delete(row)
+            row.keys = ()
+            row.prefixes = frozenset()
+        ranged = self.ranged.get(report.model)
+        if ranged is not None:
+            ranged.pop(report.target_id, None)
+            if not ranged:
+                del self.ranged[report.model]
+
+    def refresh(self, row: Target) -> None:
+        """Puts a target into the open sets of its pools or takes it out."""
+        if not row.keys:
+            return
+        if row.load < row.report.slots and not row.report.leaving:
+            self.index.open(row)
+        else:
+            self.index.close(row)
+
+    def pool(self, key: PoolKey) -> Pool | None:
+        """Returns the pool of a key, or None when no target serves it."""
+        return self.index.pools.get(key)
+
+    def note_dispatch(self, target_id: str, now: float) -> None:
+        """Counts an attempt that this VM dispatches to a target."""
+        row = self.rows.get(target_id)
+        if row is not None:
+            row.in_flight += 1
+            row.sent_since_report += 1
+            row.changes.append((now, 1))
+            self.refresh(row)
+
+    def note_end(self, target_id: str, now: float) -> None:
+        """Counts the end of an attempt of this VM on a target."""
+        row = self.rows.get(target_id)
+        if row is not None and row.in_flight:
+            row.in_flight -= 1
+            row.finished_since_report += 1
+            row.changes.append((now, -1))
+            self.refresh(row)
+
+    def note_speed(self, row: Target, tokens_per_second: float) -> None:
+        """Adds a measurement of one request's speed on a target."""
+        row.measured_tokens_per_second = blend(
+            row.measured_tokens_per_second, tokens_per_second, TARGET_WEIGHT
+        )
+        kind = (row.report.model, row.report.accelerator)
+        self.kind_speeds[kind] = blend(
+            self.kind_speeds.get(kind, 0.0), tokens_per_second, KIND_WEIGHT
+        )
+
+    def speed(self, row: Target) -> float:
+        """Returns the tokens per second of one request on a target."""
+        return (
+            row.measured_tokens_per_second
+            or row.report.tokens_per_second
+            or self.kind_speeds.get(
+                (row.report.model, row.report.accelerator), 0.0
+            )
+            or DEFAULT_TOKENS_PER_SECOND
+        )
+
     def get(self, target_id: str) -> Target | None:
         """Returns the target, or None when it is not known."""
         return self.rows.get(target_id)
 
     def remove(self, target_id: str) -> None:
         """Removes a target."""
-        self.rows.pop(target_id, None)
+        row = self.rows.pop(target_id, None)
+        if row is not None:
+            self.delete(row)
 
     def serving(self, model: str) -> Iterator[Target]:
         """Yields the targets of a model or service."""
-        return (row for row in self.rows.values() if row.report.model == model)
+        pool = self.pool(PoolKey(model))
+        if pool is not None:
+            yield from pool.members.rows
+        yield from self.ranged.get(model, {}).values()
 
     def __iter__(self) -> Iterator[Target]:
         return iter(self.rows.values())
 
     def __len__(self) -> int:
         return len(self.rows)
+
+
+def blend(mean: float, sample: float, weight: float) -> float:
+    """Returns the next value of a moving average; 0 means no value yet."""
+    return mean + weight * (sample - mean) if mean else sample
+
+
+def placing(report: TargetReport) -> tuple[object, ...]:
+    """Returns the fields that decide which pools contain a target."""
+    return (
+        report.model,
+        report.version,
+        report.adapters,
+        report.data_centre,
+        report.first_layer,
+        report.last_layer,
+        report.total_layers,
+    )
+
+
+def pool_keys(report: TargetReport) -> tuple[PoolKey, ...]:
+    """Returns the keys of the pools that contain a target."""
+    return tuple(
+        PoolKey(report.model, version, adapter)
+        for version in dict.fromkeys(("", report.version))
+        for adapter in dict.fromkeys(("", *report.adapters))
+    )
+
+
+def restart(row: Target, heard_at: float) -> None:
+    """Resets what was learned from an earlier incarnation of a target."""
+    row.first_heard_at = heard_at
+    row.failures = 0
+    row.blocked_until = 0.0
+    row.health = TargetHealth.HEALTHY
+    row.slowness = 1.0
+    row.samples = 0
