--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -25,6 +25,7 @@
 from rattanroute.events import Event
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.events import StageDegraded
 from rattanroute.systems import refusals
 from rattanroute.systems.admissions import AdmissionSystem
 from rattanroute.systems.admissions import OpenGate
@@ -162,6 +163,8 @@
                 return self.succeed(event, now)
             case AttemptFailed():
                 return self.fail(event, now)
+            case StageDegraded():
+                return self.relieve(event, now)
             case CallerGone():
                 return self.abandon(event, now)
 
@@ -364,7 +367,7 @@
         self,
         request: Request,
         attempt: Attempt,
-        event: AttemptFailed,
+        event: AttemptFailed | StageDegraded,
         hops: tuple[Hop, ...],
         now: float,
     ) -> list[Action]:
@@ -381,6 +384,19 @@
         )
         return [replaced, *messages]
 
+    def relieve(self, event: StageDegraded, now: float) -> list[Action]:
+        """Replaces a slow stage where another target can run its layers."""
+        request, attempt = self.find(event.request_id, event.attempt)
+        if attempt is None:
+            return []
+        hops = self.selections.replacement(
+            request, failed_target_id=event.target_id, now=now
+        )
+        if hops is None:
+            return []
+        actions = self.attempts.end(request, attempt, now)
+        return actions + self.replace(request, attempt, event, hops, now)
+
     def abandon(self, event: CallerGone, now: float) -> list[Action]:
         """Cancels the work of a caller that closed its connection."""
         request = self.requests.get(event.request_id)
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -12,6 +12,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
+from rattanroute.actions import SendMessage
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.cores import CoreSettings
@@ -124,8 +125,15 @@
 
     def handle(self, event: Event) -> None:
         """Passes an event to the core and executes its actions."""
-        for action in self.core.handle(event, now=time.monotonic()):
-            self.sessions.deliver(action)
+        self.execute_core(self.core.handle(event, now=time.monotonic()))
+
+    def execute_core(self, actions: list[Action]) -> None:
+        """Executes actions of the core."""
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self.send(action.peer, action.message)
+            else:
+                self.sessions.deliver(action)
 
     def execute(self, action: Action) -> None:
         """Executes an action of a subsystem."""
@@ -269,8 +277,7 @@
     def tick(self) -> None:
         """Runs all systems once."""
         self.subsystems.tick()
-        for action in self.core.tick(now=time.monotonic()):
-            self.sessions.deliver(action)
+        self.execute_core(self.core.tick(now=time.monotonic()))
 
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -135,6 +135,7 @@
         self.span = span
         self.inbox: asyncio.Queue[Action] = asyncio.Queue()
         self.attempt = 0
+        self.cancelled: set[int] = set()
         self.replacement: ReplaceStage | None = None
         self.scope: asyncio.Timeout | None = None
         self.route: list[str] = []
@@ -147,6 +148,8 @@
             self.attempt = action.attempt
             return
         cancels = isinstance(action, CancelAttempt)
+        if cancels:
+            self.cancelled.add(action.attempt)
         ends = isinstance(action, Refuse) or (
             cancels and action.attempt == self.attempt
         )
@@ -171,7 +174,8 @@
                     return
                 if isinstance(action, Refuse):
                     raise RequestRefusedError(action.refusal)
-                if isinstance(action, Dispatch):
+                # An attempt may be cancelled before its dispatch is taken.
+                if action.attempt not in self.cancelled:
                     await self.run_attempt(action)
         except asyncio.CancelledError:
             self.host.handle(CallerGone(request_id=self.request.request_id))
