--- a/rattanroute/codecs.py
+++ b/rattanroute/codecs.py
@@ -8,6 +8,7 @@
 from rattanroute.messages import claims
 from rattanroute.messages import consensus
 from rattanroute.messages import distributions
+from rattanroute.messages import forwards
 from rattanroute.messages import ledgers
 from rattanroute.messages import memberships
 from rattanroute.messages import orders
@@ -25,6 +26,7 @@
     targets,
     quarantines,
     orders,
+    forwards,
 )
 
 
--- /dev/null
+++ b/rattanroute/forwards.py
@@ -0,0 +1,209 @@
+"""Operators' changes on VMs that are not voters.
+
+A change is sent to one voter after the other until one answers. Voters accept
+a change that arrives twice only once, by its command id.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import itertools
+import random as randoms
+import time
+from typing import Protocol
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from rattanroute.actions import Action
+from rattanroute.errors import NotProposedError
+from rattanroute.errors import RouterError
+from rattanroute.messages.forwards import BarrierAnswer
+from rattanroute.messages.forwards import BarrierForward
+from rattanroute.messages.forwards import ChangeAnswer
+from rattanroute.messages.forwards import ChangeForward
+from rattanroute.servers.operator_sources import ConfigurationLog
+from rattanroute.tables.changes import ChangeOutcome
+from rattanroute.tables.changes import decode_outcome
+from rattanroute.tables.changes import encode_outcome
+from rattanroute.tables.replicas import ConfigurationReplica
+
+# A voter that does not answer within this time may be cut off.
+RESEND_SECONDS = 1.0
+BARRIER_POLL_SECONDS = 0.02
+MAX_TIMEOUT_SECONDS = 30.0
+
+
+class VoterView(Protocol):
+    """What the forwarder reads of a live VM."""
+
+    vm_id: str
+    voter: bool
+
+
+class LogForwarder:
+    """Passes changes and barriers to voters; a voter's side serves them.
+
+    Args:
+        vm_id: Identifier of this VM.
+        members: Returns the live VMs.
+        send: Sends a message to a peer; False when it has no address.
+        replica: Configuration in force on this VM.
+        random: Random numbers for the choice of voters.
+        log: The replicated log on a voter; None on other VMs.
+    """
+
+    message_types: tuple[type, ...] = (
+        ChangeForward,
+        ChangeAnswer,
+        BarrierForward,
+        BarrierAnswer,
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        members: Callable[[], Iterable[VoterView]],
+        send: Callable[[str, object], bool],
+        replica: ConfigurationReplica,
+        random: randoms.Random,
+        log: ConfigurationLog | None = None,
+    ) -> None:
+        self.vm_id = vm_id
+        self.members = members
+        self.send = send
+        self.replica = replica
+        self.random = random
+        self.log = log
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[object]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Does nothing; each call has a timer of its own."""
+        return []
+
+    def receive(
+        self, *, peer: str, message: object, now: float
+    ) -> list[Action]:
+        """Takes an answer, or serves another VM's call on a voter."""
+        if isinstance(message, ChangeAnswer | BarrierAnswer):
+            future = self.waiting.get(message.number)
+            if future is not None and not future.done():
+                future.set_result(message)
+        elif self.log is not None:
+            if isinstance(message, ChangeForward):
+                self.start(self.serve_change(peer, message))
+            else:
+                self.start(self.serve_barrier(peer, message))
+        return []
+
+    def start(self, work: object) -> None:
+        """Runs the serving of a call in a task."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def propose(
+        self, data: bytes, timeout_s: float
+    ) -> Result[ChangeOutcome, RouterError]:
+        """Passes a change to a voter and returns its outcome."""
+        number = next(self.numbers)
+        message = ChangeForward(number=number, data=data, timeout_s=timeout_s)
+        answer, sent = await self.call(message, timeout_s)
+        if answer is None:
+            return Error(describe_silence("propose", sent=sent))
+        if answer.outcome:
+            return Ok(decode_outcome(answer.outcome))
+        # With several voters asked, the silent ones may have taken the change.
+        certain = not answer.proposed and sent == 1
+        kind = NotProposedError if certain else RouterError
+        return Error(kind(step="propose", message=answer.message))
+
+    async def read_barrier(self, timeout_s: float) -> Result[None, RouterError]:
+        """Waits until this VM has all changes accepted before the call."""
+        ends_at = time.monotonic() + timeout_s
+        number = next(self.numbers)
+        message = BarrierForward(number=number, timeout_s=timeout_s)
+        answer, sent = await self.call(message, timeout_s)
+        if answer is None or answer.version < 0:
+            return Error(describe_silence("read barrier", sent=sent))
+        while self.replica.version < answer.version:
+            if time.monotonic() > ends_at:
+                message = f"version {answer.version} has not arrived"
+                return Error(RouterError(step="read barrier", message=message))
+            await asyncio.sleep(BARRIER_POLL_SECONDS)
+        return Ok(None)
+
+    async def call(
+        self, message: ChangeForward | BarrierForward, timeout_s: float
+    ) -> tuple[object | None, int]:
+        """Sends a call to voters in turn until one answers.
+
+        Returns:
+            The answer, or None, and how often the call was sent.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[message.number] = future
+        ends_at = time.monotonic() + timeout_s
+        sent = 0
+        refused: set[str] = set()
+        try:
+            while (left := ends_at - time.monotonic()) > 0:
+                voter = self.choose_voter(refused)
+                if voter is not None:
+                    sent += self.send(voter, message)
+                    refused.add(voter)
+                wait = min(left, RESEND_SECONDS)
+                done, _ = await asyncio.wait([future], timeout=wait)
+                if done:
+                    return future.result(), sent
+            return None, sent
+        finally:
+            del self.waiting[message.number]
+
+    def choose_voter(self, tried: set[str]) -> str | None:
+        """Returns a live voter, preferring those not yet tried."""
+        voters = [
+            member.vm_id
+            for member in self.members()
+            if member.voter and member.vm_id != self.vm_id
+        ]
+        fresh = [vm_id for vm_id in voters if vm_id not in tried]
+        if not fresh:
+            tried.clear()
+        choices = fresh or voters
+        return self.random.choice(choices) if choices else None
+
+    async def serve_change(self, peer: str, message: ChangeForward) -> None:
+        """Proposes another VM's change and answers with its outcome."""
+        timeout_s = min(message.timeout_s, MAX_TIMEOUT_SECONDS)
+        result = await self.log.propose(message.data, timeout_s)
+        if result.is_ok():
+            outcome = result.ok
+            if isinstance(outcome, ChangeOutcome):
+                outcome = encode_outcome(outcome)
+            answer = ChangeAnswer(number=message.number, outcome=outcome)
+        else:
+            answer = ChangeAnswer(
+                number=message.number,
+                proposed=not isinstance(result.error, NotProposedError),
+                message=str(result.error),
+            )
+        self.send(peer, answer)
+
+    async def serve_barrier(self, peer: str, message: BarrierForward) -> None:
+        """Answers with the version that has been accepted by now."""
+        timeout_s = min(message.timeout_s, MAX_TIMEOUT_SECONDS)
+        result = await self.log.read_barrier(timeout_s)
+        version = self.replica.version if result.is_ok() else -1
+        self.send(peer, BarrierAnswer(number=message.number, version=version))
+
+
+def describe_silence(step: str, *, sent: int) -> RouterError:
+    """Returns the error of a call that no voter answered."""
+    if sent:
+        return RouterError(step=step, message="no voter answered in time")
+    return NotProposedError(step=step, message="no voter is known to be alive")
--- /dev/null
+++ b/rattanroute/sources.py
@@ -0,0 +1,130 @@
+"""What the operators' interface shows of a running daemon."""
+
+import time
+from typing import Protocol
+
+from rattanroute.servers.operator_sources import MemberStatus
+from rattanroute.servers.operator_sources import TargetStatus
+from rattanroute.servers.operator_sources import TraceStep
+from rattanroute.servers.operator_sources import VmStatus
+from rattanroute.settings import DaemonSettings
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetTable
+from rattanroute.traces import TraceRecorder
+
+HIDDEN_ATTRIBUTES = frozenset({"request.id", "target", "outcome"})
+
+
+class SourceHost(Protocol):
+    """What the sources read of the daemon."""
+
+    settings: DaemonSettings
+    membership: MembershipSystem
+    targets: TargetTable
+    traces: TraceRecorder
+
+    @property
+    def ready(self) -> bool:
+        """Whether the VM serves requests."""
+        ...
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        ...
+
+    @property
+    def leader(self) -> str:
+        """Leader of the configuration log; empty when not known."""
+        ...
+
+    @property
+    def configuration_age_s(self) -> float | None:
+        """Seconds since the configuration was known to be current."""
+        ...
+
+
+class DaemonSource:
+    """Answers the operators' questions about one VM.
+
+    Args:
+        host: The daemon.
+    """
+
+    def __init__(self, *, host: SourceHost) -> None:
+        self.host = host
+
+    def status(self) -> VmStatus:
+        """Returns the state of the VM."""
+        host = self.host
+        return VmStatus(
+            vm_id=host.settings.vm_id,
+            data_centre=host.settings.data_centre,
+            ready=host.ready and not host.stopping,
+            configuration_age_s=host.configuration_age_s,
+            voter=host.settings.storage.voter,
+            leader=host.leader,
+            draining=host.stopping,
+        )
+
+    def members(self) -> list[MemberStatus]:
+        """Returns all known VMs, also those that failed or left."""
+        return [
+            MemberStatus(
+                vm_id=member.vm_id,
+                data_centre=member.data_centre,
+                address=member.address,
+                state=member.state.name.lower(),
+                voter=member.voter,
+            )
+            for member in self.host.membership.table
+        ]
+
+    def targets(self) -> list[TargetStatus]:
+        """Returns all targets that this VM knows."""
+        now = time.monotonic()
+        return [describe_target(row, now) for row in self.host.targets]
+
+    def trace(self, request_id: str) -> list[TraceStep]:
+        """Returns the hops of a recent request, in order of their starts."""
+        return [
+            describe_step(step) for step in self.host.traces.steps(request_id)
+        ]
+
+
+def describe_target(row: Target, now: float) -> TargetStatus:
+    """Returns a target as operators see it."""
+    report = row.report
+    return TargetStatus(
+        target_id=report.target_id,
+        address=report.address,
+        data_centre=report.data_centre,
+        model=report.model,
+        version=report.version,
+        first_layer=report.first_layer,
+        last_layer=report.last_layer,
+        health=row.health.value,
+        slots=report.slots,
+        running=report.running,
+        queued=report.queued,
+        report_age_s=now - row.heard_at,
+        leaving=report.leaving,
+    )
+
+
+def describe_step(step: dict[str, object]) -> TraceStep:
+    """Returns a span as a step of a request."""
+    attributes = step["attributes"]
+    detail = ", ".join(
+        f"{name}={value}"
+        for name, value in attributes.items()
+        if name not in HIDDEN_ATTRIBUTES
+    )
+    outcome = attributes.get("outcome", "ok" if step["ok"] else "error")
+    return TraceStep(
+        at=step["start_s"],
+        step=step["name"],
+        peer=str(attributes.get("target", attributes.get("vm", ""))),
+        detail=f"{outcome}, {step['seconds']:.4f} s, {detail}",
+    )
