Add at-most-once execution by claims of idempotency keys

Cause: a log record or an order runs at most once, whatever entry VM, claim holder or link fails.

Change: ClaimSystem claims a key at a majority of the holders of its home data centre. Holders have epochs, abstain after memory loss until they have copied the claims of n - majority + 1 intact holders, and keep a synced file where there is a disk. The proof is in systems/holders.py; what refusals may say about execution is in systems/claimants.py. A set is founded only by holders that start before its declared time (claim_sets_created_ms), so that a first start cannot be confused with a loss everywhere.

Conclusion: credits inherited through a planned handover were considered and left out, because the proof does not hold for them; a handover only copies.

--- a/rattanroute/actions.py
+++ b/rattanroute/actions.py
@@ -131,6 +131,33 @@
     refusal: Refusal | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerStored:
+    """The outcome of storing the answer of a claimed request.
+
+    Attributes:
+        request_id: The request.
+        stored: Whether a majority of the claim holders keeps the answer, so
+            that a repeat gets it.
+    """
+
+    request_id: str
+    stored: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PersistClaims:
+    """Append records to the claims file and sync it.
+
+    Attributes:
+        records: The records; empty when only earlier ones must be synced.
+        ticket: Number to pass to `ClaimSystem.persisted` after the sync.
+    """
+
+    records: tuple[bytes, ...]
+    ticket: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class MemberChanged:
     """A member joined, changed, failed or left; links follow it."""
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -187,6 +187,16 @@
             "each data centre; 1, 3 or 5 of them."
         ),
     )
+    claim_sets_created_ms: dict[str, int] = pydantic.Field(
+        default_factory=dict,
+        description=(
+            "Time from which the claim holders of each data centre are in "
+            "force, in milliseconds since 1970. Declare a time in the near "
+            "future and start the holders before it; a holder that starts "
+            "later without stored claims first copies them from the others. "
+            "A new time declares a new set, which forgets all earlier keys."
+        ),
+    )
     listen: ListenSettings = ListenSettings()
     peers: PeersSettings = PeersSettings()
     storage: StorageSettings = StorageSettings()
--- /dev/null
+++ b/rattanroute/systems/claimants.py
@@ -0,0 +1,300 @@
+"""A claimant's side of one claim: counts replies and draws the conclusion.
+
+What a refusal may say about execution. `not_run` is said only when neither
+this request nor an earlier one with the key and content has run:
+- the key is too long or missing, so that it was never accepted;
+- the key has a stored answer for other content. Its claim had a majority, so
+  no claim with this content ever had one;
+- `read_quorum` holders answered that they do not have the key but have no
+  room for it. An earlier claim with a majority would be at one of them.
+Every other refusal says `unknown`: this request was not dispatched, but the
+holders that would know about an earlier one did not rule it out.
+"""
+
+import dataclasses
+import enum
+
+from rattanroute.actions import Claimed
+from rattanroute.actions import Execution
+from rattanroute.actions import Refusal
+from rattanroute.messages.claims import ClaimAck
+from rattanroute.messages.claims import ClaimRelease
+from rattanroute.messages.claims import ClaimReply
+from rattanroute.messages.claims import ClaimRequest
+from rattanroute.messages.claims import ClaimResult
+from rattanroute.messages.claims import Outcome
+from rattanroute.systems.homes import HolderSet
+from rattanroute.tables.claims import ClaimState
+
+RETRY_IN_PROGRESS_SECONDS = 1.0
+RETRY_UNREACHABLE_SECONDS = 5.0
+RETRY_FULL_SECONDS = 60.0
+
+
+class ClaimantPhase(enum.StrEnum):
+    """What a claimant waits for."""
+
+    CLAIMING = "claiming"
+    HELD = "held"
+    RELEASING = "releasing"
+    STORING = "storing"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Claimant:
+    """A request of this VM that claims a key.
+
+    Attributes:
+        request_id: The request.
+        holder_set: Holders of the key's home.
+        key_id: Identifier of the key.
+        grant_id: Identifier of the grant that the request asks for.
+        content_hash: Hash of the request's content.
+        deadline: Deadline of the request, on the host's clock.
+        phase: What the claimant waits for.
+        ends_at: Time at which it stops waiting.
+        report_at: Time at which an answer counts as not stored.
+        next_send: Time of the next resend.
+        replies: Latest reply of each holder, by position in the set.
+        acks: Epochs in the confirmation of each holder.
+        result: The result to store.
+        reported: Whether the host knows the outcome of the phase.
+    """
+
+    request_id: str
+    holder_set: HolderSet
+    key_id: bytes
+    grant_id: str
+    content_hash: str
+    deadline: float
+    phase: ClaimantPhase = ClaimantPhase.CLAIMING
+    ends_at: float = 0.0
+    report_at: float = 0.0
+    next_send: float = 0.0
+    replies: dict[int, ClaimReply] = dataclasses.field(default_factory=dict)
+    acks: dict[int, tuple[int, ...]] = dataclasses.field(default_factory=dict)
+    result: ClaimResult | None = None
+    reported: bool = False
+
+    @property
+    def awaits_report(self) -> bool:
+        """Whether the host waits to hear that the answer is stored."""
+        return self.phase == ClaimantPhase.STORING and not self.reported
+
+    def build_message(self, now: float) -> object:
+        """Builds the message to the holders for this phase."""
+        if self.phase == ClaimantPhase.STORING:
+            return self.result
+        if self.phase == ClaimantPhase.RELEASING:
+            return ClaimRelease(
+                home=self.holder_set.home,
+                set_id=self.holder_set.set_id,
+                key_id=self.key_id,
+                grant_id=self.grant_id,
+            )
+        remaining = max(0.0, self.deadline - now)
+        return ClaimRequest(
+            home=self.holder_set.home,
+            set_id=self.holder_set.set_id,
+            key_id=self.key_id,
+            grant_id=self.grant_id,
+            content_hash=self.content_hash,
+            remaining_ms=int(remaining * 1000),
+        )
+
+    def has_answered(self, index: int) -> bool:
+        """Whether a holder needs no resend in this phase."""
+        if self.phase == ClaimantPhase.CLAIMING:
+            reply = self.replies.get(index)
+            return reply is not None and reply.outcome != Outcome.ABSTAINED
+        return index in self.acks
+
+    def expects(self, ack: ClaimAck) -> bool:
+        """Whether a confirmation belongs to this phase."""
+        if self.phase == ClaimantPhase.STORING:
+            return ack.state is not None
+        return self.phase == ClaimantPhase.RELEASING and ack.state is None
+
+    def add_reply(self, index: int, reply: ClaimReply) -> None:
+        """Keeps a holder's reply unless one of a later epoch is known."""
+        known = self.replies.get(index)
+        if known is not None and known.epochs[index] > reply.epochs[index]:
+            return
+        if (
+            known is not None
+            and known.epochs[index] == reply.epochs[index]
+            and reply.outcome == Outcome.ABSTAINED
+        ):
+            return
+        self.replies[index] = reply
+
+    def drop_outdated(self) -> None:
+        """Forgets replies that a holder gave before it lost its memory."""
+        for index in find_outdated(
+            {i: reply.epochs for i, reply in self.replies.items()}
+        ):
+            del self.replies[index]
+
+    def count_stored(self) -> int:
+        """Returns the number of holders that have the result."""
+        for index in find_outdated(self.acks):
+            del self.acks[index]
+        return len(self.acks)
+
+    def decide(self) -> Claimed | None:
+        """Returns the verdict, or None while replies are missing."""
+        self.drop_outdated()
+        replies = list(self.replies.values())
+        for reply in replies:
+            if (
+                reply.outcome == Outcome.TAKEN
+                and reply.state == ClaimState.DONE
+            ):
+                return self.conclude_done(reply)
+        granted = count_outcomes(replies, Outcome.GRANTED)
+        if granted >= self.holder_set.majority:
+            return Claimed(request_id=self.request_id, granted=True)
+        taken = [r for r in replies if r.outcome == Outcome.TAKEN]
+        full = count_outcomes(replies, Outcome.FULL)
+        left = len(self.holder_set.holders) - len(taken) - full
+        if left >= self.holder_set.majority:
+            return None
+        if taken:
+            return self.refuse_taken(taken)
+        if granted + full >= self.holder_set.read_quorum:
+            return self.refuse(FULL_REFUSAL)
+        return None
+
+    def conclude_done(self, reply: ClaimReply) -> Claimed:
+        """Returns the verdict on a key whose request has an answer."""
+        if not reply.same_content:
+            return self.refuse(REUSED_DONE_REFUSAL)
+        if reply.answer is None:
+            return self.refuse(NOT_KEPT_REFUSAL)
+        return Claimed(
+            request_id=self.request_id, granted=False, answer=reply.answer
+        )
+
+    def refuse(self, refusal: Refusal) -> Claimed:
+        """Returns the verdict for a refusal."""
+        return Claimed(
+            request_id=self.request_id, granted=False, refusal=refusal
+        )
+
+    def refuse_taken(self, taken: list[ClaimReply]) -> Claimed:
+        """Returns the verdict on a key that other claims have."""
+        other_content = sum(not reply.same_content for reply in taken)
+        if other_content >= self.holder_set.majority:
+            return self.refuse(REUSED_REFUSAL)
+        if any(reply.state == ClaimState.UNKNOWN for reply in taken):
+            return self.refuse(UNKNOWN_REFUSAL)
+        return self.refuse(IN_PROGRESS_REFUSAL)
+
+    def conclude_timeout(self) -> Claimed:
+        """Returns the verdict when too few holders answered in time."""
+        taken = [
+            reply
+            for reply in self.replies.values()
+            if reply.outcome == Outcome.TAKEN
+        ]
+        if taken:
+            return self.refuse_taken(taken)
+        return self.refuse(UNREACHABLE_REFUSAL)
+
+
+def count_outcomes(replies: list[ClaimReply], outcome: Outcome) -> int:
+    """Returns the number of replies with an outcome."""
+    return sum(reply.outcome == outcome for reply in replies)
+
+
+def find_outdated(epochs_by_index: dict[int, tuple[int, ...]]) -> list[int]:
+    """Returns the holders whose statement is of an earlier epoch.
+
+    Args:
+        epochs_by_index: The epochs in the statement of each holder.
+    """
+    if not epochs_by_index:
+        return []
+    rows = epochs_by_index.values()
+    latest = [max(column) for column in zip(*rows, strict=True)]
+    return [
+        index
+        for index, epochs in epochs_by_index.items()
+        if epochs[index] < latest[index]
+    ]
+
+
+REUSED_DONE_REFUSAL = Refusal(
+    type="idempotency_key_reused",
+    message="The idempotency key was used for a request with other content.",
+    status=422,
+    execution=Execution.NOT_RUN,
+)
+# The claim with other content may yet be released, and a request with this
+# content may have run since.
+REUSED_REFUSAL = dataclasses.replace(
+    REUSED_DONE_REFUSAL, execution=Execution.UNKNOWN
+)
+IN_PROGRESS_REFUSAL = Refusal(
+    type="in_progress",
+    message=(
+        "Another request with this idempotency key has claimed it and has "
+        "no result yet."
+    ),
+    status=409,
+    execution=Execution.UNKNOWN,
+    retry_after_s=RETRY_IN_PROGRESS_SECONDS,
+)
+UNKNOWN_REFUSAL = Refusal(
+    type="outcome_unknown",
+    message=(
+        "An earlier request with this idempotency key was dispatched, or "
+        "may have been, and its result is unknown; it is not run again."
+    ),
+    status=409,
+    execution=Execution.UNKNOWN,
+    retry_after_s=RETRY_UNREACHABLE_SECONDS,
+)
+NOT_KEPT_REFUSAL = Refusal(
+    type="answer_not_kept",
+    message=(
+        "An earlier request with this idempotency key ran to completion, "
+        "but its answer was too large to keep."
+    ),
+    status=409,
+    execution=Execution.UNKNOWN,
+)
+UNREACHABLE_REFUSAL = Refusal(
+    type="claim_unreachable",
+    message=(
+        "This request was not dispatched, because too few holders of the "
+        "idempotency key answered; whether an earlier request with the key "
+        "ran is unknown."
+    ),
+    status=503,
+    execution=Execution.UNKNOWN,
+    retry_after_s=RETRY_UNREACHABLE_SECONDS,
+)
+FULL_REFUSAL = Refusal(
+    type="claims_full",
+    message="The holders of the idempotency key have no room for new keys.",
+    status=503,
+    execution=Execution.NOT_RUN,
+    retry_after_s=RETRY_FULL_SECONDS,
+)
+INVALID_KEY_REFUSAL = Refusal(
+    type="invalid_idempotency_key",
+    message="The idempotency key is missing or too long.",
+    status=400,
+    execution=Execution.NOT_RUN,
+)
+NO_HOLDERS_REFUSAL = Refusal(
+    type="claim_unreachable",
+    message=(
+        "This request was not dispatched, because no claim holders are "
+        "configured for the home data centre of the idempotency key; "
+        "whether an earlier request with the key ran is unknown."
+    ),
+    status=503,
+    execution=Execution.UNKNOWN,
+)
--- /dev/null
+++ b/rattanroute/systems/recoveries.py
@@ -0,0 +1,283 @@
+"""Copying of claims: recovery after memory loss and planned handover.
+
+The proof that a recovered holder forgets nothing is in `systems/holders.py`.
+"""
+
+import dataclasses
+
+from rattanroute.messages.claims import CopyPiece
+from rattanroute.messages.claims import CopyRequest
+from rattanroute.messages.claims import HandoverAck
+from rattanroute.messages.claims import HandoverPiece
+from rattanroute.systems.holders import ClaimHolder
+from rattanroute.systems.holders import HolderStatus
+from rattanroute.tables.claims import Claim
+
+# A copy is rare and must be quick, because the holder abstains until it ends;
+# 5 MB of claims take 10 s.
+COPY_BYTES_PER_SECOND = 512_000.0
+COPY_PIECE_BYTES = 32_000
+COPY_RETRY_SECONDS = 0.3
+CLAIM_OVERHEAD_BYTES = 120
+# A planned stop does not wait longer for other holders.
+HANDOVER_SECONDS = 10.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Source:
+    """Progress of copying from one holder, or of handing over to it.
+
+    Attributes:
+        cursor: Number of keys copied.
+        epoch: Epoch of the other holder at the first piece; -1 before it.
+        done: Whether all keys are copied.
+        next_send: Time of the next request or piece.
+    """
+
+    cursor: int = 0
+    epoch: int = -1
+    done: bool = False
+    next_send: float = 0.0
+
+    def restart(self) -> None:
+        """Starts the copy again."""
+        self.cursor = 0
+        self.epoch = -1
+        self.done = False
+
+
+class ClaimCopier:
+    """Copies claims between the holders of one home.
+
+    Attributes:
+        holder: The holder of this VM.
+        sources: Progress with each other holder, by position in the set.
+        sessions: Keys of the copies that other holders make here.
+        handover_keys: Keys handed over at a planned stop.
+        handover_ends: Time at which a planned stop no longer waits.
+    """
+
+    def __init__(self, *, holder: ClaimHolder) -> None:
+        """Initialises without copies under way."""
+        self.holder = holder
+        self.sources = {
+            index: Source()
+            for index in range(len(holder.holder_set.holders))
+            if index != holder.index
+        }
+        self.sessions: dict[int, list[bytes]] = {}
+        self.served_until = 0.0
+        self.handover_keys: list[bytes] = []
+        self.handover_ends = 0.0
+
+    def tick(self, now: float) -> list[tuple[int, object]]:
+        """Returns messages that are due, each with a holder's position."""
+        if self.holder.status == HolderStatus.RECOVERING:
+            return self.request_pieces(now)
+        if self.holder.status == HolderStatus.LEAVING:
+            return self.send_handover(now)
+        return []
+
+    def request_pieces(self, now: float) -> list[tuple[int, object]]:
+        """Asks the sources that have not answered."""
+        messages: list[tuple[int, object]] = []
+        for index, source in self.sources.items():
+            if source.done or now < source.next_send:
+                continue
+            source.next_send = now + COPY_RETRY_SECONDS
+            messages.append((index, self.build_request(source)))
+        return messages
+
+    def build_request(self, source: Source) -> CopyRequest:
+        """Builds the request for the next piece."""
+        return CopyRequest(
+            home=self.holder.holder_set.home,
+            set_id=self.holder.holder_set.set_id,
+            epoch=self.holder.epoch,
+            cursor=source.cursor,
+        )
+
+    def serve(
+        self, index: int, message: CopyRequest, now: float
+    ) -> CopyPiece | None:
+        """Returns a piece; remembers the requester's new epoch before it."""
+        holder = self.holder
+        if holder.status not in (HolderStatus.INTACT, HolderStatus.LEAVING):
+            return None
+        outdated = message.epoch < holder.epochs[index]
+        if message.epoch > holder.epochs[index]:
+            holder.epochs[index] = message.epoch
+            holder.save_holder()
+        if message.cursor == 0:
+            self.sessions[index] = list(holder.table.rows)
+        keys = self.sessions.get(index)
+        if outdated or keys is None:
+            return self.build_piece(message, (), 0, done=False)
+        if now < self.served_until:
+            return None
+        claims, next_cursor = self.collect(keys, message.cursor)
+        size = sum(map(estimate_bytes, claims))
+        self.served_until = now + size / COPY_BYTES_PER_SECOND
+        done = next_cursor >= len(keys)
+        return self.build_piece(message, claims, next_cursor, done=done)
+
+    def build_piece(
+        self,
+        message: CopyRequest,
+        claims: tuple[Claim, ...],
+        next_cursor: int,
+        *,
+        done: bool,
+    ) -> CopyPiece:
+        """Builds the answer to a copy request."""
+        return CopyPiece(
+            home=message.home,
+            set_id=message.set_id,
+            epoch=message.epoch,
+            epochs=tuple(self.holder.epochs),
+            cursor=message.cursor,
+            next_cursor=next_cursor,
+            claims=claims,
+            done=done,
+        )
+
+    def collect(
+        self, keys: list[bytes], cursor: int
+    ) -> tuple[tuple[Claim, ...], int]:
+        """Returns the claims of one piece and the next cursor."""
+        claims: list[Claim] = []
+        size = 0
+        while cursor < len(keys) and size < COPY_PIECE_BYTES:
+            claim = self.holder.table.get(keys[cursor])
+            cursor += 1
+            if claim is not None:
+                claims.append(claim)
+                size += estimate_bytes(claim)
+        return tuple(claims), cursor
+
+    def on_piece(
+        self, index: int, piece: CopyPiece, now: float, now_ms: int
+    ) -> CopyRequest | None:
+        """Merges a piece; returns the request for the next one."""
+        holder = self.holder
+        source = self.sources[index]
+        if (
+            holder.status != HolderStatus.RECOVERING
+            or piece.epoch != holder.epoch
+            or piece.cursor != source.cursor
+            or source.done
+        ):
+            return None
+        if piece.epochs[holder.index] > holder.epoch:
+            self.raise_epoch(piece.epochs[holder.index] + 1)
+            return None
+        holder.learn_epochs(piece.epochs)
+        if source.epoch not in (-1, piece.epochs[index]) or (
+            not piece.done and piece.next_cursor <= piece.cursor
+        ):
+            source.restart()
+            return None
+        source.epoch = piece.epochs[index]
+        for claim in piece.claims:
+            holder.merge(claim, now_ms)
+        source.cursor = piece.next_cursor
+        source.done = piece.done
+        if source.done:
+            self.check_complete()
+            return None
+        source.next_send = now + COPY_RETRY_SECONDS
+        return self.build_request(source)
+
+    def raise_epoch(self, epoch: int) -> None:
+        """Starts the recovery again at an epoch that is certainly new.
+
+        A clock that was set back can make the first one smaller than the
+        epoch of an earlier start.
+        """
+        self.holder.epochs[self.holder.index] = epoch
+        self.holder.save_holder()
+        for source in self.sources.values():
+            source.restart()
+
+    def check_complete(self) -> None:
+        """Ends the recovery once enough copies are valid."""
+        holder = self.holder
+        valid = 0
+        for index, source in self.sources.items():
+            if not source.done:
+                continue
+            if source.epoch == holder.epochs[index]:
+                valid += 1
+            else:
+                source.restart()
+        if valid >= holder.holder_set.read_quorum:
+            holder.become_intact()
+
+    def leave(self, now: float) -> None:
+        """Stops granting and starts to hand the claims over."""
+        if self.holder.status != HolderStatus.INTACT or not self.sources:
+            return
+        self.holder.status = HolderStatus.LEAVING
+        self.handover_keys = list(self.holder.table.rows)
+        self.handover_ends = now + HANDOVER_SECONDS
+        for source in self.sources.values():
+            source.restart()
+            source.next_send = now
+            source.done = not self.handover_keys
+
+    def handed_over(self, now: float) -> bool:
+        """Whether a planned stop need not wait any longer."""
+        return (
+            self.holder.status != HolderStatus.LEAVING
+            or now >= self.handover_ends
+            or all(source.done for source in self.sources.values())
+        )
+
+    def send_handover(self, now: float) -> list[tuple[int, object]]:
+        """Sends pieces to the holders that confirmed the last one."""
+        messages: list[tuple[int, object]] = []
+        for index, source in self.sources.items():
+            if source.done or now < source.next_send:
+                continue
+            source.next_send = now + COPY_RETRY_SECONDS
+            claims, _ = self.collect(self.handover_keys, source.cursor)
+            piece = HandoverPiece(
+                home=self.holder.holder_set.home,
+                set_id=self.holder.holder_set.set_id,
+                cursor=source.cursor,
+                claims=claims,
+            )
+            messages.append((index, piece))
+        return messages
+
+    def on_handover_piece(
+        self, message: HandoverPiece, now_ms: int
+    ) -> HandoverAck | None:
+        """Merges claims of a holder that stops as planned."""
+        if self.holder.status in (HolderStatus.LEAVING, HolderStatus.FAILED):
+            return None
+        for claim in message.claims:
+            self.holder.merge(claim, now_ms)
+        return HandoverAck(
+            home=message.home, set_id=message.set_id, cursor=message.cursor
+        )
+
+    def on_handover_ack(
+        self, index: int, message: HandoverAck, now: float
+    ) -> None:
+        """Moves on to the next piece."""
+        source = self.sources[index]
+        if (
+            self.holder.status != HolderStatus.LEAVING
+            or message.cursor != source.cursor
+        ):
+            return
+        _, source.cursor = self.collect(self.handover_keys, source.cursor)
+        source.done = source.cursor >= len(self.handover_keys)
+        source.next_send = now
+
+
+def estimate_bytes(claim: Claim) -> int:
+    """Returns the encoded size of a claim, within a few bytes."""
+    answer = 0 if claim.answer is None else len(claim.answer)
+    return CLAIM_OVERHEAD_BYTES + answer + 100 * len(claim.rivals)
