--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -13,8 +13,11 @@
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
 from rattanroute.actions import SendMessage
+from rattanroute.claims import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
+from rattanroute.clients.services import ServiceClient
+from rattanroute.clients.stages import PipelineClient
 from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
 from rattanroute.events import Event
@@ -23,6 +26,7 @@
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.servers.callers import CallersServer
 from rattanroute.servers.peers import PeersServer
+from rattanroute.servers.services import ServicesServer
 from rattanroute.servers.targets import TargetsServer
 from rattanroute.servers.targets import UsageStatement
 from rattanroute.sessions import AttemptUsage
@@ -77,7 +81,12 @@
             targets=self.targets,
             members=self.membership.alive,
         )
+        self.claims = ClaimGate(
+            settings=settings, execute=self.subsystems.execute
+        )
+        self.running: set[asyncio.Task[object]] = set()
         self.subsystems.add(self.membership)
+        self.subsystems.add(self.claims.system)
         self.subsystems.add(self.reports)
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.AppRunner] = []
@@ -137,6 +146,8 @@
 
     def execute(self, action: Action) -> None:
         """Executes an action of a subsystem."""
+        if self.claims.take(action):
+            return
         if isinstance(action, MemberChanged):
             member = action.member
             self.links.learn(peer=member.vm_id, address=member.address)
@@ -156,6 +167,11 @@
             return True
         return self.links.send(peer=peer, message=message)
 
+    def keep_running(self, task: "asyncio.Task[object]") -> None:
+        """Keeps a task alive until it ends, also when its caller is gone."""
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
     def record_usage(self, usage: AttemptUsage) -> None:
         """Adds an attempt to the accounts."""
 
@@ -171,6 +187,8 @@
             read_bufsize=16 * 1024,
         )
         self.engines = EngineClient(session=self.client)
+        self.pipelines = PipelineClient(session=self.client)
+        self.services = ServiceClient(session=self.client)
         self.links = PeerLinks(
             vm_id=self.settings.vm_id,
             batch_seconds=self.settings.peers.batch_ms
@@ -181,10 +199,10 @@
             on_state=self.note_link,
         )
         await self.open_peers()
-        await self.open_http(
-            CallersServer(host=self).build_application(),
-            self.settings.listen.callers,
-        )
+        callers = CallersServer(host=self)
+        application = callers.build_application()
+        ServicesServer(host=self, callers=callers).add_routes(application)
+        await self.open_http(application, self.settings.listen.callers)
         await self.open_http(
             self.build_targets_server().build_application(),
             self.settings.listen.targets,
@@ -300,6 +318,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
                 await self.sessions.empty.wait()
+        await asyncio.gather(*self.running, return_exceptions=True)
+        await self.claims.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
         await asyncio.sleep(2 * TICK_SECONDS)
         await self.close()
@@ -315,7 +335,10 @@
         for server in self.servers:
             server.close()
             await server.wait_closed()
+        await self.claims.close()
         await self.traces.export()
+        await self.pipelines.close()
+        await self.services.close()
         await self.client.close()
         log.info("daemon stopped")
 
