Tell peers the address of a new VM with its first frame

Cause: a VM that joined through a seed never became a member, because the seed knew no address to answer to. Change: the first frame of a stream carries the sender's advertised address.

--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -44,6 +44,7 @@
 
     Args:
         vm_id: Identifier of this VM.
+        own_address: Advertised peer address of this VM.
         address: Address to dial, as `IP:port`.
         batch_seconds: Longest wait before a batch is sent.
         metadata: gRPC metadata with the credentials.
@@ -56,6 +57,7 @@
         self,
         *,
         vm_id: str,
+        own_address: str,
         address: str,
         batch_seconds: float,
         metadata: Callable[[], dict[str, str]],
@@ -64,6 +66,7 @@
         ssl: object = None,
     ) -> None:
         self.vm_id = vm_id
+        self.own_address = own_address
         self.address = address
         self.batch_seconds = batch_seconds
         self.metadata = metadata
@@ -113,7 +116,9 @@
                 metadata=self.metadata()
             ) as stream:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                    await stream.send_message(Frame(vm_id=self.vm_id))
+                    await stream.send_message(
+                        Frame(vm_id=self.vm_id, address=self.own_address)
+                    )
                     hello = await stream.recv_message()
                 if hello is None:
                     return
@@ -207,6 +212,7 @@
 
     Args:
         vm_id: Identifier of this VM.
+        own_address: Advertised peer address of this VM.
         batch_seconds: Longest wait before a batch is sent.
         address_map: Address to dial in place of an advertised one.
         metadata: gRPC metadata with the credentials.
@@ -218,6 +224,7 @@
         self,
         *,
         vm_id: str,
+        own_address: str,
         batch_seconds: float,
         address_map: dict[str, str],
         metadata: Callable[[], dict[str, str]],
@@ -226,6 +233,7 @@
         ssl: object = None,
     ) -> None:
         self.vm_id = vm_id
+        self.own_address = own_address
         self.batch_seconds = batch_seconds
         self.address_map = address_map
         self.metadata = metadata
@@ -245,6 +253,7 @@
         if link is None:
             link = PeerLink(
                 vm_id=self.vm_id,
+                own_address=self.own_address,
                 address=self.address_map.get(address, address),
                 batch_seconds=self.batch_seconds,
                 metadata=self.metadata,
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -191,6 +191,7 @@
         self.services = ServiceClient(session=self.client)
         self.links = PeerLinks(
             vm_id=self.settings.vm_id,
+            own_address=self.settings.peer_address,
             batch_seconds=self.settings.peers.batch_ms
             / MILLISECONDS_PER_SECOND,
             address_map=self.settings.peers.address_map,
@@ -226,6 +227,9 @@
                     vm_id=self.settings.vm_id,
                     tokens=self.peer_tokens,
                     deliver=self.subsystems.deliver,
+                    learn=lambda peer, address: self.links.learn(
+                        peer=peer, address=address
+                    ),
                     metrics=self.metrics,
                 )
             ]
--- a/rattanroute/logs.py
+++ b/rattanroute/logs.py
@@ -2,7 +2,10 @@
 
 import json
 import logging
+import pathlib
 import sys
+import traceback
+import types
 from typing import TYPE_CHECKING
 
 import loguru
@@ -39,17 +42,26 @@
     if exception is not None:
         pairs["error_type"] = type(exception.value).__name__
         pairs["error"] = exception.value
+        if exception.traceback is not None:
+            pairs["at"] = describe_place(exception.traceback)
     line = " ".join(f"{k}={format_value(v)}" for k, v in pairs.items())
     record["extra"]["line"] = line
     return "{extra[line]}\n"
 
 
+def describe_place(start: types.TracebackType) -> str:
+    """Returns the file and line at which an exception arose."""
+    frame = traceback.extract_tb(start)[-1]
+    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
+
+
 class StandardLoggingHandler(logging.Handler):
     """Passes records of the standard library's loggers to loguru."""
 
     def emit(self, record: logging.LogRecord) -> None:
         """Logs one record under the same level."""
-        loguru.logger.bind(module=record.name).log(
+        logger = loguru.logger.bind(module=record.name)
+        logger.opt(exception=record.exc_info).log(
             record.levelname, "{}", record.getMessage()
         )
 
--- a/rattanroute/servers/peers.py
+++ b/rattanroute/servers/peers.py
@@ -32,6 +32,8 @@
         tokens: Returns the accepted bearer tokens; none means that peers are
             not authenticated.
         deliver: Called with each peer's identifier and message.
+        learn: Called with the identifier and address of each peer that opens
+            a stream, so that answers can be sent before membership knows it.
         metrics: Metrics of the daemon.
     """
 
@@ -41,9 +43,11 @@
         vm_id: str,
         tokens: Callable[[], tuple[str, ...]],
         deliver: Callable[[str, object], None],
+        learn: Callable[[str, str], None],
         metrics: MetricsRegistry,
     ) -> None:
         self.vm_id = vm_id
+        self.learn = learn
         self.tokens = tokens
         self.deliver = deliver
         self.metrics = metrics
@@ -54,6 +58,8 @@
         hello = await stream.recv_message()
         if hello is None or not hello.vm_id:
             raise GRPCError(Status.INVALID_ARGUMENT, "first frame has no vm_id")
+        if hello.address:
+            self.learn(hello.vm_id, hello.address)
         await stream.send_message(Frame(vm_id=self.vm_id))
         acknowledger = StreamAcknowledger(stream=stream)
         try:
--- a/rattanroute/servers/targets.py
+++ b/rattanroute/servers/targets.py
@@ -168,8 +168,9 @@
             return self.refuse(400, describe_validation(error))
         except web.HTTPRequestEntityTooLarge:
             return self.refuse(413, f"body exceeds {MAX_BODY_BYTES} bytes")
-        known = self.targets.get(body.target_id)
-        report = merge_report(body, known.report if known else None)
+        row = self.targets.get(body.target_id)
+        known = row.report if row is not None else None
+        report = merge_report(body, known)
         if isinstance(report, str):
             return self.refuse(409, report, target=body.target_id)
         stays = known is not None and known.incarnation == report.incarnation
--- a/rattanroute/tests/test_peers.py
+++ b/rattanroute/tests/test_peers.py
@@ -32,6 +32,7 @@
     async def asyncSetUp(self) -> None:
         self.received: list[tuple[str, object]] = []
         self.states: list[tuple[str, bool]] = []
+        self.learned: list[str] = []
         self.arrived = asyncio.Event()
         self.server = Server(
             [
@@ -39,6 +40,7 @@
                     vm_id="vm-b",
                     tokens=lambda: (TOKEN,),
                     deliver=self.deliver,
+                    learn=lambda peer, address: self.learned.append(address),
                     metrics=MetricsRegistry(),
                 )
             ]
@@ -62,6 +64,7 @@
         """Builds the links of vm-a."""
         return PeerLinks(
             vm_id="vm-a",
+            own_address="127.0.0.1:2",
             batch_seconds=0.001,
             address_map=address_map,
             metadata=lambda: {"authorization": f"Bearer {token}"},
@@ -81,6 +84,7 @@
         await self.wait_arrival()
         self.assertEqual(self.received, [("vm-a", build_message())])
         self.assertEqual(self.states, [("vm-b", True)])
+        self.assertEqual(self.learned, ["127.0.0.1:2"])
 
     async def test_unknown_peer_has_no_link(self) -> None:
         self.assertFalse(self.links.send(peer="vm-x", message=build_message()))
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -35,6 +35,7 @@
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LOG_TAIL_CHARACTERS = 2000
 OPERATORS_TOKEN = "operators-token"
 
 
@@ -376,8 +377,12 @@
             )
 
     async def wait_healthy(self, name: str) -> None:
-        """Waits until a VM answers."""
-        await self.wait_status(f"{self.vms[name].callers_url}/healthz")
+        """Waits until a VM answers; an error shows the end of its log."""
+        try:
+            await self.wait_status(f"{self.vms[name].callers_url}/healthz")
+        except TimeoutError as error:
+            tail = self.read_log(name)[-LOG_TAIL_CHARACTERS:]
+            raise TimeoutError(f"{error}; its log ends with: {tail}") from None
 
     async def wait_ready(self, *names: str) -> None:
         """Waits until VMs, or all of them, are ready."""
