Add the operators' gRPC interface, bearer tokens and mutual TLS

Cause: operators manage the system by remote procedure calls only, and the daemons' interfaces need authentication. Change: the schema of the operators' interface with its conversions and server; token files that are read again when they change; optional mutual TLS whose files are replaced without a restart (three new settings); NotProposedError marks proposals that are certainly not accepted. Conclusion: the interface works against a fake log; the daemon must supply the real log and the sources.

--- a/rattanroute/errors.py
+++ b/rattanroute/errors.py
@@ -36,3 +36,10 @@
 
 class TargetError(RouterError):
     """A target failed or broke its protocol."""
+
+
+class NotProposedError(RouterError):
+    """The configuration log certainly did not and will not accept a change.
+
+    Any other error of a proposal leaves its outcome unknown.
+    """
--- a/rattanroute/proto/operators_grpc.py
+++ b/rattanroute/proto/operators_grpc.py
@@ -14,27 +14,203 @@
 
 class OperatorsBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def Apply(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.ApplyRequest, rattanroute.proto.operators_pb2.ApplyResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Drain(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.DrainRequest, rattanroute.proto.operators_pb2.ApplyResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Undrain(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.DrainRequest, rattanroute.proto.operators_pb2.ApplyResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Get(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.GetRequest, rattanroute.proto.operators_pb2.GetResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def List(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.ListRequest, rattanroute.proto.operators_pb2.ListResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Watch(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.WatchRequest, rattanroute.proto.operators_pb2.WatchEvent]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Status(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.StatusRequest, rattanroute.proto.operators_pb2.StatusResponse]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Accounts(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.AccountsRequest, rattanroute.proto.operators_pb2.AccountsResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Trace(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.TraceRequest, rattanroute.proto.operators_pb2.TraceResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Members(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.MembersRequest, rattanroute.proto.operators_pb2.MembersResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Targets(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.TargetsRequest, rattanroute.proto.operators_pb2.TargetsResponse]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Audit(self, stream: 'grpclib.server.Stream[rattanroute.proto.operators_pb2.AuditRequest, rattanroute.proto.operators_pb2.AuditResponse]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/rattanroute.operators.Operators/Apply': grpclib.const.Handler(
+                self.Apply,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.ApplyRequest,
+                rattanroute.proto.operators_pb2.ApplyResponse,
+            ),
+            '/rattanroute.operators.Operators/Drain': grpclib.const.Handler(
+                self.Drain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.DrainRequest,
+                rattanroute.proto.operators_pb2.ApplyResponse,
+            ),
+            '/rattanroute.operators.Operators/Undrain': grpclib.const.Handler(
+                self.Undrain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.DrainRequest,
+                rattanroute.proto.operators_pb2.ApplyResponse,
+            ),
+            '/rattanroute.operators.Operators/Get': grpclib.const.Handler(
+                self.Get,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.GetRequest,
+                rattanroute.proto.operators_pb2.GetResponse,
+            ),
+            '/rattanroute.operators.Operators/List': grpclib.const.Handler(
+                self.List,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.ListRequest,
+                rattanroute.proto.operators_pb2.ListResponse,
+            ),
+            '/rattanroute.operators.Operators/Watch': grpclib.const.Handler(
+                self.Watch,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                rattanroute.proto.operators_pb2.WatchRequest,
+                rattanroute.proto.operators_pb2.WatchEvent,
+            ),
             '/rattanroute.operators.Operators/Status': grpclib.const.Handler(
                 self.Status,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 rattanroute.proto.operators_pb2.StatusRequest,
                 rattanroute.proto.operators_pb2.StatusResponse,
             ),
+            '/rattanroute.operators.Operators/Accounts': grpclib.const.Handler(
+                self.Accounts,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.AccountsRequest,
+                rattanroute.proto.operators_pb2.AccountsResponse,
+            ),
+            '/rattanroute.operators.Operators/Trace': grpclib.const.Handler(
+                self.Trace,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.TraceRequest,
+                rattanroute.proto.operators_pb2.TraceResponse,
+            ),
+            '/rattanroute.operators.Operators/Members': grpclib.const.Handler(
+                self.Members,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.MembersRequest,
+                rattanroute.proto.operators_pb2.MembersResponse,
+            ),
+            '/rattanroute.operators.Operators/Targets': grpclib.const.Handler(
+                self.Targets,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.TargetsRequest,
+                rattanroute.proto.operators_pb2.TargetsResponse,
+            ),
+            '/rattanroute.operators.Operators/Audit': grpclib.const.Handler(
+                self.Audit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                rattanroute.proto.operators_pb2.AuditRequest,
+                rattanroute.proto.operators_pb2.AuditResponse,
+            ),
         }
 
 
 class OperatorsStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Apply = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Apply',
+            rattanroute.proto.operators_pb2.ApplyRequest,
+            rattanroute.proto.operators_pb2.ApplyResponse,
+        )
+        self.Drain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Drain',
+            rattanroute.proto.operators_pb2.DrainRequest,
+            rattanroute.proto.operators_pb2.ApplyResponse,
+        )
+        self.Undrain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Undrain',
+            rattanroute.proto.operators_pb2.DrainRequest,
+            rattanroute.proto.operators_pb2.ApplyResponse,
+        )
+        self.Get = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Get',
+            rattanroute.proto.operators_pb2.GetRequest,
+            rattanroute.proto.operators_pb2.GetResponse,
+        )
+        self.List = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/List',
+            rattanroute.proto.operators_pb2.ListRequest,
+            rattanroute.proto.operators_pb2.ListResponse,
+        )
+        self.Watch = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/rattanroute.operators.Operators/Watch',
+            rattanroute.proto.operators_pb2.WatchRequest,
+            rattanroute.proto.operators_pb2.WatchEvent,
+        )
         self.Status = grpclib.client.UnaryUnaryMethod(
             channel,
             '/rattanroute.operators.Operators/Status',
             rattanroute.proto.operators_pb2.StatusRequest,
             rattanroute.proto.operators_pb2.StatusResponse,
         )
+        self.Accounts = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Accounts',
+            rattanroute.proto.operators_pb2.AccountsRequest,
+            rattanroute.proto.operators_pb2.AccountsResponse,
+        )
+        self.Trace = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Trace',
+            rattanroute.proto.operators_pb2.TraceRequest,
+            rattanroute.proto.operators_pb2.TraceResponse,
+        )
+        self.Members = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Members',
+            rattanroute.proto.operators_pb2.MembersRequest,
+            rattanroute.proto.operators_pb2.MembersResponse,
+        )
+        self.Targets = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Targets',
+            rattanroute.proto.operators_pb2.TargetsRequest,
+            rattanroute.proto.operators_pb2.TargetsResponse,
+        )
+        self.Audit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/rattanroute.operators.Operators/Audit',
+            rattanroute.proto.operators_pb2.AuditRequest,
+            rattanroute.proto.operators_pb2.AuditResponse,
+        )
--- /dev/null
+++ b/rattanroute/security.py
@@ -0,0 +1,294 @@
+"""Authentication by bearer tokens and optional mutual TLS."""
+
+import dataclasses
+import hashlib
+import hmac
+import pathlib
+import ssl
+
+from grpclib.const import Status
+from grpclib.events import listen
+from grpclib.events import RecvRequest
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+from loguru import logger
+
+from rattanroute.errors import SettingsError
+from rattanroute.settings import SecuritySettings
+
+AUTHORIZATION = "authorization"
+# Set by the server only; a value that a client sends is replaced.
+IDENTITY = "rattanroute-identity"
+SCHEME = "bearer "
+
+
+def read_signature(path: pathlib.Path) -> tuple[int, int, int]:
+    """Returns values of a file that change when it is replaced or edited."""
+    status = path.stat()
+    return status.st_ino, status.st_mtime_ns, status.st_size
+
+
+def hash_token(token: str) -> bytes:
+    """Returns the hash by which tokens are compared.
+
+    Hashes have one length, so the comparison does not tell that of a token.
+    """
+    return hashlib.sha256(token.encode()).digest()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Token:
+    """A token of a file.
+
+    Attributes:
+        name: Whom it identifies; empty when the file does not say.
+        secret: The token.
+        digest: Its hash.
+    """
+
+    name: str
+    secret: str = dataclasses.field(repr=False)
+    digest: bytes = dataclasses.field(repr=False)
+
+
+def parse_tokens(text: str, path: pathlib.Path) -> tuple[Token, ...]:
+    """Parses lines of the form `token` or `name token`; `#` is a comment.
+
+    Raises:
+        SettingsError: If a line has another form, or there is no token. The
+            error names the line, never its content.
+    """
+    tokens = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        words = line.split()
+        if not words or words[0].startswith("#"):
+            continue
+        if len(words) > 2:
+            raise SettingsError(
+                step="load tokens",
+                peer=str(path),
+                message=f"line {number} is not `token` or `name token`",
+            )
+        name = words[0] if len(words) == 2 else ""
+        tokens.append(
+            Token(name=name, secret=words[-1], digest=hash_token(words[-1]))
+        )
+    if not tokens:
+        raise SettingsError(
+            step="load tokens", peer=str(path), message="no token in the file"
+        )
+    return tuple(tokens)
+
+
+class TokenFile:
+    """The tokens of a file, read again when the file changes.
+
+    When the changed file cannot be used, the tokens read before stay valid,
+    so that a mistake during a rotation does not lock everybody out.
+
+    Attributes:
+        path: The file.
+        tokens: Tokens of the last good read.
+        signature: State of the file at the last read.
+        failure: Why the latest reload failed; empty when it did not.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        """Reads the file.
+
+        Raises:
+            SettingsError: If the file cannot be read or holds no token.
+        """
+        self.path = path
+        self.signature = None
+        self.tokens: tuple[Token, ...] = ()
+        self.failure = ""
+        self.load()
+
+    def load(self) -> None:
+        """Reads the file if it changed.
+
+        Raises:
+            SettingsError: If the file cannot be read or holds no token.
+        """
+        try:
+            signature = read_signature(self.path)
+            if signature == self.signature:
+                return
+            self.signature = signature
+            text = self.path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise SettingsError(
+                step="load tokens",
+                peer=str(self.path),
+                message=f"cannot be read ({type(error).__name__})",
+            ) from error
+        self.tokens = parse_tokens(text, self.path)
+
+    def refresh(self) -> tuple[Token, ...]:
+        """Returns the tokens that are valid now."""
+        failure = ""
+        try:
+            self.load()
+        except SettingsError as error:
+            failure = str(error)
+        # One line per new failure: callers must not be able to fill the log.
+        if failure and failure != self.failure:
+            logger.warning("event=token_reload_failed error={!r}", failure)
+        self.failure = failure
+        return self.tokens
+
+    def authenticate(self, header: object) -> Token | None:
+        """Returns the token that an `authorization` value presents, if valid.
+
+        Every token is compared, so that the time does not tell which one is
+        close to the presented value.
+        """
+        text = header if isinstance(header, str) else ""
+        presented = b""
+        if text[: len(SCHEME)].lower() == SCHEME:
+            presented = hash_token(text[len(SCHEME) :].strip())
+        found = None
+        for token in self.refresh():
+            if hmac.compare_digest(token.digest, presented):
+                found = token
+        return found
+
+    def metadata(self) -> dict[str, str]:
+        """Returns the metadata that presents the first token."""
+        return {AUTHORIZATION: f"Bearer {self.refresh()[0].secret}"}
+
+
+def protect_server(server: Server, tokens: TokenFile | None) -> None:
+    """Lets a gRPC server refuse calls without a valid token.
+
+    Args:
+        server: The server; handlers read the name of the caller from the
+            `IDENTITY` metadata, which is empty when the token has no name.
+        tokens: Valid tokens; None accepts every caller.
+    """
+
+    async def check(event: RecvRequest) -> None:
+        name = ""
+        if tokens is not None:
+            token = tokens.authenticate(event.metadata.get(AUTHORIZATION))
+            if token is None:
+                raise GRPCError(
+                    Status.UNAUTHENTICATED, "missing or unknown bearer token"
+                )
+            name = token.name
+        event.metadata[IDENTITY] = name
+
+    listen(server, RecvRequest, check)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TlsFiles:
+    """Files of mutual TLS.
+
+    Attributes:
+        certificate: Certificate chain of this process.
+        key: Its private key.
+        authority: Certificates of the authorities that sign for others.
+    """
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path
+
+    def signature(self) -> tuple[tuple[int, int, int], ...]:
+        """Returns values that change when a file does."""
+        return tuple(
+            read_signature(path)
+            for path in (self.certificate, self.key, self.authority)
+        )
+
+
+def find_tls_files(settings: SecuritySettings) -> TlsFiles | None:
+    """Returns the files of mutual TLS, or None when it is off."""
+    if settings.certificate_file is None:
+        return None
+    return TlsFiles(
+        certificate=settings.certificate_file,
+        key=settings.key_file,
+        authority=settings.authority_file,
+    )
+
+
+def build_context(files: TlsFiles, purpose: ssl.Purpose) -> ssl.SSLContext:
+    """Builds a context that demands a certificate from the other side.
+
+    Addresses of VMs change, so a certificate is checked against the private
+    authority and not against an address.
+
+    Raises:
+        SettingsError: If a file cannot be used.
+    """
+    server_side = purpose is ssl.Purpose.CLIENT_AUTH
+    protocol = (
+        ssl.PROTOCOL_TLS_SERVER if server_side else ssl.PROTOCOL_TLS_CLIENT
+    )
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.set_alpn_protocols(["h2"])
+    try:
+        context.load_cert_chain(files.certificate, files.key)
+        context.load_verify_locations(files.authority)
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            step="load certificates",
+            peer=str(files.certificate),
+            message=f"cannot be used ({type(error).__name__})",
+        ) from error
+    return context
+
+
+def build_client_context(files: TlsFiles) -> ssl.SSLContext:
+    """Builds the context of a new outgoing connection."""
+    return build_context(files, ssl.Purpose.SERVER_AUTH)
+
+
+class ServerContexts:
+    """Gives each incoming connection a context of the current files.
+
+    Attributes:
+        files: The files.
+        signature: State of the files at the last read.
+        latest: Context of the last good read.
+        context: Context to start a server with; it never changes, and hands
+            each handshake over to `latest`.
+    """
+
+    def __init__(self, files: TlsFiles) -> None:
+        """Reads the files.
+
+        Raises:
+            SettingsError: If a file cannot be used.
+        """
+        self.files = files
+        self.latest = build_context(files, ssl.Purpose.CLIENT_AUTH)
+        self.signature = files.signature()
+        self.context = build_context(files, ssl.Purpose.CLIENT_AUTH)
+        self.context.sni_callback = self.choose
+
+    def refresh(self) -> ssl.SSLContext:
+        """Returns a context of the current files."""
+        try:
+            signature = self.files.signature()
+            if signature != self.signature:
+                self.signature = signature
+                self.latest = build_context(self.files, ssl.Purpose.CLIENT_AUTH)
+        except (OSError, SettingsError) as error:
+            logger.warning(
+                "event=certificate_reload_failed error={!r}", str(error)
+            )
+        return self.latest
+
+    def choose(
+        self, connection: ssl.SSLObject, name: str | None, context: object
+    ) -> None:
+        """Moves a handshake to the current context; called by `ssl`."""
+        del name, context
+        connection.context = self.refresh()
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -133,13 +133,43 @@
 
     operators_token_file: pathlib.Path | None = pydantic.Field(
         default=None,
-        description="File with operators' bearer tokens, one a line.",
+        description=(
+            "File with operators' bearer tokens, one a line, as `token` or "
+            "`name token`; it is read again when it changes."
+        ),
     )
     peers_token_file: pathlib.Path | None = pydantic.Field(
         default=None,
-        description="File with peers' bearer tokens; the first one is sent.",
+        description=(
+            "File with peers' bearer tokens; all are accepted and the first "
+            "one is sent. It is read again when it changes."
+        ),
+    )
+    certificate_file: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description=(
+            "Certificate chain for mutual TLS with peers and operators; "
+            "without it connections are not encrypted."
+        ),
+    )
+    key_file: pathlib.Path | None = pydantic.Field(
+        default=None, description="Private key of the certificate."
+    )
+    authority_file: pathlib.Path | None = pydantic.Field(
+        default=None,
+        description="Certificates of the authorities that sign for others.",
     )
 
+    @pydantic.model_validator(mode="after")
+    def check_certificate(self) -> "SecuritySettings":
+        """Checks that mutual TLS has all of its files or none."""
+        files = (self.certificate_file, self.key_file, self.authority_file)
+        if any(files) and not all(files):
+            raise ValueError(
+                "certificate_file, key_file and authority_file belong together"
+            )
+        return self
+
 
 class TelemetrySettings(Section):
     """Logs and traces."""
--- /dev/null
+++ b/rattanroute/tests/test_security.py
@@ -0,0 +1,207 @@
+"""Tests of tokens and mutual TLS."""
+
+import datetime
+import logging
+import pathlib
+import tempfile
+import unittest
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from grpclib.client import Channel
+import pydantic
+
+from rattanroute.errors import SettingsError
+from rattanroute.proto import operators_pb2 as pb
+from rattanroute.proto.operators_grpc import OperatorsStub
+from rattanroute.security import build_client_context
+from rattanroute.security import find_tls_files
+from rattanroute.security import ServerContexts
+from rattanroute.security import TlsFiles
+from rattanroute.security import TokenFile
+from rattanroute.settings import SecuritySettings
+from rattanroute.systems.configurations import ConfigurationStateMachine
+from rattanroute.tests.operator_support import build_operators
+from rattanroute.tests.operator_support import FakeLog
+from rattanroute.tests.operator_support import run_server
+
+
+class TokenFileTest(unittest.TestCase):
+    """Guards against valid tokens that fail and secrets that leak."""
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = pathlib.Path(folder, "tokens")
+
+    def load(self, text: str) -> TokenFile:
+        """Loads tokens from a text."""
+        self.path.write_text(text)
+        return TokenFile(self.path)
+
+    def test_names_comments_and_several_tokens(self) -> None:
+        tokens = self.load("# operators\nalice one\n\ntwo\n")
+        self.assertEqual(tokens.authenticate("Bearer one").name, "alice")
+        self.assertEqual(tokens.authenticate("bearer two").name, "")
+        self.assertIsNone(tokens.authenticate("Bearer alice"))
+        self.assertIsNone(tokens.authenticate(None))
+        self.assertIsNone(tokens.authenticate(b"Bearer one"))
+        self.assertEqual(tokens.metadata(), {"authorization": "Bearer one"})
+
+    def test_errors_and_texts_never_show_a_token(self) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self.load("alice hidden-1 hidden-2\n")
+        self.assertIn("line 1", str(caught.exception))
+        self.assertNotIn("hidden", str(caught.exception))
+        self.assertNotIn("hidden", repr(self.load("hidden-3\n").tokens))
+
+    def test_file_without_tokens_is_refused_at_the_start(self) -> None:
+        with self.assertRaises(SettingsError):
+            self.load("# nothing\n")
+        with self.assertRaises(SettingsError):
+            TokenFile(self.path.with_name("none"))
+
+    def test_unusable_new_file_keeps_the_old_tokens(self) -> None:
+        tokens = self.load("one\n")
+        self.path.write_text("")
+        self.assertIsNotNone(tokens.authenticate("Bearer one"))
+        self.path.unlink()
+        self.assertIsNotNone(tokens.authenticate("Bearer one"))
+        self.path.write_text("two two-long\n")
+        self.assertIsNone(tokens.authenticate("Bearer one"))
+        self.assertIsNotNone(tokens.authenticate("Bearer two-long"))
+
+
+class Authority:
+    """A private certificate authority."""
+
+    def __init__(self, folder: pathlib.Path, name: str) -> None:
+        self.folder = folder
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.name = x509.Name(
+            [x509.NameAttribute(x509.NameOID.COMMON_NAME, name)]
+        )
+        self.certificate = self.sign(self.name, self.key.public_key(), True)
+
+    def sign(
+        self, subject: x509.Name, key: ec.EllipticCurvePublicKey, ca: bool
+    ) -> x509.Certificate:
+        """Signs a certificate that is valid for an hour."""
+        now = datetime.datetime.now(datetime.UTC)
+        hour = datetime.timedelta(hours=1)
+        authority_id = x509.AuthorityKeyIdentifier
+        return (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self.name)
+            .public_key(key)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - hour)
+            .not_valid_after(now + hour)
+            .add_extension(x509.BasicConstraints(ca, None), critical=True)
+            .add_extension(
+                x509.SubjectKeyIdentifier.from_public_key(key), critical=False
+            )
+            .add_extension(
+                authority_id.from_issuer_public_key(self.key.public_key()),
+                critical=False,
+            )
+            .sign(self.key, hashes.SHA256())
+        )
+
+    def write(self, prefix: str) -> TlsFiles:
+        """Writes a new key, its certificate and that of the authority."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        subject = x509.Name(
+            [x509.NameAttribute(x509.NameOID.COMMON_NAME, prefix)]
+        )
+        certificate = self.sign(subject, key.public_key(), False)
+        files = TlsFiles(
+            certificate=self.folder / f"{prefix}.crt",
+            key=self.folder / f"{prefix}.key",
+            authority=self.folder / f"{prefix}.ca",
+        )
+        encoding = serialization.Encoding.PEM
+        files.certificate.write_bytes(certificate.public_bytes(encoding))
+        files.authority.write_bytes(self.certificate.public_bytes(encoding))
+        files.key.write_bytes(
+            key.private_bytes(
+                encoding,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return files
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against strangers on the wire and stale certificates."""
+
+    def setUp(self) -> None:
+        # asyncio logs a stack trace for each handshake that is refused.
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+
+    async def call(self, port: int, context: object) -> pb.StatusResponse:
+        """Asks for the status over a new connection."""
+        channel = Channel("127.0.0.1", port, ssl=context)
+        try:
+            stub = OperatorsStub(channel)
+            return await stub.Status(pb.StatusRequest(), timeout=5)
+        finally:
+            channel.close()
+
+    async def check_refused(self, port: int, context: object) -> None:
+        """Checks that a connection does not come about."""
+        with self.assertRaises(Exception) as caught:
+            await self.call(port, context)
+        self.assertNotIsInstance(caught.exception, TimeoutError)
+
+    async def test_both_sides_need_a_certificate_of_the_authority(self) -> None:
+        ours = Authority(self.folder, "ours")
+        other = Authority(self.folder, "other").write("other")
+        contexts = ServerContexts(ours.write("server"))
+        client = ours.write("client")
+        operators = build_operators(FakeLog(ConfigurationStateMachine()))
+        async with run_server(operators, context=contexts.context) as port:
+            status = await self.call(port, build_client_context(client))
+            self.assertEqual(status.vm_id, "vm-1")
+            trusting = TlsFiles(
+                certificate=other.certificate,
+                key=other.key,
+                authority=client.authority,
+            )
+            await self.check_refused(port, build_client_context(trusting))
+            await self.check_refused(port, build_client_context(other))
+            await self.check_refused(port, None)
+
+    async def test_replaced_files_take_effect_without_a_restart(self) -> None:
+        old = Authority(self.folder, "old")
+        old_client = old.write("old-client")
+        contexts = ServerContexts(old.write("server"))
+        operators = build_operators(FakeLog(ConfigurationStateMachine()))
+        async with run_server(operators, context=contexts.context) as port:
+            await self.call(port, build_client_context(old_client))
+            new = Authority(self.folder, "new")
+            new.write("server")
+            await self.call(port, build_client_context(new.write("client")))
+            await self.check_refused(port, build_client_context(old_client))
+            (self.folder / "server.key").write_text("broken")
+            await self.call(port, build_client_context(new.write("client")))
+
+    def test_settings_name_all_files_or_none(self) -> None:
+        self.assertIsNone(find_tls_files(SecuritySettings()))
+        with self.assertRaisesRegex(pydantic.ValidationError, "together"):
+            SecuritySettings(certificate_file="x")
+
+    def test_missing_file_is_a_settings_error(self) -> None:
+        files = TlsFiles(
+            certificate=self.folder / "no.crt",
+            key=self.folder / "no.key",
+            authority=self.folder / "no.ca",
+        )
+        with self.assertRaises(SettingsError):
+            build_client_context(files)
