Add the clients for engines, services and stages

Cause: the daemon needs attempts that report what is known about their dispatch, and pipelines whose stages are replaced during a run. Change: EngineClient, ServiceClient and PipelineClient with tests. The stage URL carries the start position, so that a cache whose copy failed halfway is not mixed with a replay. Writes use a new connection each.

--- /dev/null
+++ b/rattanroute/clients/engines.py
@@ -0,0 +1,280 @@
+"""Runs attempts on engines that hold a whole model."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from collections.abc import Iterator
+import time
+
+import aiohttp
+import msgspec
+
+from rattanroute.clients.attempts import AttemptOrder
+from rattanroute.clients.attempts import TokenChunk
+from rattanroute.clients.attempts import Usage
+from rattanroute.clients.failures import AttemptContext
+
+MAX_EVENT_BYTES = 256 * 1024
+"""Longest line of an event stream; bounds the memory of a lying engine."""
+MAX_REFUSAL_BYTES = 2048
+END_OF_STREAM_TIMEOUT_S = 0.1
+"""Wait for the end of the body after `[DONE]`; the connection is reused only
+when the body has ended."""
+CANCEL_TIMEOUT_S = 2.0
+
+EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+
+
+class DeltaField(msgspec.Struct):
+    """Content of a choice."""
+
+    content: str | None = None
+
+
+class ChoiceField(msgspec.Struct):
+    """The only choice of a chunk."""
+
+    delta: DeltaField
+    finish_reason: str | None = None
+
+
+class UsageField(msgspec.Struct):
+    """Usage numbers of the last chunk."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class EventField(msgspec.Struct):
+    """A chunk of the event stream; other fields are ignored."""
+
+    id: str
+    attempt: int
+    choices: list[ChoiceField]
+    index: int = -1
+    usage: UsageField | None = None
+
+
+DECODER = msgspec.json.Decoder(EventField)
+ENCODER = msgspec.json.Encoder()
+
+
+class StreamReader:
+    """Checks an attempt's event stream and turns it into chunks.
+
+    Attributes:
+        usage: The final numbers, once they arrived.
+        done: Whether `[DONE]` arrived.
+    """
+
+    def __init__(self, order: AttemptOrder, context: AttemptContext) -> None:
+        self.order = order
+        self.context = context
+        self.buffer = b""
+        self.usage: Usage | None = None
+        self.done = False
+
+    def feed(self, data: bytes) -> Iterator[TokenChunk]:
+        """Yields the tokens of the complete lines.
+
+        Raises:
+            AttemptError: If the stream breaks the protocol.
+        """
+        if self.buffer:
+            data = self.buffer + data
+        lines = data.split(b"\n")
+        self.buffer = lines.pop()
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise self.context.fail("read stream", "line is too long")
+        for line in lines:
+            if not line or line == b"\r" or not line.startswith(b"data:"):
+                continue
+            if self.done or len(line) > MAX_EVENT_BYTES:
+                raise self.context.fail("read stream", "unexpected line")
+            chunk = self.read_event(line[5:].strip())
+            if chunk is not None:
+                yield chunk
+
+    def read_event(self, data: bytes) -> TokenChunk | None:
+        """Checks one event; returns its token if it has one."""
+        if data == b"[DONE]":
+            if self.usage is None:
+                raise self.context.fail("read stream", "end without usage")
+            self.done = True
+            return None
+        try:
+            event = DECODER.decode(data)
+        except msgspec.DecodeError as error:
+            raise self.context.fail("read stream", str(error)) from error
+        self.check_identity(event)
+        choice = event.choices[0]
+        if choice.finish_reason is not None:
+            self.finish(event, choice)
+            return None
+        if choice.delta.content is None:
+            return None
+        return self.take_token(event.index, choice.delta.content)
+
+    def check_identity(self, event: EventField) -> None:
+        """Checks that an event belongs to this attempt."""
+        order = self.order
+        if event.id != order.request_id or event.attempt != order.attempt:
+            raise self.context.fail(
+                "check answer",
+                f"answer belongs to request {event.id!r} attempt "
+                f"{event.attempt}",
+            )
+        if len(event.choices) != 1 or self.usage is not None:
+            raise self.context.fail("check answer", "unexpected event")
+
+    def take_token(self, index: int, text: str) -> TokenChunk:
+        """Checks that a token is the next one."""
+        context = self.context
+        if index != context.next_index:
+            raise context.fail(
+                "check answer",
+                f"token {index} arrived, expected {context.next_index}",
+            )
+        context.next_index += 1
+        return TokenChunk(index=index, text=text)
+
+    def finish(self, event: EventField, choice: ChoiceField) -> None:
+        """Takes the final numbers; counts the tokens itself."""
+        if choice.delta.content:
+            raise self.context.fail("check answer", "token in the last event")
+        numbers = event.usage or UsageField()
+        self.usage = Usage(
+            tokens_in=numbers.prompt_tokens,
+            tokens_out=self.context.next_index - self.context.first_index,
+            cached_tokens=numbers.cached_tokens,
+            finish_reason=choice.finish_reason or "stop",
+        )
+
+
+class EngineClient:
+    """Runs attempts over a shared client session."""
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    async def run(
+        self, order: AttemptOrder
+    ) -> AsyncGenerator[TokenChunk | Usage, None]:
+        """Runs an attempt; closing the generator cancels it on the target.
+
+        Use it within `contextlib.aclosing`, so that an abandoned attempt is
+        cancelled at once.
+
+        Yields:
+            A `TokenChunk` for each token, then one `Usage`.
+
+        Raises:
+            AttemptError: If the attempt fails.
+        """
+        first = len(order.resume_tokens)
+        context = AttemptContext(
+            target_id=order.target_id, first_index=first, next_index=first
+        )
+        deadline = time.monotonic() + order.deadline_s
+        token_deadline = min(
+            deadline, time.monotonic() + order.first_token_timeout_s
+        )
+        response = await self.send(order, context, token_deadline)
+        try:
+            reader = StreamReader(order, context)
+            content = response.content
+            while not reader.done:
+                data = await receive(content, context, token_deadline)
+                if not data and reader.usage is None:
+                    raise context.fail(
+                        "read stream", "stream ended early", crashed=True
+                    )
+                if not data:
+                    break
+                for chunk in reader.feed(data):
+                    yield chunk
+                    token_deadline = min(
+                        deadline, time.monotonic() + order.token_timeout_s
+                    )
+            await self.release(response)
+            yield reader.usage
+        finally:
+            response.close()
+
+    async def send(
+        self, order: AttemptOrder, context: AttemptContext, until: float
+    ) -> aiohttp.ClientResponse:
+        """Sends the request and returns the response with status 200."""
+        body = dict(order.body)
+        body["stream"] = True
+        if order.resume_tokens:
+            body["resume_tokens"] = order.resume_tokens
+        headers = order.headers
+        headers["Content-Type"] = "application/json"
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                response = await self.session.post(
+                    f"{order.address}/v1/chat/completions",
+                    data=ENCODER.encode(body),
+                    headers=headers,
+                    allow_redirects=False,
+                )
+        except EXCHANGE_ERRORS as error:
+            raise context.convert("request", error) from error
+        if response.status == 200:
+            return response
+        try:
+            raise await read_refusal(response, context)
+        finally:
+            response.close()
+
+    async def release(self, response: aiohttp.ClientResponse) -> None:
+        """Reads the end of the body, so that the connection is reused."""
+        try:
+            async with asyncio.timeout(END_OF_STREAM_TIMEOUT_S):
+                if not await response.content.readany():
+                    response.release()
+        except EXCHANGE_ERRORS:
+            response.close()
+
+    async def cancel(
+        self, *, address: str, request_id: str, attempt: int
+    ) -> None:
+        """Asks a target to cancel an attempt whose connection is lost.
+
+        A failure is ignored: the target also cancels on close.
+        """
+        data = {"request_id": request_id, "attempt": attempt}
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                async with self.session.post(
+                    f"{address}/v1/cancel",
+                    data=ENCODER.encode(data),
+                    allow_redirects=False,
+                ):
+                    pass
+        except EXCHANGE_ERRORS:
+            return
+
+
+async def receive(
+    content: aiohttp.StreamReader, context: AttemptContext, until: float
+) -> bytes:
+    """Returns the next bytes of a body; empty at its end."""
+    try:
+        async with asyncio.timeout(max(0.0, until - time.monotonic())):
+            return await content.readany()
+    except EXCHANGE_ERRORS as error:
+        raise context.convert("read stream", error) from error
+
+
+async def read_refusal(
+    response: aiohttp.ClientResponse, context: AttemptContext
+) -> Exception:
+    """Builds the error of a refusal with the start of its body."""
+    try:
+        async with asyncio.timeout(CANCEL_TIMEOUT_S):
+            body = await response.content.read(MAX_REFUSAL_BYTES)
+    except EXCHANGE_ERRORS:
+        body = b""
+    return context.refuse(response.status, response.headers, body)
--- /dev/null
+++ b/rattanroute/clients/failures.py
@@ -0,0 +1,127 @@
+"""Maps failures of HTTP exchanges to what they prove about the dispatch."""
+
+from collections.abc import Mapping
+import dataclasses
+import math
+
+import aiohttp
+
+from rattanroute.clients.attempts import AttemptError
+from rattanroute.events import Provenance
+
+CONNECT_TIMEOUT_S = 2.0
+KEEPALIVE_S = 15.0
+"""Idle time of pooled connections; shorter than that of common servers, so
+that the target does not close a connection just before it is used."""
+MAX_RETRY_AFTER_S = 600.0
+
+BEFORE_SENDING = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+"""Errors of aiohttp that arise before the first byte is written."""
+
+CONNECTION_LOST = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    ConnectionError,
+)
+"""Errors that a crash of the target causes after the request was sent."""
+
+
+def build_session() -> aiohttp.ClientSession:
+    """Builds the client session that a daemon shares among its clients."""
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class AttemptContext:
+    """Builds the errors of one attempt.
+
+    Attributes:
+        target_id: The target.
+        first_index: Index of the attempt's first token.
+        next_index: Index of the next token.
+    """
+
+    target_id: str
+    first_index: int = 0
+    next_index: int = 0
+
+    def fail(
+        self,
+        step: str,
+        message: str,
+        *,
+        crashed: bool = False,
+        dispatched: bool = True,
+        retry_after_s: float | None = None,
+        status: int = 0,
+    ) -> AttemptError:
+        """Builds an error with the provenance known at this point."""
+        tokens_out = self.next_index - self.first_index
+        if not dispatched:
+            provenance = Provenance.NOT_DISPATCHED
+        elif tokens_out:
+            provenance = Provenance.STARTED
+        else:
+            provenance = Provenance.UNKNOWN
+        return AttemptError(
+            step=step,
+            peer=self.target_id,
+            message=message,
+            provenance=provenance,
+            crashed=crashed,
+            retry_after_s=retry_after_s,
+            tokens_out=tokens_out,
+            status=status,
+        )
+
+    def convert(self, step: str, error: Exception) -> AttemptError:
+        """Builds an error from one of aiohttp, asyncio or the system."""
+        if isinstance(error, BEFORE_SENDING):
+            return self.fail("connect", describe(error), dispatched=False)
+        if isinstance(error, TimeoutError):
+            return self.fail(step, "no answer in time")
+        crashed = isinstance(error, CONNECTION_LOST)
+        return self.fail(step, describe(error), crashed=crashed)
+
+    def refuse(
+        self, status: int, headers: Mapping[str, str], body: bytes
+    ) -> AttemptError:
+        """Builds the error of a response with an error status."""
+        text = body.decode(errors="replace")
+        return self.fail(
+            "request",
+            f"status {status}: {text}",
+            retry_after_s=parse_retry_after(headers),
+            status=status,
+        )
+
+
+def describe(error: Exception) -> str:
+    """Returns an error's text on one line, or its type when it has none."""
+    return " ".join(str(error).split()) or type(error).__name__
+
+
+def parse_retry_after(headers: Mapping[str, str]) -> float | None:
+    """Reads `Retry-After` in seconds; dates and nonsense count as none."""
+    try:
+        seconds = float(headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds < 0:
+        return None
+    return min(seconds, MAX_RETRY_AFTER_S)
--- /dev/null
+++ b/rattanroute/clients/services.py
@@ -0,0 +1,169 @@
+"""Calls operations of plain services, never more than once per call."""
+
+import asyncio
+import dataclasses
+from urllib.parse import quote
+
+import aiohttp
+from yarl import URL
+
+from rattanroute.clients.attempts import AttemptError
+from rattanroute.clients.engines import EXCHANGE_ERRORS
+from rattanroute.clients.failures import AttemptContext
+from rattanroute.clients.failures import CONNECT_TIMEOUT_S
+from rattanroute.clients.failures import parse_retry_after
+
+MAX_ANSWER_BYTES = 1024 * 1024
+REFUSAL_STATUSES = frozenset({429, 503})
+"""Statuses with which a service declines a call; other error statuses are
+answers about the operation itself and go to the caller."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceOrder:
+    """One attempt of a service call.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number, from 1.
+        target_id: The target.
+        address: Base URL of the target.
+        operation: Operation name; part of the path.
+        body: JSON body of the caller.
+        repeatable: Whether the call may run more than once.
+        deadline_s: Time left until the caller's deadline.
+        account: Account that the target states usage for.
+        priority: Higher runs first.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+    address: str
+    operation: str
+    body: bytes
+    repeatable: bool = False
+    deadline_s: float = 60.0
+    account: str = ""
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceAnswer:
+    """The answer of a service.
+
+    Attributes:
+        status: HTTP status.
+        body: The body as sent.
+        content_type: Type of the body.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+
+
+class ServiceClient:
+    """Calls services over a shared session; writes use new connections.
+
+    A write on a pooled connection that the service is just closing would fail
+    with an unknown outcome. A new connection either fails before sending or
+    carries the call. Redirects are never followed: they would send it again.
+
+    Attributes:
+        session: Shared session, for repeatable calls.
+        write_session: Session whose connections are used once.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.write_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, force_close=True, use_dns_cache=False
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+
+    async def close(self) -> None:
+        """Closes the session for writes."""
+        await self.write_session.close()
+
+    async def call(self, order: ServiceOrder) -> ServiceAnswer:
+        """Sends a call once and returns the answer.
+
+        Raises:
+            AttemptError: If the call failed; its provenance is NOT_DISPATCHED
+                only when no byte of the call was sent.
+        """
+        context = AttemptContext(target_id=order.target_id)
+        session = self.session if order.repeatable else self.write_session
+        try:
+            async with asyncio.timeout(max(0.0, order.deadline_s)):
+                return await exchange(session, order, context)
+        except AttemptError:
+            raise
+        except EXCHANGE_ERRORS as error:
+            raise context.convert("call service", error) from error
+
+
+async def exchange(
+    session: aiohttp.ClientSession,
+    order: ServiceOrder,
+    context: AttemptContext,
+) -> ServiceAnswer:
+    """Sends the call and reads the bounded answer."""
+    async with session.post(
+        URL(
+            f"{order.address}/operations/{quote(order.operation, safe='')}",
+            encoded=True,
+        ),
+        data=order.body,
+        headers=build_headers(order),
+        allow_redirects=False,
+    ) as response:
+        body = await read_bounded(response.content, context)
+        if response.status in REFUSAL_STATUSES:
+            raise context.fail(
+                "call service",
+                f"status {response.status}",
+                retry_after_s=parse_retry_after(response.headers),
+                status=response.status,
+            )
+        if 300 <= response.status < 400:
+            raise context.fail(
+                "call service", "redirected", status=response.status
+            )
+        return ServiceAnswer(
+            status=response.status,
+            body=body,
+            content_type=response.content_type,
+        )
+
+
+def build_headers(order: ServiceOrder) -> dict[str, str]:
+    """Builds the headers that describe the attempt to the target."""
+    return {
+        "Content-Type": "application/json",
+        "X-Request-Id": order.request_id,
+        "X-Attempt": str(order.attempt),
+        "X-Deadline-Ms": str(max(0, int(order.deadline_s * 1000))),
+        "X-Priority": str(order.priority),
+        "X-Account": order.account,
+    }
+
+
+async def read_bounded(
+    content: aiohttp.StreamReader, context: AttemptContext
+) -> bytes:
+    """Reads a body of at most `MAX_ANSWER_BYTES`."""
+    parts: list[bytes] = []
+    size = 0
+    async for data in content.iter_any():
+        parts.append(data)
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            raise context.fail("call service", "answer is too long")
+    return b"".join(parts)
--- /dev/null
+++ b/rattanroute/clients/sockets.py
@@ -0,0 +1,250 @@
+"""The WebSocket to one stage, and copying of a stage's cache."""
+
+import asyncio
+import dataclasses
+import enum
+import time
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from rattanroute.actions import Hop
+from rattanroute.clients.attempts import AttemptOrder
+from rattanroute.clients.engines import EXCHANGE_ERRORS
+from rattanroute.clients.failures import CONNECTION_LOST
+from rattanroute.clients.failures import describe
+from rattanroute.clients.failures import parse_retry_after
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+"""Longest frame from a stage; bounds the memory of a lying engine."""
+MAX_CACHE_BYTES = 1024 * 1024 * 1024
+"""Largest cache that is copied; a longer one is rebuilt by replay."""
+CLOSE_TIMEOUT_S = 0.2
+COPY_TIMEOUT_S = 5.0
+
+
+class FailureKind(enum.StrEnum):
+    """Why a stage is to be replaced."""
+
+    CRASHED = "crashed"
+    TIMEOUT = "timeout"
+    PROTOCOL = "protocol"
+    REFUSED = "refused"
+    DEGRADED = "degraded"
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class StageError(Exception):
+    """A stage that cannot go on.
+
+    Attributes:
+        kind: Why.
+        message: One sentence for logs.
+        retry_after_s: The target's own request to stay away, in seconds.
+        status: HTTP status of a refused connection; 0 when there was none.
+    """
+
+    kind: FailureKind
+    message: str
+    retry_after_s: float | None = None
+    status: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.message}"
+
+
+class StageFrame(msgspec.Struct, kw_only=True):
+    """Inputs of consecutive positions, from `position`."""
+
+    position: int
+    inputs: list[bytes]
+
+
+class StageAnswer(msgspec.Struct, kw_only=True):
+    """Outputs of a frame, or an error."""
+
+    position: int
+    attempt: int
+    layers: tuple[int, int]
+    outputs: list[bytes] = []
+    error: str = ""
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(StageAnswer)
+
+
+def convert(error: Exception) -> StageError:
+    """Classifies an error of aiohttp, asyncio or the system."""
+    if isinstance(error, aiohttp.WSServerHandshakeError):
+        return StageError(
+            kind=FailureKind.REFUSED,
+            message=describe(error),
+            retry_after_s=parse_retry_after(error.headers or {}),
+            status=error.status,
+        )
+    if isinstance(error, TimeoutError):
+        return StageError(kind=FailureKind.TIMEOUT, message="no answer in time")
+    lost = isinstance(error, CONNECTION_LOST)
+    kind = FailureKind.CRASHED if lost else FailureKind.PROTOCOL
+    return StageError(kind=kind, message=describe(error))
+
+
+class StageSocket:
+    """A connection to one stage for one request and attempt."""
+
+    def __init__(
+        self,
+        *,
+        socket: aiohttp.ClientWebSocketResponse,
+        hop: Hop,
+        attempt: int,
+    ) -> None:
+        self.socket = socket
+        self.hop = hop
+        self.attempt = attempt
+
+    @classmethod
+    async def connect(
+        cls,
+        *,
+        session: aiohttp.ClientSession,
+        order: AttemptOrder,
+        hop: Hop,
+        attempt: int,
+        position: int,
+        until: float,
+    ) -> "StageSocket":
+        """Opens a connection; nothing runs before the first frame.
+
+        The target starts with an empty cache at position 0, and with the
+        cache that was copied to it at any other.
+
+        Raises:
+            StageError: If the target does not accept the request.
+        """
+        headers = order.headers
+        headers["X-Attempt"] = str(attempt)
+        url = build_url(hop, "stages", order.request_id, attempt)
+        url = url.update_query(position=position)
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                socket = await session.ws_connect(
+                    url,
+                    headers=headers,
+                    max_msg_size=MAX_FRAME_BYTES,
+                    timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
+                )
+        except EXCHANGE_ERRORS as error:
+            raise convert(error) from error
+        return cls(socket=socket, hop=hop, attempt=attempt)
+
+    async def exchange(
+        self, *, position: int, inputs: list[bytes], until: float
+    ) -> list[bytes]:
+        """Runs consecutive positions and returns their outputs.
+
+        Raises:
+            StageError: If the stage fails or answers something else.
+        """
+        frame = StageFrame(position=position, inputs=inputs)
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                await self.socket.send_bytes(ENCODER.encode(frame))
+                answer = await self.receive()
+        except EXCHANGE_ERRORS as error:
+            raise convert(error) from error
+        self.check(answer, position, len(inputs))
+        return answer.outputs
+
+    async def receive(self) -> StageAnswer:
+        """Returns the next answer; drops those of earlier attempts."""
+        while True:
+            message = await self.socket.receive()
+            if message.type != aiohttp.WSMsgType.BINARY:
+                raise StageError(
+                    kind=FailureKind.CRASHED,
+                    message=f"connection ended ({message.type.name})",
+                )
+            answer = DECODER.decode(message.data)
+            if answer.attempt >= self.attempt:
+                return answer
+
+    def check(self, answer: StageAnswer, position: int, count: int) -> None:
+        """Checks that an answer is the one to the frame just sent."""
+        layers = (self.hop.first_layer, self.hop.last_layer)
+        problem = ""
+        if answer.attempt != self.attempt:
+            problem = f"attempt {answer.attempt}, expected {self.attempt}"
+        elif answer.error:
+            problem = answer.error
+        elif answer.position != position:
+            problem = f"position {answer.position}, expected {position}"
+        elif answer.layers != layers:
+            problem = f"layers {answer.layers}, expected {layers}"
+        elif len(answer.outputs) != count:
+            problem = f"{len(answer.outputs)} outputs, expected {count}"
+        if problem:
+            raise StageError(kind=FailureKind.PROTOCOL, message=problem)
+
+    async def close(self) -> None:
+        """Closes the connection, which cancels the request on the target."""
+        await self.socket.close()
+
+
+def build_url(hop: Hop, kind: str, request_id: str, attempt: int) -> URL:
+    """Builds the URL of a request's stage or cache."""
+    path = f"{hop.address}/v1/{kind}/{quote(request_id, safe='')}"
+    query = f"attempt={attempt}&first={hop.first_layer}&last={hop.last_layer}"
+    return URL(f"{path}?{query}", encoded=True)
+
+
+class CachePosition(msgspec.Struct):
+    """The part of an exported cache that the router reads."""
+
+    position: int
+
+
+async def copy_cache(
+    *,
+    session: aiohttp.ClientSession,
+    request_id: str,
+    old: Hop,
+    hop: Hop,
+    attempt: int,
+    position: int,
+) -> bool:
+    """Copies a request's cache for the layers of `hop` to its target.
+
+    Args:
+        session: Client session.
+        request_id: The request.
+        old: Target that holds the cache.
+        hop: Target and layers that take over.
+        attempt: Attempt number of `hop`.
+        position: Positions that the cache must cover, no more and no less.
+
+    Returns:
+        Whether the cache was copied.
+    """
+    source = dataclasses.replace(hop, address=old.address)
+    read = build_url(source, "kv", request_id, attempt)
+    write = build_url(hop, "kv", request_id, attempt)
+    try:
+        async with asyncio.timeout(COPY_TIMEOUT_S):
+            async with session.get(read, allow_redirects=False) as answer:
+                size = answer.content_length
+                if answer.status != 200 or (size or 0) > MAX_CACHE_BYTES:
+                    return False
+                data = await answer.read()
+            found = msgspec.msgpack.decode(data, type=CachePosition)
+            if found.position != position:
+                return False
+            async with session.put(
+                write, data=data, allow_redirects=False
+            ) as answer:
+                return answer.status == 200
+    except (*EXCHANGE_ERRORS, msgspec.DecodeError):
+        return False
--- /dev/null
+++ b/rattanroute/clients/stages.py
@@ -0,0 +1,466 @@
+"""Runs attempts on a chain of engines that hold ranges of layers."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import time
+
+import aiohttp
+
+from rattanroute.actions import Hop
+from rattanroute.actions import ReplaceStage
+from rattanroute.clients.attempts import AttemptError
+from rattanroute.clients.attempts import AttemptOrder
+from rattanroute.clients.attempts import prompt_words
+from rattanroute.clients.attempts import TokenChunk
+from rattanroute.clients.attempts import Usage
+from rattanroute.clients.failures import AttemptContext
+from rattanroute.clients.links import LinkMonitor
+from rattanroute.clients.sockets import copy_cache
+from rattanroute.clients.sockets import FailureKind
+from rattanroute.clients.sockets import StageError
+from rattanroute.clients.sockets import StageSocket
+
+DEFAULT_MAX_TOKENS = 16
+PREFILL_FRAME_POSITIONS = 64
+"""Positions of one frame during prefill and replay."""
+MAX_JOURNAL_BYTES = 32 * 1024 * 1024
+"""Inputs kept for one request over all stage boundaries; a replacement
+beyond it recomputes the request from its tokens."""
+MAX_TOTAL_JOURNAL_BYTES = 256 * 1024 * 1024
+"""Inputs kept for all requests of the daemon."""
+MAX_RECOVERIES = 8
+"""Failures after which an attempt is given up; bounds the work of a request
+whose replacements fail as well."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StageFailure:
+    """A stage that failed or became slow during a run.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number of the stage.
+        hop: The stage.
+        kind: Why; a DEGRADED stage stays in use unless it is replaced.
+        error: The failure as an attempt's error, with its provenance.
+    """
+
+    request_id: str
+    attempt: int
+    hop: Hop
+    kind: FailureKind
+    error: AttemptError
+
+
+FailureCallback = Callable[[StageFailure], Awaitable[ReplaceStage | None]]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Stage:
+    """One stage of a running chain.
+
+    Attributes:
+        hop: Target and layers.
+        attempt: Attempt number of the stage.
+        ran: Positions whose outputs arrived.
+        journal: Inputs from position 0; shorter than `position` when they
+            are not known, and empty for the first stage, whose inputs are
+            the tokens.
+        socket: Connection to the target; None before the first frame.
+        monitor: Detects a degraded link.
+    """
+
+    hop: Hop
+    attempt: int
+    ran: int = 0
+    journal: list[bytes] = dataclasses.field(default_factory=list)
+    socket: StageSocket | None = None
+    monitor: LinkMonitor = dataclasses.field(default_factory=LinkMonitor)
+
+
+class PipelineClient:
+    """Runs attempts over a shared client session.
+
+    Attributes:
+        session: Shared client session.
+        journal_bytes: Size of the journals of all running requests.
+        closing: Connections that are being closed in the background.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.journal_bytes = 0
+        self.closing: set[asyncio.Task[None]] = set()
+
+    def open(
+        self,
+        *,
+        order: AttemptOrder,
+        chain: tuple[Hop, ...],
+        on_failure: FailureCallback,
+    ) -> "PipelineRun":
+        """Prepares a run; nothing is sent before its `run` is iterated.
+
+        Args:
+            order: The attempt; its `address` is not used.
+            chain: Hops in layer order.
+            on_failure: Asked for a replacement of a stage; None gives the
+                attempt up, or keeps a degraded stage.
+        """
+        return PipelineRun(
+            client=self, order=order, chain=chain, on_failure=on_failure
+        )
+
+    def close_socket(self, stage: Stage) -> None:
+        """Closes a stage's connection without waiting for the target."""
+        if stage.socket is None:
+            return
+        task = asyncio.create_task(stage.socket.close())
+        stage.socket = None
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+    async def close(self) -> None:
+        """Waits for the connections that are being closed."""
+        await asyncio.gather(*self.closing, return_exceptions=True)
+
+
+class PipelineRun:
+    """One attempt on a chain.
+
+    Attributes:
+        order: The attempt.
+        stages: The chain as it is now.
+        attempts: Attempt numbers used so far.
+        tokens: Inputs of the first layer: prompt and generated tokens.
+        position: Positions that the whole chain has run.
+        recoveries: Failed stages so far.
+        sent: Whether any frame was sent.
+        journal_bytes: Size of this request's journals.
+        journal_full: Whether the journals were dropped for their size.
+        pending: Replacements to make before the next position.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: PipelineClient,
+        order: AttemptOrder,
+        chain: tuple[Hop, ...],
+        on_failure: FailureCallback,
+    ) -> None:
+        self.client = client
+        self.order = order
+        self.on_failure = on_failure
+        self.attempts = {order.attempt}
+        self.stages = [Stage(hop=hop, attempt=order.attempt) for hop in chain]
+        first = len(order.resume_tokens)
+        self.context = AttemptContext(
+            target_id=order.target_id, first_index=first, next_index=first
+        )
+        self.deadline = time.monotonic() + order.deadline_s
+        self.tokens: list[bytes] = []
+        self.position = 0
+        self.recoveries = 0
+        self.sent = False
+        self.journal_bytes = 0
+        self.journal_full = False
+        self.pending: list[ReplaceStage] = []
+
+    def replace_stage(self, action: ReplaceStage) -> None:
+        """Replaces a stage that still works, before the next position.
+
+        Used when a target leaves; its cache is copied if it still answers.
+        """
+        self.pending.append(action)
+
+    async def run(self) -> AsyncGenerator[TokenChunk | Usage, None]:
+        """Runs the attempt; closing the generator cancels all stages.
+
+        Yields:
+            A `TokenChunk` for each token, then one `Usage`.
+
+        Raises:
+            AttemptError: If a stage failed and was not replaced.
+        """
+        order = self.order
+        context = self.context
+        words = prompt_words(order.body["messages"])
+        limit = int(order.body.get("max_tokens") or DEFAULT_MAX_TOKENS)
+        inputs = [word.encode() for word in [*words, *order.resume_tokens]]
+        reason = "length"
+        try:
+            while context.next_index < limit:
+                text = await self.advance(inputs)
+                if not text:
+                    reason = "stop"
+                    break
+                context.next_index += 1
+                yield TokenChunk(index=context.next_index - 1, text=text)
+                inputs = [text.encode()]
+            yield Usage(
+                tokens_in=len(words),
+                tokens_out=context.next_index - context.first_index,
+                finish_reason=reason,
+            )
+        finally:
+            self.drop_journals()
+            for stage in self.stages:
+                self.client.close_socket(stage)
+
+    async def advance(self, inputs: list[bytes]) -> str:
+        """Runs further tokens and returns the token that follows them."""
+        self.tokens.extend(inputs)
+        output = b""
+        while self.position < len(self.tokens):
+            await self.replace_slow_stages()
+            end = self.position + PREFILL_FRAME_POSITIONS
+            block = self.tokens[self.position : end]
+            outputs = await self.run_block(block)
+            if outputs is not None:
+                self.position += len(block)
+                output = outputs[-1]
+        try:
+            return output.decode()
+        except UnicodeDecodeError as error:
+            raise self.context.fail("sample", str(error)) from error
+
+    async def run_block(self, block: list[bytes]) -> list[bytes] | None:
+        """Runs a block through the chain; None after a restart."""
+        values = block
+        index = 0
+        while index < len(self.stages):
+            try:
+                if not await self.catch_up(index):
+                    self.restart()
+                    return None
+                self.record(index, values)
+                values = await self.exchange(self.stages[index], values)
+                index += 1
+            except StageError as error:
+                await self.recover(self.stages[index], error)
+        return values
+
+    async def catch_up(self, index: int) -> bool:
+        """Replays the journal to a stage that misses positions.
+
+        The outputs fill the journal of the next stage when that is new, too.
+
+        Returns:
+            False when the journal does not hold the inputs.
+        """
+        stage = self.stages[index]
+        inputs = self.tokens if index == 0 else stage.journal
+        while stage.ran < self.position:
+            if len(inputs) < self.position:
+                return False
+            start = stage.ran
+            end = min(start + PREFILL_FRAME_POSITIONS, self.position)
+            outputs = await self.exchange(stage, inputs[start:end])
+            if index + 1 < len(self.stages):
+                following = self.stages[index + 1]
+                if len(following.journal) == start:
+                    self.keep(following, outputs)
+        return True
+
+    async def exchange(self, stage: Stage, values: list[bytes]) -> list[bytes]:
+        """Runs positions on a stage and returns their outputs."""
+        order = self.order
+        limit = order.token_timeout_s
+        if len(values) > 1 or stage.socket is None:
+            limit = order.first_token_timeout_s
+        until = min(self.deadline, time.monotonic() + limit)
+        if stage.socket is None:
+            stage.socket = await StageSocket.connect(
+                session=self.client.session,
+                order=order,
+                hop=stage.hop,
+                attempt=stage.attempt,
+                position=stage.ran,
+                until=until,
+            )
+        self.sent = True
+        started = time.monotonic()
+        outputs = await stage.socket.exchange(
+            position=stage.ran, inputs=values, until=until
+        )
+        if len(values) == 1:
+            stage.monitor.record(time.monotonic() - started)
+        stage.ran += len(values)
+        return outputs
+
+    def record(self, index: int, values: list[bytes]) -> None:
+        """Adds a block's inputs to the journal of a stage, once."""
+        stage = self.stages[index]
+        if index > 0 and len(stage.journal) == self.position:
+            self.keep(stage, values)
+
+    def keep(self, stage: Stage, values: list[bytes]) -> None:
+        """Appends to a journal while it stays within the limits."""
+        if self.journal_full:
+            return
+        size = sum(map(len, values))
+        total = self.client.journal_bytes + size
+        if (
+            self.journal_bytes + size > MAX_JOURNAL_BYTES
+            or total > MAX_TOTAL_JOURNAL_BYTES
+        ):
+            self.journal_full = True
+            self.drop_journals()
+            return
+        self.journal_bytes += size
+        self.client.journal_bytes = total
+        stage.journal.extend(values)
+
+    def drop_journals(self) -> None:
+        """Frees all journals."""
+        self.client.journal_bytes -= self.journal_bytes
+        self.journal_bytes = 0
+        for stage in self.stages:
+            stage.journal = []
+
+    async def recover(self, stage: Stage, error: StageError) -> None:
+        """Gets a replacement of a failed stage.
+
+        Raises:
+            AttemptError: If there is none.
+        """
+        self.client.close_socket(stage)
+        self.recoveries += 1
+        failure = self.build_failure(stage, error)
+        action = None
+        if self.recoveries <= MAX_RECOVERIES:
+            action = await self.ask(failure)
+        if action is None:
+            raise failure.error from error
+        await self.apply(action, copy=False)
+
+    async def ask(self, failure: StageFailure) -> ReplaceStage | None:
+        """Asks the host for a replacement until the deadline."""
+        left = max(0.0, self.deadline - time.monotonic())
+        try:
+            async with asyncio.timeout(left):
+                return await self.on_failure(failure)
+        except TimeoutError:
+            return None
+
+    def build_failure(self, stage: Stage, error: StageError) -> StageFailure:
+        """Describes a failed stage to the host."""
+        context = dataclasses.replace(
+            self.context, target_id=stage.hop.target_id
+        )
+        return StageFailure(
+            request_id=self.order.request_id,
+            attempt=stage.attempt,
+            hop=stage.hop,
+            kind=error.kind,
+            error=context.fail(
+                "run stage",
+                str(error),
+                crashed=error.kind is FailureKind.CRASHED,
+                dispatched=self.sent,
+                retry_after_s=error.retry_after_s,
+                status=error.status,
+            ),
+        )
+
+    async def replace_slow_stages(self) -> None:
+        """Makes the replacements of stages that still work."""
+        for stage in self.stages:
+            if stage.monitor.degraded:
+                message = f"mean was {stage.monitor.mean_s:.4f} s"
+                error = StageError(kind=FailureKind.DEGRADED, message=message)
+                stage.monitor.reset()
+                action = await self.ask(self.build_failure(stage, error))
+                if action is not None:
+                    self.pending.append(action)
+        while self.pending:
+            await self.apply(self.pending.pop(0), copy=True)
+
+    async def apply(self, action: ReplaceStage, *, copy: bool) -> None:
+        """Puts new stages in the place of one.
+
+        Args:
+            action: The replacement; without effect when its target is no
+                longer part of the chain.
+            copy: Whether to copy the cache from the old target.
+        """
+        index = self.find_stage(action.failed_target_id)
+        if index is None:
+            return
+        old = self.stages[index]
+        self.check_action(old.hop, action)
+        self.attempts.add(action.attempt)
+        stages = [Stage(hop=hop, attempt=action.attempt) for hop in action.hops]
+        stages[0].journal = old.journal
+        if copy and self.position and await self.copy_caches(old, stages):
+            for stage in stages:
+                stage.ran = self.position
+        self.stages[index : index + 1] = stages
+        self.client.close_socket(old)
+
+    def find_stage(self, target_id: str) -> int | None:
+        """Returns the index of a target's stage."""
+        for index, stage in enumerate(self.stages):
+            if stage.hop.target_id == target_id:
+                return index
+        return None
+
+    def check_action(self, old: Hop, action: ReplaceStage) -> None:
+        """Checks that a replacement runs exactly the layers of the old hop.
+
+        Raises:
+            AttemptError: If it does not, or its attempt number was used.
+        """
+        problem = ""
+        if not covers(old, action.hops):
+            problem = f"layers of {action.hops} differ from {old}"
+        elif action.attempt in self.attempts:
+            problem = f"attempt {action.attempt} twice"
+        if problem:
+            raise self.context.fail(
+                "replace stage", problem, dispatched=self.sent
+            )
+
+    async def copy_caches(self, old: Stage, stages: list[Stage]) -> bool:
+        """Copies the old stage's cache to all new ones."""
+        results = await asyncio.gather(
+            *(
+                copy_cache(
+                    session=self.client.session,
+                    request_id=self.order.request_id,
+                    old=old.hop,
+                    hop=stage.hop,
+                    attempt=stage.attempt,
+                    position=self.position,
+                )
+                for stage in stages
+            )
+        )
+        return all(results)
+
+    def restart(self) -> None:
+        """Starts the chain again from the tokens, with empty caches.
+
+        Happens after a replacement whose inputs are no longer known; all
+        stages take its attempt number.
+        """
+        self.drop_journals()
+        self.position = 0
+        for stage in self.stages:
+            self.client.close_socket(stage)
+            stage.attempt = max(self.attempts)
+            stage.ran = 0
+
+
+def covers(old: Hop, hops: tuple[Hop, ...]) -> bool:
+    """Returns whether hops run each layer of the old one once, in order."""
+    layer = old.first_layer
+    for hop in hops:
+        if hop.first_layer != layer or hop.last_layer < layer:
+            return False
+        layer = hop.last_layer + 1
+    return layer == old.last_layer + 1
--- a/rattanroute/standins/chats.py
+++ b/rattanroute/standins/chats.py
@@ -16,6 +16,7 @@
 from rattanroute.standins.announcers import UsageStatement
 from rattanroute.standins.batches import QueueFullError
 from rattanroute.standins.configurations import FaultSettings
+from rattanroute.standins.hosts import break_connection
 from rattanroute.standins.hosts import error_response
 from rattanroute.standins.hosts import json_response
 from rattanroute.standins.models import embed
@@ -221,8 +222,8 @@
         async with contextlib.aclosing(self.generate(run)) as items:
             async for index, token in items:
                 tokens.append(token)
-                if index == run.faults.close_at and request.transport:
-                    request.transport.abort()
+                if index == run.faults.close_at:
+                    break_connection(request)
         choice = {
             "index": 0,
             "message": {"role": "assistant", "content": "".join(tokens)},
@@ -274,9 +275,8 @@
     ) -> None:
         """Writes one chunk, with the configured faults."""
         faults = run.faults
-        if index == faults.close_at and request.transport is not None:
-            request.transport.abort()
-            raise ConnectionResetError
+        if index == faults.close_at:
+            break_connection(request)
         if index == faults.skip_at:
             return
         if index == faults.malformed_at:
--- a/rattanroute/standins/hosts.py
+++ b/rattanroute/standins/hosts.py
@@ -115,6 +115,18 @@
             await self.runner.cleanup()
 
 
+def break_connection(request: web.Request) -> None:
+    """Resets a request's connection and ends its handler.
+
+    Raises:
+        asyncio.CancelledError: Always; aiohttp ends a handler without an
+            answer or a log line only on this error.
+    """
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
+
+
 def json_response(data: object, status: int = 200, **headers: str):
     """Builds a JSON response; `_` in header names stands for `-`."""
     return web.Response(
--- a/rattanroute/standins/service.py
+++ b/rattanroute/standins/service.py
@@ -9,6 +9,7 @@
 from rattanroute.standins.batches import QueueFullError
 from rattanroute.standins.batches import SlotQueue
 from rattanroute.standins.configurations import ServiceSettings
+from rattanroute.standins.hosts import break_connection
 from rattanroute.standins.hosts import error_response
 from rattanroute.standins.hosts import json_response
 from rattanroute.standins.hosts import main
@@ -98,8 +99,8 @@
         )
         if faults.crash_at >= 0:
             self.crash()
-        if faults.close_at >= 0 and request.transport is not None:
-            request.transport.abort()
+        if faults.close_at >= 0:
+            break_connection(request)
         return json_response({"request_id": request_id, **result})
 
 
--- a/rattanroute/standins/stages.py
+++ b/rattanroute/standins/stages.py
@@ -10,6 +10,7 @@
 
 from rattanroute.standins.announcers import UsageStatement
 from rattanroute.standins.batches import QueueFullError
+from rattanroute.standins.hosts import break_connection
 from rattanroute.standins.hosts import error_response
 from rattanroute.standins.hosts import json_response
 from rattanroute.standins.hosts import MAX_BODY_BYTES
@@ -84,7 +85,8 @@
     def open_session(self, request: web.Request) -> StageSession | None:
         """Returns the session of a request; None when it is refused.
 
-        A session with imported state is taken over by its attempt number.
+        A session with imported state is taken over by its attempt number,
+        unless the router starts at position 0.
         """
         host = self.host
         request_id = request.match_info["request_id"]
@@ -97,7 +99,10 @@
         if known is not None:
             if attempt < known.attempt:
                 return None
-            if attempt == known.attempt:
+            if (
+                attempt == known.attempt
+                and request.query.get("position") != "0"
+            ):
                 same = known.layers == range(first, last + 1)
                 return known if same else None
         session = StageSession(
@@ -209,9 +214,8 @@
         """Sends an answer, with the configured faults."""
         faults = self.host.faults
         positions = range(frame.position, frame.position + len(frame.inputs))
-        if faults.close_at in positions and request.transport is not None:
-            request.transport.abort()
-            raise ConnectionResetError
+        if faults.close_at in positions:
+            break_connection(request)
         if faults.malformed_at in positions:
             await socket.send_bytes(b"\xc1")
             return
--- /dev/null
+++ b/rattanroute/tests/test_engines.py
@@ -0,0 +1,237 @@
+"""Tests of the client for whole-model engines."""
+
+import asyncio
+import contextlib
+
+from rattanroute.clients import engines
+from rattanroute.clients.attempts import AttemptError
+from rattanroute.clients.engines import EngineClient
+from rattanroute.events import Provenance
+from rattanroute.standins.configurations import FaultSettings
+from rattanroute.standins.models import reference_tokens
+from rattanroute.tests.standin_support import build_body
+from rattanroute.tests.standin_support import build_order
+from rattanroute.tests.standin_support import collect
+from rattanroute.tests.standin_support import StandinCase
+
+EXPECTED = reference_tokens("one two three", 8, 8)
+
+
+class EngineClientTest(StandinCase):
+    """Attempts on a stand-in engine."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.client = EngineClient(session=self.session)
+        self.host = await self.start_engine()
+        self.texts: list[str] = []
+
+    async def run_order(self, **changes: object) -> object:
+        order = build_order(self.host.address, **changes)
+        return await collect(self.client.run(order), self.texts)
+
+    async def fail_order(self, **changes: object) -> AttemptError:
+        with self.assertRaises(AttemptError) as caught:
+            await self.run_order(**changes)
+        return caught.exception
+
+    async def test_answer_is_complete(self) -> None:
+        """Guards against lost, repeated or changed tokens."""
+        usage = await self.run_order()
+        self.assertEqual(self.texts, EXPECTED)
+        self.assertEqual((usage.tokens_in, usage.tokens_out), (4, 8))
+
+    async def test_resumes_after_known_tokens(self) -> None:
+        """Guards against a resumed stream that repeats or skips tokens."""
+        usage = await self.run_order(resume_tokens=tuple(EXPECTED[:5]))
+        self.assertEqual(self.texts, EXPECTED[5:])
+        self.assertEqual(usage.tokens_out, 3)
+
+    async def test_connection_is_reused(self) -> None:
+        """Guards against a new connection for each request."""
+        seen = set()
+        for number in range(3):
+            await self.run_order(request_id=f"r{number}")
+            seen.update(self.host.runner.server.connections)
+        self.assertEqual(len(seen), 1)
+
+    async def test_refused_connection_is_not_dispatched(self) -> None:
+        """Guards against giving up a request that was never sent."""
+        await self.host.runner.cleanup()
+        error = await self.fail_order()
+        self.assertEqual(error.provenance, Provenance.NOT_DISPATCHED)
+        self.assertFalse(error.crashed)
+
+    async def test_crash_before_first_token_is_unknown(self) -> None:
+        """Guards against calling a request not run after it was sent."""
+        self.host.faults = FaultSettings(crash_marker="two")
+        error = await self.fail_order()
+        self.assertEqual(error.provenance, Provenance.UNKNOWN)
+        self.assertTrue(error.crashed)
+
+    async def test_crash_in_stream_is_started(self) -> None:
+        """Guards against a broken stream that looks complete."""
+        self.host.faults = FaultSettings(close_at=3)
+        error = await self.fail_order()
+        self.assertEqual(error.provenance, Provenance.STARTED)
+        self.assertEqual((error.crashed, error.tokens_out), (True, 3))
+        self.assertEqual(self.texts, EXPECTED[:3])
+
+    async def test_lying_engine_fails_the_attempt(self) -> None:
+        """Guards against another request's or wrong tokens for a caller."""
+        for fault in (
+            {"wrong_request_id_at": 4},
+            {"skip_at": 4},
+            {"malformed_at": 4},
+            {"duplicate_at": 3},
+        ):
+            with self.subTest(fault):
+                self.texts.clear()
+                self.host.faults = FaultSettings(**fault)
+                error = await self.fail_order()
+                self.assertEqual(error.provenance, Provenance.STARTED)
+                self.assertFalse(error.crashed)
+                self.assertEqual(self.texts, EXPECTED[:4])
+
+    async def test_refusal_carries_retry_after(self) -> None:
+        """Guards against counting a refusal as a crash."""
+        self.host.faults = FaultSettings(refuse=True)
+        error = await self.fail_order()
+        self.assertEqual((error.status, error.retry_after_s), (503, 1.0))
+        self.assertFalse(error.crashed)
+
+    async def test_first_token_timeout(self) -> None:
+        """Guards against waiting for a frozen engine until the deadline."""
+        self.host.faults = FaultSettings(freeze=True)
+        error = await self.fail_order(first_token_timeout_s=0.1)
+        self.assertEqual(error.provenance, Provenance.UNKNOWN)
+        self.assertFalse(error.crashed)
+
+    async def test_token_timeout(self) -> None:
+        """Guards against an engine that freezes in the middle."""
+        order = build_order(self.host.address, token_timeout_s=0.1)
+        with self.assertRaises(AttemptError) as caught:
+            async with contextlib.aclosing(self.client.run(order)) as items:
+                async for _ in items:
+                    self.host.faults = FaultSettings(freeze=True)
+        self.assertEqual(caught.exception.provenance, Provenance.STARTED)
+
+    async def test_slow_caller_is_no_slow_engine(self) -> None:
+        """Guards against blaming an engine for its caller's pauses."""
+        order = build_order(self.host.address, token_timeout_s=0.1)
+        count = 0
+        async with contextlib.aclosing(self.client.run(order)) as items:
+            async for _ in items:
+                count += 1
+                if count == 2:
+                    await asyncio.sleep(0.2)
+        self.assertEqual(count, 9)
+
+    async def test_closing_cancels_on_the_target(self) -> None:
+        """Guards against engines that work for callers who are gone."""
+        order = build_order(
+            self.host.address, body=build_body("x", max_tokens=100_000)
+        )
+        async with contextlib.aclosing(self.client.run(order)) as items:
+            await anext(items)
+            self.assertEqual(self.host.slots.running, 1)
+        async with asyncio.timeout(2):
+            while self.host.slots.running:
+                await asyncio.sleep(0.01)
+
+    async def test_cancel_call(self) -> None:
+        """Guards against a cancel call that names another attempt."""
+        order = build_order(
+            self.host.address, body=build_body("x", max_tokens=100_000)
+        )
+        async with contextlib.aclosing(self.client.run(order)) as items:
+            await anext(items)
+            for attempt, running in ((2, 1), (1, 0)):
+                await self.client.cancel(
+                    address=self.host.address,
+                    request_id="r1",
+                    attempt=attempt,
+                )
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.host.slots.running, running)
+
+
+class RawEngineTest(StandinCase):
+    """Attempts on servers that break the protocol below the chunks."""
+
+    async def serve(self, answer: bytes, *, hold: bool = False) -> str:
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            writer.write(answer)
+            if hold:
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
+            writer.close()
+
+        self.requests = 0
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{port}"
+
+    async def fail_on(self, address: str) -> AttemptError:
+        client = EngineClient(session=self.session)
+        with self.assertRaises(AttemptError) as caught:
+            await collect(client.run(build_order(address)), [])
+        return caught.exception
+
+    async def test_line_length_is_bounded(self) -> None:
+        """Guards against a line that fills the memory."""
+        head = b"HTTP/1.1 200 OK\r\n\r\ndata: "
+        data = b"x" * (engines.MAX_EVENT_BYTES * 2)
+        error = await self.fail_on(await self.serve(head + data, hold=True))
+        self.assertIn("line is too long", str(error))
+
+    async def test_redirect_is_not_followed(self) -> None:
+        """Guards against a target that sends a prompt elsewhere."""
+        other = await self.start_engine()
+        head = (
+            "HTTP/1.1 307 Temporary Redirect\r\nContent-Length: 0\r\n"
+            f"Location: {other.address}/v1/chat/completions\r\n\r\n"
+        )
+        error = await self.fail_on(await self.serve(head.encode()))
+        self.assertEqual(error.status, 307)
+        self.assertFalse(other.executions)
+
+    async def test_late_end_keeps_the_connection(self) -> None:
+        """Guards against a new connection when the body's end comes late."""
+        chunk = (
+            b'data: {"id": "r1", "attempt": 1, "choices": [{"delta": {}, '
+            b'"finish_reason": "stop"}]}\n\ndata: [DONE]\n\n'
+        )
+        connections = []
+
+        async def handle(reader, writer) -> None:
+            connections.append(writer)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    await reader.readuntil(b"}")
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                        b"\r\n%x\r\n%s\r\n" % (len(chunk), chunk)
+                    )
+                    await asyncio.sleep(0.02)
+                    writer.write(b"0\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        order = build_order(f"http://127.0.0.1:{port}", body={})
+        client = EngineClient(session=self.session)
+        for _ in range(3):
+            await collect(client.run(order), [])
+        self.assertEqual(len(connections), 1)
+
+    async def test_silent_close_is_not_complete(self) -> None:
+        """Guards against a clean close that passes as a whole answer."""
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        error = await self.fail_on(await self.serve(head))
+        self.assertEqual(error.provenance, Provenance.UNKNOWN)
+        self.assertEqual(self.requests, 1)
