Add the consensus node with elections, replication and membership

Cause: the accepted configuration must survive lost VMs, lost disks, cut links and frozen leaders, and must never revert. Members are identified by VM and storage identity.

--- /dev/null
+++ b/rattanroute/consensus/core.py
@@ -0,0 +1,237 @@
+"""A Raft-style consensus node without input or output.
+
+The host makes the snapshot, hard state and entries of each output durable
+before it sends the messages or applies the entries of the same output. If it
+cannot, it drops the node and builds a new one from what is durable.
+
+Differences from the published algorithm: pre-votes, a leader that steps down
+without a quorum, a lease, and members that are identified by the random
+identity of their data folder as well as by their VM, so that a VM that lost
+its folder never counts as the member that it was.
+"""
+
+from collections.abc import Callable
+import random
+
+from rattanroute.consensus import elections
+from rattanroute.consensus import memberships
+from rattanroute.consensus import replications
+from rattanroute.consensus import snapshots
+from rattanroute.consensus.entries import Entry
+from rattanroute.consensus.entries import EntryKind
+from rattanroute.consensus.entries import HardState
+from rattanroute.consensus.entries import Membership
+from rattanroute.consensus.entries import Snapshot
+from rattanroute.consensus.logs import EntryLog
+from rattanroute.consensus.logs import measure_entry
+from rattanroute.consensus.nodes import ELECTION_MAX_SECONDS
+from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
+from rattanroute.consensus.nodes import MAX_UNCOMMITTED_BYTES
+from rattanroute.consensus.nodes import NodeState
+from rattanroute.consensus.nodes import Output
+from rattanroute.consensus.nodes import Role
+from rattanroute.messages.consensus import AppendRequest
+from rattanroute.messages.consensus import AppendResponse
+from rattanroute.messages.consensus import JoinRequest
+from rattanroute.messages.consensus import SnapshotChunk
+from rattanroute.messages.consensus import SnapshotResponse
+from rattanroute.messages.consensus import TimeoutNow
+from rattanroute.messages.consensus import VoteRequest
+from rattanroute.messages.consensus import VoteResponse
+
+Handler = Callable[[NodeState, str, object, float], None]
+
+HANDLERS: dict[type, Handler] = {
+    VoteRequest: elections.handle_vote_request,
+    VoteResponse: elections.handle_vote_response,
+    TimeoutNow: elections.handle_timeout_now,
+    AppendRequest: replications.handle_append_request,
+    AppendResponse: replications.handle_append_response,
+    SnapshotChunk: snapshots.handle_chunk,
+    SnapshotResponse: snapshots.handle_response,
+    JoinRequest: memberships.record_joiner,
+}
+
+
+def build_state(
+    *,
+    vm_id: str,
+    storage_id: str,
+    log: EntryLog,
+    hard_state: HardState,
+    rng: random.Random,
+    now: float,
+) -> NodeState:
+    """Builds the state of a node that starts from durable state."""
+    commit = min(max(hard_state.commit, log.snapshot.index), log.last_index)
+    # A lone voter needs no one's vote, so it does not wait.
+    is_lone = log.membership.quorum == 1
+    delay = rng.uniform(ELECTION_MIN_SECONDS, ELECTION_MAX_SECONDS)
+    return NodeState(
+        vm_id=vm_id,
+        storage_id=storage_id,
+        rng=rng,
+        log=log,
+        hard_state=hard_state,
+        term=hard_state.term,
+        vote=hard_state.vote,
+        commit=commit,
+        applied=log.snapshot.index,
+        quiet_until=now + ELECTION_MIN_SECONDS,
+        election_at=now if is_lone else now + delay,
+    )
+
+
+class ConsensusNode:
+    """One member of the replicated log.
+
+    Attributes:
+        state: The whole state; read-only for the host.
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+
+    def step(self, *, peer: str, message: object, now: float) -> Output:
+        """Handles a message from another member."""
+        state = self.state
+        elections.check_quorum(state, now)
+        HANDLERS[type(message)](state, peer, message, now)
+        return self.finish(now)
+
+    def tick(self, *, now: float) -> Output:
+        """Does the work that is due."""
+        state = self.state
+        elections.check_quorum(state, now)
+        if state.role == Role.LEADER:
+            memberships.repair(state, now)
+            if now >= state.heartbeat_at:
+                replications.start_round(state, now)
+        elif now >= state.election_at:
+            elections.start_election(
+                state, pre_vote=True, transfer=False, now=now
+            )
+        return self.finish(now)
+
+    def propose(
+        self, datas: tuple[bytes, ...], *, now: float
+    ) -> tuple[list[Entry], Output]:
+        """Appends a batch of proposals.
+
+        Args:
+            datas: The proposals.
+            now: Monotonic clock, in seconds.
+
+        Returns:
+            The entries, one for each proposal that was taken, in order; and
+            the output. None is taken by a node that is not the leader, and
+            the rest is not taken if too many bytes wait to be committed.
+        """
+        state = self.state
+        elections.check_quorum(state, now)
+        entries: list[Entry] = []
+        if state.role == Role.LEADER and not state.transfer_target:
+            pending = state.log.between(state.commit + 1, state.log.last_index)
+            size = sum(measure_entry(entry) for entry in pending)
+            for data in datas:
+                size += len(data)
+                if size > MAX_UNCOMMITTED_BYTES:
+                    break
+                entries.append(
+                    replications.append_entry(state, EntryKind.DATA, data)
+                )
+            replications.send_all(state, now)
+        return entries, self.finish(now)
+
+    def read_index(self, contexts: tuple[int, ...], *, now: float) -> Output:
+        """Asks for read indexes; they come in a later output's `reads`."""
+        elections.check_quorum(self.state, now)
+        replications.add_reads(self.state, contexts, now)
+        return self.finish(now)
+
+    def add_learner(
+        self, vm_id: str, *, promote: bool, now: float
+    ) -> tuple[Entry, Output]:
+        """Adds a VM that announced itself as a learner.
+
+        Raises:
+            MembershipError: If the change is refused.
+        """
+        entry = memberships.add_learner(
+            self.state, vm_id, promote=promote, now=now
+        )
+        return entry, self.finish(now)
+
+    def promote(self, vm_id: str, *, now: float) -> tuple[Entry, Output]:
+        """Makes a learner that has caught up a voter.
+
+        Raises:
+            MembershipError: If the change is refused.
+        """
+        entry = memberships.promote(self.state, vm_id, now)
+        return entry, self.finish(now)
+
+    def remove(self, vm_id: str, *, now: float) -> tuple[Entry, Output]:
+        """Removes another member.
+
+        Raises:
+            MembershipError: If the change is refused.
+        """
+        entry = memberships.remove(self.state, vm_id, now)
+        return entry, self.finish(now)
+
+    def transfer_leadership(self, vm_id: str, *, now: float) -> Output:
+        """Hands leadership to another voter.
+
+        Raises:
+            MembershipError: If the transfer is refused.
+        """
+        elections.check_quorum(self.state, now)
+        memberships.start_transfer(self.state, vm_id, now)
+        return self.finish(now)
+
+    def compact(self, snapshot: Snapshot, *, keep_entries: int) -> None:
+        """Drops entries that a durable snapshot of this node contains."""
+        self.state.log.compact(snapshot, keep_entries)
+
+    def has_lease(self, *, now: float) -> bool:
+        """Tells whether no other node can be leader at `now`."""
+        state = self.state
+        if state.role != Role.LEADER:
+            return False
+        return elections.has_lease(state, now)
+
+    def membership_at(self, index: int) -> Membership:
+        """Returns the membership in force at an index."""
+        return self.state.log.membership_at(index)
+
+    def finish(self, now: float) -> Output:
+        """Completes a step and returns its output."""
+        state = self.state
+        if state.role == Role.LEADER:
+            self.finish_as_leader(now)
+        output = state.out
+        state.out = Output()
+        output.committed = state.log.between(state.applied + 1, state.commit)
+        state.applied = state.commit
+        hard_state = HardState(
+            term=state.term, vote=state.vote, commit=state.commit
+        )
+        stored = state.hard_state
+        # A commit index alone is not worth a sync; it is only a lower bound.
+        if (
+            output.entries
+            or output.snapshot is not None
+            or (hard_state.term, hard_state.vote) != (stored.term, stored.vote)
+        ):
+            output.hard_state = hard_state
+            state.hard_state = hard_state
+        return output
+
+    def finish_as_leader(self, now: float) -> None:
+        """Commits, confirms reads and continues a transfer."""
+        state = self.state
+        replications.advance_commit(state)
+        replications.confirm_reads(state)
+        replications.forget_answered_rounds(state)
+        memberships.continue_transfer(state, now)
--- /dev/null
+++ b/rattanroute/tests/test_consensus_core.py
@@ -0,0 +1,404 @@
+"""Seeded runs of the consensus node under faults."""
+
+import random
+import unittest
+
+from rattanroute.consensus.core import ConsensusNode
+from rattanroute.consensus.entries import Entry
+from rattanroute.consensus.entries import EntryKind
+from rattanroute.consensus.entries import HardState
+from rattanroute.consensus.entries import Member
+from rattanroute.consensus.memberships import MembershipError
+from rattanroute.consensus.nodes import LEASE_SECONDS
+from rattanroute.consensus.nodes import Role
+from rattanroute.messages.consensus import AppendResponse
+from rattanroute.messages.consensus import JoinRequest
+from rattanroute.messages.consensus import SnapshotChunk
+from rattanroute.messages.consensus import VoteRequest
+from rattanroute.messages.consensus import VoteResponse
+from rattanroute.tests.consensus_support import Cluster
+from rattanroute.tests.consensus_support import STEP_SECONDS
+
+CHAOS_SEEDS = 150
+LOSS_SEEDS = 100
+CHAOS_STEPS = 60
+
+
+def is_intact(cluster: Cluster) -> bool:
+    """Tells whether each listed voter runs on the folder that is listed.
+
+    The newest committed membership must be settled, with the initial number
+    of voters: only then may the test lose another folder.
+    """
+    leader = cluster.find_leader()
+    if not leader:
+        return False
+    state = cluster.vms[leader].node.state
+    membership = state.log.membership
+    if state.log.membership_index > state.commit:
+        return False
+    return state.has_committed_in_term and all(
+        member.voter
+        and cluster.vms[member.vm_id].disk.storage_id == member.storage_id
+        for member in membership.members
+    )
+
+
+def inject_fault(cluster: Cluster, rng: random.Random) -> None:
+    """Causes one fault that must not harm safety."""
+    vm_id = rng.choice(sorted(cluster.vms))
+    vm = cluster.vms[vm_id]
+    fault = rng.randrange(9)
+    if fault == 0:
+        vm.kill_writes = rng.randrange(4)
+    elif fault == 1 and vm.node is not None:
+        cluster.crash(vm_id, rng.uniform(0, 4))
+    elif fault == 2:
+        leader = cluster.find_leader() or vm_id
+        cluster.vms[leader].frozen_until = cluster.now + rng.uniform(1, 6)
+    elif fault == 3:
+        cluster.cut.add((vm_id, rng.choice(sorted(cluster.vms))))
+    elif fault == 4:
+        cluster.cut.clear()
+    elif fault == 5:
+        cluster.loss = rng.choice((0.0, 0.1, 0.3))
+        cluster.max_delay = rng.choice((0.05, 0.5, 1.5))
+    elif fault == 6:
+        cluster.compact(vm_id)
+    elif fault == 7:
+        change_members(cluster, rng)
+    elif fault == 8 and is_intact(cluster):
+        cluster.lose_disk(vm_id, rng.uniform(0, 2))
+
+
+def change_members(cluster: Cluster, rng: random.Random) -> None:
+    """Tries a transfer, an addition or a removal at the leader."""
+    leader = cluster.find_leader()
+    if not leader or cluster.vms[leader].frozen_until > cluster.now:
+        return
+    node = cluster.vms[leader].node
+    other = rng.choice(sorted(cluster.vms))
+    change = rng.randrange(3)
+    try:
+        if change == 0:
+            output = node.transfer_leadership(other, now=cluster.now)
+        elif change == 1:
+            _, output = node.add_learner(other, promote=True, now=cluster.now)
+        elif len(node.state.log.membership.voters) > 3:
+            _, output = node.remove(other, now=cluster.now)
+        else:
+            return
+    except MembershipError:
+        return
+    cluster.execute(leader, output)
+
+
+def propose_something(cluster: Cluster, rng: random.Random) -> None:
+    """Proposes a change of the register at the leader."""
+    leader = cluster.find_leader()
+    if leader:
+        old = cluster.vms[leader].machine.value
+        data = f"c:{old}:{rng.randrange(10**9)}".encode()
+        cluster.propose(leader, data)
+
+
+def run_chaos(seed: int) -> None:
+    """Runs random faults, then checks that the log still makes progress."""
+    rng = random.Random(seed)
+    voters = rng.choice((1, 3, 3, 5))
+    cluster = Cluster(seed=seed, voters=voters, spares=rng.choice((0, 1)))
+    if voters == 1:
+        cluster.lose_disk = lambda vm_id, seconds: None
+    for _ in range(CHAOS_STEPS):
+        cluster.run(rng.uniform(0.1, 0.6))
+        propose_something(cluster, rng)
+        if rng.random() < 0.4:
+            inject_fault(cluster, rng)
+    cluster.check_log_matching()
+    check_progress(cluster)
+
+
+def check_progress(cluster: Cluster) -> None:
+    """Checks that all members agree after all faults have ended."""
+    cluster.heal()
+    cluster.run(25)
+    leader = cluster.find_leader()
+    assert leader, "no leader after healing"
+    entry = cluster.propose(leader, b"final:x:y")
+    cluster.run(3)
+    assert cluster.committed.get(entry.index) == entry, "no progress"
+    membership = cluster.vms[leader].node.state.log.membership
+    assert all(m.voter for m in membership.members), "learner left over"
+    for member in membership.members:
+        assert cluster.vms[member.vm_id].applied >= entry.index
+    cluster.check_log_matching()
+
+
+class RuleTest(unittest.TestCase):
+    """Guards against faults that random runs rarely reach."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(seed=7, voters=3)
+        self.now = self.cluster.now + 10
+
+    def start(self, term: int, entries: list[Entry]) -> ConsensusNode:
+        """Starts the first voter from a given log."""
+        disk = self.cluster.vms["v0"].disk
+        disk.entries.extend(entries)
+        disk.hard_state = HardState(term=term, commit=1)
+        self.cluster.start("v0")
+        return self.cluster.vms["v0"].node
+
+    def test_entry_of_an_earlier_term_is_not_committed_by_counting(
+        self,
+    ) -> None:
+        node = self.start(2, [Entry(index=2, term=2, kind=EntryKind.NOOP)])
+        node.tick(now=self.now)
+        for pre_vote in (True, False):
+            vote = VoteResponse(
+                storage_id="v1-0", term=3, granted=True, pre_vote=pre_vote
+            )
+            node.step(peer="v1", message=vote, now=self.now)
+        self.assertEqual(node.state.role, Role.LEADER)
+        for index, commit in ((2, 1), (3, 3)):
+            answer = AppendResponse(
+                storage_id="v1-0", term=3, success=True, index=index
+            )
+            node.step(peer="v1", message=answer, now=self.now)
+            self.assertEqual(node.state.commit, commit)
+
+    def test_vote_is_persisted_and_not_given_twice(self) -> None:
+        for number, granted in ((1, True), (2, False), (1, True)):
+            node = self.cluster.vms["v0"].node
+            request = VoteRequest(
+                storage_id=f"v{number}-0", term=2, last_index=9, last_term=1
+            )
+            output = node.step(peer=f"v{number}", message=request, now=self.now)
+            self.assertEqual(output.messages[0].message.granted, granted)
+            self.cluster.vms["v0"].disk.save(output, 3)
+            self.cluster.start("v0")
+
+    def test_snapshot_does_not_drop_acknowledged_entries(self) -> None:
+        entries = [
+            Entry(index=index, term=2, kind=EntryKind.NOOP)
+            for index in range(2, 6)
+        ]
+        node = self.start(2, entries)
+        chunk = SnapshotChunk(
+            storage_id="v1-0",
+            term=2,
+            index=3,
+            snapshot_term=2,
+            membership=node.state.log.membership,
+            total=4,
+            offset=0,
+            data=b"data",
+            round=1,
+        )
+        output = node.step(peer="v1", message=chunk, now=self.now)
+        self.assertIsNone(output.snapshot)
+        self.assertEqual(node.state.log.last_index, 5)
+        self.assertEqual(node.state.commit, 3)
+
+
+class ChaosTest(unittest.TestCase):
+    """Guards against split leadership, lost entries and differing state."""
+
+    def test_random_faults(self) -> None:
+        for seed in range(CHAOS_SEEDS):
+            with self.subTest(seed=seed):
+                run_chaos(seed)
+
+
+class LostDiskTest(unittest.TestCase):
+    """Guards against a voter that votes after losing what it accepted."""
+
+    def test_second_loss_right_after_a_repair(self) -> None:
+        for seed in range(LOSS_SEEDS):
+            with self.subTest(seed=seed):
+                self.run_losses(seed)
+
+    def run_losses(self, seed: int) -> None:
+        """Loses a folder again and again as soon as repairs complete."""
+        rng = random.Random(seed)
+        cluster = Cluster(seed=seed, voters=3)
+        cluster.max_delay = rng.choice((0.05, 0.3))
+        cluster.loss = 0.05
+        losses = 0
+        for _ in range(400):
+            cluster.run(STEP_SECONDS)
+            if rng.random() < 0.3:
+                propose_something(cluster, rng)
+            if rng.random() < 0.02:
+                cluster.compact(rng.choice(sorted(cluster.vms)))
+            if is_intact(cluster):
+                cluster.lose_disk(rng.choice(sorted(cluster.vms)), 0.1)
+                losses += 1
+        self.assertGreaterEqual(losses, 2)
+        check_progress(cluster)
+
+    def test_emptied_voters_cannot_elect_a_leader(self) -> None:
+        cluster = Cluster(seed=1, voters=3)
+        cluster.run(6)
+        entry = cluster.propose(cluster.find_leader(), b"c:0:1")
+        cluster.run(1)
+        self.assertIn(entry.index, cluster.committed)
+        terms = dict(cluster.leaders)
+        for vm_id in ("v0", "v1"):
+            cluster.lose_disk(vm_id, 0.1)
+        cluster.run(30)
+        self.assertEqual(cluster.find_leader(), "")
+        self.assertEqual(cluster.leaders, terms)
+
+    def test_late_announcement_does_not_remove_an_intact_voter(self) -> None:
+        cluster = Cluster(seed=2, voters=3)
+        cluster.run(6)
+        leader = cluster.find_leader()
+        other = next(v for v in cluster.vms if v != leader)
+        stale = JoinRequest(vm_id=other, storage_id="from-before")
+        for _ in range(20):
+            cluster.post(other, leader, stale)
+            cluster.run(0.5)
+        membership = cluster.vms[leader].node.state.log.membership
+        self.assertEqual(membership.find(other).storage_id, f"{other}-0")
+
+
+class LeaderTest(unittest.TestCase):
+    """Guards against leaders that act after their lease has ended."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(seed=5, voters=3)
+        self.cluster.run(6)
+        self.leader = self.cluster.find_leader()
+        self.node = self.cluster.vms[self.leader].node
+
+    def test_frozen_leader_claims_nothing_when_it_resumes(self) -> None:
+        vm = self.cluster.vms[self.leader]
+        self.assertTrue(self.node.has_lease(now=self.cluster.now))
+        vm.frozen_until = self.cluster.now + 60
+        self.cluster.run(10)
+        self.assertNotIn(self.cluster.find_leader(), ("", self.leader))
+        now = self.cluster.now
+        self.assertFalse(self.node.has_lease(now=now))
+        output = self.node.read_index((7,), now=now)
+        self.assertEqual(output.failed_reads, [7])
+        self.assertEqual(output.messages, [])
+        self.assertEqual(self.node.propose((b"c:0:1",), now=now)[0], [])
+        self.assertEqual(self.node.tick(now=now).messages, [])
+
+    def test_lease_ends_without_answers(self) -> None:
+        now = self.cluster.now
+        self.assertFalse(self.node.has_lease(now=now + LEASE_SECONDS))
+
+    def test_leader_that_hears_nobody_steps_down(self) -> None:
+        for peer in self.cluster.vms:
+            self.cluster.cut.add((peer, self.leader))
+        self.cluster.run(8)
+        self.assertNotEqual(self.node.state.role, Role.LEADER)
+        self.assertNotIn(self.cluster.find_leader(), ("", self.leader))
+
+    def test_follower_that_hears_nobody_does_not_disturb(self) -> None:
+        follower = next(v for v in self.cluster.vms if v != self.leader)
+        for peer in self.cluster.vms:
+            self.cluster.cut.add((peer, follower))
+        term = self.node.state.term
+        self.cluster.run(20)
+        self.assertEqual(self.cluster.find_leader(), self.leader)
+        self.assertEqual(self.node.state.term, term)
+
+    def test_restarted_voter_does_not_break_a_lease(self) -> None:
+        others = [v for v in self.cluster.vms if v != self.leader]
+        for vm_id in others:
+            self.cluster.cut.add((self.leader, vm_id))
+            self.cluster.crash(vm_id, 0)
+        self.cluster.run(LEASE_SECONDS)
+        self.assertEqual(self.cluster.find_leader(), self.leader)
+
+    def test_restarting_voter_does_not_vote_within_a_lease(self) -> None:
+        other, restarting = [v for v in self.cluster.vms if v != self.leader]
+        self.cluster.cut |= {(self.leader, other), (other, self.leader)}
+        term = self.node.state.term
+        self.cluster.run(6)
+        for _ in range(40):
+            self.cluster.crash(restarting, 0)
+            self.cluster.run(0.7)
+        self.assertEqual(self.cluster.find_leader(), self.leader)
+        self.assertEqual(self.node.state.term, term)
+
+    def test_read_waits_for_a_quorum(self) -> None:
+        for vm_id in self.cluster.vms:
+            self.cluster.cut.add((vm_id, self.leader))
+        output = self.node.read_index((7,), now=self.cluster.now)
+        self.cluster.execute(self.leader, output)
+        self.cluster.run(1)
+        self.assertEqual(self.cluster.find_leader(), self.leader)
+        self.assertEqual(self.cluster.reads, {})
+
+    def test_planned_transfer_takes_less_than_an_election(self) -> None:
+        target = next(v for v in self.cluster.vms if v != self.leader)
+        output = self.node.transfer_leadership(target, now=self.cluster.now)
+        self.cluster.execute(self.leader, output)
+        self.assertFalse(self.node.has_lease(now=self.cluster.now))
+        self.cluster.run(1)
+        self.assertEqual(self.cluster.find_leader(), target)
+
+
+class MembershipTest(unittest.TestCase):
+    """Guards against changes that stop the log or skip a step."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(seed=6, voters=3, spares=1)
+        self.cluster.run(6)
+        self.leader = self.cluster.find_leader()
+        self.node = self.cluster.vms[self.leader].node
+
+    def test_added_learner_becomes_a_voter(self) -> None:
+        _, output = self.node.add_learner(
+            "v3", promote=True, now=self.cluster.now
+        )
+        self.cluster.execute(self.leader, output)
+        member = self.node.state.log.membership.find("v3")
+        self.assertFalse(member.voter)
+        self.cluster.run(4)
+        member = self.node.state.log.membership.find("v3")
+        self.assertEqual(
+            member, Member(vm_id="v3", storage_id="v3-0", voter=True)
+        )
+
+    def test_second_change_waits_for_the_first(self) -> None:
+        self.node.add_learner("v3", promote=False, now=self.cluster.now)
+        with self.assertRaisesRegex(MembershipError, "in progress"):
+            self.node.remove("v3", now=self.cluster.now)
+
+    def test_learner_that_lacks_entries_is_not_promoted(self) -> None:
+        _, output = self.node.add_learner(
+            "v3", promote=False, now=self.cluster.now
+        )
+        self.cluster.cut.add((self.leader, "v3"))
+        self.cluster.execute(self.leader, output)
+        self.cluster.run(1)
+        with self.assertRaisesRegex(MembershipError, "caught up"):
+            self.node.promote("v3", now=self.cluster.now)
+
+    def test_unknown_vm_is_not_added(self) -> None:
+        with self.assertRaisesRegex(MembershipError, "announced"):
+            self.node.add_learner("v9", promote=True, now=self.cluster.now)
+
+    def test_intact_voter_is_not_removed_while_another_is_down(self) -> None:
+        down, kept = [v for v in ("v0", "v1", "v2") if v != self.leader]
+        self.cluster.crash(down, 100)
+        self.cluster.run(4)
+        with self.assertRaisesRegex(MembershipError, "would be active"):
+            self.node.remove(kept, now=self.cluster.now)
+
+    def test_removed_voter_no_longer_counts(self) -> None:
+        gone = next(v for v in ("v0", "v1", "v2") if v != self.leader)
+        _, output = self.node.remove(gone, now=self.cluster.now)
+        self.cluster.execute(self.leader, output)
+        self.cluster.run(2)
+        self.assertEqual(len(self.node.state.log.membership.voters), 2)
+        entry = self.cluster.propose(self.leader, b"c:0:1")
+        self.cluster.run(1)
+        self.assertIn(entry.index, self.cluster.committed)
+        self.assertLess(self.cluster.vms[gone].applied, entry.index)
+        self.assertEqual(entry.kind, EntryKind.DATA)
