--- /dev/null
+++ b/rattanroute/consensus/bootstraps.py
@@ -0,0 +1,109 @@
+"""Agreement of the first voters on their storage identities.
+
+The settings name the first voters by VM only. Their storage identities must
+become known without ever counting a VM that has already lost a folder:
+
+1. Each first voter durably records the first identity that it hears directly
+   from each other one, never changes it, and reports all that it recorded.
+2. A voter completes once every first voter reports the same complete set, or
+   once one that has completed reports a set with this voter's own identity.
+3. No voter votes, and none accepts a change, before it has completed.
+
+A set is complete only if the folder of every identity in it has durably
+recorded exactly this set. Two different complete sets would need a folder
+that recorded both, so there is at most one while any first folder is intact.
+A VM that loses its folder after the others recorded it gets a new identity.
+If the others have completed, it learns from their reports that it is not in
+the set and asks to join as a learner. If none has completed, the bootstrap
+cannot complete: nothing has been accepted yet, and the operator empties the
+folders of all first voters and starts again.
+"""
+
+import dataclasses
+
+from rattanroute.actions import SendMessage
+from rattanroute.consensus.entries import Member
+from rattanroute.consensus.entries import Membership
+from rattanroute.messages.consensus import BootstrapReport
+
+REPORT_SECONDS = 0.5
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Bootstrap:
+    """The state of a first voter that has not completed.
+
+    Attributes:
+        vm_id: This VM.
+        storage_id: Identity of its data folder.
+        voters: VM identifiers of the first voters.
+        ids: Recorded identities; the host makes a change durable before it
+            sends a report.
+        reports: The latest report of each other first voter.
+        is_excluded: Whether a completed voter does not list this folder.
+        report_at: When the next report is due.
+    """
+
+    vm_id: str
+    storage_id: str
+    voters: tuple[str, ...]
+    ids: dict[str, str]
+    reports: dict[str, BootstrapReport] = dataclasses.field(
+        default_factory=dict
+    )
+    is_excluded: bool = False
+    report_at: float = float("-inf")
+
+    def record(self, peer: str, report: BootstrapReport) -> bool:
+        """Takes a report; returns whether `ids` changed."""
+        if peer not in self.voters or peer == self.vm_id:
+            return False
+        if report.final:
+            self.follow_final(report)
+            return False
+        is_new = peer not in self.ids
+        if is_new:
+            self.ids[peer] = report.storage_id
+            self.report_at = float("-inf")
+        if self.ids[peer] == report.storage_id:
+            self.reports[peer] = report
+        return is_new
+
+    def follow_final(self, report: BootstrapReport) -> None:
+        """Adopts a completed set, or learns that it lacks this folder."""
+        if report.ids.get(self.vm_id) != self.storage_id:
+            self.is_excluded = True
+            return
+        self.ids = dict(report.ids)
+        for voter in self.voters:
+            self.reports[voter] = report
+
+    def complete(self) -> Membership | None:
+        """Returns the first membership once all voters agree on it."""
+        if self.is_excluded or set(self.ids) != set(self.voters):
+            return None
+        for voter in self.voters:
+            if voter == self.vm_id:
+                continue
+            report = self.reports.get(voter)
+            if report is None or report.ids != self.ids:
+                return None
+        members = tuple(
+            Member(vm_id=vm_id, storage_id=self.ids[vm_id], voter=True)
+            for vm_id in sorted(self.ids)
+        )
+        return Membership(members=members)
+
+    def report(self, now: float) -> list[SendMessage]:
+        """Returns the reports that are due."""
+        if now < self.report_at or self.is_excluded:
+            return []
+        self.report_at = now + REPORT_SECONDS
+        message = BootstrapReport(
+            storage_id=self.storage_id, ids=dict(self.ids), final=False
+        )
+        return [
+            SendMessage(peer=voter, message=message)
+            for voter in self.voters
+            if voter != self.vm_id
+        ]
--- /dev/null
+++ b/rattanroute/consensus/operations.py
@@ -0,0 +1,129 @@
+"""Membership changes and leader transfer for operators."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from rattanroute.consensus.callers import CallerRequests
+from rattanroute.consensus.core import ConsensusNode
+from rattanroute.consensus.entries import Entry
+from rattanroute.consensus.memberships import MembershipError
+from rattanroute.consensus.nodes import Output
+from rattanroute.consensus.nodes import Role
+from rattanroute.consensus.proposals import PendingProposals
+from rattanroute.consensus.proposals import Proposal
+from rattanroute.consensus.proposals import refuse
+from rattanroute.errors import RouterError
+
+TRANSFER_POLL_SECONDS = 0.05
+
+
+class OperationHost(Protocol):
+    """What the operations need of their host."""
+
+    vm_id: str
+    node: ConsensusNode | None
+    pending: PendingProposals
+    requests: CallerRequests
+    clock: Callable[[], float]
+
+    def execute(self, output: Output, now: float) -> list[object]:
+        """Persists and applies an output; returns what is to be sent."""
+        ...
+
+    def dispatch(self, actions: list[object]) -> None:
+        """Sends actions."""
+        ...
+
+    async def wait(
+        self, proposal: Proposal, timeout_s: float
+    ) -> Result[object, RouterError]:
+        """Waits for the result of a proposal."""
+        ...
+
+
+class MembershipOperations:
+    """Operations that only the leader can do; others refuse them."""
+
+    def __init__(self, *, host: OperationHost) -> None:
+        self.host = host
+
+    async def add_learner(
+        self, vm_id: str, timeout_s: float, *, promote: bool = True
+    ) -> Result[object, RouterError]:
+        """Adds a VM that announced itself to the leader.
+
+        Args:
+            vm_id: The VM.
+            timeout_s: Longest wait for the change to be accepted.
+            promote: Whether it becomes a voter once it has caught up.
+        """
+        return await self.change(
+            lambda node, now: node.add_learner(vm_id, promote=promote, now=now),
+            timeout_s,
+        )
+
+    async def promote(
+        self, vm_id: str, timeout_s: float
+    ) -> Result[object, RouterError]:
+        """Makes a learner that has caught up a voter."""
+        return await self.change(
+            lambda node, now: node.promote(vm_id, now=now), timeout_s
+        )
+
+    async def remove(
+        self, vm_id: str, timeout_s: float
+    ) -> Result[object, RouterError]:
+        """Removes another member."""
+        return await self.change(
+            lambda node, now: node.remove(vm_id, now=now), timeout_s
+        )
+
+    async def change(
+        self,
+        change: Callable[[ConsensusNode, float], tuple[Entry, Output]],
+        timeout_s: float,
+    ) -> Result[object, RouterError]:
+        """Appends a membership change and waits until it is accepted."""
+        host = self.host
+        if host.node is None:
+            return Error(refuse("the storage failed", peer=host.vm_id))
+        now = host.clock()
+        try:
+            entry, output = change(host.node, now)
+        except MembershipError as error:
+            return Error(error)
+        proposal = Proposal(
+            request_id=host.requests.take_id(),
+            data=entry.data,
+            future=asyncio.get_running_loop().create_future(),
+            sent_to=host.vm_id,
+        )
+        host.pending.add(index=entry.index, term=entry.term, proposal=proposal)
+        host.dispatch(host.execute(output, now))
+        return await host.wait(proposal, timeout_s)
+
+    async def transfer_leadership(
+        self, vm_id: str, timeout_s: float
+    ) -> Result[None, RouterError]:
+        """Hands leadership to another voter before a planned stop."""
+        host = self.host
+        if host.node is None:
+            return Error(refuse("the storage failed", peer=host.vm_id))
+        now = host.clock()
+        try:
+            output = host.node.transfer_leadership(vm_id, now=now)
+        except MembershipError as error:
+            return Error(error)
+        host.dispatch(host.execute(output, now))
+        try:
+            async with asyncio.timeout(timeout_s):
+                while host.node and host.node.state.role == Role.LEADER:
+                    await asyncio.sleep(TRANSFER_POLL_SECONDS)
+        except TimeoutError:
+            return Error(refuse("the other voter did not take over in time"))
+        return Ok(None)
