--- a/rattanroute/claims.py
+++ b/rattanroute/claims.py
@@ -1,148 +1,104 @@
-"""Host of the claim system: waits for verdicts and keeps the claims file."""
+"""The file in which a VM with a disk keeps the claims that it holds."""
 
-import asyncio
-from collections.abc import Callable
 import pathlib
-import time
 
-from rattanroute.actions import Action
-from rattanroute.actions import AnswerStored
-from rattanroute.actions import Claimed
-from rattanroute.actions import PersistClaims
-from rattanroute.journals import Journal
-from rattanroute.settings import DaemonSettings
-from rattanroute.systems.claims import ClaimSystem
-from rattanroute.tables.requests import Request
+from loguru import logger
 
-CLAIMS_FILE = "claims.records"
-MILLISECONDS_PER_SECOND = 1000
-HANDOVER_POLL_SECONDS = 0.05
+from rattanroute.errors import StorageError
+from rattanroute.records import encode_file
+from rattanroute.records import FileAccess
+from rattanroute.records import RecordFile
+from rattanroute.records import write_file_synced
 
+CLAIMS_FILE_NAME = "claims.log"
+# The file is rewritten when it has grown to this multiple of its last
+# rewritten size, so that rewriting costs less than appending.
+COMPACTION_FACTOR = 4
+MIN_COMPACTION_BYTES = 4_000_000
 
-class ClaimGate:
-    """Claims idempotency keys for the requests of this VM.
 
-    Args:
-        settings: Settings of the daemon.
-        execute: Executes the claim system's actions; those for this class come
-            back through `take`.
-    """
-
-    def __init__(
-        self,
-        *,
-        settings: DaemonSettings,
-        execute: Callable[[list[Action]], None],
-    ) -> None:
-        self.execute = execute
-        self.claimed: dict[str, asyncio.Future[Claimed]] = {}
-        self.stored: dict[str, asyncio.Future[bool]] = {}
-        self.journal: Journal | None = None
-        restored: list[bytes] | None = None
-        if settings.storage.folder is not None:
-            self.journal = self.open_journal(settings.storage.folder)
-            restored = self.journal.restored
-        self.system = ClaimSystem(
-            vm_id=settings.vm_id,
-            data_centres=settings.data_centres,
-            claim_holders=settings.claim_holders,
-            created_ms=settings.claim_sets_created_ms,
-            started_ms=int(time.time() * MILLISECONDS_PER_SECOND),
-            now=time.monotonic(),
-            durable=self.journal is not None,
-            restored=restored,
-        )
+class ClaimFile:
+    """An append-only file of claim records.
 
-    def open_journal(self, folder: pathlib.Path) -> Journal:
-        """Opens the claims file of the data folder."""
-        return Journal(
-            path=folder / CLAIMS_FILE,
-            snapshot=self.take_snapshot,
-            on_synced=self.note_synced,
-            on_failed=self.note_failed,
-        )
+    Attributes:
+        path: The file.
+        restored: Records of the file when it was opened; None when the claims
+            are lost, because there was no file or it was damaged.
+    """
 
-    def take_snapshot(self) -> list[bytes]:
-        """Returns the records of a compacted claims file."""
-        return self.system.snapshot()
-
-    def note_failed(self) -> None:
-        """Stops holding claims that can no longer be made durable."""
-        self.system.storage_failed()
-
-    def take(self, action: Action) -> bool:
-        """Takes an action of the claim system; returns False for others."""
-        if isinstance(action, Claimed):
-            resolve(self.claimed, action.request_id, action)
-        elif isinstance(action, AnswerStored):
-            resolve(self.stored, action.request_id, action.stored)
-        elif isinstance(action, PersistClaims):
-            self.persist(action)
-        else:
-            return False
-        return True
-
-    def persist(self, action: PersistClaims) -> None:
-        """Writes claims to the file; without one they count as kept."""
-        if self.journal is not None:
-            self.journal.append(action.records, action.ticket)
-        else:
-            self.note_synced(action.ticket)
-
-    def note_synced(self, ticket: int) -> None:
-        """Lets the replies go that waited for a sync."""
-        now = time.monotonic()
-        self.execute(self.system.persisted(ticket=ticket, now=now))
-
-    async def claim(self, request: Request, content_hash: str) -> Claimed:
-        """Claims the key of a request; the system bounds the wait."""
-        future = asyncio.get_running_loop().create_future()
-        self.claimed[request.request_id] = future
-        now = time.monotonic()
-        self.execute(
-            self.system.claim(
-                request=request, content_hash=content_hash, now=now
-            )
+    def __init__(self, folder: pathlib.Path, *, files: FileAccess) -> None:
+        """Opens the file; a damaged one is moved aside.
+
+        A holder with a damaged file has lost its memory and recovers from
+        the other holders.
+
+        Raises:
+            StorageError: If the folder cannot be used.
+        """
+        self.path = folder / CLAIMS_FILE_NAME
+        self.files = files
+        try:
+            files.make_folder(folder)
+            self.file = RecordFile(self.path, files=files)
+        except StorageError as error:
+            logger.error("claims file moved aside error={!r}", str(error))
+            self.move_aside()
+            self.file = RecordFile(self.path, files=files)
+        except OSError as error:
+            raise StorageError(
+                step="open claims file",
+                peer=str(folder),
+                message=str(error),
+            ) from error
+        self.restored = self.file.payloads or None
+        self.compacted_bytes = self.file.synced_bytes
+
+    def move_aside(self) -> None:
+        """Renames a damaged file.
+
+        Raises:
+            StorageError: If the file cannot be renamed.
+        """
+        try:
+            self.files.rename(self.path, self.path.with_suffix(".damaged"))
+        except OSError as error:
+            raise StorageError(
+                step="move claims file aside",
+                peer=str(self.path),
+                message=str(error),
+            ) from error
+
+    def write(self, records: tuple[bytes, ...]) -> None:
+        """Appends records and syncs the file.
+
+        Raises:
+            StorageError: If the records are not durable; the host then calls
+                `ClaimSystem.storage_failed`.
+        """
+        for record in records:
+            self.file.append(record)
+        self.file.sync()
+
+    @property
+    def needs_compaction(self) -> bool:
+        """Whether most of the file is outdated."""
+        limit = max(
+            MIN_COMPACTION_BYTES, COMPACTION_FACTOR * self.compacted_bytes
         )
-        return await future
-
-    def release(self, request_id: str) -> None:
-        """Gives a claim back whose call certainly did not run."""
-        now = time.monotonic()
-        self.execute(self.system.released(request_id, now))
-
-    def mark_unknown(self, request_id: str) -> None:
-        """Leaves a claim whose call may have run."""
-        now = time.monotonic()
-        self.execute(self.system.unknown(request_id, now))
-
-    async def complete(self, request_id: str, answer: bytes) -> bool:
-        """Stores the first answer; returns whether a majority has it."""
-        future = asyncio.get_running_loop().create_future()
-        self.stored[request_id] = future
-        now = time.monotonic()
-        actions = self.system.completed(request_id, answer, now)
-        self.execute(actions)
-        if not actions:
-            resolve(self.stored, request_id, False)
-        return await future
-
-    async def hand_over(self) -> None:
-        """Hands the claims of this VM to the other holders."""
-        self.execute(self.system.leave(time.monotonic()))
-        while not self.system.handed_over(time.monotonic()):
-            await asyncio.sleep(HANDOVER_POLL_SECONDS)
-
-    async def close(self) -> None:
-        """Closes the claims file."""
-        if self.journal is not None:
-            await self.journal.close()
-
-
-def resolve(
-    futures: dict[str, asyncio.Future[object]], key: str, value: object
-) -> None:
-    """Gives a result to the one who waits for it, if anyone still does."""
-    future = futures.pop(key, None)
-    if future is not None and not future.done():
-        future.set_result(value)
+        return self.file.synced_bytes > limit
+
+    def compact(self, snapshot: list[bytes]) -> None:
+        """Replaces the file by the records of a snapshot.
+
+        Raises:
+            StorageError: If a step fails.
+        """
+        self.file.close()
+        write_file_synced(self.path, encode_file(snapshot), files=self.files)
+        self.file = RecordFile(self.path, files=self.files)
+        self.file.payloads = []
+        self.compacted_bytes = self.file.synced_bytes
+
+    def close(self) -> None:
+        """Closes the file."""
+        self.file.close()
--- a/rattanroute/clients/attempts.py
+++ b/rattanroute/clients/attempts.py
@@ -60,6 +60,7 @@
         token_timeout_s: Longest wait between two tokens.
         priority: Higher runs first.
         account: Account that the target states usage for.
+        trace_headers: Headers that continue the request's trace.
     """
 
     request_id: str
@@ -73,11 +74,13 @@
     token_timeout_s: float = 5.0
     priority: int = 0
     account: str = ""
+    trace_headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def headers(self) -> dict[str, str]:
         """Headers that describe the attempt to the target."""
         return {
+            **self.trace_headers,
             "X-Request-Id": self.request_id,
             "X-Attempt": str(self.attempt),
             "X-Deadline-Ms": str(max(0, int(self.deadline_s * 1000))),
--- a/rattanroute/clients/services.py
+++ b/rattanroute/clients/services.py
@@ -1,6 +1,7 @@
 """Calls operations of plain services, never more than once per call."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 from urllib.parse import quote
 
@@ -34,6 +35,7 @@
         deadline_s: Time left until the caller's deadline.
         account: Account that the target states usage for.
         priority: Higher runs first.
+        trace_headers: Headers that continue the request's trace.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     deadline_s: float = 60.0
     account: str = ""
     priority: int = 0
+    trace_headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +149,7 @@
 def build_headers(order: ServiceOrder) -> dict[str, str]:
     """Builds the headers that describe the attempt to the target."""
     return {
+        **order.trace_headers,
         "Content-Type": "application/json",
         "X-Request-Id": order.request_id,
         "X-Attempt": str(order.attempt),
--- /dev/null
+++ b/rattanroute/configurationgates.py
@@ -0,0 +1,140 @@
+"""The configuration of a daemon: its log, its replica and its operators."""
+
+import asyncio
+from collections.abc import Callable
+import random as randoms
+import time
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from rattanroute.actions import Action
+from rattanroute.consensus.hosts import ConsensusHost
+from rattanroute.consensus.proposals import Outcome
+from rattanroute.consensus.proposals import ProposalError
+from rattanroute.errors import NotProposedError
+from rattanroute.errors import RouterError
+from rattanroute.forwards import LogForwarder
+from rattanroute.settings import DaemonSettings
+from rattanroute.systems.configurations import ConfigurationStateMachine
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.tables.replicas import ConfigurationReplica
+
+CONSENSUS_FOLDER = "log"
+TRANSFER_SECONDS = 2.0
+
+
+class ConsensusLog:
+    """The replicated log as the operators' interface takes it.
+
+    Args:
+        host: The consensus host of this voter.
+    """
+
+    def __init__(self, *, host: ConsensusHost) -> None:
+        self.host = host
+
+    async def propose(
+        self, data: bytes, timeout_s: float
+    ) -> Result[object, RouterError]:
+        """Appends a change and returns its outcome."""
+        result = await self.host.propose(data, timeout_s)
+        return result.map_error(convert_error)
+
+    async def read_barrier(
+        self, timeout_s: float
+    ) -> Result[None, RouterError]:
+        """Waits until all changes accepted so far are applied here."""
+        result = await self.host.read_barrier(timeout_s)
+        if result.is_error():
+            return Error(result.error)
+        return Ok(None)
+
+
+def convert_error(error: RouterError) -> RouterError:
+    """Returns an error that says so when a change cannot take effect."""
+    certain = (
+        isinstance(error, ProposalError)
+        and error.outcome is Outcome.NOT_ACCEPTED
+    )
+    if not certain:
+        return error
+    return NotProposedError(
+        step=error.step, peer=error.peer, message=error.message
+    )
+
+
+class ConfigurationGate:
+    """Everything that a daemon has of the configuration.
+
+    Args:
+        settings: Settings of the daemon.
+        membership: The live VMs.
+        send: Sends a message to a peer.
+        execute: Executes actions between ticks.
+        random: Random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DaemonSettings,
+        membership: MembershipSystem,
+        send: Callable[[str, object], bool],
+        execute: Callable[[list[Action]], None],
+        random: randoms.Random,
+    ) -> None:
+        self.machine: ConfigurationStateMachine | None = None
+        self.consensus: ConsensusHost | None = None
+        log = None
+        if settings.storage.voter:
+            self.machine = ConfigurationStateMachine()
+            self.consensus = ConsensusHost(
+                vm_id=settings.vm_id,
+                folder=settings.storage.folder / CONSENSUS_FOLDER,
+                machine=self.machine,
+                rng=random,
+                now=time.monotonic(),
+                bootstrap_voters=settings.storage.bootstrap_voters,
+                send=execute,
+            )
+            log = ConsensusLog(host=self.consensus)
+        self.replica = (
+            self.machine.replica if self.machine else ConfigurationReplica()
+        )
+        self.forwarder = LogForwarder(
+            vm_id=settings.vm_id,
+            members=membership.alive,
+            send=send,
+            replica=self.replica,
+            random=random,
+            log=log,
+        )
+        self.log = log or self.forwarder
+
+    @property
+    def subsystems(self) -> list[object]:
+        """The subsystems to host."""
+        found: list[object] = [self.forwarder]
+        if self.consensus is not None:
+            found.append(self.consensus)
+        return found
+
+    @property
+    def leader(self) -> str:
+        """Leader of the log; empty when not known."""
+        return self.consensus.leader_id if self.consensus is not None else ""
+
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since the configuration was known to be current."""
+        return None
+
+    async def hand_over(self) -> None:
+        """Gives leadership of the log to another voter before a stop."""
+        if self.consensus is None:
+            return
+        await asyncio.wait_for(
+            self.consensus.operations.transfer(), TRANSFER_SECONDS
+        )
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -13,7 +13,7 @@
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
 from rattanroute.actions import SendMessage
-from rattanroute.claims import ClaimGate
+from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.clients.services import ServiceClient
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -35,6 +35,8 @@
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
+# Claim holders must start before their sets are in force.
+FOUNDING_SECONDS = 4.0
 LOG_TAIL_CHARACTERS = 2000
 OPERATORS_TOKEN = "operators-token"
 
@@ -130,6 +132,7 @@
         self.claim_holders: dict[str, list[str]] = {}
         self.routes: list[Route] = []
         self.faults: list[Fault] = []
+        self.created_ms = int((time.time() + FOUNDING_SECONDS) * 1000)
         self.routes_open = False
         for data_centre, count in data_centres.items():
             names = [f"{data_centre}-{i + 1}" for i in range(count)]
@@ -272,6 +275,9 @@
             "data_centre": vm.data_centre,
             "data_centres": self.data_centres,
             "claim_holders": self.claim_holders,
+            "claim_sets_created_ms": dict.fromkeys(
+                self.data_centres, self.created_ms
+            ),
             "listen": {
                 "callers": f"{vm.address}:{CALLERS_PORT}",
                 "targets": f"{vm.address}:{TARGETS_PORT}",
