--- a/rattanroute/tests/operator_support.py
+++ b/rattanroute/tests/operator_support.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import ssl
+import threading
 
 from expression import Error
 from expression import Ok
@@ -165,3 +166,52 @@
     finally:
         server.close()
         await server.wait_closed()
+
+
+class ServerThread:
+    """Servers on a thread of their own, for clients that block.
+
+    Attributes:
+        loop: The event loop of the thread.
+        servers: The started servers.
+        thread: The thread.
+    """
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.servers: list[object] = []
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+
+    def call(self, coroutine: object) -> object:
+        """Runs a coroutine on the thread and returns its result."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(timeout=10)
+
+    def start(self, *args: object, **values: object) -> str:
+        """Starts an operators' server and returns its address."""
+        server, port = self.call(start_server(*args, **values))
+        self.servers.append(server)
+        return f"127.0.0.1:{port}"
+
+    def listen(self, handle: object) -> str:
+        """Starts a plain TCP server and returns its address."""
+        server = self.call(asyncio.start_server(handle, "127.0.0.1", 0))
+        self.servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """Stops the servers and the thread."""
+        self.call(self.finish())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    async def finish(self) -> None:
+        """Stops the servers and what is left of their tasks."""
+        for server in self.servers:
+            server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
