--- a/rattanroute/claimgates.py
+++ b/rattanroute/claimgates.py
@@ -40,9 +40,7 @@
         self.journal: Journal | None = None
         restored: list[bytes] | None = None
         if settings.storage.folder is not None:
-            file = ClaimFile(
-                settings.storage.folder, files=SystemFileAccess()
-            )
+            file = ClaimFile(settings.storage.folder, files=SystemFileAccess())
             restored = file.restored
             self.journal = self.open_journal(file)
         self.system = ClaimSystem(
--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
+import ssl
 import time
 
 from grpclib.client import Channel
@@ -47,7 +48,8 @@
         own_address: Advertised peer address of this VM.
         address: Address to dial, as `IP:port`.
         batch_seconds: Longest wait before a batch is sent.
-        metadata: gRPC metadata with the credentials.
+        metadata: Returns the gRPC metadata with the credentials.
+        tls: Returns the TLS context of a new connection, or None.
         metrics: Metrics of the daemon.
         on_state: Called with the peer's identifier and whether it is
             connected; the identifier comes from the peer itself.
@@ -63,7 +65,7 @@
         metadata: Callable[[], dict[str, str]],
         metrics: MetricsRegistry,
         on_state: Callable[[str, str, bool], None],
-        ssl: object = None,
+        tls: Callable[[], ssl.SSLContext | None],
     ) -> None:
         self.vm_id = vm_id
         self.own_address = own_address
@@ -72,7 +74,7 @@
         self.metadata = metadata
         self.metrics = metrics
         self.on_state = on_state
-        self.ssl = ssl
+        self.tls = tls
         self.peer = ""
         self.queue: collections.deque[tuple[int, bytes]] = collections.deque()
         self.queued_bytes = 0
@@ -110,7 +112,7 @@
     async def exchange(self) -> None:
         """Opens the stream and sends batches until it breaks."""
         host, port = parse_address(self.address)
-        channel = Channel(host, port, ssl=self.ssl)
+        channel = Channel(host, port, ssl=self.tls())
         try:
             async with PeersStub(channel).Exchange.open(
                 metadata=self.metadata()
@@ -215,7 +217,8 @@
         own_address: Advertised peer address of this VM.
         batch_seconds: Longest wait before a batch is sent.
         address_map: Address to dial in place of an advertised one.
-        metadata: gRPC metadata with the credentials.
+        metadata: Returns the gRPC metadata with the credentials.
+        tls: Returns the TLS context of a new connection, or None.
         metrics: Metrics of the daemon.
         on_state: Called with a peer's identifier and whether it is connected.
     """
@@ -230,7 +233,7 @@
         metadata: Callable[[], dict[str, str]],
         metrics: MetricsRegistry,
         on_state: Callable[[str, bool], None],
-        ssl: object = None,
+        tls: Callable[[], ssl.SSLContext | None],
     ) -> None:
         self.vm_id = vm_id
         self.own_address = own_address
@@ -239,7 +242,7 @@
         self.metadata = metadata
         self.metrics = metrics
         self.on_state = on_state
-        self.ssl = ssl
+        self.tls = tls
         self.links: dict[str, PeerLink] = {}
         self.addresses: dict[str, str] = {}
 
@@ -259,7 +262,7 @@
                 metadata=self.metadata,
                 metrics=self.metrics,
                 on_state=lambda peer, _, up: self.note_state(peer, address, up),
-                ssl=self.ssl,
+                tls=self.tls,
             )
             self.links[address] = link
         return link
--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -1,6 +1,5 @@
 """The configuration of a daemon: its log, its replica and its operators."""
 
-import asyncio
 from collections.abc import Callable
 import random as randoms
 import time
@@ -42,9 +41,7 @@
         result = await self.host.propose(data, timeout_s)
         return result.map_error(convert_error)
 
-    async def read_barrier(
-        self, timeout_s: float
-    ) -> Result[None, RouterError]:
+    async def read_barrier(self, timeout_s: float) -> Result[None, RouterError]:
         """Waits until all changes accepted so far are applied here."""
         result = await self.host.read_barrier(timeout_s)
         if result.is_error():
@@ -85,6 +82,8 @@
         execute: Callable[[list[Action]], None],
         random: randoms.Random,
     ) -> None:
+        self.vm_id = settings.vm_id
+        self.membership = membership
         self.machine: ConfigurationStateMachine | None = None
         self.consensus: ConsensusHost | None = None
         log = None
@@ -135,6 +134,22 @@
         """Gives leadership of the log to another voter before a stop."""
         if self.consensus is None:
             return
-        await asyncio.wait_for(
-            self.consensus.operations.transfer(), TRANSFER_SECONDS
-        )
+        if not self.consensus.is_leader_with_lease(time.monotonic()):
+            return
+        successor = self.choose_successor()
+        if successor is not None:
+            await self.consensus.operations.transfer_leadership(
+                successor, TRANSFER_SECONDS
+            )
+
+    def choose_successor(self) -> str | None:
+        """Returns a live voter that is not about to stop."""
+        voters = {m.vm_id for m in self.consensus.membership.voters}
+        for member in self.membership.alive():
+            if (
+                member.vm_id != self.vm_id
+                and member.vm_id in voters
+                and not member.draining
+            ):
+                return member.vm_id
+        return None
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -18,13 +18,18 @@
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.clients.services import ServiceClient
 from rattanroute.clients.stages import PipelineClient
+from rattanroute.configurationgates import ConfigurationGate
 from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.security import protect_server
+from rattanroute.security import TokenFiles
 from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.operators import build_server
+from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
 from rattanroute.servers.services import ServicesServer
 from rattanroute.servers.targets import TargetsServer
@@ -33,6 +38,7 @@
 from rattanroute.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import parse_address
+from rattanroute.sources import DaemonSource
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.tables.configurations import Configuration
@@ -66,6 +72,7 @@
             file=settings.telemetry.trace_file,
             otlp_endpoint=settings.telemetry.otlp_endpoint,
         )
+        self.tokens = TokenFiles(settings=settings)
         self.random = random.Random()
         self.stopping = False
         self.targets = TargetTable()
@@ -84,10 +91,19 @@
         self.claims = ClaimGate(
             settings=settings, execute=self.subsystems.execute
         )
+        self.configurations = ConfigurationGate(
+            settings=settings,
+            membership=self.membership,
+            send=self.send,
+            execute=self.subsystems.execute,
+            random=self.random,
+        )
         self.running: set[asyncio.Task[object]] = set()
         self.subsystems.add(self.membership)
         self.subsystems.add(self.claims.system)
         self.subsystems.add(self.reports)
+        for subsystem in self.configurations.subsystems:
+            self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.AppRunner] = []
         self.servers: list[Server] = []
@@ -130,7 +146,17 @@
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
-        return Configuration()
+        return self.configurations.replica.configuration
+
+    @property
+    def leader(self) -> str:
+        """Leader of the configuration log; empty when not known."""
+        return self.configurations.leader
+
+    @property
+    def configuration_age_s(self) -> float | None:
+        """Seconds since the configuration was known to be current."""
+        return self.configurations.age_s
 
     def handle(self, event: Event) -> None:
         """Passes an event to the core and executes its actions."""
@@ -195,11 +221,13 @@
             batch_seconds=self.settings.peers.batch_ms
             / MILLISECONDS_PER_SECOND,
             address_map=self.settings.peers.address_map,
-            metadata=self.peer_metadata,
+            metadata=self.tokens.peer_metadata,
+            tls=self.tokens.client_context,
             metrics=self.metrics,
             on_state=self.note_link,
         )
         await self.open_peers()
+        await self.open_operators()
         callers = CallersServer(host=self)
         application = callers.build_application()
         ServicesServer(host=self, callers=callers).add_routes(application)
@@ -225,7 +253,6 @@
             [
                 PeersServer(
                     vm_id=self.settings.vm_id,
-                    tokens=self.peer_tokens,
                     deliver=self.subsystems.deliver,
                     learn=lambda peer, address: self.links.learn(
                         peer=peer, address=address
@@ -234,7 +261,29 @@
                 )
             ]
         )
-        await server.start(*parse_address(self.settings.listen.peers))
+        protect_server(server, self.tokens.peers)
+        await self.start_server(server, self.settings.listen.peers)
+
+    async def open_operators(self) -> None:
+        """Opens the gRPC interface for operators."""
+        source = DaemonSource(host=self)
+        operators = OperatorsServer(
+            replica=self.configurations.replica,
+            log=self.configurations.log,
+            machine=self.configurations.machine,
+            status_source=source,
+            trace_source=source,
+            members_source=source,
+            targets_source=source,
+        )
+        server = build_server(operators, self.tokens.operators)
+        await self.start_server(server, self.settings.listen.operators)
+
+    async def start_server(self, server: Server, address: str) -> None:
+        """Starts a gRPC server, with mutual TLS where settings name files."""
+        contexts = self.tokens.server_contexts
+        ssl = contexts.context if contexts is not None else None
+        await server.start(*parse_address(address), ssl=ssl)
         self.servers.append(server)
 
     async def open_http(
@@ -257,7 +306,7 @@
         return TargetsServer(
             targets=self.targets,
             data_centre=self.settings.data_centre,
-            tokens=self.target_tokens,
+            tokens=self.tokens.targets,
             announce=self.announce,
             state=self.take_statements,
             metrics=self.metrics,
@@ -275,18 +324,6 @@
         """Takes a target's usage statements; returns those it may forget."""
         return [(item.request_id, item.attempt) for item in usage]
 
-    def peer_tokens(self) -> tuple[str, ...]:
-        """Returns the bearer tokens that peers may present."""
-        return ()
-
-    def peer_metadata(self) -> dict[str, str]:
-        """Returns the metadata that authenticates this VM to peers."""
-        return {}
-
-    def target_tokens(self) -> tuple[str, ...]:
-        """Returns the bearer tokens that targets may present."""
-        return ()
-
     def note_link(self, peer: str, connected: bool) -> None:
         """Tells membership that a link to a peer opened or closed."""
         now = time.monotonic()
@@ -324,6 +361,7 @@
                 await self.sessions.empty.wait()
         await asyncio.gather(*self.running, return_exceptions=True)
         await self.claims.hand_over()
+        await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
         await asyncio.sleep(2 * TICK_SECONDS)
         await self.close()
--- a/rattanroute/security.py
+++ b/rattanroute/security.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from rattanroute.errors import SettingsError
+from rattanroute.settings import DaemonSettings
 from rattanroute.settings import SecuritySettings
 
 AUTHORIZATION = "authorization"
@@ -292,3 +293,41 @@
         """Moves a handshake to the current context; called by `ssl`."""
         del name, context
         connection.context = self.refresh()
+
+
+class TokenFiles:
+    """The tokens and certificates that a daemon's settings name.
+
+    Attributes:
+        operators: Tokens of operators; None accepts every caller.
+        peers: Tokens of peers; None accepts every peer.
+        targets: Tokens of targets; None accepts every target.
+        tls: Files of mutual TLS; None where it is off.
+        server_contexts: Contexts of incoming connections.
+    """
+
+    def __init__(self, *, settings: DaemonSettings) -> None:
+        """Reads all files.
+
+        Raises:
+            SettingsError: If a file cannot be used.
+        """
+        security = settings.security
+        self.operators = open_tokens(security.operators_token_file)
+        self.peers = open_tokens(security.peers_token_file)
+        self.targets = open_tokens(settings.targets.token_file)
+        self.tls = find_tls_files(security)
+        self.server_contexts = ServerContexts(self.tls) if self.tls else None
+
+    def peer_metadata(self) -> dict[str, str]:
+        """Returns the metadata that authenticates this VM to peers."""
+        return self.peers.metadata() if self.peers is not None else {}
+
+    def client_context(self) -> ssl.SSLContext | None:
+        """Returns the context of a new connection to a peer."""
+        return build_client_context(self.tls) if self.tls else None
+
+
+def open_tokens(path: pathlib.Path | None) -> TokenFile | None:
+    """Opens a file of tokens where settings name one."""
+    return TokenFile(path) if path is not None else None
--- a/rattanroute/servers/peers.py
+++ b/rattanroute/servers/peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import hmac
 import time
 
 from grpclib.const import Status
@@ -25,12 +24,10 @@
 
 
 class PeersServer(PeersBase):
-    """Receives the messages of peers.
+    """Receives the messages of peers; `protect_server` authenticates them.
 
     Args:
         vm_id: Identifier of this VM.
-        tokens: Returns the accepted bearer tokens; none means that peers are
-            not authenticated.
         deliver: Called with each peer's identifier and message.
         learn: Called with the identifier and address of each peer that opens
             a stream, so that answers can be sent before membership knows it.
@@ -41,20 +38,17 @@
         self,
         *,
         vm_id: str,
-        tokens: Callable[[], tuple[str, ...]],
         deliver: Callable[[str, object], None],
         learn: Callable[[str, str], None],
         metrics: MetricsRegistry,
     ) -> None:
         self.vm_id = vm_id
         self.learn = learn
-        self.tokens = tokens
         self.deliver = deliver
         self.metrics = metrics
 
     async def Exchange(self, stream: "Stream[Frame, Frame]") -> None:  # noqa: N802
         """Serves one peer's stream until it ends."""
-        self.check_token(stream)
         hello = await stream.recv_message()
         if hello is None or not hello.vm_id:
             raise GRPCError(Status.INVALID_ARGUMENT, "first frame has no vm_id")
@@ -69,17 +63,6 @@
         finally:
             acknowledger.close()
 
-    def check_token(self, stream: "Stream[Frame, Frame]") -> None:
-        """Refuses a peer without an accepted token."""
-        accepted = self.tokens()
-        if not accepted:
-            return
-        given = str((stream.metadata or {}).get("authorization", "")).encode()
-        expected = [f"Bearer {token}".encode() for token in accepted]
-        matches = [hmac.compare_digest(given, value) for value in expected]
-        if not any(matches):
-            raise GRPCError(Status.UNAUTHENTICATED, "unknown peer token")
-
     def receive(self, peer: str, frame: Frame) -> None:
         """Decodes and delivers the messages of a frame."""
         labels = {"direction": "in"}
--- a/rattanroute/servers/targets.py
+++ b/rattanroute/servers/targets.py
@@ -1,7 +1,6 @@
 """HTTP interface on which targets announce themselves."""
 
 from collections.abc import Callable
-import hmac
 from typing import Annotated
 
 from aiohttp import web
@@ -9,6 +8,7 @@
 
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.security import TokenFile
 from rattanroute.tables.targets import TargetKind
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
@@ -113,8 +113,7 @@
     Args:
         targets: Known targets.
         data_centre: Data centre of this VM.
-        tokens: Returns the accepted bearer tokens; none means that targets
-            are not authenticated.
+        tokens: Tokens of targets; None accepts every target.
         announce: Called with each new report.
         state: Called with a target's usage statements; returns the
             (request_id, attempt) pairs that the target may forget.
@@ -126,7 +125,7 @@
         *,
         targets: TargetTable,
         data_centre: str,
-        tokens: Callable[[], tuple[str, ...]],
+        tokens: TokenFile | None,
         announce: Callable[[TargetReport], None],
         state: Callable[
             [TargetReport, tuple[UsageStatement, ...]], list[tuple[str, int]]
@@ -182,13 +181,10 @@
 
     def is_accepted(self, http_request: web.Request) -> bool:
         """Returns whether the target presents an accepted token."""
-        accepted = self.tokens()
-        if not accepted:
+        if self.tokens is None:
             return True
-        given = http_request.headers.get("Authorization", "").encode()
-        expected = [f"Bearer {token}".encode() for token in accepted]
-        matches = [hmac.compare_digest(given, value) for value in expected]
-        return any(matches)
+        header = http_request.headers.get("Authorization")
+        return self.tokens.authenticate(header) is not None
 
     def refuse(
         self, status: int, message: str, *, target: str = ""
--- a/rattanroute/tests/test_peers.py
+++ b/rattanroute/tests/test_peers.py
@@ -1,6 +1,8 @@
 """Tests of the streams between daemons."""
 
 import asyncio
+import pathlib
+import tempfile
 import time
 import unittest
 
@@ -10,6 +12,8 @@
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.messages.targets import TargetReports
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.security import protect_server
+from rattanroute.security import TokenFile
 from rattanroute.servers.peers import PeersServer
 from rattanroute.tests.support import build_report
 from rattanroute.tools.proxies import Direction
@@ -38,13 +42,16 @@
             [
                 PeersServer(
                     vm_id="vm-b",
-                    tokens=lambda: (TOKEN,),
                     deliver=self.deliver,
                     learn=lambda peer, address: self.learned.append(address),
                     metrics=MetricsRegistry(),
                 )
             ]
         )
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "peers.token")
+        path.write_text(TOKEN, encoding="utf-8")
+        protect_server(self.server, TokenFile(path))
         await self.server.start("127.0.0.1", 0)
         port = self.server._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -67,6 +74,7 @@
             own_address="127.0.0.1:2",
             batch_seconds=0.001,
             address_map=address_map,
+            tls=lambda: None,
             metadata=lambda: {"authorization": f"Bearer {token}"},
             metrics=MetricsRegistry(),
             on_state=lambda peer, up: self.states.append((peer, up)),
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -37,6 +37,7 @@
 POLL_SECONDS = 0.05
 # Claim holders must start before their sets are in force.
 FOUNDING_SECONDS = 4.0
+FOUNDING_MARGIN_SECONDS = 1.2
 LOG_TAIL_CHARACTERS = 2000
 OPERATORS_TOKEN = "operators-token"
 
@@ -97,6 +98,15 @@
         return f"http://{self.address}:{TARGET_PORT}"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ToolResult:
+    """What a run of the operators' tool gave."""
+
+    code: int
+    output: str
+    errors: str
+
+
 class LocalCluster:
     """Starts, stops and disturbs processes on loopback addresses.
 
@@ -382,6 +392,41 @@
                 stdin=asyncio.subprocess.DEVNULL,
             )
 
+    async def run_tool(
+        self, *arguments: str, addresses: tuple[str, ...] = ()
+    ) -> ToolResult:
+        """Runs the operators' tool against VMs, by default against all."""
+        known = tuple(vm.operators_address for vm in self.vms.values())
+        options = [f"--address={item}" for item in addresses or known]
+        token_file = self.folder / "operators.token"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "rattanroute.tools.cli",
+            *options,
+            f"--token-file={token_file}",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            stdin=asyncio.subprocess.DEVNULL,
+        )
+        output, errors = await process.communicate()
+        return ToolResult(
+            code=process.returncode,
+            output=output.decode(),
+            errors=errors.decode(),
+        )
+
+    async def apply(
+        self, operations: list[dict[str, object]], *arguments: str
+    ) -> ToolResult:
+        """Applies operations with the operators' tool."""
+        path = self.folder / f"change-{time.monotonic_ns()}.yaml"
+        path.write_text(
+            yaml.safe_dump({"operations": operations}), encoding="utf-8"
+        )
+        return await self.run_tool("apply", str(path), *arguments)
+
     async def wait_healthy(self, name: str) -> None:
         """Waits until a VM answers; an error shows the end of its log."""
         try:
@@ -395,6 +440,11 @@
         for name in names or tuple(self.vms):
             await self.wait_status(f"{self.vms[name].callers_url}/readyz")
 
+    async def wait_claims(self) -> None:
+        """Waits until the claim holders may grant."""
+        due = self.created_ms / 1000 + FOUNDING_MARGIN_SECONDS
+        await asyncio.sleep(max(0.0, due - time.time()))
+
     async def wait_status(self, url: str) -> None:
         """Waits until a URL answers with status 200."""
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
--- /dev/null
+++ b/rattanroute/tools/demo.py
@@ -0,0 +1,212 @@
+"""Demo: three data centres of daemons, stand-in targets and real requests."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import time
+
+import aiohttp
+import click
+import uvloop
+
+from rattanroute.standins.models import reference_tokens
+from rattanroute.tools.clusters import LocalCluster
+from rattanroute.tools.demo_configuration import apply_configuration
+from rattanroute.tools.demo_configuration import CALLER_KEY
+from rattanroute.tools.demo_configuration import LAYERS
+from rattanroute.tools.demo_configuration import OTHER_KEY
+from rattanroute.tools.demo_configuration import SERVICE
+
+DATA_CENTRES = {"dc-a": 3, "dc-b": 3, "dc-c": 3}
+TOKENS = 12
+TARGETS_TIMEOUT_SECONDS = 15.0
+ACCOUNTS_TIMEOUT_SECONDS = 15.0
+POLL_SECONDS = 0.2
+EXPECTED_TARGETS = 8
+
+
+class DemoError(Exception):
+    """A step of the demo did not do what it should."""
+
+
+def check(condition: bool, message: str) -> None:
+    """Ends the demo when a condition does not hold."""
+    if not condition:
+        raise DemoError(message)
+
+
+async def start_targets(cluster: LocalCluster) -> None:
+    """Starts whole-model engines, layer-range engines and services."""
+    await cluster.add_engine("engine-a", "dc-a", model="chat")
+    await cluster.add_engine("engine-b", "dc-b", model="chat")
+    for name, data_centre, first, last in (
+        ("stage-a-0", "dc-a", 0, 3),
+        ("stage-a-4", "dc-a", 4, 7),
+        ("stage-b-0", "dc-b", 0, 4),
+        ("stage-b-3", "dc-b", 3, 7),
+    ):
+        await cluster.add_engine(
+            name,
+            data_centre,
+            model="split",
+            first_layer=first,
+            last_layer=last,
+            total_layers=LAYERS,
+        )
+    await cluster.add_service("records-a", "dc-a", service=SERVICE)
+    await cluster.add_service("records-c", "dc-c", service=SERVICE)
+
+
+async def wait_targets(cluster: LocalCluster) -> None:
+    """Waits until every VM knows all targets."""
+    ends_at = time.monotonic() + TARGETS_TIMEOUT_SECONDS
+    for vm in cluster.vms.values():
+        wanted = f"rattanroute_known_targets {EXPECTED_TARGETS}"
+        while True:
+            async with cluster.client.get(
+                f"{vm.callers_url}/metrics"
+            ) as response:
+                if wanted in await response.text():
+                    break
+            check(time.monotonic() < ends_at, f"{vm.name} lacks targets")
+            await asyncio.sleep(POLL_SECONDS)
+
+
+def describe_route(response: aiohttp.ClientResponse) -> str:
+    """Returns the VM and the targets that served a request."""
+    vm = response.headers.get("X-Rattanroute-Vm", "?")
+    route = response.headers.get("X-Rattanroute-Route", "-")
+    return f"{vm} -> {route}"
+
+
+async def show_chat(cluster: LocalCluster, vm: str, model: str) -> str:
+    """Sends a chat request, checks the answer and returns its identifier."""
+    prompt = f"how is the sleeper of box seven, asked of {model}"
+    body = {
+        "model": model,
+        "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    async with cluster.client.post(
+        f"{cluster.vms[vm].callers_url}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {CALLER_KEY}"},
+    ) as response:
+        answer = await response.json()
+        check(response.status == 200, f"{model}: {answer}")
+        text = answer["choices"][0]["message"]["content"]
+        expected = "".join(reference_tokens(prompt, LAYERS, TOKENS))
+        check(text == expected, f"{model}: wrong tokens {text!r}")
+        click.echo(f"{model}: {describe_route(response)}")
+        click.echo(f"  answer:{text}")
+        return response.headers["X-Request-Id"]
+
+
+async def show_stream(cluster: LocalCluster, vm: str) -> None:
+    """Sends a streamed request over layer-split engines."""
+    prompt = "which grease for the middle gate"
+    body = {
+        "model": "split",
+        "stream": True,
+        "max_tokens": TOKENS,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    async with cluster.client.post(
+        f"{cluster.vms[vm].callers_url}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {OTHER_KEY}"},
+    ) as response:
+        text = await response.text()
+        check(response.status == 200, text)
+        check(text.rstrip().endswith("data: [DONE]"), "no [DONE]")
+        events = text.count('"content"')
+        check(events == TOKENS, f"{events} tokens in place of {TOKENS}")
+        click.echo(f"split, streamed: {describe_route(response)}")
+        click.echo(f"  {events} tokens, then [DONE]")
+
+
+async def show_record(cluster: LocalCluster) -> None:
+    """Sends a record twice with one key, to two VMs; it runs once."""
+    key = "dc-a/record-1"
+    answers = []
+    for vm in ("dc-a-1", "dc-b-2"):
+        async with cluster.client.post(
+            f"{cluster.vms[vm].callers_url}/v1/services/{SERVICE}/record",
+            json={"animal": 7, "weight_g": 1840},
+            headers={
+                "Authorization": f"Bearer {CALLER_KEY}",
+                "Idempotency-Key": key,
+            },
+        ) as response:
+            answers.append(await response.text())
+            check(response.status == 200, answers[-1])
+            repeated = response.headers.get("Idempotent-Replayed", "false")
+            click.echo(
+                f"record: {describe_route(response)}, repeated: {repeated}"
+            )
+            click.echo(f"  answer: {answers[-1]}")
+    check(answers[0] == answers[1], "the repeat got another answer")
+    runs = 0
+    for name in ("records-a", "records-c"):
+        url = f"{cluster.targets[name].url}/v1/executions"
+        async with cluster.client.get(url) as response:
+            runs += str(await response.json()).count("'record'")
+    check(runs == 1, f"the record ran {runs} times")
+
+
+async def show_accounts(cluster: LocalCluster) -> None:
+    """Waits until the accounts show the requests and prints them."""
+    ends_at = time.monotonic() + ACCOUNTS_TIMEOUT_SECONDS
+    while True:
+        result = await cluster.run_tool("accounts")
+        check(result.code == 0, result.errors)
+        complete = "notes" in result.output and "advice" in result.output
+        if complete:
+            click.echo("accounts:")
+            click.echo(result.output.rstrip())
+            return
+        check(time.monotonic() < ends_at, f"accounts lack: {result.output}")
+        await asyncio.sleep(POLL_SECONDS)
+
+
+async def run_demo() -> None:
+    """Runs all steps."""
+    async with LocalCluster(data_centres=DATA_CENTRES) as cluster:
+        click.echo(f"{len(cluster.vms)} daemons in {len(DATA_CENTRES)} places")
+        await start_targets(cluster)
+        await apply_configuration(cluster)
+        await wait_targets(cluster)
+        await cluster.wait_claims()
+        request_id = await show_chat(cluster, "dc-a-1", "chat")
+        await show_chat(cluster, "dc-c-2", "split")
+        await show_stream(cluster, "dc-b-3")
+        await show_record(cluster)
+        await show_accounts(cluster)
+        result = await cluster.run_tool(
+            "trace",
+            request_id,
+            addresses=(cluster.vms["dc-a-1"].operators_address,),
+        )
+        click.echo("trace of the first request:")
+        click.echo(result.output.rstrip())
+        codes = await asyncio.gather(*map(cluster.stop, cluster.vms))
+        check(not any(codes), f"exit codes of the daemons: {codes}")
+
+
+def main() -> None:
+    """Run the demo."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with contextlib.suppress(KeyboardInterrupt):
+        try:
+            uvloop.run(run_demo())
+        except (DemoError, TimeoutError, RuntimeError) as error:
+            click.echo(f"demo: failed: {error}")
+            sys.exit(1)
+        click.echo("demo: ok")
+        return
+    sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
