Add the ledger of usage with reports and statements

Cause: accounts must match the work that was done, through the death of an entry VM, a cut and restarts of ledger holders.

Change: LedgerSystem assigns account tags, sends reports and statements until a majority of the holders has synced them, and holds the ledger: a union of numbered items, records that count once by their tag, exact sets of closed numbers, comparison of received numbers between holders, and takeover of a whole state after a long absence. StateFile serves claims and ledger.

Conclusion: prefixes of closed numbers were considered instead of sets; one attempt without a statement would have kept all later ones open.

--- a/rattanroute/actions.py
+++ b/rattanroute/actions.py
@@ -158,6 +158,19 @@
     ticket: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PersistUsages:
+    """Append records to the ledger file and sync it.
+
+    Attributes:
+        records: The records; may be empty.
+        ticket: Number to pass to `LedgerSystem.persisted` after the sync.
+    """
+
+    records: tuple[bytes, ...]
+    ticket: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class MemberChanged:
     """A member joined, changed, failed or left; links follow it."""
--- /dev/null
+++ b/rattanroute/ledgers.py
@@ -0,0 +1,20 @@
+"""The file in which a voter keeps the ledger."""
+
+import pathlib
+
+from rattanroute.records import FileAccess
+from rattanroute.statefiles import StateFile
+
+LEDGER_FILE_NAME = "ledger.log"
+
+
+class LedgerFile(StateFile):
+    """The ledger file.
+
+    A holder whose file was damaged starts empty and takes over the state of
+    another holder.
+    """
+
+    def __init__(self, folder: pathlib.Path, *, files: FileAccess) -> None:
+        """Opens the ledger file of a data folder."""
+        super().__init__(folder, LEDGER_FILE_NAME, files=files)
--- /dev/null
+++ b/rattanroute/statefiles.py
@@ -0,0 +1,110 @@
+"""Append-only state files of a VM with a disk, with compaction."""
+
+import pathlib
+
+from loguru import logger
+
+from rattanroute.errors import StorageError
+from rattanroute.records import encode_file
+from rattanroute.records import FileAccess
+from rattanroute.records import RecordFile
+from rattanroute.records import write_file_synced
+
+# The file is rewritten when it has grown to this multiple of its last
+# rewritten size, so that rewriting costs less than appending.
+COMPACTION_FACTOR = 4
+MIN_COMPACTION_BYTES = 4_000_000
+
+
+class StateFile:
+    """An append-only file of records that a snapshot can replace.
+
+    Attributes:
+        path: The file.
+        restored: Records of the file when it was opened; None when there was
+            no file or it was damaged. The caller may drop them.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, name: str, *, files: FileAccess
+    ) -> None:
+        """Opens the file; a damaged one is moved aside.
+
+        Args:
+            folder: The data folder; it is created where it is missing.
+            name: Name of the file in the folder.
+            files: File access.
+
+        Raises:
+            StorageError: If the folder cannot be used.
+        """
+        self.path = folder / name
+        self.files = files
+        try:
+            files.make_folder(folder)
+            self.file = RecordFile(self.path, files=files)
+        except StorageError as error:
+            logger.error("state file moved aside error={!r}", str(error))
+            self.move_aside()
+            self.file = RecordFile(self.path, files=files)
+        except OSError as error:
+            raise StorageError(
+                step="open state file",
+                peer=str(self.path),
+                message=str(error),
+            ) from error
+        self.restored: list[bytes] | None = self.file.payloads or None
+        self.file.payloads = []
+        self.compacted_bytes = self.file.synced_bytes
+
+    def move_aside(self) -> None:
+        """Renames a damaged file.
+
+        Raises:
+            StorageError: If the file cannot be renamed.
+        """
+        try:
+            self.files.rename(self.path, self.path.with_suffix(".damaged"))
+        except OSError as error:
+            raise StorageError(
+                step="move state file aside",
+                peer=str(self.path),
+                message=str(error),
+            ) from error
+
+    def write(self, records: tuple[bytes, ...]) -> None:
+        """Appends records and syncs the file.
+
+        Raises:
+            StorageError: If the records are not durable; the host then calls
+                `storage_failed` of the system.
+        """
+        for record in records:
+            self.file.append(record)
+        self.file.sync()
+
+    @property
+    def needs_compaction(self) -> bool:
+        """Whether most of the file is outdated."""
+        limit = max(
+            MIN_COMPACTION_BYTES, COMPACTION_FACTOR * self.compacted_bytes
+        )
+        return self.file.synced_bytes > limit
+
+    def compact(self, snapshot: list[bytes]) -> None:
+        """Replaces the file by the records of a snapshot.
+
+        The snapshot must contain all that was passed to `write`.
+
+        Raises:
+            StorageError: If a step fails.
+        """
+        self.file.close()
+        write_file_synced(self.path, encode_file(snapshot), files=self.files)
+        self.file = RecordFile(self.path, files=self.files)
+        self.file.payloads = []
+        self.compacted_bytes = self.file.synced_bytes
+
+    def close(self) -> None:
+        """Closes the file."""
+        self.file.close()
--- /dev/null
+++ b/rattanroute/systems/ledgers.py
@@ -0,0 +1,509 @@
+"""Accounts: usage of each attempt, exactly once in the totals.
+
+An entry VM assigns an account tag to each attempt at dispatch, passes it to
+the targets in the `X-Account` header, and records the usage when the attempt
+ends. Targets state the same usage in their heartbeats, to any VM. Both go to
+the ledger holders, the voters, and are kept until a majority has synced them
+(`systems/usages.py`). Holders count and compare (`systems/ledger_holders.py`).
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+import msgspec
+
+from rattanroute.actions import Action
+from rattanroute.actions import PersistUsages
+from rattanroute.actions import SendMessage
+from rattanroute.messages.ledgers import LedgerVector
+from rattanroute.messages.ledgers import SnapshotPiece
+from rattanroute.messages.ledgers import SnapshotRequest
+from rattanroute.messages.ledgers import UsageAck
+from rattanroute.messages.ledgers import UsageBatch
+from rattanroute.systems.ledger_holders import ENCODER
+from rattanroute.systems.ledger_holders import LedgerHolder
+from rattanroute.systems.ledger_holders import STATE_DECODER
+from rattanroute.systems.ledger_holders import TotalRow
+from rattanroute.systems.usages import ReportItem
+from rattanroute.systems.usages import StatementItem
+from rattanroute.systems.usages import UsageSender
+from rattanroute.tables.usages import AccountTag
+from rattanroute.tables.usages import Amounts
+from rattanroute.tables.usages import format_tag
+from rattanroute.tables.usages import parse_tag
+from rattanroute.tables.usages import TargetStatement
+from rattanroute.tables.usages import Usage
+from rattanroute.tables.usages import UsageRecord
+from rattanroute.tables.usages import UsageReport
+from rattanroute.tables.usages import UsageState
+from rattanroute.tables.usages import UsageStatement
+
+RECONCILE_SECONDS = 5.0
+SNAPSHOT_PIECE_BYTES = 64_000
+SNAPSHOT_RETRY_SECONDS = 1.0
+SNAPSHOT_TIMEOUT_SECONDS = 60.0
+# Targets repeat a statement in several heartbeats.
+MAX_HEARD_STATEMENTS = 20_000
+# Attempts whose end the host never reported are forgotten.
+MAX_OPENED_ATTEMPTS = 50_000
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Snapshot:
+    """A snapshot that another holder fetches.
+
+    Attributes:
+        snapshot_id: Number of the snapshot.
+        pieces: The encoded state in pieces.
+        expires_at: Time at which it is dropped.
+        reused_until: Time until which a new request continues it, because
+            the answer to the first request may have been lost.
+    """
+
+    snapshot_id: int
+    pieces: list[bytes]
+    expires_at: float
+    reused_until: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Adoption:
+    """A snapshot that this holder fetches.
+
+    Attributes:
+        peer: The holder that sends it.
+        ends_at: Time at which the attempt is given up.
+        next_send: Time of the next request.
+        snapshot_id: Number of the snapshot; 0 before the first piece.
+        pieces: Pieces received.
+    """
+
+    peer: str
+    ends_at: float
+    next_send: float = 0.0
+    snapshot_id: int = 0
+    pieces: list[bytes] = dataclasses.field(default_factory=list)
+
+
+class LedgerSystem:
+    """Usage of this VM's attempts, and the ledger where this VM holds it.
+
+    Attributes:
+        vm_id: This VM.
+        holders: VM identifiers of the ledger holders.
+        sender: Items that a majority has not confirmed.
+        holder: The ledger; None on a VM that is no holder.
+        rejected: Statements without a valid account tag.
+    """
+
+    message_types: tuple[type, ...] = (
+        UsageBatch,
+        UsageAck,
+        LedgerVector,
+        SnapshotRequest,
+        SnapshotPiece,
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        started_ms: int,
+        now: float,
+        holders: tuple[str, ...],
+        restored: list[bytes] | None = None,
+    ) -> None:
+        """Initialises the sender, and the ledger from its file.
+
+        Args:
+            vm_id: This VM.
+            started_ms: Wall clock at the start of this process, in
+                milliseconds; makes the stream's name unique.
+            now: The host's monotonic clock at the same moment, in seconds.
+            holders: VM identifiers of the ledger holders, the voters.
+            restored: Records of the ledger file on a holder.
+
+        Raises:
+            msgspec.DecodeError: If a restored record is not valid.
+        """
+        self.vm_id = vm_id
+        self.started_ms = started_ms
+        self.started_at = now
+        self.stream = f"{vm_id}/{started_ms}"
+        self.holders = holders
+        self.sender = UsageSender(
+            vm_id=vm_id, stream=self.stream, holders=holders
+        )
+        self.holder: LedgerHolder | None = None
+        if vm_id in holders:
+            self.holder = LedgerHolder(restored=restored or [])
+        self.opened: dict[tuple[str, int], AccountTag] = {}
+        self.open_count = 0
+        self.heard: dict[tuple[str, str, int], None] = {}
+        self.rejected = 0
+        self.acks: list[SendMessage] = []
+        self.waiting: dict[int, list[SendMessage]] = {}
+        self.ticket = 0
+        self.next_reconcile = now
+        self.reconciled = 0
+        self.snapshots: dict[str, Snapshot] = {}
+        self.snapshot_count = 0
+        self.adoption: Adoption | None = None
+        self.storage_lost = False
+
+    def to_wall_s(self, now: float) -> int:
+        """Returns the wall clock in seconds."""
+        return int(self.started_ms / 1000 + now - self.started_at)
+
+    # Interface for the host.
+
+    def open(
+        self,
+        *,
+        request_id: str,
+        attempt: int,
+        neighbour: str,
+        workspace: str,
+        model: str,
+        now: float,
+    ) -> str:
+        """Assigns an account tag to an attempt that is being dispatched.
+
+        Returns:
+            The value of the `X-Account` header for all targets of the chain.
+        """
+        tag = self.assign(neighbour, workspace, model, now)
+        self.opened[request_id, attempt] = tag
+        if len(self.opened) > MAX_OPENED_ATTEMPTS:
+            del self.opened[next(iter(self.opened))]
+        return format_tag(tag)
+
+    def assign(
+        self, neighbour: str, workspace: str, model: str, now: float
+    ) -> AccountTag:
+        """Returns a new tag."""
+        self.open_count += 1
+        return AccountTag(
+            neighbour=neighbour,
+            workspace=workspace,
+            model=model,
+            source=self.stream,
+            sequence=self.open_count,
+            opened_s=self.to_wall_s(now),
+        )
+
+    def record(self, usage: Usage, now: float) -> bool:
+        """Records the usage of an attempt that has ended.
+
+        Returns:
+            False when the buffer is full; the targets' statements then count.
+        """
+        tag = self.opened.pop((usage.request_id, usage.attempt), None)
+        if tag is None:
+            tag = self.assign(
+                usage.neighbour, usage.workspace, usage.model, now
+            )
+        hops = max(1, len(usage.targets))
+        report = UsageReport(
+            tag=tag,
+            request_id=usage.request_id,
+            attempt=usage.attempt,
+            tokens_in=usage.tokens_in,
+            tokens_out=usage.tokens_out,
+            accelerator_ms=round(usage.accelerator_seconds * 1000),
+            layers=usage.layers,
+            targets=usage.targets,
+            outcome=usage.outcome,
+            max_tokens_out=usage.max_tokens_out,
+            max_accelerator_ms=round(usage.elapsed_seconds * 1000) * hops,
+        )
+        return self.sender.put(ReportItem(report=report))
+
+    def hear(self, statement: TargetStatement) -> bool:
+        """Takes a target's statement; repeated ones are ignored.
+
+        Returns:
+            False when the statement is not valid or the buffer is full.
+        """
+        key = (statement.target_id, statement.request_id, statement.attempt)
+        if key in self.heard:
+            return True
+        account = parse_tag(statement.account)
+        numbers = (
+            statement.tokens_in,
+            statement.tokens_out,
+            statement.seconds,
+            statement.layers,
+        )
+        if account is None or min(numbers) < 0:
+            self.rejected += 1
+            return False
+        item = StatementItem(
+            account=account,
+            statement=UsageStatement(
+                target_id=statement.target_id,
+                request_id=statement.request_id,
+                attempt=statement.attempt,
+                tokens_in=statement.tokens_in,
+                tokens_out=statement.tokens_out,
+                accelerator_ms=round(statement.seconds * 1000),
+                layers=statement.layers,
+            ),
+        )
+        if not self.sender.put(item):
+            return False
+        self.heard[key] = None
+        if len(self.heard) > MAX_HEARD_STATEMENTS:
+            del self.heard[next(iter(self.heard))]
+        return True
+
+    def set_holders(self, holders: tuple[str, ...]) -> None:
+        """Changes the ledger holders to the voters of the configuration."""
+        if holders == self.holders:
+            return
+        self.holders = holders
+        self.sender.set_holders(holders)
+        if self.vm_id in holders and self.holder is None:
+            self.holder = LedgerHolder(restored=[])
+
+    def persisted(self, *, ticket: int, now: float) -> list[Action]:
+        """Sends the confirmations that waited for a sync of the ledger."""
+        actions: list[Action] = []
+        for number in [n for n in self.waiting if n <= ticket]:
+            for ack in self.waiting.pop(number):
+                actions += self.deliver(ack, now)
+        return actions
+
+    def storage_failed(self) -> None:
+        """Stops confirming items after the ledger could not be synced."""
+        self.storage_lost = True
+        self.waiting.clear()
+        self.acks.clear()
+
+    def snapshot(self) -> list[bytes]:
+        """Returns the records of a new ledger file."""
+        return [] if self.holder is None else self.holder.snapshot()
+
+    # Interface for operators; all of it is empty on a VM that is no holder.
+
+    def totals(self, day: int | None = None) -> list[TotalRow]:
+        """Returns sums by neighbour, workspace, model and day.
+
+        Args:
+            day: Days since 1970; None for all days.
+        """
+        if self.holder is None:
+            return []
+        return [
+            TotalRow(key=key, amounts=amounts)
+            for key, amounts in self.holder.table.totals.items()
+            if day in (None, key.day)
+        ]
+
+    def shares(self, day: int) -> dict[str, float]:
+        """Returns each neighbour's part of the accelerator time of a day."""
+        used = collections.Counter()
+        for row in self.totals(day):
+            used[row.key.neighbour] += row.amounts.accelerator_ms
+        total = used.total()
+        return {name: ms / total for name, ms in used.items()} if total else {}
+
+    def unsettled(self, state: UsageState) -> list[UsageRecord]:
+        """Returns open records in a state, for example the disputed ones."""
+        return [r for r in self.open_records() if r.state == state]
+
+    def open_records(self) -> Iterable[UsageRecord]:
+        """Returns the records that may still change."""
+        return () if self.holder is None else self.holder.table.open.values()
+
+    def count_states(self) -> dict[UsageState, Amounts]:
+        """Returns the amounts of open records in each state."""
+        sums = {state: Amounts() for state in UsageState}
+        for record in self.open_records():
+            sums[record.state].add(record.count())
+        return sums
+
+    # Subsystem.
+
+    def receive(
+        self, *, peer: str, message: object, now: float
+    ) -> list[Action]:
+        """Handles a message of an entry VM or another holder."""
+        if isinstance(message, UsageAck):
+            self.sender.on_ack(peer, message)
+            return []
+        if self.holder is None or self.storage_lost:
+            return []
+        if isinstance(message, UsageBatch):
+            self.on_batch(peer, message, now)
+            return []
+        return self.on_holder_message(peer, message, now)
+
+    def on_holder_message(
+        self, peer: str, message: object, now: float
+    ) -> list[Action]:
+        """Handles a message that only holders send."""
+        if peer not in self.holders:
+            return []
+        if isinstance(message, LedgerVector):
+            return self.on_vector(peer, message, now)
+        if isinstance(message, SnapshotRequest):
+            return self.on_snapshot_request(peer, message, now)
+        return self.on_snapshot_piece(peer, message, now)
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Sends items, syncs what was received and compares ledgers."""
+        actions: list[Action] = []
+        for action in self.sender.tick(now):
+            actions += self.deliver(action, now)
+        if self.holder is None or self.storage_lost:
+            return actions
+        self.holder.tick(now, self.to_wall_s(now))
+        actions += self.save()
+        if now >= self.next_reconcile:
+            self.next_reconcile = now + RECONCILE_SECONDS
+            actions += self.reconcile(now)
+        adoption = self.adoption
+        if adoption is not None and now >= adoption.next_send:
+            actions += self.request_piece(adoption, now)
+        return actions
+
+    def deliver(self, action: SendMessage, now: float) -> list[Action]:
+        """Sends a message, or handles it at once when it is for this VM."""
+        if action.peer != self.vm_id:
+            return [action]
+        return self.receive(peer=self.vm_id, message=action.message, now=now)
+
+    def on_batch(self, peer: str, message: UsageBatch, now: float) -> None:
+        """Applies a batch; its sender hears of it after the sync."""
+        if not self.holder.on_batch(message, now):
+            return
+        issuer = message.stream.partition("/")[0]
+        if issuer == peer:
+            ack = UsageAck(stream=message.stream, sequences=message.sequences)
+            self.acks.append(SendMessage(peer=peer, message=ack))
+
+    def save(self) -> list[Action]:
+        """Returns the order to write what was received since the last one."""
+        if not self.holder.unsaved and not self.acks:
+            return []
+        self.ticket += 1
+        self.waiting[self.ticket] = self.acks
+        self.acks = []
+        records = tuple(self.holder.unsaved)
+        self.holder.unsaved.clear()
+        return [PersistUsages(records=records, ticket=self.ticket)]
+
+    # Comparison with other holders.
+
+    def reconcile(self, now: float) -> list[Action]:
+        """Sends the list of received items to the next other holder."""
+        self.snapshots = {
+            peer: snapshot
+            for peer, snapshot in self.snapshots.items()
+            if snapshot.expires_at > now
+        }
+        others = [h for h in self.holders if h != self.vm_id]
+        if not others:
+            return []
+        self.reconciled += 1
+        peer = others[self.reconciled % len(others)]
+        vector = self.holder.build_vector(answer=True)
+        return [SendMessage(peer=peer, message=vector)]
+
+    def on_vector(
+        self, peer: str, message: LedgerVector, now: float
+    ) -> list[Action]:
+        """Sends what the other holder lacks, or asks for what this one does.
+
+        A vector with ranges that are not valid is ignored.
+        """
+        try:
+            batches, purged = self.holder.build_missing(message)
+            lacks = self.holder.lacks(message)
+        except ValueError:
+            return []
+        actions: list[Action] = [
+            SendMessage(peer=peer, message=batch) for batch in batches
+        ]
+        if message.purged and lacks and self.adoption is None:
+            self.adoption = Adoption(
+                peer=peer, ends_at=now + SNAPSHOT_TIMEOUT_SECONDS
+            )
+        if message.answer and (purged or lacks):
+            vector = self.holder.build_vector(answer=False, purged=purged)
+            actions.append(SendMessage(peer=peer, message=vector))
+        return actions
+
+    def request_piece(self, adoption: Adoption, now: float) -> list[Action]:
+        """Asks for the next piece of a snapshot."""
+        if now >= adoption.ends_at:
+            self.adoption = None
+            return []
+        adoption.next_send = now + SNAPSHOT_RETRY_SECONDS
+        request = SnapshotRequest(
+            snapshot_id=adoption.snapshot_id, piece=len(adoption.pieces)
+        )
+        return [SendMessage(peer=adoption.peer, message=request)]
+
+    def on_snapshot_request(
+        self, peer: str, message: SnapshotRequest, now: float
+    ) -> list[Action]:
+        """Sends a piece of the whole state as it was at the first request."""
+        snapshot = self.snapshots.get(peer)
+        fresh = snapshot is not None and now < snapshot.reused_until
+        if message.snapshot_id == 0 and not fresh:
+            snapshot = self.take_snapshot(now)
+            self.snapshots[peer] = snapshot
+        if (
+            snapshot is None
+            or message.snapshot_id not in (0, snapshot.snapshot_id)
+            or message.piece >= len(snapshot.pieces)
+        ):
+            return []
+        piece = SnapshotPiece(
+            snapshot_id=snapshot.snapshot_id,
+            piece=message.piece,
+            pieces=len(snapshot.pieces),
+            data=snapshot.pieces[message.piece],
+        )
+        return [SendMessage(peer=peer, message=piece)]
+
+    def take_snapshot(self, now: float) -> Snapshot:
+        """Encodes the whole state in pieces."""
+        data = ENCODER.encode(self.holder.dump())
+        self.snapshot_count += 1
+        return Snapshot(
+            snapshot_id=self.snapshot_count,
+            pieces=[
+                data[start : start + SNAPSHOT_PIECE_BYTES]
+                for start in range(0, len(data), SNAPSHOT_PIECE_BYTES)
+            ],
+            expires_at=now + SNAPSHOT_TIMEOUT_SECONDS,
+            reused_until=now + 10 * SNAPSHOT_RETRY_SECONDS,
+        )
+
+    def on_snapshot_piece(
+        self, peer: str, message: SnapshotPiece, now: float
+    ) -> list[Action]:
+        """Adds a piece; the last one replaces the state of this holder."""
+        adoption = self.adoption
+        if (
+            adoption is None
+            or adoption.peer != peer
+            or message.piece != len(adoption.pieces)
+            or adoption.snapshot_id not in (0, message.snapshot_id)
+        ):
+            return []
+        adoption.snapshot_id = message.snapshot_id
+        adoption.pieces.append(message.data)
+        if len(adoption.pieces) < message.pieces:
+            return self.request_piece(adoption, now)
+        self.adoption = None
+        try:
+            state = STATE_DECODER.decode(b"".join(adoption.pieces))
+            self.holder.adopt(state, now)
+        except (msgspec.DecodeError, ValueError):
+            return []
+        return self.save()
