Wire the ledger and let the demo check claims and accounts

Cause: accounts were not recorded by the daemon. Change: a ledger gate opens an account tag for each attempt, records its end and takes the targets' statements; the ledger file is synced in groups.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -23,6 +23,7 @@
 from rattanroute.cores import RequestCore
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
+from rattanroute.ledgergates import LedgerGate
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.security import protect_server
@@ -42,6 +43,7 @@
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestTable
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
@@ -91,6 +93,11 @@
         self.claims = ClaimGate(
             settings=settings, execute=self.subsystems.execute
         )
+        self.ledger = LedgerGate(
+            settings=settings,
+            membership=self.membership,
+            execute=self.subsystems.execute,
+        )
         self.configurations = ConfigurationGate(
             settings=settings,
             membership=self.membership,
@@ -101,6 +108,7 @@
         self.running: set[asyncio.Task[object]] = set()
         self.subsystems.add(self.membership)
         self.subsystems.add(self.claims.system)
+        self.subsystems.add(self.ledger.system)
         self.subsystems.add(self.reports)
         for subsystem in self.configurations.subsystems:
             self.subsystems.add(subsystem)
@@ -172,7 +180,7 @@
 
     def execute(self, action: Action) -> None:
         """Executes an action of a subsystem."""
-        if self.claims.take(action):
+        if self.claims.take(action) or self.ledger.take(action):
             return
         if isinstance(action, MemberChanged):
             member = action.member
@@ -200,6 +208,11 @@
 
     def record_usage(self, usage: AttemptUsage) -> None:
         """Adds an attempt to the accounts."""
+        self.ledger.record(usage)
+
+    def open_account(self, request: Request, attempt: int) -> str:
+        """Returns the account tag of an attempt."""
+        return self.ledger.open(request, attempt)
 
     async def start(self) -> None:
         """Opens the listeners and starts the tick loop."""
@@ -272,6 +285,7 @@
             log=self.configurations.log,
             machine=self.configurations.machine,
             status_source=source,
+            accounts_source=self.ledger if self.ledger.journal else None,
             trace_source=source,
             members_source=source,
             targets_source=source,
@@ -322,7 +336,7 @@
         self, report: TargetReport, usage: tuple[UsageStatement, ...]
     ) -> list[tuple[str, int]]:
         """Takes a target's usage statements; returns those it may forget."""
-        return [(item.request_id, item.attempt) for item in usage]
+        return self.ledger.hear(report.target_id, usage)
 
     def note_link(self, peer: str, connected: bool) -> None:
         """Tells membership that a link to a peer opened or closed."""
@@ -340,6 +354,7 @@
 
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
+        self.ledger.update_holders()
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
         self.metrics.known_targets.set({}, len(self.targets))
         self.metrics.live_members.set({}, len(self.membership.alive()))
@@ -378,6 +393,7 @@
             server.close()
             await server.wait_closed()
         await self.claims.close()
+        await self.ledger.close()
         await self.traces.export()
         await self.pipelines.close()
         await self.services.close()
--- /dev/null
+++ b/rattanroute/ledgergates.py
@@ -0,0 +1,182 @@
+"""Host of the ledger: keeps its file and answers for the accounts."""
+
+import collections
+from collections.abc import Callable
+import time
+
+from rattanroute.actions import Action
+from rattanroute.actions import PersistUsages
+from rattanroute.journals import Journal
+from rattanroute.ledgers import LedgerFile
+from rattanroute.records import SystemFileAccess
+from rattanroute.servers.operator_sources import AccountTotal
+from rattanroute.servers.targets import UsageStatement as UsageBody
+from rattanroute.sessions import AttemptUsage
+from rattanroute.settings import DaemonSettings
+from rattanroute.systems.ledgers import LedgerSystem
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestKind
+from rattanroute.tables.usages import parse_tag
+from rattanroute.tables.usages import TargetStatement
+from rattanroute.tables.usages import Usage
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class LedgerGate:
+    """Records the usage of this VM's attempts.
+
+    Args:
+        settings: Settings of the daemon.
+        membership: The known VMs; its voters hold the ledger.
+        execute: Executes the ledger system's actions.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DaemonSettings,
+        membership: MembershipSystem,
+        execute: Callable[[list[Action]], None],
+    ) -> None:
+        self.execute = execute
+        self.membership = membership
+        self.journal: Journal | None = None
+        restored: list[bytes] | None = None
+        holders: tuple[str, ...] = ()
+        if settings.storage.voter:
+            file = LedgerFile(settings.storage.folder, files=SystemFileAccess())
+            restored = file.restored
+            holders = (settings.vm_id,)
+            self.journal = self.open_journal(file)
+        self.system = LedgerSystem(
+            vm_id=settings.vm_id,
+            started_ms=int(time.time() * MILLISECONDS_PER_SECOND),
+            now=time.monotonic(),
+            holders=holders,
+            restored=restored,
+        )
+
+    def open_journal(self, file: LedgerFile) -> Journal:
+        """Returns a journal that syncs the ledger file in groups."""
+        return Journal(
+            file=file,
+            snapshot=self.take_snapshot,
+            on_synced=self.note_synced,
+            on_failed=self.note_failed,
+        )
+
+    def take_snapshot(self) -> list[bytes]:
+        """Returns the records of a compacted ledger file."""
+        return self.system.snapshot()
+
+    def note_synced(self, ticket: int) -> None:
+        """Lets the confirmations go that waited for a sync."""
+        now = time.monotonic()
+        self.execute(self.system.persisted(ticket=ticket, now=now))
+
+    def note_failed(self) -> None:
+        """Stops confirming items that cannot be made durable."""
+        self.system.storage_failed()
+
+    def take(self, action: Action) -> bool:
+        """Takes an action of the ledger system; returns False for others."""
+        if not isinstance(action, PersistUsages):
+            return False
+        if self.journal is not None:
+            self.journal.append(action.records, action.ticket)
+        return True
+
+    def open(self, request: Request, attempt: int) -> str:
+        """Returns the account tag of an attempt that is being dispatched."""
+        return self.system.open(
+            request_id=request.request_id,
+            attempt=attempt,
+            neighbour=request.neighbour,
+            workspace=request.workspace,
+            model=request.model,
+            now=time.monotonic(),
+        )
+
+    def record(self, usage: AttemptUsage) -> None:
+        """Records an attempt that has ended."""
+        request = usage.request
+        is_service = request.kind is RequestKind.SERVICE
+        self.system.record(
+            Usage(
+                request_id=request.request_id,
+                attempt=usage.attempt,
+                neighbour=request.neighbour,
+                workspace=request.workspace,
+                model=request.model,
+                tokens_in=usage.tokens_in,
+                tokens_out=usage.tokens_out,
+                layers=0 if is_service else usage.layers,
+                targets=usage.target_ids,
+                outcome=usage.outcome,
+                max_tokens_out=request.max_tokens,
+                elapsed_seconds=usage.seconds,
+            ),
+            time.monotonic(),
+        )
+
+    def hear(
+        self, target_id: str, statements: tuple[UsageBody, ...]
+    ) -> list[tuple[str, int]]:
+        """Takes a target's statements; returns those that it may forget.
+
+        A statement without a valid account tag never becomes valid, so that
+        the target may forget it, too.
+        """
+        return [
+            (item.request_id, item.attempt)
+            for item in statements
+            if parse_tag(item.account) is None
+            or self.system.hear(
+                TargetStatement(
+                    target_id=target_id,
+                    request_id=item.request_id,
+                    attempt=item.attempt,
+                    account=item.account,
+                    tokens_in=item.tokens_in,
+                    tokens_out=item.tokens_out,
+                    seconds=item.seconds,
+                    layers=item.layers,
+                )
+            )
+        ]
+
+    def update_holders(self) -> None:
+        """Follows the voters that membership knows, also failed ones."""
+        voters = sorted(
+            member.vm_id for member in self.membership.table if member.voter
+        )
+        if voters:
+            self.system.set_holders(tuple(voters))
+
+    def totals(self) -> list[AccountTotal]:
+        """Returns the totals of all days by workspace and model."""
+        sums: dict[tuple[str, str, str], collections.Counter[str]] = {}
+        for row in self.system.totals():
+            name = (row.key.neighbour, row.key.workspace, row.key.model)
+            counter = sums.setdefault(name, collections.Counter())
+            counter["requests"] += row.amounts.attempts
+            counter["tokens_in"] += row.amounts.tokens_in
+            counter["tokens_out"] += row.amounts.tokens_out
+        return [
+            AccountTotal(
+                neighbour=neighbour,
+                workspace=workspace,
+                model=model,
+                requests=counter["requests"],
+                tokens_in=counter["tokens_in"],
+                tokens_out=counter["tokens_out"],
+            )
+            for (neighbour, workspace, model), counter in sorted(sums.items())
+        ]
+
+    async def close(self) -> None:
+        """Closes the ledger file."""
+        if self.journal is not None:
+            await self.journal.close()
--- a/rattanroute/servers/targets.py
+++ b/rattanroute/servers/targets.py
@@ -33,7 +33,7 @@
 
     request_id: Name
     attempt: Count
-    account: str = pydantic.Field(default="", max_length=256)
+    account: str = pydantic.Field(default="", max_length=1024)
     tokens_in: Count = 0
     tokens_out: Count = 0
     seconds: float = pydantic.Field(default=0.0, ge=0, le=1e6)
--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -14,6 +14,7 @@
 from rattanroute.actions import CancelAttempt
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Finish
+from rattanroute.actions import Hop
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
 from rattanroute.clients.attempts import AttemptError
@@ -87,6 +88,10 @@
         """Passes an event to the core and executes its actions."""
         ...
 
+    def open_account(self, request: Request, attempt: int) -> str:
+        """Returns the account tag of an attempt."""
+        ...
+
     def record_usage(self, usage: AttemptUsage) -> None:
         """Adds an attempt to the accounts."""
         ...
@@ -140,6 +145,8 @@
         self.scope: asyncio.Timeout | None = None
         self.route: list[str] = []
         self.attempt_tokens = 0
+        self.dispatch_tokens = 0
+        self.replacements: list[Hop] = []
 
     def take(self, action: Action) -> None:
         """Queues an action; one that ends the running attempt interrupts it."""
@@ -190,6 +197,8 @@
         span = self.start_attempt_span(dispatch)
         self.attempt = dispatch.attempt
         self.attempt_tokens = 0
+        self.dispatch_tokens = 0
+        self.replacements = []
         started = time.monotonic()
         try:
             async with asyncio.timeout(None) as self.scope:
@@ -279,16 +288,22 @@
         self.host.record_usage(
             AttemptUsage(
                 request=self.request,
-                attempt=self.attempt,
-                target_ids=tuple(hop.target_id for hop in dispatch.chain),
+                attempt=dispatch.attempt,
+                target_ids=self.list_targets(dispatch),
                 tokens_in=getattr(event, "tokens_in", self.request.tokens_in),
-                tokens_out=event.tokens_out if event else 0,
+                tokens_out=self.dispatch_tokens,
                 seconds=time.monotonic() - started,
                 layers=dispatch.chain[-1].last_layer + 1,
                 outcome=outcome,
             )
         )
 
+    def list_targets(self, dispatch: Dispatch) -> tuple[str, ...]:
+        """Returns all targets that ran a part of an attempt."""
+        names = [hop.target_id for hop in dispatch.chain]
+        names += [hop.target_id for hop in self.replacements]
+        return tuple(dict.fromkeys(names))
+
 
 class ChatSession(Session):
     """A chat completion.
@@ -382,6 +397,7 @@
                 )
             )
         if self.replacement is not None:
+            self.replacements += self.replacement.hops
             self.attempt_tokens = 0
             names = [hop.target_id for hop in self.replacement.hops]
             self.route.append(f"{failure.hop.target_id}={','.join(names)}")
@@ -401,7 +417,7 @@
             first_token_timeout_s=FIRST_TOKEN_TIMEOUT_SECONDS,
             token_timeout_s=TOKEN_TIMEOUT_SECONDS,
             priority=request.priority,
-            account=f"{request.neighbour}/{request.workspace}",
+            account=self.host.open_account(request, dispatch.attempt),
             trace_headers=self.host.traces.inject(span),
         )
 
@@ -419,6 +435,7 @@
         self.last_token_at = now
         self.tokens.append(text)
         self.attempt_tokens += 1
+        self.dispatch_tokens += 1
         attempt = self.request.current
         if attempt is not None and attempt.started_at is None:
             self.host.handle(
@@ -466,7 +483,7 @@
                 body=self.body,
                 repeatable=request.repeatable,
                 deadline_s=request.deadline - time.monotonic(),
-                account=f"{request.neighbour}/{request.workspace}",
+                account=self.host.open_account(request, dispatch.attempt),
                 priority=request.priority,
                 trace_headers=self.host.traces.inject(span),
             )
