--- a/rattanroute/messages/memberships.py
+++ b/rattanroute/messages/memberships.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from rattanroute.tables.members import MemberState
+
 
 class MemberRecord(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """What gossip says of a VM.
@@ -17,7 +19,7 @@
         data_centre: Data centre of the VM.
         region: Region of the data centre.
         voter: Whether the VM takes part in the configuration log.
-        state: Number of a `MemberState`.
+        state: State of the VM at the incarnation.
         incarnation: Incarnation that the state refers to.
         ready: Whether the VM serves requests.
         draining: Whether the VM is stopping as planned.
@@ -28,7 +30,7 @@
     data_centre: str
     region: str
     voter: bool
-    state: int
+    state: MemberState
     incarnation: int
     ready: bool
     draining: bool
--- a/rattanroute/systems/gossips.py
+++ b/rattanroute/systems/gossips.py
@@ -4,10 +4,16 @@
 import math
 
 from rattanroute.messages.memberships import MemberRecord
+from rattanroute.tables.members import Member
 
 # Each VM passes a record on this many times log10(members). A member that
 # still misses it is repaired by the comparison of digests.
 RETRANSMIT_FACTOR = 4
+GOSSIP_PERIOD_SECONDS = 0.1
+GOSSIP_FANOUT = 2
+GOSSIP_BYTES_PER_SECOND = 10_000.0
+GOSSIP_MESSAGE_BYTES = 1_000.0
+PIGGYBACK_BYTES = 300.0
 # Numbers, flags and length bytes of a record without its strings.
 RECORD_OVERHEAD_BYTES = 22
 
@@ -46,6 +52,36 @@
         return True
 
 
+def build_record(member: Member) -> MemberRecord:
+    """Builds the gossip record of a member."""
+    return MemberRecord(
+        vm_id=member.vm_id,
+        address=member.address,
+        data_centre=member.data_centre,
+        region=member.region,
+        voter=member.voter,
+        state=member.state,
+        incarnation=member.incarnation,
+        ready=member.ready,
+        draining=member.draining,
+    )
+
+
+def build_member(record: MemberRecord) -> Member:
+    """Builds a member from a gossip record."""
+    return Member(
+        vm_id=record.vm_id,
+        address=record.address,
+        data_centre=record.data_centre,
+        region=record.region,
+        voter=record.voter,
+        state=record.state,
+        incarnation=record.incarnation,
+        ready=record.ready,
+        draining=record.draining,
+    )
+
+
 def estimate_bytes(record: MemberRecord) -> int:
     """Returns the encoded size of a record, within a few bytes."""
     return (
@@ -64,12 +100,18 @@
     Attributes:
         levels: Records by vm_id, for each number of transmissions so far.
         level_of: Number of transmissions of each queued record.
+        tokens: Bytes that may be sent now.
     """
 
     levels: list[dict[str, MemberRecord]] = dataclasses.field(
         default_factory=list
     )
     level_of: dict[str, int] = dataclasses.field(default_factory=dict)
+    tokens: TokenBucket = dataclasses.field(
+        default_factory=lambda: TokenBucket(
+            rate=GOSSIP_BYTES_PER_SECOND, burst=2 * GOSSIP_MESSAGE_BYTES
+        )
+    )
 
     def put(self, record: MemberRecord) -> None:
         """Queues a record in place of an older one of the same VM."""
@@ -90,25 +132,31 @@
         self.level_of[record.vm_id] = level
 
     def take(
-        self, *, max_bytes: float, members: int
+        self, *, max_bytes: float, members: int, now: float
     ) -> tuple[MemberRecord, ...]:
         """Returns records for one message and counts the transmission.
 
         Args:
             max_bytes: Largest encoded size of the records together.
             members: Number of present members.
+            now: The host's monotonic clock, in seconds.
         """
+        if not self.level_of:
+            return ()
         limit = RETRANSMIT_FACTOR * max(1, math.ceil(math.log10(members + 1)))
         taken: list[tuple[int, MemberRecord]] = []
-        left = max_bytes
+        left = budget = min(max_bytes, self.tokens.refill(now))
         for level, records in enumerate(self.levels):
             for record in records.values():
-                left -= estimate_bytes(record)
-                if left < 0:
+                size = estimate_bytes(record)
+                if size > left:
                     break
+                left -= size
                 taken.append((level, record))
-            if left < 0:
-                break
+            else:
+                continue
+            break
+        self.tokens.tokens -= budget - left
         for level, record in taken:
             self.discard(record.vm_id)
             if level + 1 < limit:
