Tell removed members of their removal and keep logs apart

Cause: a removed voter never learnt of its removal, so it neither stopped its pre-votes nor announced itself again. If the folders of all first voters are emptied while later members still hold the log, a second log starts; a member of one could have followed a leader of the other, with differing entries at equal index and term. A host test kills a voter of three at its writes with power loss. Conclusion: a removed VM can be added again, and logs cannot mix.

--- a/rattanroute/consensus/bootstraps.py
+++ b/rattanroute/consensus/bootstraps.py
@@ -22,7 +22,7 @@
 import dataclasses
 
 from rattanroute.actions import SendMessage
-from rattanroute.consensus.entries import Member
+from rattanroute.consensus.entries import build_first_membership
 from rattanroute.consensus.entries import Membership
 from rattanroute.messages.consensus import BootstrapReport
 
@@ -88,11 +88,7 @@
             report = self.reports.get(voter)
             if report is None or report.ids != self.ids:
                 return None
-        members = tuple(
-            Member(vm_id=vm_id, storage_id=self.ids[vm_id], voter=True)
-            for vm_id in sorted(self.ids)
-        )
-        return Membership(members=members)
+        return build_first_membership(self.ids)
 
     def report(self, now: float) -> list[SendMessage]:
         """Returns the reports that are due."""
--- a/rattanroute/consensus/core.py
+++ b/rattanroute/consensus/core.py
@@ -53,6 +53,24 @@
 }
 
 
+def is_foreign(state: NodeState, message: object) -> bool:
+    """Tells whether a message belongs to another log than this node's.
+
+    Two logs exist if the folders of all first voters were emptied while
+    other members still held the log. Equal indexes and terms then do not
+    mean equal entries, so the logs must not be mixed.
+    """
+    own = state.log.membership.log_id
+    match message:
+        case AppendRequest() | VoteRequest():
+            log_id = message.log_id
+        case SnapshotChunk():
+            log_id = message.membership.log_id
+        case _:
+            return False
+    return own not in (0, log_id)
+
+
 def build_state(
     *,
     vm_id: str,
@@ -96,7 +114,8 @@
         """Handles a message from another member."""
         state = self.state
         elections.check_quorum(state, now)
-        HANDLERS[type(message)](state, peer, message, now)
+        if not is_foreign(state, message):
+            HANDLERS[type(message)](state, peer, message, now)
         return self.finish(now)
 
     def tick(self, *, now: float) -> Output:
--- a/rattanroute/consensus/elections.py
+++ b/rattanroute/consensus/elections.py
@@ -73,6 +73,7 @@
         last_term=state.log.last_term,
         pre_vote=pre_vote,
         transfer=transfer,
+        log_id=state.log.membership.log_id,
     )
     for member in state.log.membership.voters:
         if member.vm_id != state.vm_id:
--- a/rattanroute/consensus/entries.py
+++ b/rattanroute/consensus/entries.py
@@ -4,6 +4,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 
 class EntryKind(enum.IntEnum):
@@ -52,9 +53,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Membership:
-    """The members of the log, ordered by VM identifier."""
+    """The members of the log.
+
+    Attributes:
+        members: The members, ordered by VM identifier.
+        log_id: Identity of the log, derived from its first members; 0 while
+            there are none. It never changes.
+    """
 
     members: tuple[Member, ...] = ()
+    log_id: int = 0
 
     def find(self, vm_id: str) -> Member | None:
         """Returns the member that runs on a VM."""
@@ -84,12 +92,12 @@
         """Returns the membership with a member added or replaced."""
         others = [m for m in self.members if m.vm_id != member.vm_id]
         ordered = sorted([*others, member], key=lambda m: m.vm_id)
-        return Membership(members=tuple(ordered))
+        return Membership(members=tuple(ordered), log_id=self.log_id)
 
     def without(self, vm_id: str) -> "Membership":
         """Returns the membership without a VM."""
         kept = tuple(m for m in self.members if m.vm_id != vm_id)
-        return Membership(members=kept)
+        return Membership(members=kept, log_id=self.log_id)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -144,6 +152,21 @@
     return MEMBERSHIP_DECODER.decode(data)
 
 
+def build_first_membership(ids: dict[str, str]) -> Membership:
+    """Builds the membership of the first voters.
+
+    Args:
+        ids: Storage identity of each first voter, by VM identifier.
+    """
+    members = tuple(
+        Member(vm_id=vm_id, storage_id=ids[vm_id], voter=True)
+        for vm_id in sorted(ids)
+    )
+    digest = xxhash.xxh3_64_intdigest(ENCODER.encode(members))
+    # The codec takes signed 64-bit numbers; 0 means that there is no log.
+    return Membership(members=members, log_id=(digest >> 1) or 1)
+
+
 def build_first_entry(membership: Membership) -> Entry:
     """Builds the entry that all first voters start with.
 
--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -11,8 +11,9 @@
 and promotes it when it has caught up.
 
 The folders of all first voters must not be emptied while other members hold
-the log: they would start a second log. With a single first voter that is one
-folder, so its `bootstrap_voters` must be removed once other voters exist.
+the log: they would start a second log, which the others refuse to mix with
+theirs. With a single first voter that is one folder, so its
+`bootstrap_voters` must be removed once other voters exist.
 """
 
 import asyncio
--- a/rattanroute/consensus/memberships.py
+++ b/rattanroute/consensus/memberships.py
@@ -16,6 +16,7 @@
 from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
 from rattanroute.consensus.nodes import JOIN_FRESH_SECONDS
 from rattanroute.consensus.nodes import Joiner
+from rattanroute.consensus.nodes import LEAVE_SECONDS
 from rattanroute.consensus.nodes import NodeState
 from rattanroute.consensus.nodes import Role
 from rattanroute.errors import RouterError
@@ -159,6 +160,8 @@
     if state.log.membership.find(vm_id) is None:
         raise refuse(vm_id, "is not a member")
     membership = state.log.membership.without(vm_id)
+    check_active_quorum(state, membership, vm_id, now)
+    state.progress[vm_id].leaving_until = now + LEAVE_SECONDS
     return append_membership(state, membership, vm_id, now)
 
 
--- a/rattanroute/consensus/nodes.py
+++ b/rattanroute/consensus/nodes.py
@@ -25,6 +25,9 @@
 SNAPSHOT_CHUNK_BYTES = 64 * 1024
 # Proposals are refused while more than this waits to be committed.
 MAX_UNCOMMITTED_BYTES = 4 * 1024 * 1024
+# A removed member gets entries for this long, so that it learns of its removal
+# and can ask to be admitted again.
+LEAVE_SECONDS = 10.0
 # An announcement by a VM without membership counts for this long.
 JOIN_FRESH_SECONDS = 5.0
 
@@ -66,6 +69,7 @@
         snapshot: Snapshot being sent.
         offset: Next byte of the snapshot to send.
         chunk_sent_at: When the last chunk was sent.
+        leaving_until: Until when it is kept after it was removed.
     """
 
     storage_id: str
@@ -81,6 +85,7 @@
     snapshot: Snapshot | None = None
     offset: int = 0
     chunk_sent_at: float = 0.0
+    leaving_until: float = float("-inf")
 
     def clear_inflight(self) -> None:
         """Forgets unacknowledged batches."""
--- a/rattanroute/consensus/replications.py
+++ b/rattanroute/consensus/replications.py
@@ -41,6 +41,9 @@
                 heard_at=now,
             )
         kept[member.vm_id] = progress
+    for vm_id, progress in state.progress.items():
+        if vm_id not in kept and now < progress.leaving_until:
+            kept[vm_id] = progress
     state.progress = kept
 
 
@@ -49,6 +52,7 @@
     state.round += 1
     state.round_sent_at[state.round] = now
     state.heartbeat_at = now + HEARTBEAT_SECONDS
+    refresh_progress(state, now)
     for peer, progress in state.progress.items():
         send_heartbeat(state, peer, progress)
 
@@ -79,6 +83,7 @@
         commit=state.commit,
         round=state.round,
         entries=entries,
+        log_id=state.log.membership.log_id,
     )
     state.send(peer, request)
 
--- a/rattanroute/consensus/storages.py
+++ b/rattanroute/consensus/storages.py
@@ -159,7 +159,11 @@
             self.write_generation(self.state, generation=1)
             self.generation = 1
         self.log = RecordFile(self.log_path(self.generation), files=self.files)
-        self.state = self.load()
+        try:
+            self.state = self.load()
+        except StorageError:
+            self.close()
+            raise
         self.hard_state = self.state.hard_state
         self.remove_others()
 
--- a/rattanroute/messages/consensus.py
+++ b/rattanroute/messages/consensus.py
@@ -21,6 +21,7 @@
         last_term: Term of that entry.
         pre_vote: Whether this only asks if a vote would be granted.
         transfer: Whether the leader gave up its lease for this election.
+        log_id: Identity of the candidate's log.
     """
 
     storage_id: str
@@ -29,6 +30,7 @@
     last_term: int
     pre_vote: bool = False
     transfer: bool = False
+    log_id: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,6 +62,7 @@
         commit: The leader's commit index.
         round: The leader's latest heartbeat round, echoed in the response.
         entries: Entries in order.
+        log_id: Identity of the leader's log.
     """
 
     storage_id: str
@@ -69,6 +72,7 @@
     commit: int
     round: int
     entries: tuple[Entry, ...] = ()
+    log_id: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/rattanroute/tests/test_consensus_hosts.py
+++ b/rattanroute/tests/test_consensus_hosts.py
@@ -355,6 +355,45 @@
         for vm_id in self.first_voters:
             self.assertEqual(self.hosts[vm_id].machine.items, items)
 
+    async def test_kill_of_a_voter_at_every_write_loses_nothing(
+        self,
+    ) -> None:
+        total = 0
+        for kill_at in range(4, 40, 2):
+            leader = await self.start_all()
+            killed = self.first_voters[kill_at // 2 % 3]
+            files = self.files[killed]
+            files.power_loss = True
+            files.kill_at = files.operations + kill_at
+            # Without `send`, each write happens in a tick or a delivery.
+            self.hosts[killed].send = None
+            accepted = []
+            kills = 0
+            for number in range(12):
+                data = b"%d" % number
+                leader = self.find_leader()
+                if leader:
+                    task = asyncio.create_task(
+                        self.hosts[leader].propose(data, 60)
+                    )
+                    await self.run_for(0.3)
+                    if task.done() and task.result().is_ok():
+                        accepted.append(data)
+                    task.cancel()
+                if killed not in self.hosts:
+                    kills += 1
+                    self.start(killed)
+                    await self.run_for(5)
+            await self.run_for(5)
+            self.assertGreater(len(accepted), 5)
+            for host in self.hosts.values():
+                items = host.machine.items
+                self.assertEqual([i for i in items if i in accepted], accepted)
+            for vm_id in self.first_voters:
+                self.stop(vm_id, lose_folder=True)
+            total += kills
+        self.assertGreater(total, 5)
+
     async def test_leadership_is_handed_over_before_a_stop(self) -> None:
         leader = await self.start_all()
         target = next(v for v in self.first_voters if v != leader)
