Distribute accepted configurations to every VM

Cause: a configuration that the voters accept must be in force on every VM within seconds and never revert, over lossy links, dead relays, partitions and restarts. Conclusion: a voter that is the relay of its data centre and is cut off from the log would have delayed its VMs, so voters push to the lowest VM that is not a voter.

--- a/rattanroute/messages/distributions.py
+++ b/rattanroute/messages/distributions.py
@@ -1,3 +1,90 @@
-"""Messages of the distributions subsystem; kinds 40 to 59."""
+"""Messages of the distributions subsystem; kinds 40 to 59.
 
-KINDS: dict[int, type] = {}
+They are structs that are encoded as arrays: the query and the answer are sent
+each second by every VM, and field names would triple their size.
+"""
+
+import msgspec
+
+from rattanroute.tables.changes import Delta
+
+
+class VersionQuery(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
+):
+    """Asks for whatever is newer than what the sender has.
+
+    Attributes:
+        version: The sender's version.
+        content_hash: Hash of the sender's configuration.
+    """
+
+    version: int
+    content_hash: int
+
+
+class VersionAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What the sender has; answers a query or announces new versions.
+
+    Attributes:
+        version: The sender's version.
+        content_hash: Hash of the sender's configuration.
+        age_ms: Milliseconds since the sender's version was known to be
+            current; None when it never was.
+        from_voter: Whether the sender is a voter.
+        deltas: Deltas after the receiver's version, oldest first.
+        snapshot: Whether the receiver should ask for a snapshot, because the
+            deltas are not kept.
+        forward: Whether the receiver should pass news on in its data centre.
+    """
+
+    version: int
+    content_hash: int
+    age_ms: int | None = None
+    from_voter: bool = False
+    deltas: tuple[Delta, ...] = ()
+    snapshot: bool = False
+    forward: bool = False
+
+
+class SnapshotRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
+):
+    """Asks for parts of a snapshot.
+
+    Attributes:
+        version: Version of the snapshot that the sender is loading; 0 for the
+            latest one.
+        first: Number of the first part that is missing.
+    """
+
+    version: int = 0
+    first: int = 0
+
+
+class SnapshotPart(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
+):
+    """A part of a snapshot.
+
+    Attributes:
+        version: Version of the snapshot.
+        content_hash: Hash of the configuration in it.
+        index: Number of the part, from 0.
+        count: Number of parts.
+        data: The part.
+    """
+
+    version: int
+    content_hash: int
+    index: int
+    count: int
+    data: bytes
+
+
+KINDS: dict[int, type] = {
+    40: VersionQuery,
+    41: VersionAnswer,
+    42: SnapshotRequest,
+    43: SnapshotPart,
+}
--- a/rattanroute/systems/configurations.py
+++ b/rattanroute/systems/configurations.py
@@ -22,6 +22,7 @@
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.replicas import ConfigurationContent
 from rattanroute.tables.replicas import ConfigurationReplica
+from rattanroute.tables.replicas import hash_content
 
 # More than a day of changes at design scale, so a command that is resent
 # within a day gets its first answer.
@@ -242,7 +243,7 @@
             ) from error
         if snapshot.applied_index < self.applied_index:
             return
-        self.replica.load(snapshot.content)
+        self.replica.load(snapshot.content, hash_content(snapshot.content))
         for delta in snapshot.deltas:
             self.replica.keep(delta)
         self.applied_index = snapshot.applied_index
--- a/rattanroute/tables/replicas.py
+++ b/rattanroute/tables/replicas.py
@@ -15,7 +15,6 @@
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import DrainKind
 from rattanroute.tables.configurations import Entity
-from rattanroute.tables.configurations import EntityKind
 from rattanroute.tables.configurations import KIND_BY_CLASS
 from rattanroute.tables.configurations import Model
 from rattanroute.tables.configurations import Neighbour
@@ -60,18 +59,24 @@
     return xxhash.xxh3_64_intdigest(f"drained {kind}:{name}".encode())
 
 
-def hash_configuration(configuration: Configuration) -> int:
+def hash_content(content: ConfigurationContent) -> int:
     """Returns the hash of a whole configuration.
 
     The hash is the sum of the hashes of its parts, so that a change costs
     only the parts that it touches and the order of parts does not matter.
     """
-    total = configuration.version
-    for kind in EntityKind:
-        entities = configuration.entities(kind).values()
+    total = content.version
+    for entities in (
+        content.neighbours,
+        content.workspaces,
+        content.models,
+        content.services,
+    ):
         total += sum(hash_entity(entity) for entity in entities)
-    for kind in DrainKind:
-        total += sum(hash_drain(kind, x) for x in configuration.drains(kind))
+    for name in content.drained_targets:
+        total += hash_drain(DrainKind.TARGET, name)
+    for name in content.drained_vms:
+        total += hash_drain(DrainKind.VM, name)
     return total % HASH_MODULUS
 
 
@@ -195,7 +200,7 @@
         """Encodes the configuration as a snapshot."""
         return ENCODER.encode(self.content())
 
-    def load(self, content: ConfigurationContent) -> None:
+    def load(self, content: ConfigurationContent, content_hash: int) -> None:
         """Replaces the whole configuration and drops the kept deltas."""
         configuration = self.configuration
         configuration.clear()
@@ -210,7 +215,7 @@
         configuration.drained_targets.update(content.drained_targets)
         configuration.drained_vms.update(content.drained_vms)
         configuration.version = content.version
-        self.content_hash = hash_configuration(configuration)
+        self.content_hash = content_hash
         self.deltas.clear()
         self.kept_operations = 0
 
--- /dev/null
+++ b/rattanroute/tests/distribution_support.py
@@ -0,0 +1,239 @@
+"""VMs that exchange the messages of distribution over plain lists."""
+
+import dataclasses
+import random
+
+from rattanroute import codecs
+from rattanroute.actions import Action
+from rattanroute.systems.configurations import ConfigurationStateMachine
+from rattanroute.systems.distributions import DistributionSystem
+from rattanroute.systems.distributions import PeerInfo
+from rattanroute.tables.changes import Change
+from rattanroute.tables.changes import encode_change
+from rattanroute.tables.changes import Operation
+
+TICK_SECONDS = 0.05
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakeLog:
+    """The log as one voter sees it; it reaches a majority or not.
+
+    Attributes:
+        connected: Whether new entries and confirmations reach the voter.
+        machine: Its state machine.
+        confirmed_at: Time of the latest confirmation, in seconds.
+    """
+
+    connected: bool = True
+    machine: ConfigurationStateMachine = dataclasses.field(
+        default_factory=ConfigurationStateMachine
+    )
+    confirmed_at: float | None = None
+
+    def confirmed_age_s(self, now: float) -> float | None:
+        if self.connected:
+            self.confirmed_at = now
+        return None if self.confirmed_at is None else now - self.confirmed_at
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakePeers:
+    """Membership as one VM sees it.
+
+    Attributes:
+        infos: All VMs.
+        dead: VMs that are known to be dead.
+    """
+
+    infos: list[PeerInfo]
+    dead: set[str]
+
+    def alive(self) -> list[PeerInfo]:
+        return [x for x in self.infos if x.vm_id not in self.dead]
+
+
+class FakeCluster:
+    """Data centres of VMs over a network that can lose and reorder.
+
+    Attributes:
+        now: Time in seconds.
+        loss: Probability that a message is lost.
+        duplication: Probability that a message arrives twice.
+        delay_ticks: Longest delay of a message.
+        cut: Pairs of data centres that cannot reach each other.
+        down: VMs that do not run.
+        dead: VMs that membership knows to be dead.
+        sent_bytes: Bytes sent by VM.
+        sent_messages: Messages sent by VM.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centres: int = 3,
+        vms: int = 4,
+        seed: int = 1,
+        voter_number: int = -1,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay_ticks = 1
+        self.cut: set[frozenset[str]] = set()
+        self.down: set[str] = set()
+        self.dead: set[str] = set()
+        self.sent_bytes: dict[str, int] = {}
+        self.sent_messages: dict[str, int] = {}
+        self.infos = [
+            PeerInfo(
+                vm_id=f"{place}-{number}",
+                data_centre=place,
+                voter=number == voter_number % vms,
+            )
+            for place in (f"dc{index}" for index in range(data_centres))
+            for number in range(vms)
+        ]
+        self.places = {x.vm_id: x.data_centre for x in self.infos}
+        self.wire: list[tuple[float, str, str, int, bytes]] = []
+        self.entries: list[bytes] = []
+        self.logs = {x.vm_id: FakeLog() for x in self.infos if x.voter}
+        self.vms: dict[str, DistributionSystem] = {}
+        self.versions: dict[str, int] = {}
+        for info in self.infos:
+            self.start(info.vm_id)
+
+    def start(self, vm_id: str) -> DistributionSystem:
+        """Starts a VM with empty memory."""
+        self.down.discard(vm_id)
+        self.dead.discard(vm_id)
+        values = {}
+        if vm_id in self.logs:
+            log = self.logs[vm_id]
+            values = {"voter": log, "replica": log.machine.replica}
+        self.vms[vm_id] = DistributionSystem(
+            vm_id=vm_id,
+            data_centre=self.places[vm_id],
+            peers=FakePeers(infos=self.infos, dead=self.dead),
+            rng=random.Random(f"{vm_id}-{self.now}"),
+            **values,
+        )
+        self.versions[vm_id] = 0
+        return self.vms[vm_id]
+
+    def stop(self, vm_id: str) -> None:
+        """Stops a VM; membership does not know yet."""
+        self.down.add(vm_id)
+
+    def partition(self, place: str) -> None:
+        """Cuts a data centre off from all others."""
+        for other in {*self.places.values()} - {place}:
+            self.cut.add(frozenset((place, other)))
+        self.update_logs()
+
+    def heal(self) -> None:
+        """Ends all partitions."""
+        self.cut.clear()
+        self.update_logs()
+
+    def update_logs(self) -> None:
+        """Decides which voters reach a majority."""
+        for vm_id, log in self.logs.items():
+            reached = sum(
+                self.connected(vm_id, x) and x not in self.down
+                for x in self.logs
+            )
+            log.connected = reached * 2 > len(self.logs)
+            if log.connected:
+                self.catch_up(log)
+
+    def catch_up(self, log: FakeLog) -> None:
+        """Applies the entries that a voter lacks."""
+        for index, entry in enumerate(self.entries, start=1):
+            log.machine.apply(index, entry)
+
+    def connected(self, one: str, other: str) -> bool:
+        """Whether messages pass between two VMs."""
+        places = frozenset((self.places[one], self.places[other]))
+        return places not in self.cut
+
+    def change(self, *operations: Operation) -> int:
+        """Accepts a change on the majority and returns its version."""
+        version = max(x.machine.replica.version for x in self.logs.values())
+        change = Change(
+            command_id=f"c{len(self.entries)}",
+            operator="alice",
+            expected_version=version,
+            operations=operations,
+        )
+        self.entries.append(encode_change(change))
+        for log in self.logs.values():
+            if log.connected:
+                self.catch_up(log)
+        return version + 1
+
+    def execute(self, vm_id: str, actions: list[Action]) -> None:
+        """Puts the messages of a VM on the wire."""
+        for action in actions:
+            kind, body = codecs.encode(action.message)
+            counts = self.sent_messages
+            counts[vm_id] = counts.get(vm_id, 0) + 1
+            self.sent_bytes[vm_id] = self.sent_bytes.get(vm_id, 0) + len(body)
+            copies = 1 + (self.rng.random() < self.duplication)
+            for _ in range(copies):
+                if self.rng.random() < self.loss:
+                    continue
+                delay = self.rng.randint(1, self.delay_ticks) * TICK_SECONDS
+                self.wire.append(
+                    (self.now + delay, vm_id, action.peer, kind, body)
+                )
+
+    def step(self) -> None:
+        """Runs one tick: delivers what is due, then ticks every VM."""
+        self.now = round(self.now + TICK_SECONDS, 6)
+        due = [x for x in self.wire if x[0] <= self.now]
+        self.wire = [x for x in self.wire if x[0] > self.now]
+        if self.delay_ticks > 1:
+            self.rng.shuffle(due)
+        for _, sender, receiver, kind, body in due:
+            if receiver in self.down or not self.connected(sender, receiver):
+                continue
+            message = codecs.decode(kind=kind, body=body, peer=sender)
+            actions = self.vms[receiver].receive(
+                peer=sender, message=message, now=self.now
+            )
+            self.execute(receiver, actions)
+        for vm_id, system in self.vms.items():
+            if vm_id not in self.down:
+                self.execute(vm_id, system.tick(now=self.now))
+                self.check_version(vm_id, system)
+
+    def check_version(self, vm_id: str, system: DistributionSystem) -> None:
+        """Checks that the version of a running VM never goes down."""
+        version = system.configuration.version
+        if version < self.versions[vm_id]:
+            raise AssertionError(f"{vm_id} went back to version {version}")
+        self.versions[vm_id] = version
+
+    def run(self, seconds: float) -> None:
+        """Runs for a time."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.step()
+
+    def behind(self, version: int) -> set[str]:
+        """Returns the running VMs that have not reached a version."""
+        return {
+            vm_id
+            for vm_id, system in self.vms.items()
+            if vm_id not in self.down and system.configuration.version < version
+        }
+
+    def seconds_until(self, version: int, limit: float = 60.0) -> float:
+        """Runs until all running VMs have a version; returns the time."""
+        start = self.now
+        while self.behind(version):
+            if self.now - start > limit:
+                raise AssertionError(f"behind: {sorted(self.behind(version))}")
+            self.step()
+        return self.now - start
--- a/rattanroute/tests/test_configurations.py
+++ b/rattanroute/tests/test_configurations.py
@@ -359,7 +359,7 @@
             self.assertEqual(log.apply(change), expected)
             self.assertEqual(
                 replica.content_hash,
-                replicas.hash_configuration(replica.configuration),
+                replicas.hash_content(replica.content()),
             )
         replayed = ConfigurationStateMachine()
         for index, entry in enumerate(log.entries):
@@ -376,7 +376,7 @@
         replica = log.machine.replica
         self.assertEqual(
             replica.content_hash,
-            replicas.hash_configuration(replica.configuration),
+            replicas.hash_content(replica.content()),
         )
 
     def test_dry_run_entry_has_no_effect(self) -> None:
--- /dev/null
+++ b/rattanroute/tests/test_distributions.py
@@ -0,0 +1,399 @@
+"""Tests of bringing configurations into force on every VM."""
+
+import dataclasses
+import unittest
+
+from rattanroute import codecs
+from rattanroute.actions import SendMessage
+from rattanroute.messages.distributions import SnapshotRequest
+from rattanroute.messages.distributions import VersionAnswer
+from rattanroute.messages.distributions import VersionQuery
+from rattanroute.systems import snapshots
+from rattanroute.systems.snapshots import SnapshotReader
+from rattanroute.tables import replicas
+from rattanroute.tables.changes import Drain
+from rattanroute.tables.changes import Operation
+from rattanroute.tables.changes import PutNeighbour
+from rattanroute.tables.changes import PutWorkspace
+from rattanroute.tables.configurations import DrainKind
+from rattanroute.tables.configurations import Neighbour
+from rattanroute.tables.configurations import Workspace
+from rattanroute.tests.distribution_support import FakeCluster
+
+# Stated goals: p99 in one region, and catching up after a partition heals.
+IN_FORCE_SECONDS = 1.0
+CATCH_UP_SECONDS = 2.0
+
+
+def drain(name: str = "t1", kind: DrainKind = DrainKind.TARGET) -> Operation:
+    """Builds a drain."""
+    return Drain(kind=kind, name=name)
+
+
+def put_workspaces(first: int, count: int) -> list[Operation]:
+    """Builds workspaces, enough of them for a snapshot of many parts."""
+    return [
+        PutWorkspace(
+            entity=Workspace(
+                name=f"w{number}",
+                neighbour="n",
+                key_hashes=(f"{number:064x}",),
+            )
+        )
+        for number in range(first, first + count)
+    ]
+
+
+class DistributionCase(unittest.TestCase):
+    """Starts a cluster that has a first version in force."""
+
+    def build_cluster(self, **values: int) -> FakeCluster:
+        cluster = FakeCluster(**values)
+        version = cluster.change(
+            PutNeighbour(entity=Neighbour(name="n", share=0.5))
+        )
+        cluster.seconds_until(version)
+        return cluster
+
+    def check_equal(self, cluster: FakeCluster) -> None:
+        """Checks that all running VMs have the voters' content."""
+        expected = next(iter(cluster.logs.values())).machine.replica
+        for vm_id, system in cluster.vms.items():
+            if vm_id not in cluster.down:
+                self.assertEqual(
+                    system.configuration, expected.configuration, vm_id
+                )
+                self.assertEqual(
+                    replicas.hash_content(system.replica.content()),
+                    expected.content_hash,
+                )
+
+
+class PropagationTest(DistributionCase):
+    """Guards against VMs that run an old configuration."""
+
+    def test_change_is_in_force_everywhere_in_time(self) -> None:
+        cluster = self.build_cluster(data_centres=3, vms=8)
+        times = []
+        for number in range(100):
+            version = cluster.change(drain(f"t{number}"))
+            times.append(cluster.seconds_until(version))
+        self.assertLess(max(times), IN_FORCE_SECONDS)
+        self.check_equal(cluster)
+
+    def test_network_that_loses_reorders_and_duplicates(self) -> None:
+        for seed in range(5):
+            cluster = self.build_cluster(seed=seed)
+            cluster.loss = 0.2
+            cluster.duplication = 0.2
+            cluster.delay_ticks = 6
+            for number in range(60):
+                version = cluster.change(drain(f"t{number % 7}"))
+                cluster.run(0.2)
+            self.assertLess(cluster.seconds_until(version), 10.0)
+            self.check_equal(cluster)
+
+    def test_push_that_is_lost_is_noticed(self) -> None:
+        cluster = self.build_cluster()
+        cluster.loss = 1.0
+        version = cluster.change(drain())
+        cluster.step()
+        cluster.loss = 0.0
+        self.assertLess(cluster.seconds_until(version), CATCH_UP_SECONDS)
+
+    def test_dead_relay_is_bypassed_before_membership_knows(self) -> None:
+        cluster = self.build_cluster()
+        cluster.run(2.0)
+        cluster.stop("dc1-0")
+        version = cluster.change(drain())
+        self.assertLess(cluster.seconds_until(version), 5.0)
+
+    def test_next_vm_takes_over_from_a_dead_relay(self) -> None:
+        cluster = self.build_cluster()
+        cluster.stop("dc1-0")
+        cluster.dead.add("dc1-0")
+        cluster.run(1.0)
+        version = cluster.change(drain())
+        self.assertLess(cluster.seconds_until(version), IN_FORCE_SECONDS)
+
+    def test_draining_vm_is_not_the_relay(self) -> None:
+        cluster = self.build_cluster()
+        version = cluster.change(drain("dc1-0", DrainKind.VM))
+        cluster.seconds_until(version)
+        system = cluster.vms["dc1-1"]
+        relay = system.find_relay(system.find_alive(), "dc1")
+        self.assertEqual(relay, "dc1-1")
+
+    def test_relay_whose_log_is_cut_off_does_not_hold_news_back(self) -> None:
+        cluster = self.build_cluster(voter_number=0)
+        cluster.run(2.0)
+        cluster.logs["dc1-0"].connected = False
+        version = cluster.change(drain())
+        cluster.run(IN_FORCE_SECONDS)
+        self.assertEqual(cluster.behind(version), {"dc1-0"})
+        cluster.run(5.0)
+        cluster.loss = 1.0
+        version = cluster.change(drain("t2"))
+        cluster.step()
+        cluster.loss = 0.0
+        # The goal at design scale, here without the push.
+        cluster.run(10.0)
+        self.assertEqual(cluster.behind(version), {"dc1-0"})
+
+    def test_relay_that_only_the_voters_see_passes_news_on(self) -> None:
+        cluster = self.build_cluster()
+        cluster.run(2.0)
+        # The VMs of dc1 believe in dc1-0; the voters know that it is gone.
+        cluster.stop("dc1-0")
+        for vm_id in cluster.logs:
+            cluster.vms[vm_id].peers.dead = {"dc1-0"}
+        version = cluster.change(drain())
+        self.assertLess(cluster.seconds_until(version), 0.5)
+
+
+class PartitionTest(DistributionCase):
+    """Guards against partitions that revert or stop a data centre."""
+
+    def test_partitioned_data_centre_ages_and_catches_up(self) -> None:
+        for seed in range(5):
+            cluster = self.build_cluster(seed=seed)
+            cluster.run(2.0)
+            cluster.partition("dc2")
+            for number in range(20):
+                version = cluster.change(drain(f"t{number}"))
+                cluster.run(0.5)
+            for vm_id, system in cluster.vms.items():
+                if vm_id.startswith("dc2"):
+                    self.assertEqual(system.configuration.version, 1)
+                    self.assertTrue(system.ready)
+                    self.assertGreater(system.age_s(cluster.now), 9.0)
+                else:
+                    self.assertLess(system.age_s(cluster.now), 3.0)
+            cluster.heal()
+            self.assertLess(cluster.seconds_until(version), CATCH_UP_SECONDS)
+            cluster.run(2.0)
+            for system in cluster.vms.values():
+                self.assertLess(system.age_s(cluster.now), 3.0)
+
+    def test_vm_that_restarts_in_a_partition_gets_the_last_version(
+        self,
+    ) -> None:
+        cluster = self.build_cluster()
+        cluster.run(2.0)
+        cluster.partition("dc2")
+        # Without its voter the data centre has the copies of other VMs only.
+        cluster.stop("dc2-3")
+        cluster.run(5.0)
+        system = cluster.start("dc2-0")
+        self.assertFalse(system.ready)
+        cluster.run(3.0)
+        self.assertTrue(system.ready)
+        self.assertEqual(system.configuration.version, 1)
+        self.assertGreater(system.age_s(cluster.now), 7.0)
+
+    def test_newcomer_in_a_partition_with_a_dead_relay(self) -> None:
+        cluster = self.build_cluster()
+        cluster.run(2.0)
+        cluster.partition("dc2")
+        cluster.stop("dc2-3")
+        cluster.stop("dc2-0")
+        system = cluster.start("dc2-2")
+        cluster.run(5.0)
+        self.assertTrue(system.ready)
+        self.assertEqual(system.configuration.version, 1)
+
+    def test_relay_asks_a_vm_that_knows_more(self) -> None:
+        cluster = self.build_cluster()
+        system = cluster.start("dc1-0")
+        query = VersionQuery(version=1, content_hash=1)
+        actions = system.receive(peer="dc1-1", message=query, now=0.0)
+        self.assertEqual(actions[0].peer, "dc1-1")
+        self.assertIsInstance(actions[0].message, VersionQuery)
+
+    def test_vm_that_starts_isolated_is_not_ready(self) -> None:
+        cluster = self.build_cluster()
+        cluster.partition("dc2")
+        for number in range(4):
+            cluster.stop(f"dc2-{number}")
+        system = cluster.start("dc2-1")
+        cluster.run(10.0)
+        self.assertFalse(system.ready)
+        self.assertIsNone(system.age_s(cluster.now))
+        cluster.heal()
+        cluster.run(CATCH_UP_SECONDS)
+        self.assertTrue(system.ready)
+
+    def test_voter_without_a_majority_reports_its_age(self) -> None:
+        cluster = self.build_cluster()
+        cluster.run(1.0)
+        cluster.partition("dc0")
+        cluster.run(10.0)
+        age = cluster.vms["dc0-3"].age_s(cluster.now)
+        self.assertAlmostEqual(age, 10.0, delta=0.5)
+
+    def test_evidence_about_other_content_does_not_refresh(self) -> None:
+        cluster = self.build_cluster()
+        system = cluster.vms["dc1-1"]
+        evidence = system.evidence_at
+        for version in (1, 9):
+            answer = VersionAnswer(version=version, content_hash=0, age_ms=0)
+            system.receive(peer="dc1-0", message=answer, now=cluster.now + 50.0)
+            self.assertEqual(system.evidence_at, evidence)
+
+
+class CatchUpTest(DistributionCase):
+    """Guards against VMs that cannot follow any more."""
+
+    def test_newcomer_and_restarted_vm(self) -> None:
+        cluster = self.build_cluster()
+        for number in range(20):
+            cluster.change(drain(f"t{number}"))
+        cluster.stop("dc1-2")
+        cluster.run(2.0)
+        cluster.start("dc1-2")
+        self.assertLess(cluster.seconds_until(21), CATCH_UP_SECONDS)
+        self.check_equal(cluster)
+
+    def test_snapshot_of_many_parts_over_a_lossy_network(self) -> None:
+        cluster = self.build_cluster()
+        for first in range(0, 6000, 1000):
+            version = cluster.change(*put_workspaces(first, 1000))
+        cluster.seconds_until(version)
+        replica = cluster.vms["dc1-0"].replica
+        parts = len(replica.encode()) / snapshots.PART_BYTES
+        self.assertGreater(parts, snapshots.WINDOW_PARTS)
+        replica.deltas.clear()
+        cluster.loss = 0.1
+        cluster.delay_ticks = 4
+        cluster.duplication = 0.1
+        cluster.start("dc1-2")
+        self.assertLess(cluster.seconds_until(version), 10.0)
+        self.check_equal(cluster)
+
+    def test_deltas_of_many_operations_come_in_several_answers(self) -> None:
+        cluster = self.build_cluster()
+        for first in range(0, 6000, 1000):
+            version = cluster.change(*put_workspaces(first, 1000))
+        cluster.seconds_until(version)
+        answer = cluster.vms["dc1-0"].build_answer(0, cluster.now)
+        self.assertLess(sum(len(x.operations) for x in answer.deltas), 3000)
+        cluster.start("dc1-2")
+        cluster.seconds_until(version)
+        self.assertIsNone(cluster.vms["dc1-2"].reader)
+        self.check_equal(cluster)
+
+    def test_gap_is_not_taken_for_divergence(self) -> None:
+        cluster = self.build_cluster()
+        cluster.change(drain("t1"))
+        version = cluster.change(drain("t2"))
+        log = cluster.vms["dc1-3"]
+        answer = log.build_answer(version - 1, cluster.now)
+        actions = cluster.vms["dc1-0"].receive(
+            peer="dc1-3", message=answer, now=cluster.now
+        )
+        self.assertIsInstance(actions[0].message, VersionQuery)
+
+    def test_snapshot_that_was_overtaken_does_not_revert(self) -> None:
+        cluster = self.build_cluster()
+        parts = cluster.vms["dc1-0"].writer.answer(SnapshotRequest(), 0.0)
+        cluster.seconds_until(cluster.change(drain()))
+        system = cluster.vms["dc1-1"]
+        system.reader = SnapshotReader(peer="dc1-3", asked_at=0.0)
+        system.receive(peer="dc1-3", message=parts[0], now=cluster.now)
+        self.assertIsNone(system.reader)
+        self.assertEqual(system.configuration.version, 2)
+
+    def test_peer_that_dies_while_it_sends_a_snapshot(self) -> None:
+        cluster = self.build_cluster()
+        for first in range(0, 6000, 1000):
+            version = cluster.change(*put_workspaces(first, 1000))
+        cluster.seconds_until(version)
+        for vm in cluster.vms.values():
+            vm.replica.deltas.clear()
+        system = cluster.start("dc1-2")
+        while system.reader is None:
+            cluster.step()
+        cluster.stop("dc1-0")
+        self.assertLess(cluster.seconds_until(version), 10.0)
+
+    def test_encoded_snapshot_is_dropped_after_a_while(self) -> None:
+        cluster = self.build_cluster()
+        cluster.vms["dc1-0"].replica.deltas.clear()
+        cluster.start("dc1-2")
+        cluster.seconds_until(1)
+        writer = cluster.vms["dc1-0"].writer
+        self.assertTrue(writer.data)
+        cluster.run(snapshots.KEEP_SECONDS + 1.0)
+        self.assertFalse(writer.data)
+
+    def test_diverged_content_is_healed_by_a_voter(self) -> None:
+        # A relay is wrong, another VM is wrong, or both alike.
+        for wrong in (["dc1-0"], ["dc1-1"], ["dc1-0", "dc1-1"]):
+            cluster = self.build_cluster()
+            for vm_id in wrong:
+                replica = cluster.vms[vm_id].replica
+                replica.configuration.drained_targets.add("wrong")
+                replica.content_hash ^= 1
+            cluster.run(5.0)
+            self.check_equal(cluster)
+            cluster.seconds_until(cluster.change(drain()))
+            self.check_equal(cluster)
+
+    def test_delta_that_does_not_fit_is_not_applied(self) -> None:
+        cluster = self.build_cluster()
+        system = cluster.vms["dc1-1"]
+        version = cluster.change(drain())
+        delta = cluster.logs["dc0-3"].machine.replica.deltas[-1]
+        broken = dataclasses.replace(delta, content_hash=1)
+        answer = VersionAnswer(
+            version=version, content_hash=1, deltas=(broken,)
+        )
+        actions = system.receive(peer="dc1-0", message=answer, now=1.0)
+        self.assertEqual(system.configuration.version, 1)
+        queries = [x.peer for x in actions if isinstance(x, SendMessage)]
+        self.assertEqual(queries, ["dc1-3"])
+
+    def test_snapshot_of_another_release_is_taken_in_the_end(self) -> None:
+        # Entities of another release hash differently, for ever.
+        cluster = self.build_cluster()
+        cluster.vms["dc1-3"].replica.content_hash ^= 1
+        for vm_id in ("dc1-0", "dc1-1", "dc1-2"):
+            cluster.stop(vm_id)
+        cluster.partition("dc1")
+        cluster.vms["dc1-3"].replica.deltas.clear()
+        system = cluster.start("dc1-0")
+        cluster.run(2.0)
+        self.assertEqual(system.configuration.version, 0)
+        cluster.run(8.0)
+        self.assertEqual(system.configuration.version, 1)
+
+    def test_readers_keep_the_configuration_object(self) -> None:
+        cluster = self.build_cluster()
+        cluster.vms["dc1-0"].replica.deltas.clear()
+        system = cluster.start("dc1-2")
+        configuration = system.configuration
+        cluster.seconds_until(1)
+        self.assertIs(system.configuration, configuration)
+        self.assertIn("n", configuration.neighbours)
+
+
+class CostTest(DistributionCase):
+    """Guards against idle traffic that grows with the system."""
+
+    def test_idle_vm_sends_one_small_query_a_second(self) -> None:
+        query = VersionQuery(version=2**31, content_hash=2**63)
+        self.assertLessEqual(len(codecs.encode(query)[1]), 16)
+        cluster = self.build_cluster(vms=8)
+        cluster.run(5.0)
+        cluster.sent_messages.clear()
+        cluster.run(20.0)
+        self.assertLessEqual(cluster.sent_messages["dc1-1"], 24)
+        self.assertGreaterEqual(cluster.sent_messages["dc1-1"], 16)
+
+    def test_voters_push_to_one_vm_of_each_data_centre(self) -> None:
+        cluster = self.build_cluster(data_centres=4, vms=8)
+        cluster.change(drain())
+        actions = cluster.vms["dc0-7"].publish(cluster.now)
+        self.assertEqual(
+            [x.peer for x in actions], ["dc0-0", "dc1-0", "dc2-0", "dc3-0"]
+        )
