Bring the accepted configuration into force on all VMs

Cause: only voters had the configuration. Change: host the distribution system; a voter confirms its state by a read barrier every 0.5 s, which dates the configuration on all VMs.

--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -17,11 +17,14 @@
 from rattanroute.forwards import LogForwarder
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.configurations import ConfigurationStateMachine
+from rattanroute.systems.distributions import DistributionSystem
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.tables.replicas import ConfigurationReplica
 
 CONSENSUS_FOLDER = "log"
 TRANSFER_SECONDS = 2.0
+REFRESH_SECONDS = 0.5
+REFRESH_TIMEOUT_SECONDS = 1.0
 
 
 class ConsensusLog:
@@ -62,6 +65,31 @@
     )
 
 
+class VoterFreshness:
+    """Knows since when a voter's applied state is confirmed.
+
+    Args:
+        log: The log of this voter.
+    """
+
+    def __init__(self, *, log: ConsensusLog) -> None:
+        self.log = log
+        self.confirmed_at: float | None = None
+
+    def confirmed_age_s(self, now: float) -> float | None:
+        """Returns the seconds since a majority confirmed the state."""
+        if self.confirmed_at is None:
+            return None
+        return now - self.confirmed_at
+
+    async def refresh(self) -> None:
+        """Asks a majority whether all that is committed is applied here."""
+        started = time.monotonic()
+        result = await self.log.read_barrier(REFRESH_TIMEOUT_SECONDS)
+        if result.is_ok():
+            self.confirmed_at = started
+
+
 class ConfigurationGate:
     """Everything that a daemon has of the configuration.
 
@@ -86,6 +114,7 @@
         self.membership = membership
         self.machine: ConfigurationStateMachine | None = None
         self.consensus: ConsensusHost | None = None
+        self.freshness: VoterFreshness | None = None
         log = None
         if settings.storage.voter:
             self.machine = ConfigurationStateMachine()
@@ -99,9 +128,18 @@
                 send=execute,
             )
             log = ConsensusLog(host=self.consensus)
+            self.freshness = VoterFreshness(log=log)
         self.replica = (
             self.machine.replica if self.machine else ConfigurationReplica()
         )
+        self.distribution = DistributionSystem(
+            vm_id=settings.vm_id,
+            data_centre=settings.data_centre,
+            peers=membership,
+            rng=random,
+            replica=self.replica,
+            voter=self.freshness,
+        )
         self.forwarder = LogForwarder(
             vm_id=settings.vm_id,
             members=membership.alive,
@@ -115,7 +153,7 @@
     @property
     def subsystems(self) -> list[object]:
         """The subsystems to host."""
-        found: list[object] = [self.forwarder]
+        found: list[object] = [self.forwarder, self.distribution]
         if self.consensus is not None:
             found.append(self.consensus)
         return found
@@ -128,7 +166,12 @@
     @property
     def age_s(self) -> float | None:
         """Seconds since the configuration was known to be current."""
-        return None
+        return self.distribution.age_s(time.monotonic())
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration that came from a voter is in force."""
+        return self.distribution.ready and self.replica.version > 0
 
     async def hand_over(self) -> None:
         """Gives leadership of the log to another voter before a stop."""
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -19,6 +19,7 @@
 from rattanroute.clients.services import ServiceClient
 from rattanroute.clients.stages import PipelineClient
 from rattanroute.configurationgates import ConfigurationGate
+from rattanroute.configurationgates import REFRESH_SECONDS
 from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
 from rattanroute.events import Event
@@ -149,7 +150,7 @@
     @property
     def ready(self) -> bool:
         """Whether this VM may serve requests."""
-        return self.configuration.version > 0
+        return self.configurations.ready
 
     @property
     def configuration(self) -> Configuration:
@@ -253,6 +254,9 @@
             if address != self.settings.peer_address:
                 self.links.open(address)
         self.repeat(TICK_SECONDS, self.tick)
+        freshness = self.configurations.freshness
+        if freshness is not None:
+            self.repeat(REFRESH_SECONDS, freshness.refresh)
         self.repeat(HOUSEKEEPING_SECONDS, self.keep_house)
         log.info("daemon started", data_centre=self.settings.data_centre)
 
@@ -358,6 +362,8 @@
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
         self.metrics.known_targets.set({}, len(self.targets))
         self.metrics.live_members.set({}, len(self.membership.alive()))
+        age_s = self.configuration_age_s
+        self.metrics.configuration_age.set({}, -1 if age_s is None else age_s)
         self.metrics.configuration_version.set({}, self.configuration.version)
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
