Test the bounds on bytes in flight and on uncommitted proposals

Cause: no test covered the flow control of the leader. Change: two tests with members that do not answer.

--- a/rattanroute/tests/test_consensus_core.py
+++ b/rattanroute/tests/test_consensus_core.py
@@ -11,6 +11,9 @@
 from rattanroute.consensus.entries import Member
 from rattanroute.consensus.memberships import MembershipError
 from rattanroute.consensus.nodes import LEASE_SECONDS
+from rattanroute.consensus.nodes import MAX_BATCH_BYTES
+from rattanroute.consensus.nodes import MAX_INFLIGHT_BYTES
+from rattanroute.consensus.nodes import MAX_UNCOMMITTED_BYTES
 from rattanroute.consensus.nodes import Role
 from rattanroute.messages.consensus import AppendRequest
 from rattanroute.messages.consensus import AppendResponse
@@ -375,6 +378,50 @@
         self.assertEqual(self.cluster.find_leader(), target)
 
 
+class FlowTest(unittest.TestCase):
+    """Guards against memory and links flooded by a member that is behind."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(seed=8, voters=3)
+        self.cluster.run(6)
+        self.leader = self.cluster.find_leader()
+        self.node = self.cluster.vms[self.leader].node
+
+    def propose(self, size: int) -> int:
+        """Proposes 10 kB commands; returns how many were taken."""
+        data = b"c:0:" + b"1" * 10_000
+        taken, output = self.node.propose(
+            (data,) * (size // len(data)), now=self.cluster.now
+        )
+        self.cluster.execute(self.leader, output)
+        return len(taken)
+
+    def test_bytes_in_flight_are_bounded(self) -> None:
+        for vm_id in self.cluster.vms:
+            self.cluster.cut.add((vm_id, self.leader))
+        self.propose(2_000_000)
+        size: dict[str, int] = {}
+        for _, _, target, message in self.cluster.wire:
+            if isinstance(message, AppendRequest):
+                sent = sum(len(entry.data) for entry in message.entries)
+                size[target] = size.get(target, 0) + sent
+        self.assertEqual(len(size), 2)
+        for sent in size.values():
+            self.assertGreater(sent, 0)
+            self.assertLess(sent, MAX_INFLIGHT_BYTES + MAX_BATCH_BYTES)
+        self.cluster.cut.clear()
+        self.cluster.run(5)
+        last = self.node.state.log.last_index
+        self.assertEqual(self.node.state.commit, last)
+
+    def test_uncommitted_proposals_are_bounded(self) -> None:
+        for vm_id in self.cluster.vms:
+            self.cluster.cut.add((vm_id, self.leader))
+        taken = self.propose(2 * MAX_UNCOMMITTED_BYTES)
+        self.assertLess(taken * 10_000, MAX_UNCOMMITTED_BYTES)
+        self.assertEqual(self.propose(20_000), 0)
+
+
 class MembershipTest(unittest.TestCase):
     """Guards against changes that stop the log or skip a step."""
 
