Host the shares and the quarantine of failing requests

Cause: the core ran with an open gate and knew no other VM. Change: RequestRouter builds the core with the share leases and the quarantine and hosts both as subsystems.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -12,7 +12,6 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
-from rattanroute.actions import SendMessage
 from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
@@ -20,13 +19,12 @@
 from rattanroute.clients.stages import PipelineClient
 from rattanroute.configurationgates import ConfigurationGate
 from rattanroute.configurationgates import REFRESH_SECONDS
-from rattanroute.cores import CoreSettings
-from rattanroute.cores import RequestCore
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
 from rattanroute.ledgergates import LedgerGate
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.routers import RequestRouter
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
 from rattanroute.servers.callers import CallersServer
@@ -37,7 +35,6 @@
 from rattanroute.servers.targets import TargetsServer
 from rattanroute.servers.targets import UsageStatement
 from rattanroute.sessions import AttemptUsage
-from rattanroute.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import parse_address
 from rattanroute.sources import DaemonSource
@@ -45,7 +42,6 @@
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.requests import Request
-from rattanroute.tables.requests import RequestTable
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 from rattanroute.traces import TraceRecorder
@@ -79,8 +75,6 @@
         self.random = random.Random()
         self.stopping = False
         self.targets = TargetTable()
-        self.sessions = SessionRegistry()
-        self.core = self.build_core()
         self.subsystems = SubsystemHost(
             send=self.send, execute_other=self.execute
         )
@@ -110,29 +104,24 @@
         self.subsystems.add(self.membership)
         self.subsystems.add(self.claims.system)
         self.subsystems.add(self.ledger.system)
+        self.router = RequestRouter(
+            settings=settings,
+            membership=self.membership,
+            targets=self.targets,
+            configuration=lambda: self.configuration,
+            send=self.send,
+            random=self.random,
+        )
+        self.sessions = self.router.sessions
         self.subsystems.add(self.reports)
+        self.subsystems.add(self.router.shares)
+        self.subsystems.add(self.router.quarantines)
         for subsystem in self.configurations.subsystems:
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.AppRunner] = []
         self.servers: list[Server] = []
 
-    def build_core(self) -> RequestCore:
-        """Builds the request core."""
-        settings = self.settings
-        return RequestCore(
-            vm_id=settings.vm_id,
-            data_centre=settings.data_centre,
-            targets=self.targets,
-            requests=RequestTable(),
-            configuration=lambda: self.configuration,
-            settings=CoreSettings(
-                max_queued=settings.limits.max_queued,
-                heartbeat_timeout_s=settings.targets.heartbeat_timeout_s,
-            ),
-            random=self.random,
-        )
-
     def build_membership(self) -> MembershipSystem:
         """Builds the membership system with this VM as its only member."""
         settings = self.settings
@@ -169,15 +158,7 @@
 
     def handle(self, event: Event) -> None:
         """Passes an event to the core and executes its actions."""
-        self.execute_core(self.core.handle(event, now=time.monotonic()))
-
-    def execute_core(self, actions: list[Action]) -> None:
-        """Executes actions of the core."""
-        for action in actions:
-            if isinstance(action, SendMessage):
-                self.send(action.peer, action.message)
-            else:
-                self.sessions.deliver(action)
+        self.router.handle(event)
 
     def execute(self, action: Action) -> None:
         """Executes an action of a subsystem."""
@@ -354,7 +335,7 @@
     def tick(self) -> None:
         """Runs all systems once."""
         self.subsystems.tick()
-        self.execute_core(self.core.tick(now=time.monotonic()))
+        self.router.tick()
 
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
--- /dev/null
+++ b/rattanroute/routers.py
@@ -0,0 +1,116 @@
+"""Host of the request core: builds its systems and executes its actions."""
+
+from collections.abc import Callable
+import random as randoms
+import time
+
+from rattanroute.actions import Action
+from rattanroute.actions import SendMessage
+from rattanroute.cores import CoreSettings
+from rattanroute.cores import RequestCore
+from rattanroute.events import Event
+from rattanroute.sessions import SessionRegistry
+from rattanroute.settings import DaemonSettings
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.systems.quarantines import QuarantineSystem
+from rattanroute.systems.shares import SharesSystem
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.requests import RequestTable
+from rattanroute.tables.targets import TargetTable
+
+
+class LiveView:
+    """The live VMs as the core's subsystems read them.
+
+    Args:
+        vm_id: Identifier of this VM.
+        membership: The known VMs.
+    """
+
+    def __init__(self, *, vm_id: str, membership: MembershipSystem) -> None:
+        self.vm_id = vm_id
+        self.membership = membership
+
+    def live(self) -> dict[str, str]:
+        """Returns the data centre of each live VM."""
+        return {
+            member.vm_id: member.data_centre
+            for member in self.membership.alive()
+        }
+
+    def others(self) -> list[str]:
+        """Returns the identifiers of the other live VMs."""
+        return [
+            member.vm_id
+            for member in self.membership.alive()
+            if member.vm_id != self.vm_id
+        ]
+
+
+class RequestRouter:
+    """Passes events to the core and its actions to sessions and peers.
+
+    Args:
+        settings: Settings of the daemon.
+        membership: The known VMs.
+        targets: The known targets.
+        configuration: Returns the configuration in force.
+        send: Sends a message to a peer.
+        random: Random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DaemonSettings,
+        membership: MembershipSystem,
+        targets: TargetTable,
+        configuration: Callable[[], Configuration],
+        send: Callable[[str, object], bool],
+        random: randoms.Random,
+    ) -> None:
+        self.send = send
+        self.sessions = SessionRegistry()
+        view = LiveView(vm_id=settings.vm_id, membership=membership)
+        timeout_s = settings.targets.heartbeat_timeout_s
+        self.shares = SharesSystem(
+            vm_id=settings.vm_id,
+            data_centre=settings.data_centre,
+            peers=view,
+            targets=targets,
+            configuration=configuration,
+            heartbeat_timeout_s=timeout_s,
+        )
+        self.quarantines = QuarantineSystem(
+            vm_id=settings.vm_id, peers=view.others, random=random
+        )
+        self.core = RequestCore(
+            vm_id=settings.vm_id,
+            data_centre=settings.data_centre,
+            targets=targets,
+            requests=RequestTable(),
+            configuration=configuration,
+            settings=CoreSettings(
+                max_queued=settings.limits.max_queued,
+                heartbeat_timeout_s=timeout_s,
+            ),
+            random=random,
+            gate=self.shares,
+            quarantines=self.quarantines,
+        )
+
+    def handle(self, event: Event) -> None:
+        """Passes an event to the core and executes its actions."""
+        self.execute(self.core.handle(event, now=time.monotonic()))
+
+    def tick(self) -> None:
+        """Lets the core do what is due."""
+        self.execute(self.core.tick(now=time.monotonic()))
+
+    def execute(self, actions: list[Action]) -> None:
+        """Executes actions of the core."""
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self.send(action.peer, action.message)
+            else:
+                self.sessions.deliver(action)
