Bound kept deltas by bytes and refused changes by length

Cause: a count of operations does not bound memory: 8,192 operations of 16 KB each would be 134 MB, and a refused change with a long name or command id was remembered with it. Change: kept deltas and answers are bounded by bytes (4 MiB and 256 KiB), messages of problems by 256 characters, and a malformed command id is not remembered. The test of the operation bound is replaced by one of the byte bound, and one with 100,000 character names is new.

--- a/rattanroute/systems/configurations.py
+++ b/rattanroute/systems/configurations.py
@@ -8,6 +8,7 @@
 
 from rattanroute.errors import StorageError
 from rattanroute.systems.validations import ChangeValidator
+from rattanroute.systems.validations import IDENTIFIER
 from rattanroute.tables.changes import ANY_VERSION
 from rattanroute.tables.changes import AuditRecord
 from rattanroute.tables.changes import Change
@@ -208,6 +209,9 @@
         )
 
     def _remember(self, change: Change, outcome: ChangeOutcome) -> None:
+        # A malformed id is refused each time and may be of any length.
+        if not IDENTIFIER.fullmatch(change.command_id):
+            return
         self.commands[change.command_id] = RememberedCommand(
             digest=digest_change(change), outcome=outcome
         )
--- a/rattanroute/systems/distributions.py
+++ b/rattanroute/systems/distributions.py
@@ -14,12 +14,16 @@
 from rattanroute.messages.distributions import SnapshotRequest
 from rattanroute.messages.distributions import VersionAnswer
 from rattanroute.messages.distributions import VersionQuery
+from rattanroute.systems.relays import PeerInfo
+from rattanroute.systems.relays import PeersView
+from rattanroute.systems.relays import RelayView
 from rattanroute.systems.snapshots import SnapshotReader
 from rattanroute.systems.snapshots import SnapshotWriter
 from rattanroute.tables.changes import Delta
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.replicas import ConfigurationReplica
 from rattanroute.tables.replicas import hash_content
+from rattanroute.tables.replicas import measure_delta
 
 # Each VM sends one query in this time; it bounds how long a lost delta stays
 # unnoticed.
@@ -38,8 +42,8 @@
 STALE_PROBABILITY = 0.5
 # Shortest time between two urgent queries.
 URGENT_SECONDS = 0.1
-# Operations in one answer; the rest follows with the next query.
-ANSWER_OPERATIONS = 2000
+# Bytes of deltas in one answer; the rest follows with the next query.
+ANSWER_BYTES = 262_144
 # A snapshot whose hash does not match is read again after this time, then
 # after twice the time, and so on.
 FIRST_BACKOFF_SECONDS = 1.0
@@ -49,23 +53,6 @@
 MAX_MISMATCHES = 3
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerInfo:
-    """A live VM as membership sees it."""
-
-    vm_id: str
-    data_centre: str
-    voter: bool = False
-
-
-class PeersView(Protocol):
-    """Knows the VMs that are believed to be alive."""
-
-    def alive(self) -> list[PeerInfo]:
-        """Returns the live VMs, with or without this one."""
-        ...
-
-
 class VoterSource(Protocol):
     """Knows on a voter whether the log is up to date."""
 
@@ -222,7 +209,7 @@
                 data centre, even when another VM is the relay by its view.
             now: The host's clock, in seconds.
         """
-        alive = self.find_alive()
+        view = self.view_peers()
         answer = self.build_answer(since, now)
         # Receivers ask again when the deltas are not kept, and are then told
         # whether they need a snapshot.
@@ -231,14 +218,13 @@
         if self.voter is not None:
             push = msgspec.structs.replace(news, forward=True)
             actions += [
-                SendMessage(peer=x, message=push)
-                for x in self.find_receivers(alive)
+                SendMessage(peer=x, message=push) for x in view.receivers()
             ]
             forward = False
-        if forward or self.find_relay(alive, self.data_centre) == self.vm_id:
+        if forward or view.is_relay():
             actions += [
                 SendMessage(peer=x.vm_id, message=news)
-                for x in self.find_neighbours(alive)
+                for x in view.neighbours()
                 if not x.voter
             ]
         return actions
@@ -256,8 +242,8 @@
             snapshot=deltas is None,
         )
 
-    def find_alive(self) -> dict[str, PeerInfo]:
-        """Returns the live VMs by identifier, this one included."""
+    def view_peers(self) -> RelayView:
+        """Returns the live VMs as this VM sees them now."""
         own = PeerInfo(
             vm_id=self.vm_id,
             data_centre=self.data_centre,
@@ -265,52 +251,18 @@
         )
         alive = {x.vm_id: x for x in self.peers.alive()}
         alive[self.vm_id] = own
-        return alive
-
-    def find_relay(self, alive: dict[str, PeerInfo], data_centre: str) -> str:
-        """Returns the relay of a data centre: its lowest live VM.
-
-        A draining VM is passed over as long as there is another one.
-        """
-        drained = self.configuration.drained_vms
-        return min(
-            (x.vm_id for x in alive.values() if x.data_centre == data_centre),
-            key=lambda vm_id: (vm_id in drained, vm_id),
+        return RelayView(
+            own=own, alive=alive, drained=self.configuration.drained_vms
         )
 
-    def find_receivers(self, alive: dict[str, PeerInfo]) -> list[str]:
-        """Returns the VM of each data centre that a voter pushes to.
-
-        A voter that is a relay passes on what its own log applies. As that
-        log may be cut off without anybody noticing, pushes go to the lowest
-        VM that is not a voter.
-        """
-        others = {x.vm_id: x for x in alive.values() if not x.voter}
-        places = {x.data_centre for x in others.values()}
-        if self.find_relay(alive, self.data_centre) == self.vm_id:
-            places.discard(self.data_centre)
-        return [self.find_relay(others, place) for place in sorted(places)]
-
-    def find_neighbours(self, alive: dict[str, PeerInfo]) -> list[PeerInfo]:
-        """Returns the other live VMs of this data centre."""
-        return [
-            x
-            for x in alive.values()
-            if x.data_centre == self.data_centre and x.vm_id != self.vm_id
-        ]
-
-    def find_voters(self, alive: dict[str, PeerInfo]) -> list[str]:
-        """Returns the live voters, those of this data centre first."""
-        voters = [x for x in alive.values() if x.voter]
-        voters.sort(key=lambda x: (x.data_centre != self.data_centre, x.vm_id))
-        return [x.vm_id for x in voters]
-
     def ask_regularly(self, now: float) -> list[Action]:
         """Asks the upstream VM, and another one when it does not help."""
-        alive = self.find_alive()
-        self.waiting = {x: y for x, y in self.waiting.items() if x in alive}
-        relay = self.find_relay(alive, self.data_centre)
-        voters = self.find_voters(alive)
+        view = self.view_peers()
+        self.waiting = {
+            x: at for x, at in self.waiting.items() if x in view.alive
+        }
+        relay = view.relay()
+        voters = view.voters()
         upstream = [relay]
         if relay == self.vm_id:
             upstream = [voters[self.turn % len(voters)]] if voters else []
@@ -318,7 +270,7 @@
         asked = set(upstream)
         if silent or self.is_stale(now):
             self.turn += 1
-            asked.update(self.choose_others(alive, voters))
+            asked.update(self.choose_others(view))
         searching = silent or not self.ready or self.pending is not None
         period = RETRY_SECONDS if searching else QUERY_SECONDS
         self.next_query_at = now + period * self.rng.uniform(
@@ -337,9 +289,7 @@
             return False
         return self.rng.random() < STALE_PROBABILITY
 
-    def choose_others(
-        self, alive: dict[str, PeerInfo], voters: list[str]
-    ) -> list[str]:
+    def choose_others(self, view: RelayView) -> list[str]:
         """Returns a voter and another VM of the data centre, if any.
 
         Voters take turns, so that one that cannot be reached costs one
@@ -347,9 +297,10 @@
         it may have a version that a restarted VM lacks.
         """
         others = []
+        voters = view.voters()
         if voters:
             others.append(voters[self.turn % len(voters)])
-        neighbours = sorted(x.vm_id for x in self.find_neighbours(alive))
+        neighbours = sorted(x.vm_id for x in view.neighbours())
         if neighbours:
             others.append(self.rng.choice(neighbours))
         return others
@@ -408,7 +359,7 @@
             actions += self.read_snapshot(peer, now)
         elif diverged:
             # Either side may be wrong; a voter knows.
-            for voter in self.find_voters(self.find_alive())[:1]:
+            for voter in self.view_peers().voters()[:1]:
                 actions += self.ask_urgently(voter, now)
         elif answer.version > self.replica.version:
             if answer.snapshot:
@@ -505,8 +456,7 @@
         if reader.version < before:
             return []
         content = reader.decode()
-        peer = self.find_alive().get(reader.peer)
-        from_voter = peer is not None and peer.voter
+        from_voter = self.view_peers().is_voter(reader.peer)
         if content is None or hash_content(content) != reader.content_hash:
             self.mismatches += 1
             backoff = FIRST_BACKOFF_SECONDS * 2 ** (self.mismatches - 1)
@@ -533,10 +483,10 @@
 def take_deltas(deltas: Iterable[Delta]) -> tuple[Delta, ...]:
     """Returns the first deltas that fit one answer; at least one."""
     taken = []
-    operations = 0
+    size = 0
     for delta in deltas:
-        operations += len(delta.operations)
-        if taken and operations > ANSWER_OPERATIONS:
+        size += measure_delta(delta)
+        if taken and size > ANSWER_BYTES:
             break
         taken.append(delta)
     return tuple(taken)
--- a/rattanroute/systems/validations.py
+++ b/rattanroute/systems/validations.py
@@ -25,6 +25,7 @@
 # Limits keep a change small enough to be replicated and applied at once.
 MAX_OPERATIONS = 2000
 MAX_PROBLEMS = 50
+MAX_MESSAGE_LENGTH = 256
 MAX_KEY_HASHES = 32
 MAX_NAMES = 256
 MAX_LAYERS = 10_000
@@ -95,7 +96,8 @@
         return tuple(self.problems[:MAX_PROBLEMS])
 
     def report(self, path: str, message: str) -> None:
-        """Adds a problem."""
+        """Adds a problem; the text may hold a name of any length."""
+        message = message[:MAX_MESSAGE_LENGTH]
         self.problems.append(Problem(path=path, message=message))
 
     def stage(self) -> None:
--- a/rattanroute/tables/replicas.py
+++ b/rattanroute/tables/replicas.py
@@ -25,7 +25,7 @@
 # longer than regions lose contact with each other.
 KEPT_DELTAS = 512
 # Bounds the memory of kept deltas that hold many operations each.
-KEPT_OPERATIONS = 8192
+KEPT_BYTES = 4_194_304
 # 64 bits fit a msgpack integer; the hash detects faults, not attacks.
 HASH_MODULUS = 1 << 64
 
@@ -99,6 +99,11 @@
             return hash_entity(entity) - (hash_entity(old) if old else 0)
 
 
+def measure_delta(delta: Delta) -> int:
+    """Returns the encoded size of a delta, in bytes."""
+    return len(ENCODER.encode(delta))
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ConfigurationReplica:
     """A configuration that moves from version to version.
@@ -109,7 +114,8 @@
         configuration: The configuration at its latest version.
         content_hash: Hash of the configuration.
         deltas: Latest deltas, oldest first, without gaps.
-        kept_operations: Number of operations in `deltas`.
+        sizes: Encoded sizes of `deltas`, in bytes.
+        kept_bytes: Sum of `sizes`.
     """
 
     configuration: Configuration = dataclasses.field(
@@ -119,7 +125,10 @@
     deltas: collections.deque[Delta] = dataclasses.field(
         default_factory=collections.deque
     )
-    kept_operations: int = 0
+    sizes: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    kept_bytes: int = 0
 
     @property
     def version(self) -> int:
@@ -166,12 +175,13 @@
     def keep(self, delta: Delta) -> None:
         """Keeps a delta for peers and drops the oldest ones."""
         self.deltas.append(delta)
-        self.kept_operations += len(delta.operations)
+        self.sizes.append(measure_delta(delta))
+        self.kept_bytes += self.sizes[-1]
         while len(self.deltas) > 1 and (
-            len(self.deltas) > KEPT_DELTAS
-            or self.kept_operations > KEPT_OPERATIONS
+            len(self.deltas) > KEPT_DELTAS or self.kept_bytes > KEPT_BYTES
         ):
-            self.kept_operations -= len(self.deltas.popleft().operations)
+            self.deltas.popleft()
+            self.kept_bytes -= self.sizes.popleft()
 
     def deltas_since(self, version: int) -> tuple[Delta, ...] | None:
         """Returns the deltas after a version; None when they are not kept."""
@@ -216,8 +226,13 @@
         configuration.drained_vms.update(content.drained_vms)
         configuration.version = content.version
         self.content_hash = content_hash
+        self.forget_deltas()
+
+    def forget_deltas(self) -> None:
+        """Drops the kept deltas."""
         self.deltas.clear()
-        self.kept_operations = 0
+        self.sizes.clear()
+        self.kept_bytes = 0
 
 
 def decode_content(data: bytes) -> ConfigurationContent:
--- a/rattanroute/tests/distribution_support.py
+++ b/rattanroute/tests/distribution_support.py
@@ -7,7 +7,7 @@
 from rattanroute.actions import Action
 from rattanroute.systems.configurations import ConfigurationStateMachine
 from rattanroute.systems.distributions import DistributionSystem
-from rattanroute.systems.distributions import PeerInfo
+from rattanroute.systems.relays import PeerInfo
 from rattanroute.tables.changes import Change
 from rattanroute.tables.changes import encode_change
 from rattanroute.tables.changes import Operation
--- a/rattanroute/tests/test_configurations.py
+++ b/rattanroute/tests/test_configurations.py
@@ -185,13 +185,28 @@
         self.assertEqual(len(machine.audits), configurations.AUDIT_RECORDS)
         self.assertEqual(len(machine.replica.deltas), replicas.KEPT_DELTAS)
 
-    def test_large_deltas_are_bounded_by_their_operations(self) -> None:
+    def test_large_deltas_are_bounded_by_their_bytes(self) -> None:
         log = Machine()
-        for start in range(6):
-            log.put(*(drain(f"t{start}-{n}") for n in range(2000)))
-        kept = sum(len(x.operations) for x in log.machine.replica.deltas)
-        self.assertEqual(kept, log.machine.replica.kept_operations)
-        self.assertLessEqual(kept, replicas.KEPT_OPERATIONS)
+        name = "t" * 100
+        for start in range(30):
+            log.put(*(drain(f"{name}{start}-{n}") for n in range(2000)))
+        replica = log.machine.replica
+        kept = sum(replicas.measure_delta(x) for x in replica.deltas)
+        self.assertEqual(kept, replica.kept_bytes)
+        self.assertLessEqual(kept, replicas.KEPT_BYTES)
+        self.assertGreater(len(replica.deltas), 1)
+
+    def test_memory_of_refused_changes_is_bounded(self) -> None:
+        log = Machine()
+        name = "x" * 100_000
+        log.apply(build_change(drain(), command_id=name))
+        self.assertFalse(log.machine.commands)
+        log.put(
+            put_workspace(neighbour=name, models=(name,)),
+            DeleteEntity(kind=EntityKind.MODEL, name=name),
+            Undrain(kind=DrainKind.VM, name=name),
+        )
+        self.assertLess(len(log.machine.snapshot()), 10_000)
 
 
 class ValidationTest(unittest.TestCase):
--- a/rattanroute/tests/test_distributions.py
+++ b/rattanroute/tests/test_distributions.py
@@ -8,6 +8,7 @@
 from rattanroute.messages.distributions import SnapshotRequest
 from rattanroute.messages.distributions import VersionAnswer
 from rattanroute.messages.distributions import VersionQuery
+from rattanroute.systems import distributions
 from rattanroute.systems import snapshots
 from rattanroute.systems.snapshots import SnapshotReader
 from rattanroute.tables import replicas
@@ -121,8 +122,7 @@
         version = cluster.change(drain("dc1-0", DrainKind.VM))
         cluster.seconds_until(version)
         system = cluster.vms["dc1-1"]
-        relay = system.find_relay(system.find_alive(), "dc1")
-        self.assertEqual(relay, "dc1-1")
+        self.assertEqual(system.view_peers().relay(), "dc1-1")
 
     def test_relay_whose_log_is_cut_off_does_not_hold_news_back(self) -> None:
         cluster = self.build_cluster(voter_number=0)
@@ -262,7 +262,7 @@
         replica = cluster.vms["dc1-0"].replica
         parts = len(replica.encode()) / snapshots.PART_BYTES
         self.assertGreater(parts, snapshots.WINDOW_PARTS)
-        replica.deltas.clear()
+        replica.forget_deltas()
         cluster.loss = 0.1
         cluster.delay_ticks = 4
         cluster.duplication = 0.1
@@ -276,7 +276,8 @@
             version = cluster.change(*put_workspaces(first, 1000))
         cluster.seconds_until(version)
         answer = cluster.vms["dc1-0"].build_answer(0, cluster.now)
-        self.assertLess(sum(len(x.operations) for x in answer.deltas), 3000)
+        size = len(codecs.encode(answer)[1])
+        self.assertLess(size, 2 * distributions.ANSWER_BYTES)
         cluster.start("dc1-2")
         cluster.seconds_until(version)
         self.assertIsNone(cluster.vms["dc1-2"].reader)
@@ -309,7 +310,7 @@
             version = cluster.change(*put_workspaces(first, 1000))
         cluster.seconds_until(version)
         for vm in cluster.vms.values():
-            vm.replica.deltas.clear()
+            vm.replica.forget_deltas()
         system = cluster.start("dc1-2")
         while system.reader is None:
             cluster.step()
@@ -318,7 +319,7 @@
 
     def test_encoded_snapshot_is_dropped_after_a_while(self) -> None:
         cluster = self.build_cluster()
-        cluster.vms["dc1-0"].replica.deltas.clear()
+        cluster.vms["dc1-0"].replica.forget_deltas()
         cluster.start("dc1-2")
         cluster.seconds_until(1)
         writer = cluster.vms["dc1-0"].writer
@@ -360,7 +361,7 @@
         for vm_id in ("dc1-0", "dc1-1", "dc1-2"):
             cluster.stop(vm_id)
         cluster.partition("dc1")
-        cluster.vms["dc1-3"].replica.deltas.clear()
+        cluster.vms["dc1-3"].replica.forget_deltas()
         system = cluster.start("dc1-0")
         cluster.run(2.0)
         self.assertEqual(system.configuration.version, 0)
@@ -369,7 +370,7 @@
 
     def test_readers_keep_the_configuration_object(self) -> None:
         cluster = self.build_cluster()
-        cluster.vms["dc1-0"].replica.deltas.clear()
+        cluster.vms["dc1-0"].replica.forget_deltas()
         system = cluster.start("dc1-2")
         configuration = system.configuration
         cluster.seconds_until(1)
