Show shares used and unsettled attempts in the accounts; honour VM drains

Cause: operators saw totals only, and a drained VM stayed ready. Change: the Accounts call returns today's use beside each share and the attempts that may still change; /readyz follows drains of VMs; the bearer key index of the configuration replaces a second one.

--- a/rattanroute/callers.py
+++ b/rattanroute/callers.py
@@ -1,6 +1,5 @@
 """Callers: the workspace behind a bearer key, and their headers."""
 
-import dataclasses
 import hashlib
 import re
 
@@ -25,40 +24,16 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-@dataclasses.dataclass(kw_only=True)
-class KeyIndex:
-    """Workspaces by key hash, rebuilt for each configuration version.
-
-    Attributes:
-        version: Configuration version of the index.
-        workspaces: Workspaces by the hash of their keys.
-    """
-
-    version: int = -1
-    workspaces: dict[str, Workspace] = dataclasses.field(default_factory=dict)
-
-    def find(self, configuration: Configuration, key: str) -> Workspace | None:
-        """Returns the workspace of a bearer key."""
-        if configuration.version != self.version:
-            self.workspaces = {
-                key_hash: workspace
-                for workspace in configuration.workspaces.values()
-                for key_hash in workspace.key_hashes
-            }
-            self.version = configuration.version
-        return self.workspaces.get(hash_key(key))
-
-
 def authenticate(
-    http_request: web.Request, index: KeyIndex, configuration: Configuration
+    http_request: web.Request, configuration: Configuration
 ) -> Result[Workspace, Refusal]:
     """Returns the workspace that a request's bearer key names."""
-    scheme, _, key = http_request.headers.get("Authorization", "").partition(
-        " "
-    )
+    header = http_request.headers.get("Authorization", "")
+    scheme, _, key = header.partition(" ")
     if scheme.lower() != "bearer" or not key:
         return Error(UNAUTHENTICATED)
-    workspace = index.find(configuration, key.strip())
+    name = configuration.workspaces_by_key_hash.get(hash_key(key.strip()))
+    workspace = configuration.workspaces.get(name) if name else None
     return Ok(workspace) if workspace else Error(UNAUTHENTICATED)
 
 
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -91,6 +91,7 @@
         self.ledger = LedgerGate(
             settings=settings,
             membership=self.membership,
+            configuration=lambda: self.configuration,
             execute=self.subsystems.execute,
         )
         self.configurations = ConfigurationGate(
@@ -141,6 +142,11 @@
         """Whether this VM may serve requests."""
         return self.configurations.ready
 
+    @property
+    def drained(self) -> bool:
+        """Whether operators have taken this VM out of service."""
+        return self.settings.vm_id in self.configuration.drained_vms
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
--- a/rattanroute/ledgergates.py
+++ b/rattanroute/ledgergates.py
@@ -10,14 +10,18 @@
 from rattanroute.ledgers import LedgerFile
 from rattanroute.records import SystemFileAccess
 from rattanroute.servers.operator_sources import AccountTotal
+from rattanroute.servers.operator_sources import ShareUse
+from rattanroute.servers.operator_sources import UnsettledTotal
 from rattanroute.servers.targets import UsageStatement as UsageBody
 from rattanroute.sessions import AttemptUsage
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.ledgers import LedgerSystem
 from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.usages import parse_tag
+from rattanroute.tables.usages import SECONDS_PER_DAY
 from rattanroute.tables.usages import TargetStatement
 from rattanroute.tables.usages import Usage
 
@@ -30,6 +34,7 @@
     Args:
         settings: Settings of the daemon.
         membership: The known VMs; its voters hold the ledger.
+        configuration: Returns the configuration in force.
         execute: Executes the ledger system's actions.
     """
 
@@ -38,10 +43,12 @@
         *,
         settings: DaemonSettings,
         membership: MembershipSystem,
+        configuration: Callable[[], Configuration],
         execute: Callable[[list[Action]], None],
     ) -> None:
         self.execute = execute
         self.membership = membership
+        self.configuration = configuration
         self.journal: Journal | None = None
         restored: list[bytes] | None = None
         holders: tuple[str, ...] = ()
@@ -176,6 +183,32 @@
             for (neighbour, workspace, model), counter in sorted(sums.items())
         ]
 
+    def share_uses(self) -> list[ShareUse]:
+        """Returns each neighbour's part of today's accelerator time."""
+        day = int(time.time()) // SECONDS_PER_DAY
+        used = self.system.shares(day)
+        neighbours = self.configuration().neighbours
+        return [
+            ShareUse(
+                neighbour=name,
+                share=neighbours[name].share if name in neighbours else 0.0,
+                used=used.get(name, 0.0),
+            )
+            for name in sorted({*neighbours, *used})
+        ]
+
+    def unsettled(self) -> list[UnsettledTotal]:
+        """Returns the attempts that may still change, by state."""
+        return [
+            UnsettledTotal(
+                state=state.value,
+                attempts=amounts.attempts,
+                tokens_in=amounts.tokens_in,
+                tokens_out=amounts.tokens_out,
+            )
+            for state, amounts in self.system.count_states().items()
+        ]
+
     async def close(self) -> None:
         """Closes the ledger file."""
         if self.journal is not None:
--- a/rattanroute/servers/callers.py
+++ b/rattanroute/servers/callers.py
@@ -17,7 +17,6 @@
 from rattanroute.bodies import parse_chat
 from rattanroute.bodies import read_body
 from rattanroute.callers import authenticate
-from rattanroute.callers import KeyIndex
 from rattanroute.callers import parse_deadline
 from rattanroute.callers import parse_priority
 from rattanroute.clients.attempts import prefix_hashes
@@ -63,6 +62,11 @@
         """Whether a planned stop has begun."""
         ...
 
+    @property
+    def drained(self) -> bool:
+        """Whether operators have taken this VM out of service."""
+        ...
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
@@ -78,7 +82,6 @@
 
     def __init__(self, *, host: CallersHost) -> None:
         self.host = host
-        self.index = KeyIndex()
 
     def build_application(self) -> web.Application:
         """Returns the web application."""
@@ -107,9 +110,11 @@
 
     async def handle_ready(self, http_request: web.Request) -> web.Response:
         """Answers whether the balancer may send requests."""
-        ready = self.host.ready and not self.host.stopping
+        host = self.host
+        ready = host.ready and not host.stopping and not host.drained
         body = {
             "ready": ready,
+            "drained": host.drained,
             "stopping": self.host.stopping,
             "configuration_version": self.host.configuration.version,
         }
@@ -255,9 +260,7 @@
             raise RequestRefusedError(STOPPING)
         if not self.host.ready:
             raise RequestRefusedError(NOT_READY)
-        return unwrap(
-            authenticate(http_request, self.index, self.host.configuration)
-        )
+        return unwrap(authenticate(http_request, self.host.configuration))
 
     async def read_json(
         self, http_request: web.Request
--- a/rattanroute/servers/operator_messages.py
+++ b/rattanroute/servers/operator_messages.py
@@ -274,6 +274,21 @@
     )
 
 
+def write_share_use(use: sources.ShareUse) -> pb.ShareUse:
+    """Converts a neighbour's use of the pool."""
+    return pb.ShareUse(neighbour=use.neighbour, share=use.share, used=use.used)
+
+
+def write_unsettled(total: sources.UnsettledTotal) -> pb.UnsettledTotal:
+    """Converts the attempts of one state."""
+    return pb.UnsettledTotal(
+        state=total.state,
+        attempts=total.attempts,
+        tokens_in=total.tokens_in,
+        tokens_out=total.tokens_out,
+    )
+
+
 def write_step(step: sources.TraceStep) -> pb.TraceStep:
     """Converts a step of a request."""
     return pb.TraceStep(
--- a/rattanroute/servers/operator_sources.py
+++ b/rattanroute/servers/operator_sources.py
@@ -81,6 +81,31 @@
     tokens_out: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShareUse:
+    """A neighbour's use of the pool on the present day.
+
+    Attributes:
+        neighbour: The neighbour.
+        share: Paid part of the pool, between 0 and 1.
+        used: Part of the accounted accelerator time, between 0 and 1.
+    """
+
+    neighbour: str
+    share: float
+    used: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnsettledTotal:
+    """Attempts that may still change, in one state."""
+
+    state: str
+    attempts: int
+    tokens_in: int
+    tokens_out: int
+
+
 class AccountsSource(Protocol):
     """Knows the accounts."""
 
@@ -88,6 +113,14 @@
         """Returns the totals of all workspaces."""
         ...
 
+    def share_uses(self) -> list[ShareUse]:
+        """Returns the use of the pool on the present day by neighbour."""
+        ...
+
+    def unsettled(self) -> list[UnsettledTotal]:
+        """Returns the attempts that may still change, by state."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TraceStep:
--- a/rattanroute/servers/operators.py
+++ b/rattanroute/servers/operators.py
@@ -298,7 +298,17 @@
             for x in source.totals()
             if request.neighbour in ("", x.neighbour)
         ]
-        await stream.send_message(pb.AccountsResponse(totals=totals))
+        shares = [
+            messages.write_share_use(x)
+            for x in source.share_uses()
+            if request.neighbour in ("", x.neighbour)
+        ]
+        unsettled = [messages.write_unsettled(x) for x in source.unsettled()]
+        await stream.send_message(
+            pb.AccountsResponse(
+                totals=totals, shares=shares, unsettled=unsettled
+            )
+        )
 
     async def Trace(self, stream: Stream) -> None:  # noqa: N802
         """Returns the steps of a request that this VM handled."""
--- a/rattanroute/sources.py
+++ b/rattanroute/sources.py
@@ -34,6 +34,11 @@
         """Whether a planned stop has begun."""
         ...
 
+    @property
+    def drained(self) -> bool:
+        """Whether operators have taken this VM out of service."""
+        ...
+
     @property
     def leader(self) -> str:
         """Leader of the configuration log; empty when not known."""
@@ -65,7 +70,7 @@
             configuration_age_s=host.configuration_age_s,
             voter=host.settings.storage.voter,
             leader=host.leader,
-            draining=host.stopping,
+            draining=host.stopping or host.drained,
         )
 
     def members(self) -> list[MemberStatus]:
--- a/rattanroute/tests/operator_support.py
+++ b/rattanroute/tests/operator_support.py
@@ -15,8 +15,10 @@
 from rattanroute.security import TokenFile
 from rattanroute.servers.operator_sources import AccountTotal
 from rattanroute.servers.operator_sources import MemberStatus
+from rattanroute.servers.operator_sources import ShareUse
 from rattanroute.servers.operator_sources import TargetStatus
 from rattanroute.servers.operator_sources import TraceStep
+from rattanroute.servers.operator_sources import UnsettledTotal
 from rattanroute.servers.operator_sources import VmStatus
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
@@ -93,6 +95,16 @@
             )
         ]
 
+    def share_uses(self) -> list[ShareUse]:
+        return [ShareUse(neighbour="n", share=0.5, used=0.25)]
+
+    def unsettled(self) -> list[UnsettledTotal]:
+        return [
+            UnsettledTotal(
+                state="reported", attempts=1, tokens_in=2, tokens_out=3
+            )
+        ]
+
     def trace(self, request_id: str) -> list[TraceStep]:
         if request_id != "r1":
             return []
--- a/rattanroute/tests/test_operators.py
+++ b/rattanroute/tests/test_operators.py
@@ -270,6 +270,8 @@
         self.assertFalse(accounts.totals)
         accounts = await self.stub.Accounts(pb.AccountsRequest())
         self.assertEqual(accounts.totals[0].tokens_out, 20)
+        self.assertEqual(accounts.shares[0].used, 0.25)
+        self.assertEqual(accounts.unsettled[0].state, "reported")
         trace = await self.stub.Trace(pb.TraceRequest(request_id="r1"))
         self.assertEqual(trace.steps[0].peer, "t1")
         members = await self.stub.Members(pb.MembersRequest())
--- a/rattanroute/tools/cli.py
+++ b/rattanroute/tools/cli.py
@@ -406,9 +406,16 @@
 @click.option("--neighbour", default="", help="Only this neighbour.")
 @click.pass_obj
 def accounts(session: Session, neighbour: str) -> None:
-    """Shows the accounted work."""
+    """Shows the accounted work, the shares used and what may still change."""
     request = pb.AccountsRequest(neighbour=neighbour)
-    print_view(session, "Accounts", request)
+    response = run(lambda: session.client.call("Accounts", request))
+    if session.output == "json":
+        cli_output.print_message(response, session.output)
+        return
+    for field in ("totals", "shares", "unsettled"):
+        click.echo(f"{field}:")
+        rows = [cli_output.to_data(x) for x in getattr(response, field)]
+        cli_output.print_rows(rows, session.output)
 
 
 @main.command(epilog=EXIT_CODES)
