Name the fields of acknowledged usage statements

Cause: the targets' interface acknowledged usage statements as arrays [request_id, attempt], but the stand-ins read objects with named fields. The stand-in's heartbeat task ended with an error at the first acknowledgement, so that every target vanished 2.5 s after it had stated any usage, and callers got no_target. Ruled out: refused heartbeats (no such line in the daemons' logs) and detection (the targets' rows were healthy, with report ages that grew). Change: the answer holds objects {request_id, attempt}. Conclusion: fields of messages to targets have names.

--- a/rattanroute/servers/targets.py
+++ b/rattanroute/servers/targets.py
@@ -176,7 +176,10 @@
         report.leaving = report.leaving or leaving or (stays and known.leaving)
         self.announce(report)
         self.metrics.target_reports.inc({"verdict": "accepted"})
-        acknowledged = self.state(report, body.usage)
+        acknowledged = [
+            {"request_id": request_id, "attempt": attempt}
+            for request_id, attempt in self.state(report, body.usage)
+        ]
         return web.json_response({"acknowledged": acknowledged})
 
     def is_accepted(self, http_request: web.Request) -> bool:
