Prove that a caller receives its whole own answer

Cause: no test with real processes showed that callers get complete answers while engines misbehave, links reset and engines die. Change: test_streams.py; answers keep their headers case-insensitively. Failed try: sequential requests never met a fault again after the first one, because a suspected engine gets requests only while the other one is full; rounds now fill both engines.

--- a/rattanroute/tests/integration/support.py
+++ b/rattanroute/tests/integration/support.py
@@ -1,6 +1,7 @@
 """Callers and clusters for tests that run real processes."""
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 import time
 import unittest
@@ -39,9 +40,14 @@
     error: dict[str, object] | None = None
     done: bool = False
     body: dict[str, object] | None = None
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     token_times: list[float] = dataclasses.field(default_factory=list)
 
+    @property
+    def request_id(self) -> str:
+        """Identifier that the router gave the request."""
+        return self.headers.get("X-Request-Id", "")
+
     @property
     def route(self) -> str:
         """Targets that served the request."""
@@ -155,7 +161,7 @@
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS),
             ) as response:
                 answer.status = response.status
-                answer.headers = dict(response.headers)
+                answer.headers = response.headers
                 if response.status != 200:
                     answer.error = (await response.json())["error"]
                     return answer
@@ -188,7 +194,7 @@
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS),
             ) as response:
                 answer.status = response.status
-                answer.headers = dict(response.headers)
+                answer.headers = response.headers
                 content = await response.json()
         except aiohttp.ClientError:
             return answer
--- /dev/null
+++ b/rattanroute/tests/integration/test_streams.py
@@ -0,0 +1,205 @@
+"""Streamed answers while engines and links fail."""
+
+import asyncio
+import time
+
+from rattanroute.standins.models import reference_tokens
+from rattanroute.tests.integration.support import CallerAnswer
+from rattanroute.tests.integration.support import ClusterTestCase
+from rattanroute.tools.demo_configuration import LAYERS
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
+
+TOKENS = 24
+FAULT_INDEX = 7
+SLOTS = 4
+MARKER = "faulty"
+ENGINE_FAULTS = (
+    "wrong_request_id_at",
+    "duplicate_at",
+    "skip_at",
+    "malformed_at",
+    "close_at",
+)
+CANCEL_SECONDS = 2.0
+RECOVERY_SECONDS = 15.0
+
+
+class StreamTest(ClusterTestCase):
+    """A caller receives the whole answer to its own request."""
+
+    data_centres = {"dc-a": 2, "dc-b": 1}
+
+    async def start_targets(self) -> None:
+        # The faster engine is preferred, so that it meets the faults.
+        for name, data_centre, speed in (
+            ("engine-a", "dc-a", 100.0),
+            ("engine-b", "dc-b", 50.0),
+        ):
+            await self.cluster.add_engine(
+                name,
+                data_centre,
+                model="chat",
+                tokens_per_second=speed,
+                slots=SLOTS,
+            )
+
+    async def running(self, engine: str) -> int:
+        """Returns how many requests an engine is running."""
+        url = f"{self.cluster.targets[engine].url}/healthz"
+        async with self.cluster.client.get(url) as response:
+            return (await response.json())["running"]
+
+    async def positions(self, engine: str, request_id: str) -> list[int]:
+        """Returns the positions that an engine ran for a request."""
+        entries = (await self.executions(engine))["executions"]
+        return [
+            position
+            for request, _, position, layer in entries
+            if request == request_id and layer == 0
+        ]
+
+    def assert_broken(self, answer: CallerAnswer, prompt: str) -> None:
+        """Checks that a stream ended with an error event, not `[DONE]`."""
+        self.assertEqual(answer.status, 200)
+        self.assertFalse(answer.done, "the stream ended as if complete")
+        self.assertIsNotNone(answer.error, "the stream ended silently")
+        self.assertNotEqual(answer.error["execution"], "not_run")
+        expected = reference_tokens(prompt, LAYERS, TOKENS)
+        self.assertEqual(answer.tokens, expected[: len(answer.tokens)])
+
+    async def test_faulty_engine_is_replaced(self) -> None:
+        """Guards against passing on what an engine sends in error.
+
+        The engine near the caller answers for another request, duplicates
+        or skips a token, sends a malformed chunk or closes mid-stream.
+        """
+        for name in ENGINE_FAULTS:
+            with self.subTest(fault=name):
+                await self.set_target_faults(
+                    "engine-a", only_marker=MARKER, **{name: FAULT_INDEX}
+                )
+                await self.check_fault(name)
+        await self.set_target_faults("engine-a")
+
+    async def check_fault(self, name: str) -> None:
+        """Sends rounds of requests until one has met the fault.
+
+        All must complete. A round fills both engines, because an engine that
+        failed gets requests only when the other one is full.
+        """
+        ends_at = time.monotonic() + RECOVERY_SECONDS
+        while time.monotonic() < ends_at:
+            prompts = [
+                f"{MARKER if i % 4 == 0 else 'other'} {name} {i} "
+                f"{time.monotonic()}"
+                for i in range(2 * SLOTS)
+            ]
+            answers = await asyncio.gather(
+                *(self.chat("dc-a-1", text, tokens=TOKENS) for text in prompts)
+            )
+            for prompt, answer in zip(prompts, answers, strict=True):
+                self.assert_complete(answer, prompt, TOKENS)
+            for answer in answers[::4]:
+                if await self.positions("engine-a", answer.request_id):
+                    return
+        self.fail("the faulty engine was not tried")
+
+    async def test_stream_that_cannot_go_on_ends_with_error(self) -> None:
+        """Guards against `[DONE]` or a silent close of a broken answer."""
+        for name in ("engine-a", "engine-b"):
+            await self.set_target_faults(
+                name, only_marker=MARKER, close_at=FAULT_INDEX
+            )
+        prompt = f"a {MARKER} answer everywhere"
+        answer = await self.chat("dc-a-1", prompt, tokens=TOKENS)
+        self.assert_broken(answer, prompt)
+        self.assertEqual(len(answer.tokens), FAULT_INDEX)
+        await self.check_all_engines_killed()
+
+    async def check_all_engines_killed(self) -> None:
+        """Kills both engines in the middle of a stream."""
+        for name in ("engine-a", "engine-b"):
+            await self.set_target_faults(name)
+
+        async def on_token(count: int) -> None:
+            if count == FAULT_INDEX:
+                await self.cluster.kill("engine-a")
+                await self.cluster.kill("engine-b")
+
+        prompt = "an answer that no engine can finish"
+        answer = await self.chat(
+            "dc-a-2",
+            prompt,
+            tokens=TOKENS,
+            on_token=on_token,
+            headers={"X-Deadline-Ms": "10000"},
+        )
+        self.assert_broken(answer, prompt)
+
+    async def test_streams_survive_reset_and_kill(self) -> None:
+        """Guards against mixed, cut or repeated answers of many callers.
+
+        The proxy resets the engine's connections mid-stream; then the engine
+        is killed under load; then a caller goes away.
+        """
+        await self.check_caller_gone()
+        await self.cluster.set_faults(
+            Fault(
+                route="target:engine-a",
+                kind=FaultKind.RESET,
+                after_bytes=1500,
+            )
+        )
+        await self.check_callers("reset")
+        await self.cluster.set_faults()
+
+        async def kill(count: int) -> None:
+            if count == FAULT_INDEX:
+                await self.cluster.kill("engine-a")
+
+        await self.check_callers("kill", on_token=kill)
+
+    async def check_callers(self, topic: str, on_token: object = None) -> None:
+        """Sends several requests at once and checks each answer."""
+        vms = list(self.cluster.vms)
+        prompts = [f"{topic} question {i} of many" for i in range(9)]
+        answers = await asyncio.gather(
+            *(
+                self.chat(
+                    vms[i % len(vms)],
+                    prompt,
+                    tokens=TOKENS + i,
+                    on_token=on_token if i == 0 else None,
+                )
+                for i, prompt in enumerate(prompts)
+            )
+        )
+        for i, (prompt, answer) in enumerate(
+            zip(prompts, answers, strict=True)
+        ):
+            self.assert_complete(answer, prompt, TOKENS + i)
+
+    async def check_caller_gone(self) -> None:
+        """Closes a caller's connection mid-stream: the engine must stop."""
+        reached = asyncio.Event()
+
+        async def on_token(count: int) -> None:
+            if count == 3:
+                reached.set()
+
+        task = asyncio.create_task(
+            self.chat("dc-a-1", "a long answer", tokens=2000, on_token=on_token)
+        )
+        await asyncio.wait_for(reached.wait(), 10)
+        total = await self.running("engine-a") + await self.running("engine-b")
+        self.assertEqual(total, 1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+        async def is_idle() -> bool:
+            return not (
+                await self.running("engine-a") + await self.running("engine-b")
+            )
+
+        await self.wait_for(is_idle, seconds=CANCEL_SECONDS)
