--- a/rattanroute/tests/integration/support.py
+++ b/rattanroute/tests/integration/support.py
@@ -179,10 +179,11 @@
         idempotency_key: str = "",
         key: str = CALLER_KEY,
         service: str = SERVICE,
+        headers: dict[str, str] | None = None,
     ) -> CallerAnswer:
         """Calls an operation of a service."""
         answer = CallerAnswer()
-        headers = {"Authorization": f"Bearer {key}"}
+        headers = {"Authorization": f"Bearer {key}", **(headers or {})}
         if idempotency_key:
             headers["Idempotency-Key"] = idempotency_key
         url = self.cluster.vms[vm].callers_url
--- /dev/null
+++ b/rattanroute/tests/integration/test_claims.py
@@ -0,0 +1,225 @@
+"""Calls of services that must run at most once, while VMs and links fail."""
+
+import asyncio
+import collections
+from collections.abc import Iterable
+import itertools
+import time
+
+from rattanroute.tests.integration.support import CallerAnswer
+from rattanroute.tests.integration.support import ClusterTestCase
+from rattanroute.tools.proxies import Direction
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
+
+SERVICES = ("records-a", "records-b")
+SERVICE_DELAY_SECONDS = 0.3
+REPEATED_HEADER = "Idempotent-Replayed"
+LOAD_SECONDS = 8.0
+RECOVERY_SECONDS = 15.0
+REFUSAL_SECONDS = 5.0
+
+
+class AtMostOnceTest(ClusterTestCase):
+    """A record or an order runs at most once."""
+
+    data_centres = {"dc-a": 3, "dc-b": 3}
+
+    async def start_targets(self) -> None:
+        for name, data_centre in zip(SERVICES, ("dc-a", "dc-b"), strict=True):
+            await self.cluster.add_service(
+                name, data_centre, delay_s=SERVICE_DELAY_SECONDS
+            )
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.cluster.wait_claims()
+
+    async def write(self, vm: str, key: str) -> CallerAnswer:
+        """Sends a record under a key."""
+        return await self.call(vm, "record", {"key": key}, idempotency_key=key)
+
+    async def count_runs(self) -> collections.Counter[str]:
+        """Returns how often the record of each key ran."""
+        runs: collections.Counter[str] = collections.Counter()
+        for name in SERVICES:
+            for entry in (await self.executions(name))["executions"]:
+                runs[entry[3]["key"]] += 1
+        return runs
+
+    async def assert_at_most_once(self) -> collections.Counter[str]:
+        """Checks that no record ran twice and returns the counts."""
+        runs = await self.count_runs()
+        twice = {key: count for key, count in runs.items() if count > 1}
+        self.assertEqual(twice, {})
+        return runs
+
+    async def assert_first_answer(
+        self, key: str, first: CallerAnswer, vms: Iterable[str]
+    ) -> None:
+        """Checks that repeats at VMs get the first answer."""
+        for vm in vms:
+            again = await self.write(vm, key)
+            self.assertEqual(again.status, 200, (vm, key, again.error))
+            self.assertEqual(again.headers.get(REPEATED_HEADER), "true")
+            self.assertEqual(again.body, first.body)
+
+    async def wait_written(self, vm: str, key: str) -> CallerAnswer:
+        """Sends a record until it is answered."""
+        answers: list[CallerAnswer] = []
+
+        async def is_written() -> bool:
+            answers.append(await self.write(vm, key))
+            return answers[-1].status == 200
+
+        await self.wait_for(is_written, seconds=RECOVERY_SECONDS)
+        return answers[-1]
+
+    async def test_same_key_at_several_vms(self) -> None:
+        """Guards against a second run when callers repeat a call elsewhere.
+
+        The same key goes to all VMs at once, and again after success. Then
+        the entry VM is killed in the middle of calls and restarted without
+        memory.
+        """
+        vms = list(self.cluster.vms)
+        keys = [f"{p}same-{i}" for p in ("dc-a/", "dc-b/", "") for i in (1, 2)]
+        calls = list(itertools.product(keys, vms))
+        answers = await asyncio.gather(*(self.write(v, k) for k, v in calls))
+        first: dict[str, CallerAnswer] = {}
+        for (key, _), answer in zip(calls, answers, strict=True):
+            if answer.status == 200:
+                known = first.setdefault(key, answer)
+                self.assertEqual(answer.body, known.body)
+            else:
+                self.assertEqual(answer.error["execution"], "unknown")
+        for key in keys:
+            # Claims that collide may all be refused; a later one succeeds.
+            answer = await self.wait_written(vms[0], key)
+            self.assertEqual(answer.body, first.setdefault(key, answer).body)
+            await self.assert_first_answer(key, first[key], vms)
+        runs = await self.assert_at_most_once()
+        self.assertEqual(set(runs), set(keys))
+        await self.check_entry_killed(keys, first)
+
+    async def check_entry_killed(
+        self, done: list[str], first: dict[str, CallerAnswer]
+    ) -> None:
+        """Kills the entry VM between the run and its answer.
+
+        The callers repeat their calls elsewhere.
+        """
+        await self.cluster.set_faults(
+            Fault(
+                route="target:records-*",
+                kind=FaultKind.DELAY,
+                direction=Direction.TO_CLIENT,
+                seconds=2 * SERVICE_DELAY_SECONDS,
+            )
+        )
+        keys = [f"{p}killed-{i}" for p in ("dc-a/", "dc-b/") for i in (1, 2, 3)]
+        tasks = [asyncio.create_task(self.write("dc-a-2", k)) for k in keys]
+        await asyncio.sleep(2 * SERVICE_DELAY_SECONDS)
+        await self.cluster.kill("dc-a-2")
+        await self.cluster.set_faults()
+        await asyncio.gather(*tasks)
+        others = ("dc-a-1", "dc-b-1", "dc-b-2")
+        for vm in others:
+            await asyncio.gather(*(self.write(vm, key) for key in keys))
+        runs = await self.assert_at_most_once()
+        self.assertTrue(all(runs[key] for key in keys), runs)
+        answer = await self.write("dc-a-1", "dc-a/after-kill")
+        self.assertEqual(answer.status, 200, answer.error)
+        await self.cluster.start_vm("dc-a-2")
+        await self.cluster.wait_ready("dc-a-2")
+        await self.wait_written("dc-a-2", "dc-a/after-restart")
+        await asyncio.gather(*(self.write("dc-a-2", key) for key in keys))
+        for key in done:
+            await self.assert_first_answer(key, first[key], ("dc-a-2",))
+        await self.assert_at_most_once()
+
+    async def test_claim_holders_fail_under_load(self) -> None:
+        """Guards against a forgotten claim when its holders lose memory.
+
+        One holder after the other is killed and restarted while callers
+        send each key to two VMs; then one is frozen.
+        """
+        ends_at = time.monotonic() + LOAD_SECONDS
+        answered: dict[str, dict[str, object]] = {}
+
+        async def work(worker: int) -> None:
+            for i in itertools.count():
+                if time.monotonic() > ends_at:
+                    return
+                key = f"dc-a/load-{worker}-{i}"
+                for vm in ("dc-a-1", f"dc-b-{worker % 3 + 1}"):
+                    answer = await self.write(vm, key)
+                    if answer.status == 200:
+                        known = answered.setdefault(key, answer.body)
+                        self.assertEqual(answer.body, known)
+
+        workers = [asyncio.create_task(work(i)) for i in range(6)]
+        for name in ("dc-a-3", "dc-a-2"):
+            await asyncio.sleep(0.5)
+            await self.cluster.kill(name)
+            await asyncio.sleep(1.0)
+            await self.cluster.start_vm(name)
+            await self.cluster.wait_ready(name)
+            await asyncio.sleep(1.0)
+        await asyncio.gather(*workers)
+        runs = await self.assert_at_most_once()
+        lost = [key for key in answered if runs[key] != 1]
+        self.assertEqual(lost, [])
+        self.assertGreater(len(answered), 20)
+        # Both holders without a disk have lost their memory by now.
+        for key, body in answered.items():
+            again = await self.write("dc-a-2", key)
+            self.assertEqual(again.body, body, again.error)
+        await self.assert_at_most_once()
+        await self.check_frozen_holder()
+
+    async def check_frozen_holder(self) -> None:
+        """Freezes a holder: the others grant; it learns what it missed."""
+        self.cluster.freeze("dc-a-3")
+        first = {}
+        for i in range(3):
+            key = f"dc-a/frozen-{i}"
+            first[key] = await self.wait_written(f"dc-a-{i % 2 + 1}", key)
+        self.cluster.thaw("dc-a-3")
+        for key, answer in first.items():
+            await self.wait_written("dc-a-3", key)
+            await self.assert_first_answer(key, answer, ("dc-a-3", "dc-b-1"))
+        await self.assert_at_most_once()
+
+    async def test_cut_data_centre_keeps_own_keys(self) -> None:
+        """Guards against a second run, or no run, on both sides of a cut."""
+        before = await self.write("dc-a-2", "dc-b/before")
+        self.assertEqual(before.status, 200, before.error)
+        await self.cluster.set_faults(*self.cluster.cut_data_centre("dc-b"))
+        await asyncio.sleep(3.5)
+        own: dict[str, CallerAnswer] = {}
+        for vm in self.cluster.vms:
+            key = f"{vm[:4]}/cut-{vm}"
+            own[key] = await self.write(vm, key)
+            self.assertEqual(own[key].status, 200, (key, own[key].error))
+        far: dict[str, CallerAnswer] = {}
+        for vm, key in (
+            ("dc-a-1", "dc-b/far-1"),
+            ("dc-b-2", "dc-a/far-2"),
+            ("dc-a-1", "dc-b/before"),
+        ):
+            started = time.monotonic()
+            far[key] = await self.write(vm, key)
+            self.assertLess(time.monotonic() - started, REFUSAL_SECONDS)
+            self.assertNotEqual(far[key].status, 200)
+        runs = await self.assert_at_most_once()
+        for key in ("dc-b/far-1", "dc-a/far-2"):
+            self.assertEqual(runs[key], 0, far[key].error)
+        self.assertEqual(far["dc-b/before"].error["execution"], "unknown")
+        await self.cluster.set_faults()
+        for key in ("dc-b/far-1", "dc-a/far-2", "dc-b/before"):
+            await self.wait_written("dc-a-2", key)
+        await self.assert_first_answer("dc-b/before", before, ("dc-a-1",))
+        for key, answer in own.items():
+            await self.assert_first_answer(key, answer, ("dc-a-1", "dc-b-1"))
+        await self.assert_at_most_once()
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -229,6 +229,11 @@
         await self.put_control("routes", self.routes)
         self.routes_open = True
 
+    async def close_route(self, name: str) -> None:
+        """Closes a route's port, so that connections to it are refused."""
+        self.routes = [route for route in self.routes if route.name != name]
+        await self.send_routes()
+
     async def put_control(self, path: str, items: list[object]) -> None:
         """Replaces a list of the proxy."""
         url = f"http://{self.network}.0.1:{PROXY_CONTROL_PORT}/{path}"
