--- a/rattanroute/tests/integration/test_refusals.py
+++ b/rattanroute/tests/integration/test_refusals.py
@@ -143,6 +143,7 @@
         """
         answers: list[CallerAnswer] = []
         for topic, faults in (
+            ("early", {"close_at": 0}),
             ("broken", {"close_at": 3}),
             ("refusing", {"refuse": True}),
         ):
--- /dev/null
+++ b/rattanroute/tests/integration/test_stops.py
@@ -0,0 +1,166 @@
+"""Planned stops of entry VMs under load."""
+
+import asyncio
+import itertools
+import time
+
+import aiohttp
+
+from rattanroute.tests.integration.support import CallerAnswer
+from rattanroute.tests.integration.support import ClusterTestCase
+
+ENGINES = {"engine-a": "dc-a", "engine-b": "dc-b"}
+SERVICES = {"records-a": "dc-a", "records-b": "dc-b"}
+TOKENS = 60
+CHECK_SECONDS = 0.2
+CALL_SECONDS = 15.0
+
+
+class PlannedStopTest(ClusterTestCase):
+    """A planned stop interrupts no request."""
+
+    data_centres = {"dc-a": 3, "dc-b": 3}
+
+    async def start_targets(self) -> None:
+        for name, data_centre in ENGINES.items():
+            await self.cluster.add_engine(
+                name,
+                data_centre,
+                model="chat",
+                slots=32,
+                tokens_per_second=40.0,
+            )
+        for name, data_centre in SERVICES.items():
+            await self.cluster.add_service(name, data_centre, delay_s=0.5)
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.cluster.wait_claims()
+        self.ready: set[str] = set(self.cluster.vms)
+        self.under_load = True
+        self.served = 0
+
+    async def check_ready(self) -> None:
+        """Asks all VMs at an interval whether they are ready."""
+        while self.under_load:
+            await asyncio.gather(*map(self.check_vm, self.cluster.vms))
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def check_vm(self, vm: str) -> None:
+        """Does the balancer's check of one VM."""
+        url = f"{self.cluster.vms[vm].callers_url}/readyz"
+        try:
+            async with self.cluster.client.get(
+                url, timeout=aiohttp.ClientTimeout(total=1)
+            ) as response:
+                ready = response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            ready = False
+        (self.ready.add if ready else self.ready.discard)(vm)
+
+    async def send(self, worker: int, send: object) -> CallerAnswer:
+        """Sends a request as a balancer does: to VMs that are ready.
+
+        A refusal of a VM that stops, or that is not ready yet, goes
+        elsewhere.
+        """
+        ends_at = time.monotonic() + CALL_SECONDS
+        answer = CallerAnswer()
+        for i in itertools.count(worker):
+            ready = sorted(self.ready)
+            if ready:
+                answer = await send(ready[i % len(ready)])
+                kind = (answer.error or {}).get("type")
+                if kind not in ("stopping", "not_ready"):
+                    break
+            else:
+                await asyncio.sleep(CHECK_SECONDS)
+            self.assertLess(time.monotonic(), ends_at, answer.error)
+        return answer
+
+    async def load_chats(self, worker: int) -> None:
+        """Sends chat requests until the load ends."""
+        for i in itertools.count():
+            if not self.under_load:
+                return
+            prompt = f"stop {worker} question {i}"
+            answer = await self.send(
+                worker + i, lambda vm, text=prompt: self.chat(vm, text)
+            )
+            self.assert_complete(answer, prompt)
+            self.served += 1
+
+    async def load_writes(self, worker: int) -> None:
+        """Sends records until the load ends."""
+        for i in itertools.count():
+            if not self.under_load:
+                return
+            key = f"dc-{'ab'[i % 2]}/stop-{worker}-{i}"
+            answer = await self.send(
+                worker + i,
+                lambda vm, key=key: self.call(
+                    vm, "record", {"key": key}, idempotency_key=key
+                ),
+            )
+            self.assertEqual(answer.status, 200, (key, answer.error))
+            self.served += 1
+
+    async def count_runs(self) -> dict[str, int]:
+        """Returns how often the record of each key ran."""
+        runs: dict[str, int] = {}
+        for name in SERVICES:
+            for entry in (await self.executions(name))["executions"]:
+                runs[entry[3]["key"]] = runs.get(entry[3]["key"], 0) + 1
+        return runs
+
+    async def test_stop_of_entry_vm_cuts_nothing(self) -> None:
+        """Guards against a planned stop that cuts streams or writes."""
+        prompts = [f"a long answer {i}" for i in range(6)]
+        chats = [
+            asyncio.create_task(self.chat("dc-a-2", text, tokens=TOKENS))
+            for text in prompts
+        ]
+        await asyncio.sleep(0.4)
+        keys = [f"dc-a/stop-{i}" for i in range(6)]
+        writes = [
+            asyncio.create_task(
+                self.call("dc-a-2", "record", {"key": k}, idempotency_key=k)
+            )
+            for k in keys
+        ]
+        await asyncio.sleep(0.1)
+        stopped = asyncio.create_task(self.cluster.stop("dc-a-2"))
+        await asyncio.sleep(0.2)
+        late = await self.chat("dc-a-2", "too late")
+        self.assertEqual(late.error["type"], "stopping")
+        self.assertEqual(late.error["execution"], "not_run")
+        for prompt, answer in zip(
+            prompts, await asyncio.gather(*chats), strict=True
+        ):
+            self.assert_complete(answer, prompt, TOKENS)
+        for answer in await asyncio.gather(*writes):
+            self.assertEqual(answer.status, 200, answer.error)
+        self.assertEqual(await stopped, 0)
+        self.assertEqual(await self.count_runs(), dict.fromkeys(keys, 1))
+
+    async def test_rolling_restart_under_load(self) -> None:
+        """Guards against requests that a rolling restart loses or repeats.
+
+        Each VM in turn, voters and claim holders among them, is stopped and
+        started while a balancer sends chats and records.
+        """
+        checks = asyncio.create_task(self.check_ready())
+        workers = [
+            asyncio.create_task(load(worker))
+            for worker in range(4)
+            for load in (self.load_chats, self.load_writes)
+        ]
+        for name in self.cluster.vms:
+            self.assertEqual(await self.cluster.stop(name), 0)
+            await self.cluster.start_vm(name)
+            await self.cluster.wait_ready(name)
+        await asyncio.sleep(1.0)
+        self.under_load = False
+        await asyncio.gather(checks, *workers)
+        self.assertGreater(self.served, 100)
+        self.assertEqual(set((await self.count_runs()).values()), {1})
