Close connections without a request and trace each pipeline stage

Cause: aiohttp waits for the headers of a first request without a limit. Change: a guarded listener aborts such connections after 10 s; a pipeline attempt has a span for each stage.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -28,6 +28,9 @@
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
 from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.listeners import ConnectionGuard
+from rattanroute.servers.listeners import GuardedSite
+from rattanroute.servers.listeners import KEEPALIVE_SECONDS
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
@@ -295,15 +298,19 @@
         self, application: web.Application, address: str
     ) -> None:
         """Opens an HTTP interface."""
+        guard = ConnectionGuard()
+        application.middlewares.append(guard.middleware)
         runner = web.AppRunner(
             application,
             access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
             handler_cancellation=True,
             shutdown_timeout=self.settings.limits.shutdown_grace_s,
         )
         await runner.setup()
         host, port = parse_address(address)
-        await web.TCPSite(runner, host, port).start()
+        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        await site.start()
         self.runners.append(runner)
 
     def build_targets_server(self) -> TargetsServer:
--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -195,6 +195,7 @@
         names = tuple(hop.target_id for hop in dispatch.chain)
         self.route.append(",".join(names))
         span = self.start_attempt_span(dispatch)
+        stages = self.start_stage_spans(dispatch, span)
         self.attempt = dispatch.attempt
         self.attempt_tokens = 0
         self.dispatch_tokens = 0
@@ -215,7 +216,8 @@
             raise
         finally:
             self.scope = None
-            span.end()
+            for item in (*stages, span):
+                item.end()
         self.record(dispatch, event, started, describe_outcome(event))
         self.host.handle(event)
 
@@ -229,6 +231,25 @@
             target=",".join(hop.target_id for hop in dispatch.chain),
         )
 
+    def start_stage_spans(
+        self, dispatch: Dispatch, parent: trace.Span
+    ) -> list[trace.Span]:
+        """Starts a span for each stage of a pipeline."""
+        if len(dispatch.chain) == 1:
+            return []
+        context = trace.set_span_in_context(parent)
+        return [
+            self.host.traces.start(
+                "stage",
+                request_id=self.request.request_id,
+                parent=context,
+                target=hop.target_id,
+                first_layer=hop.first_layer,
+                last_layer=hop.last_layer,
+            )
+            for hop in dispatch.chain
+        ]
+
     async def execute(
         self, dispatch: Dispatch, span: trace.Span
     ) -> AttemptSucceeded | AttemptFailed:
