Plan pipelines over layer-range targets and measure links between VMs

Cause: models that only layer-range targets hold were refused. Change: the core plans chains; link delays come from the round trip of each new peer stream. Statements of layer-split targets are still disputed.

--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -76,6 +76,7 @@
         self.on_state = on_state
         self.tls = tls
         self.peer = ""
+        self.round_trip_s: float | None = None
         self.queue: collections.deque[tuple[int, bytes]] = collections.deque()
         self.queued_bytes = 0
         self.wakeup = asyncio.Event()
@@ -118,10 +119,13 @@
                 metadata=self.metadata()
             ) as stream:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                    await stream.send_request()
+                    sent_at = time.monotonic()
                     await stream.send_message(
                         Frame(vm_id=self.vm_id, address=self.own_address)
                     )
                     hello = await stream.recv_message()
+                    self.round_trip_s = time.monotonic() - sent_at
                 if hello is None:
                     return
                 self.peer = hello.vm_id
@@ -272,6 +276,14 @@
         self.addresses[peer] = address
         self.on_state(peer, connected)
 
+    def round_trips(self) -> dict[str, float]:
+        """Returns the round trip to each peer with an open link, in seconds."""
+        return {
+            link.peer: link.round_trip_s
+            for link in self.links.values()
+            if link.round_trip_s is not None
+        }
+
     def send(self, *, peer: str, message: object) -> bool:
         """Queues a message; returns False when no address is known."""
         address = self.addresses.get(peer)
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -353,6 +353,7 @@
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
         self.ledger.update_holders()
+        self.router.note_delays(self.measure_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
         self.metrics.known_targets.set({}, len(self.targets))
         self.metrics.live_members.set({}, len(self.membership.alive()))
@@ -362,6 +363,17 @@
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
 
+    def measure_delays(self) -> dict[str, float]:
+        """Returns the least one-way delay to each other data centre."""
+        delays: dict[str, float] = {}
+        for peer, seconds in self.links.round_trips().items():
+            member = self.membership.get(peer)
+            if member is None:
+                continue
+            name = member.data_centre
+            delays[name] = min(delays.get(name, seconds), seconds / 2)
+        return delays
+
     async def stop(self) -> None:
         """Stops as planned: serves what it has, then closes everything."""
         self.stopping = True
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -12,10 +12,13 @@
 from rattanroute.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.systems.pipelines import PipelinePlanner
 from rattanroute.systems.quarantines import QuarantineSystem
 from rattanroute.systems.shares import SharesSystem
 from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.links import LinkTable
 from rattanroute.tables.requests import RequestTable
+from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetTable
 
 
@@ -84,6 +87,16 @@
         self.quarantines = QuarantineSystem(
             vm_id=settings.vm_id, peers=view.others, random=random
         )
+        self.links = LinkTable()
+        self.data_centre = settings.data_centre
+        self.targets = targets
+        self.configuration = configuration
+        planner = PipelinePlanner(
+            data_centre=settings.data_centre,
+            links=self.links,
+            eligible=self.is_eligible,
+            rng=random,
+        )
         self.core = RequestCore(
             vm_id=settings.vm_id,
             data_centre=settings.data_centre,
@@ -95,10 +108,28 @@
                 heartbeat_timeout_s=timeout_s,
             ),
             random=random,
+            planner=planner,
             gate=self.shares,
             quarantines=self.quarantines,
         )
 
+    def is_eligible(self, row: Target, now: float) -> bool:
+        """Returns whether a target may get a stage of a pipeline."""
+        drained = self.configuration().drained_targets
+        return self.core.routing.is_open(row, drained, now)
+
+    def note_delays(self, delays: dict[str, float]) -> None:
+        """Takes measured one-way delays to other data centres, in seconds."""
+        for data_centre, delay_s in delays.items():
+            self.links.record(
+                source=self.data_centre,
+                destination=data_centre,
+                delay_s=delay_s,
+            )
+        for row in self.targets:
+            link = self.links.get(self.data_centre, row.report.data_centre)
+            row.link_seconds = link.delay_s
+
     def handle(self, event: Event) -> None:
         """Passes an event to the core and executes its actions."""
         self.execute(self.core.handle(event, now=time.monotonic()))
