--- a/rattanroute/servers/callers.py
+++ b/rattanroute/servers/callers.py
@@ -183,22 +183,22 @@
         request = self.build_request(
             http_request, workspace, body, request_id, value
         )
-        stream = None
-        if body.stream:
-            stream = ChatStream(
-                http_request=http_request,
-                request_id=request_id,
-                model=body.model,
-                headers=self.describe_route(request_id, None),
-            )
-        write = stream.write if stream else discard
         session = ChatSession(
             host=self.host,
             request=request,
             span=span,
             body=value,
-            write=write,
+            write=discard,
+        )
+        if not body.stream:
+            return session, None
+        stream = ChatStream(
+            http_request=http_request,
+            request_id=request_id,
+            model=body.model,
+            headers=lambda: self.describe_route(request_id, session),
         )
+        session.write = stream.write
         return session, stream
 
     async def finish_chat(
--- a/rattanroute/servers/streams.py
+++ b/rattanroute/servers/streams.py
@@ -1,5 +1,6 @@
 """Server-sent events of a chat completion."""
 
+from collections.abc import Callable
 import time
 
 from aiohttp import web
@@ -22,7 +23,7 @@
         http_request: The caller's request.
         request_id: Identifier of the request.
         model: Model name.
-        headers: Headers of the response.
+        headers: Returns the headers of the response when it starts.
     """
 
     def __init__(
@@ -31,11 +32,12 @@
         http_request: web.Request,
         request_id: str,
         model: str,
-        headers: dict[str, str],
+        headers: Callable[[], dict[str, str]],
     ) -> None:
         self.http_request = http_request
         self.request_id = request_id
-        self.response = web.StreamResponse(headers=headers)
+        self.headers = headers
+        self.response = web.StreamResponse()
         self.started = False
         created = int(time.time())
         opening = msgspec.json.encode(
@@ -60,6 +62,7 @@
     async def start(self) -> None:
         """Sends the status and headers."""
         self.started = True
+        self.response.headers.update(self.headers())
         self.response.content_type = "text/event-stream"
         self.response.headers["Cache-Control"] = "no-store"
         await self.response.prepare(self.http_request)
--- a/rattanroute/standins/stages.py
+++ b/rattanroute/standins/stages.py
@@ -232,13 +232,15 @@
         """States the usage of a session that ran a position."""
         if session.seconds == 0.0:
             return
+        # The last position of the prefill leads to the first token.
+        tokens_out = session.tokens_out + (session.tokens_in > 0)
         self.host.state_usage(
             UsageStatement(
                 request_id=session.request_id,
                 attempt=session.attempt,
                 account=session.account,
                 tokens_in=session.tokens_in,
-                tokens_out=session.tokens_out,
+                tokens_out=tokens_out,
                 seconds=session.seconds,
                 layers=len(session.layers),
             )
--- a/rattanroute/tools/demo.py
+++ b/rattanroute/tools/demo.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 import sys
 import time
@@ -24,6 +25,8 @@
 ACCOUNTS_TIMEOUT_SECONDS = 15.0
 POLL_SECONDS = 0.2
 EXPECTED_TARGETS = 8
+# Three chat requests and one record; a repeat is not counted.
+ACCOUNTED = (4, 3 * TOKENS)
 
 
 class DemoError(Exception):
@@ -156,18 +159,34 @@
 
 
 async def show_accounts(cluster: LocalCluster) -> None:
-    """Waits until the accounts show the requests and prints them."""
+    """Waits until the accounts match the requests and prints them.
+
+    The targets state their work in heartbeats; each attempt is confirmed when
+    the statements of all its targets agree with the entry VM's report.
+    """
     ends_at = time.monotonic() + ACCOUNTS_TIMEOUT_SECONDS
     while True:
-        result = await cluster.run_tool("accounts")
+        result = await cluster.run_tool("--output=json", "accounts")
         check(result.code == 0, result.errors)
-        complete = "notes" in result.output and "advice" in result.output
-        if complete:
-            click.echo("accounts:")
-            click.echo(result.output.rstrip())
-            return
-        check(time.monotonic() < ends_at, f"accounts lack: {result.output}")
+        accounts = json.loads(result.output)
+        totals = accounts["totals"]
+        requests = sum(int(row["requests"]) for row in totals)
+        tokens = sum(int(row["tokens_out"]) for row in totals)
+        open_states = [
+            row["state"]
+            for row in accounts["unsettled"]
+            if row["state"] != "confirmed" and int(row["attempts"])
+        ]
+        if (requests, tokens) == ACCOUNTED and not open_states:
+            break
+        check(
+            time.monotonic() < ends_at,
+            f"accounts: {requests} requests, {tokens} tokens, {open_states}",
+        )
         await asyncio.sleep(POLL_SECONDS)
+    result = await cluster.run_tool("accounts")
+    click.echo("accounts:")
+    click.echo(result.output.rstrip())
 
 
 async def run_demo() -> None:
