Let requests wait for a target that is being probed

Cause: a focused test of half-open probing saw a request refused as having no target while the probe of the only target was running. Conclusion: a single target that recovers serves what waits for it.

--- a/rattanroute/systems/drains.py
+++ b/rattanroute/systems/drains.py
@@ -6,6 +6,8 @@
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetHealth
 
+SOON_SECONDS = 1.0
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class DrainSystem:
@@ -18,9 +20,22 @@
 
     heartbeat_timeout_s: float
 
-    def is_fresh(self, row: Target, now: float) -> bool:
-        """Tells whether the target was heard of recently."""
-        return now - row.heard_at <= self.heartbeat_timeout_s
+    def serves(self, row: Target, drained: Set[str], now: float) -> bool:
+        """Tells whether a target may get new work now or soon.
+
+        A request can wait for a target that is being probed or that asked to
+        be left alone for a moment.
+        """
+        if row.health is TargetHealth.PROBING:
+            return (
+                not row.report.leaving
+                and now - row.heard_at <= self.heartbeat_timeout_s
+                and row.report.target_id not in drained
+            )
+        blocked = row.blocked_until - now
+        if 0 < blocked <= SOON_SECONDS:
+            return self.admits(row, drained, row.blocked_until)
+        return self.admits(row, drained, now)
 
     def admits(self, row: Target, drained: Set[str], now: float) -> bool:
         """Tells whether a target may get new work.
--- a/rattanroute/systems/routing.py
+++ b/rattanroute/systems/routing.py
@@ -273,14 +273,14 @@
         return max(1.0, ratio * limit - request.tokens_out)
 
     def usable(self, key: PoolKey, avoid: Set[str], now: float) -> bool:
-        """Tells whether some target may run a request, slots aside."""
+        """Tells whether some target may run a request now or soon."""
         pool = self.targets.pool(key)
         if pool is None:
             return False
         drained = self.configuration().drained_targets
         return any(
             row.report.target_id not in avoid
-            and self.drains.admits(row, drained, now)
+            and self.drains.serves(row, drained, now)
             for row in pool.members.rows
         )
 
--- /dev/null
+++ b/rattanroute/tests/test_detections.py
@@ -0,0 +1,130 @@
+"""Tests of the detection of failing targets."""
+
+import unittest
+
+from rattanroute.actions import CancelAttempt
+from rattanroute.actions import Dispatch
+from rattanroute.events import AttemptStarted
+from rattanroute.events import AttemptSucceeded
+from rattanroute.events import Provenance
+from rattanroute.events import RequestArrived
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.systems.detections import MAX_BACKOFF_SECONDS
+from rattanroute.systems.detections import MAX_FAILURES
+from rattanroute.tables.targets import TargetHealth
+from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.support import build_report
+from rattanroute.tests.support import build_request
+from rattanroute.tests.test_cores import build_core
+from rattanroute.tests.test_cores import fail
+
+
+def build_system(count: int) -> DetectionSystem:
+    """Builds a system over a pool of targets t0, t1, ..."""
+    targets = TargetTable()
+    for number in range(count):
+        targets.record(
+            report=build_report(f"t{number}"), observer="x", heard_at=0.0
+        )
+    return DetectionSystem(targets=targets)
+
+
+def break_target(system, target_id: str, now: float = 0.0) -> TargetHealth:
+    """Lets attempts fail until the target is ejected or kept."""
+    row = system.targets.get(target_id)
+    for _ in range(MAX_FAILURES):
+        system.note_failure(row, crashed=False, retry_after_s=None, now=now)
+    return row.health
+
+
+class DetectionTest(unittest.TestCase):
+    """Guards against failing targets in service and emptied pools."""
+
+    def test_consecutive_failures_eject_and_one_probe_restores(self) -> None:
+        core = build_core(build_report("t1"), build_report("t2"))
+        row = core.targets.get("t1")
+        self.assertIs(break_target(core.detections, "t1"), TargetHealth.EJECTED)
+        for other in core.targets:
+            other.heard_at = 1.5
+        core.tick(now=1.5)
+        self.assertIs(row.health, TargetHealth.PROBING)
+        core.targets.get("t2").blocked_until = 99.0
+        sent = core.handle(RequestArrived(request=build_request("r1")), now=1.5)
+        self.assertEqual(sent[0].chain[0].target_id, "t1")
+        waiting = build_request("r2")
+        self.assertEqual(
+            core.handle(RequestArrived(request=waiting), now=1.5), []
+        )
+        done = AttemptSucceeded(request_id="r1", attempt=1, tokens_out=5)
+        _, sent = core.handle(done, now=1.6)
+        self.assertIs(row.health, TargetHealth.HEALTHY)
+        self.assertIsInstance(sent, Dispatch)
+
+    def test_flapping_target_stays_out_longer_each_time(self) -> None:
+        system = build_system(3)
+        row = system.targets.get("t0")
+        waits = []
+        now = 0.0
+        for _ in range(8):
+            break_target(system, "t0", now)
+            waits.append(row.blocked_until - now)
+            now = row.blocked_until + 0.1
+            system.wake(now)
+            system.note_success(row, now)
+        self.assertEqual(waits[:4], [1.0, 2.0, 4.0, 8.0])
+        self.assertEqual(waits[-1], MAX_BACKOFF_SECONDS)
+
+    def test_faulty_observer_cannot_empty_the_pool(self) -> None:
+        for count in (1, 2, 5, 30):
+            system = build_system(count)
+            healths = [break_target(system, f"t{n}") for n in range(count)]
+            ejected = healths.count(TargetHealth.EJECTED)
+            self.assertLessEqual(ejected, max(1, 0.34 * count))
+            self.assertLess(ejected, count)
+
+    def test_slow_target_is_ejected_against_its_kind(self) -> None:
+        system = build_system(4)
+        slow, normal = system.targets.get("t0"), system.targets.get("t1")
+        for _ in range(12):
+            system.note_duration(slow, seconds=6.0, expected=1.0, now=0.0)
+            system.note_duration(normal, seconds=1.2, expected=1.0, now=0.0)
+        self.assertIs(slow.health, TargetHealth.EJECTED)
+        self.assertIs(normal.health, TargetHealth.HEALTHY)
+
+    def test_slow_first_tokens_of_streams_are_noticed(self) -> None:
+        system = build_system(4)
+        for _ in range(30):
+            for number in range(1, 4):
+                row = system.targets.get(f"t{number}")
+                system.note_start(row, seconds=0.2, now=0.0)
+            slow = system.targets.get("t0")
+            system.note_start(slow, seconds=3.0, now=0.0)
+        self.assertIs(slow.health, TargetHealth.EJECTED)
+
+    def test_silent_target_loses_repeatable_requests(self) -> None:
+        core = build_core(build_report("t1"), build_report("t2"))
+        [first] = core.handle(RequestArrived(request=build_request()), now=0.0)
+        for row in core.targets:
+            row.heard_at = 3.5
+        cancel, second = core.tick(now=3.5)
+        self.assertIsInstance(cancel, CancelAttempt)
+        self.assertNotEqual(first.chain, second.chain)
+        start = AttemptStarted(request_id="r1", attempt=2)
+        core.handle(start, now=3.6)
+        self.assertEqual(core.tick(now=9.0), [])
+
+    def test_new_incarnation_starts_with_a_clean_record(self) -> None:
+        system = build_system(3)
+        break_target(system, "t0")
+        report = build_report("t0", incarnation=1)
+        system.targets.record(report=report, observer="x", heard_at=0.1)
+        row = system.targets.get("t0")
+        self.assertIs(row.health, TargetHealth.HEALTHY)
+        self.assertEqual(row.blocked_until, 0.0)
+
+    def test_crash_ejects_at_once(self) -> None:
+        core = build_core(build_report("t1"), build_report("t2"))
+        [first] = core.handle(RequestArrived(request=build_request()), now=0.0)
+        core.handle(fail(first, Provenance.UNKNOWN, crashed=True), now=0.1)
+        row = core.targets.get(first.chain[0].target_id)
+        self.assertIs(row.health, TargetHealth.EJECTED)
