--- a/rattanroute/standins/chats.py
+++ b/rattanroute/standins/chats.py
@@ -131,7 +131,7 @@
             return error_response(503, "overloaded", Retry_After="1")
         if not host.whole:
             return error_response(400, "layer_range_only")
-        if run.body.model not in ("", host.settings.model) or not host.version:
+        if run.body.model not in ("", host.model) or not host.version:
             return error_response(404, "model_not_held")
         if run.body.version not in ("", host.version):
             return error_response(409, "version_not_held")
@@ -234,7 +234,7 @@
             {
                 "id": "another" if wrong else run.request_id,
                 "object": "chat.completion",
-                "model": self.host.settings.model,
+                "model": self.host.model,
                 "attempt": run.attempt,
                 "choices": [choice],
                 "usage": run.usage,
@@ -258,7 +258,7 @@
                 await self.write_token(request, response, run, index, token)
         if not response.prepared:
             await response.prepare(request)
-        chunk = build_chunk(run, self.host.settings.model)
+        chunk = build_chunk(run, self.host.model)
         chunk["choices"][0]["finish_reason"] = "length"
         chunk["usage"] = run.usage
         await response.write(encode_event(chunk) + b"data: [DONE]\n\n")
@@ -282,7 +282,7 @@
         if index == faults.malformed_at:
             await response.write(b'data: {"id": "broken\n\n')
             return
-        chunk = build_chunk(run, self.host.settings.model)
+        chunk = build_chunk(run, self.host.model)
         chunk["index"] = index
         chunk["choices"][0]["delta"] = {"content": token}
         if index == faults.wrong_request_id_at:
--- a/rattanroute/standins/engine.py
+++ b/rattanroute/standins/engine.py
@@ -22,6 +22,7 @@
     """A model engine that holds all layers or a range of them.
 
     Attributes:
+        model: Model held.
         version: Model version held; empty for none.
         adapters: Adapters held.
         tasks: Running chat requests by request and attempt.
@@ -31,6 +32,7 @@
 
     def __init__(self, settings: EngineSettings) -> None:
         super().__init__(settings)
+        self.model = settings.model
         self.version = settings.version
         self.adapters = set(settings.adapters)
         self.first_layer = settings.first_layer
@@ -64,7 +66,7 @@
             target_id=self.settings.target_id,
             address=self.address,
             data_centre=self.settings.data_centre,
-            model=self.settings.model,
+            model=self.model,
             version=self.version,
             adapters=tuple(sorted(self.adapters)),
             first_layer=self.first_layer,
--- a/rattanroute/standins/orders.py
+++ b/rattanroute/standins/orders.py
@@ -23,6 +23,7 @@
         expires_at_ms: Unix time after which the order is void.
         action: One of load_version, unload_version, load_adapter,
             unload_adapter and change_role.
+        model: Model to load; empty for the one held.
         version: Model version to load or unload.
         adapter: Adapter to load or unload.
         first_layer: First layer of the new role.
@@ -33,6 +34,7 @@
     fencing_token: int
     expires_at_ms: int
     action: str
+    model: str = ""
     version: str = ""
     adapter: str = ""
     first_layer: int = 0
@@ -52,9 +54,10 @@
         self.highest_token = 0
         self.done: set[str] = set()
         self.lock = asyncio.Lock()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def handle(self, request: web.Request) -> web.Response:
-        """Checks an order, executes it and answers when it has effect."""
+        """Checks an order and answers; loads go on in the background."""
         try:
             order = msgspec.json.decode(await request.read(), type=OrderBody)
         except msgspec.DecodeError:
@@ -71,17 +74,24 @@
         self.host.executions.append(
             ("order", order.fencing_token, order.action, order.order_id)
         )
-        async with self.lock:
-            await self.execute(order)
+        task = asyncio.create_task(self.execute(order))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         return json_response({"accepted": True, "repeated": False})
 
     async def execute(self, order: OrderBody) -> None:
-        """Executes an order; loads take the weight store's time."""
+        """Executes orders one by one; loads take the weight store's time."""
+        async with self.lock:
+            await self.load(order)
+
+    async def load(self, order: OrderBody) -> None:
+        """Puts one order into effect."""
         host = self.host
         if order.action in ("load_version", "load_adapter", "change_role"):
             await asyncio.sleep(host.settings.load_seconds)
         match order.action:
             case "load_version":
+                host.model = order.model or host.model
                 host.version = order.version
             case "unload_version":
                 if host.version == order.version:
