--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -24,6 +24,7 @@
 from rattanroute.ledgergates import LedgerGate
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.placementgates import PlacementGate
 from rattanroute.routers import RequestRouter
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
@@ -120,6 +121,8 @@
         self.subsystems.add(self.reports)
         self.subsystems.add(self.router.shares)
         self.subsystems.add(self.router.quarantines)
+        self.subsystems.add(self.router.demand)
+        self.placement = self.build_placement()
         for subsystem in self.configurations.subsystems:
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
@@ -140,6 +143,19 @@
             seeds=settings.peers.seeds,
         )
 
+    def build_placement(self) -> PlacementGate | None:
+        """Builds placement on a voter; other VMs give no orders."""
+        if self.configurations.consensus is None:
+            return None
+        placement = PlacementGate(
+            consensus=self.configurations.consensus,
+            targets=self.targets,
+            configuration=lambda: self.configuration,
+            eligible=self.router.is_staying,
+        )
+        self.subsystems.add(placement.system)
+        return placement
+
     @property
     def ready(self) -> bool:
         """Whether this VM may serve requests."""
@@ -173,6 +189,8 @@
         """Executes an action of a subsystem."""
         if self.claims.take(action) or self.ledger.take(action):
             return
+        if self.placement is not None and self.placement.take(action):
+            return
         if isinstance(action, MemberChanged):
             member = action.member
             self.links.learn(peer=member.vm_id, address=member.address)
@@ -219,6 +237,8 @@
         self.engines = EngineClient(session=self.client)
         self.pipelines = PipelineClient(session=self.client)
         self.services = ServiceClient(session=self.client)
+        if self.placement is not None:
+            self.placement.start(self.client)
         self.links = PeerLinks(
             vm_id=self.settings.vm_id,
             own_address=self.settings.peer_address,
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -9,6 +9,8 @@
 from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
 from rattanroute.events import Event
+from rattanroute.events import RequestArrived
+from rattanroute.placementgates import DemandMeter
 from rattanroute.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.memberships import MembershipSystem
@@ -17,6 +19,8 @@
 from rattanroute.systems.shares import SharesSystem
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.links import LinkTable
+from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.requests import RequestTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetTable
@@ -87,6 +91,7 @@
         self.quarantines = QuarantineSystem(
             vm_id=settings.vm_id, peers=view.others, random=random
         )
+        self.demand = DemandMeter(members=membership.alive)
         self.links = LinkTable()
         self.data_centre = settings.data_centre
         self.targets = targets
@@ -118,6 +123,11 @@
         drained = self.configuration().drained_targets
         return self.core.routing.is_open(row, drained, now)
 
+    def is_staying(self, row: Target, now: float) -> bool:
+        """Returns whether a target is healthy and does not leave."""
+        drained = self.configuration().drained_targets
+        return self.core.routing.drains.admits(row, drained, now)
+
     def note_delays(self, delays: dict[str, float]) -> None:
         """Takes measured one-way delays to other data centres, in seconds."""
         for data_centre, delay_s in delays.items():
@@ -132,8 +142,16 @@
 
     def handle(self, event: Event) -> None:
         """Passes an event to the core and executes its actions."""
+        if isinstance(event, RequestArrived):
+            self.note_demand(event.request)
         self.execute(self.core.handle(event, now=time.monotonic()))
 
+    def note_demand(self, request: Request) -> None:
+        """Adds a chat request to the demand that placement follows."""
+        if request.kind is RequestKind.CHAT:
+            expected = self.core.routing.expected_tokens(request)
+            self.demand.note(request, request.tokens_in + expected)
+
     def tick(self) -> None:
         """Lets the core do what is due."""
         self.execute(self.core.tick(now=time.monotonic()))
