--- a/rattanroute/__main__.py
+++ b/rattanroute/__main__.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import sys
+from typing import NoReturn
 
 import aiomisc
 import click
@@ -9,10 +10,14 @@
 
 from rattanroute import VERSION
 from rattanroute.daemons import Daemon
+from rattanroute.errors import RouterError
+from rattanroute.errors import SettingsError
 from rattanroute.logs import configure_logs
+from rattanroute.security import TokenFiles
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import load_settings
 
+FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 STOP_MARGIN_SECONDS = 10.0
 
@@ -20,12 +25,11 @@
 class DaemonService(aiomisc.Service):
     """Runs a daemon within the entry point of aiomisc."""
 
-    __required__ = ("settings",)
-    settings: DaemonSettings
+    __required__ = ("daemon",)
+    daemon: Daemon
 
     async def start(self) -> None:
         """Starts the daemon."""
-        self.daemon = Daemon(settings=self.settings)
         await self.daemon.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -44,21 +48,45 @@
 )
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 def main(path: pathlib.Path, check: bool) -> None:
-    """Run a daemon of rattanroute."""
+    """Run a daemon of rattanroute.
+
+    Exit codes: 0 after a planned stop, 1 when the daemon cannot run, 2 when
+    the settings are wrong.
+    """
     result = load_settings(path)
     if result.is_error():
-        click.echo(f"rattanrouted: {result.error}", err=True)
-        sys.exit(SETTINGS_EXIT_CODE)
+        fail(result.error)
     settings = result.ok
-    if check:
-        click.echo(f"{path}: settings are correct")
-        return
-    configure_logs(level=settings.telemetry.log_level, vm_id=settings.vm_id)
+    try:
+        if check:
+            TokenFiles(settings=settings)
+            click.echo(f"{path}: settings are correct")
+            return
+        configure_logs(level=settings.telemetry.log_level, vm_id=settings.vm_id)
+        run(settings)
+    except RouterError as error:
+        fail(error)
+
+
+def fail(error: RouterError) -> NoReturn:
+    """Prints an error as one line and exits."""
+    click.echo(f"rattanrouted: {error}", err=True)
+    wrong = isinstance(error, SettingsError)
+    sys.exit(SETTINGS_EXIT_CODE if wrong else FAILURE_EXIT_CODE)
+
+
+def run(settings: DaemonSettings) -> None:
+    """Runs the daemon until it is told to stop.
+
+    Raises:
+        RouterError: If the daemon cannot start.
+    """
+    grace = settings.limits.shutdown_grace_s
     with aiomisc.entrypoint(
-        DaemonService(settings=settings),
+        DaemonService(daemon=Daemon(settings=settings)),
         log_config=False,
         loop_factory=uvloop.new_event_loop,
-        shutdown_timeout=settings.limits.shutdown_grace_s + STOP_MARGIN_SECONDS,
+        shutdown_timeout=grace + STOP_MARGIN_SECONDS,
     ) as loop:
         loop.run_forever()
 
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -19,6 +19,7 @@
 from rattanroute.clients.stages import PipelineClient
 from rattanroute.configurationgates import ConfigurationGate
 from rattanroute.configurationgates import REFRESH_SECONDS
+from rattanroute.errors import RouterError
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
 from rattanroute.ledgergates import LedgerGate
@@ -311,8 +312,11 @@
         """Starts a gRPC server, with mutual TLS where settings name files."""
         contexts = self.tokens.server_contexts
         ssl = contexts.context if contexts is not None else None
-        await server.start(*parse_address(address), ssl=ssl)
         self.servers.append(server)
+        try:
+            await server.start(*parse_address(address), ssl=ssl)
+        except OSError as error:
+            raise describe_listen_error(address, error) from error
 
     async def open_http(
         self, application: web.Application, address: str
@@ -329,9 +333,12 @@
         )
         await runner.setup()
         host, port = parse_address(address)
-        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
-        await site.start()
         self.runners.append(runner)
+        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        try:
+            await site.start()
+        except OSError as error:
+            raise describe_listen_error(address, error) from error
 
     def build_targets_server(self) -> TargetsServer:
         """Builds the interface on which targets announce themselves."""
@@ -433,6 +440,12 @@
         log.info("daemon stopped")
 
 
+def describe_listen_error(address: str, error: OSError) -> RouterError:
+    """Returns the error of a listener that cannot be opened."""
+    reason = error.strerror or str(error)
+    return RouterError(step="listen", peer=address, message=reason)
+
+
 async def run_repeatedly(seconds: float, work: Callable[[], object]) -> None:
     """Does some work at an interval; a failure is logged and work goes on."""
     while True:
