--- /dev/null
+++ b/rattanroute/tools/bench_throughput.py
@@ -0,0 +1,237 @@
+"""Good throughput against the bound, beside common balancing policies.
+
+Each policy gets a fresh cluster of the same processes and the same loads, in
+one run. docs/BENCHMARKS.md states the formula of the bound.
+"""
+
+import asyncio
+
+import uvloop
+
+from rattanroute.tools.bench_arithmetic import bound_requests_per_second
+from rattanroute.tools.bench_arithmetic import build_row
+from rattanroute.tools.bench_arithmetic import EngineCapacity
+from rattanroute.tools.bench_arithmetic import window_rate
+from rattanroute.tools.bench_baselines import BenchCluster
+from rattanroute.tools.bench_baselines import POLICIES
+from rattanroute.tools.demo_configuration import apply_configuration
+from rattanroute.tools.demo_configuration import LOAD_KEYS
+from rattanroute.tools.loads import LoadPlan
+from rattanroute.tools.loads import LoadReport
+from rattanroute.tools.loads import run_processes
+from rattanroute.tools.plots import save_series
+
+DATA_CENTRES = {"dc-a": 4, "dc-b": 4, "dc-c": 4}
+ENGINES_PER_DATA_CENTRE = 5
+MODEL = "chat"
+SLOTS = 8
+PREFILL_TOKENS_PER_SECOND = 2000.0
+# Tokens per second of one running request, by accelerator kind. Low speeds
+# keep the stand-ins' timer errors small beside the time of a token.
+SPEEDS = {"kind-a": 40.0, "kind-b": 20.0, "kind-c": 10.0}
+PROMPT_WORDS = 32
+# The stand-ins count the role of a message as one token.
+TOKENS_IN = PROMPT_WORDS + 1
+TOKENS_OUT = 16
+DEADLINE_SECONDS = 5.0
+LOAD_PARTS = (0.5, 0.8, 0.95, 1.2)
+OVERLOAD = 1.2
+LOAD_PROCESSES = 2
+WARM_SECONDS = 2.0
+LOAD_SECONDS = 8.0
+SETTLE_SECONDS = 2.0
+MIN_BOUND_PART = 0.95
+PERCENTILES = (50.0, 95.0, 99.0)
+ROUTER = "router"
+Reports = dict[tuple[str, float], LoadReport]
+
+
+def plan_engines() -> list[tuple[str, str, str]]:
+    """Returns the name, data centre and accelerator kind of each engine."""
+    kinds = list(SPEEDS)
+    engines = []
+    for place, data_centre in enumerate(DATA_CENTRES):
+        for number in range(ENGINES_PER_DATA_CENTRE):
+            kind = kinds[(number + place) % len(kinds)]
+            engines.append((f"{data_centre}-e{number}", data_centre, kind))
+    return engines
+
+
+def compute_bound() -> float:
+    """Returns the bound in requests per second."""
+    engines = [
+        EngineCapacity(
+            slots=SLOTS,
+            tokens_per_second=SPEEDS[kind],
+            prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
+        )
+        for _, _, kind in plan_engines()
+    ]
+    return bound_requests_per_second(
+        engines, tokens_in=TOKENS_IN, tokens_out=TOKENS_OUT
+    )
+
+
+async def add_engines(cluster: BenchCluster) -> None:
+    """Starts the engines and waits until they answer."""
+    for name, data_centre, kind in plan_engines():
+        await cluster.add_engine(
+            name,
+            data_centre,
+            model=MODEL,
+            accelerator=kind,
+            slots=SLOTS,
+            tokens_per_second=SPEEDS[kind],
+            prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
+            max_executions=0,
+        )
+    for target in cluster.targets.values():
+        await cluster.wait_status(f"{target.url}/healthz")
+
+
+def build_plan(
+    cluster: BenchCluster, *, rate: float, seconds: float, seed: int
+) -> LoadPlan:
+    """Returns a load on all VMs."""
+    return LoadPlan(
+        urls=tuple(vm.callers_url for vm in cluster.vms.values()),
+        keys=LOAD_KEYS,
+        model=MODEL,
+        rate=rate,
+        seconds=seconds,
+        max_tokens=TOKENS_OUT,
+        prompt_words=PROMPT_WORDS,
+        deadline_s=DEADLINE_SECONDS,
+        seed=seed,
+    )
+
+
+async def measure_policy(policy: str, bound: float, reports: Reports) -> None:
+    """Runs all loads on a fresh cluster; the real daemon has no policy."""
+    async with BenchCluster(
+        policy=policy, data_centres=DATA_CENTRES
+    ) as cluster:
+        await apply_configuration(cluster)
+        await add_engines(cluster)
+        await asyncio.sleep(SETTLE_SECONDS)
+        for number, part in enumerate(LOAD_PARTS, start=1):
+            plan = build_plan(
+                cluster, rate=part * bound, seconds=LOAD_SECONDS, seed=number
+            )
+            report = await run_processes(plan, LOAD_PROCESSES)
+            reports[policy or ROUTER, part] = report
+
+
+def goodput(report: LoadReport) -> float:
+    """Returns complete answers on time per second, after the warm-up."""
+    return window_rate(
+        sorted(report.ended_at),
+        report.started_at + WARM_SECONDS,
+        LOAD_SECONDS - WARM_SECONDS,
+    )
+
+
+def describe_part(
+    reports: Reports, part: float, bound: float
+) -> list[dict[str, object]]:
+    """Returns the rows of one load."""
+    rows = []
+    others = ", ".join(POLICIES)
+    routed = reports[ROUTER, part]
+    base = [reports[policy, part] for policy in POLICIES]
+    label = f"at {part:.0%} of the bound"
+    rows.append(
+        build_row(
+            f"good throughput {label}",
+            goodput(routed) / bound,
+            "of the bound",
+            at_least=MIN_BOUND_PART if part >= OVERLOAD else None,
+            baseline=f"{others}: "
+            + " ".join(f"{goodput(report) / bound:.3f}" for report in base),
+        )
+    )
+    for name, read in (
+        ("time to first token", LoadReport.first_token_ms),
+        ("time between tokens", LoadReport.token_gap_ms),
+    ):
+        for percentile in PERCENTILES:
+            values = " ".join(f"{read(item, percentile):.0f}" for item in base)
+            rows.append(
+                build_row(
+                    f"{name} {label}, p{percentile:g}",
+                    read(routed, percentile),
+                    "ms",
+                    baseline=values,
+                )
+            )
+    refused = sum(routed.refusals.values())
+    rows.append(
+        build_row(
+            f"refused {label}",
+            refused / routed.sent,
+            "of requests",
+            baseline=" ".join(
+                f"{sum(r.refusals.values()) / r.sent:.3f}" for r in base
+            ),
+        )
+    )
+    rows.append(
+        build_row(
+            f"lost or broken {label}",
+            routed.lost + routed.broken,
+            "requests",
+            at_most=0,
+            baseline=" ".join(f"{r.lost + r.broken}" for r in base),
+        )
+    )
+    return rows
+
+
+def compare(reports: Reports) -> list[dict[str, object]]:
+    """Returns whether the router beats each baseline under overload."""
+    rows = []
+    routed = reports[ROUTER, OVERLOAD]
+    for policy in POLICIES:
+        other = reports[policy, OVERLOAD]
+        rows.append(
+            build_row(
+                f"good throughput at 120% against {policy}",
+                goodput(routed) / max(goodput(other), 1e-9),
+                "ratio",
+                at_least=1.0,
+                baseline=1.0,
+            )
+        )
+        rows.append(
+            build_row(
+                f"time to first token p95 at 120% against {policy}",
+                routed.first_token_ms(95.0) / other.first_token_ms(95.0),
+                "ratio",
+                at_most=1.0,
+                baseline=1.0,
+            )
+        )
+    return rows
+
+
+async def run_all() -> list[dict[str, object]]:
+    """Runs all policies in turn."""
+    bound = compute_bound()
+    reports: Reports = {}
+    for policy in ("", *POLICIES):
+        await measure_policy(policy, bound, reports)
+    for policy in (ROUTER, *POLICIES):
+        points = [
+            (part, goodput(reports[policy, part]) / bound)
+            for part in LOAD_PARTS
+        ]
+        save_series(f"throughput {policy}", points)
+    rows = [build_row("bound", bound, "requests/s")]
+    for part in LOAD_PARTS:
+        rows += describe_part(reports, part, bound)
+    return rows + compare(reports)
+
+
+def run() -> list[dict[str, object]]:
+    """Runs the part."""
+    return uvloop.run(run_all())
--- a/rattanroute/tools/loads.py
+++ b/rattanroute/tools/loads.py
@@ -3,16 +3,21 @@
 import asyncio
 import dataclasses
 import itertools
+import pathlib
 import random
+import sys
+import tempfile
 import time
 
 import aiohttp
 from hdrh.histogram import HdrHistogram
 import msgspec
+import uvloop
 
 HIGHEST_MICROSECONDS = 120_000_000
 SIGNIFICANT_DIGITS = 3
 DONE = b"[DONE]"
+HISTOGRAMS = ("first_token", "token_gap")
 
 
 class RefusalField(msgspec.Struct):
@@ -51,7 +56,8 @@
         lost: Requests that got neither an answer nor a refusal.
         first_token: Times to the first token, in microseconds.
         token_gap: Times between tokens, in microseconds.
-        ended_at: Times at which complete answers ended.
+        ended_at: Times at which complete answers within the deadline ended.
+        started_at: Time of the start, on the machine's monotonic clock.
         seconds: Length of the load.
     """
 
@@ -65,6 +71,7 @@
     first_token: HdrHistogram = dataclasses.field(default_factory=new_histogram)
     token_gap: HdrHistogram = dataclasses.field(default_factory=new_histogram)
     ended_at: list[float] = dataclasses.field(default_factory=list)
+    started_at: float = 0.0
     seconds: float = 0.0
 
     def first_token_ms(self, percentile: float) -> float:
@@ -75,6 +82,41 @@
         """Returns a percentile of the time between tokens."""
         return self.token_gap.get_value_at_percentile(percentile) / 1000
 
+    def merge(self, other: "LoadReport") -> None:
+        """Adds what the callers of a load at the same time saw."""
+        self.sent += other.sent
+        self.done += other.done
+        self.on_time += other.on_time
+        self.tokens += other.tokens
+        self.broken += other.broken
+        self.lost += other.lost
+        for kind, count in other.refusals.items():
+            self.refusals[kind] = self.refusals.get(kind, 0) + count
+        self.first_token.add(other.first_token)
+        self.token_gap.add(other.token_gap)
+        self.ended_at += other.ended_at
+        self.started_at = max(self.started_at, other.started_at)
+        self.seconds = max(self.seconds, other.seconds)
+
+    def encode(self) -> bytes:
+        """Encodes the report for another process."""
+        values = {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)
+            if field.name not in HISTOGRAMS
+        }
+        for name in HISTOGRAMS:
+            values[name] = getattr(self, name).encode().decode()
+        return msgspec.json.encode(values)
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LoadReport":
+        """Decodes the report of another process."""
+        values = msgspec.json.decode(data)
+        for name in HISTOGRAMS:
+            values[name] = HdrHistogram.decode(values[name])
+        return cls(**values)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LoadPlan:
@@ -91,6 +133,9 @@
         deadline_s: Deadline of each request.
         seed: Seed of arrivals and prompts.
         prefixes: Number of common prompt prefixes; 0 for none.
+        steady: Whether requests leave at equal distances in place of a
+            Poisson process.
+        stream: Whether answers are streamed; whole ones are timed as a whole.
     """
 
     urls: tuple[str, ...]
@@ -103,6 +148,8 @@
     deadline_s: float = 30.0
     seed: int = 1
     prefixes: int = 0
+    steady: bool = False
+    stream: bool = True
 
 
 class LoadClient:
@@ -123,9 +170,9 @@
         keys = itertools.cycle(plan.keys)
         tasks: set[asyncio.Task[None]] = set()
         started = time.monotonic()
-        due = started
+        due = report.started_at = started
         while due - started < plan.seconds:
-            due += rng.expovariate(plan.rate)
+            due += 1 / plan.rate if plan.steady else rng.expovariate(plan.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             report.sent += 1
             prompt = build_prompt(plan, rng, report.sent)
@@ -149,7 +196,7 @@
         """Sends one request and reads its stream."""
         body = {
             "model": plan.model,
-            "stream": True,
+            "stream": plan.stream,
             "max_tokens": plan.max_tokens,
             "messages": [{"role": "user", "content": prompt}],
         }
@@ -167,7 +214,14 @@
                 if response.status != 200:
                     count_refusal(report, await response.read())
                     return
-                await read_stream(response, started, plan, report)
+                if plan.stream:
+                    await read_stream(response, started, plan, report)
+                    return
+                await response.read()
+                report.first_token.record_value(
+                    int((time.monotonic() - started) * 1e6)
+                )
+                finish(report, plan, started, plan.max_tokens)
         except (aiohttp.ClientError, TimeoutError, OSError):
             report.lost += 1
 
@@ -207,9 +261,9 @@
     now = time.monotonic()
     report.done += 1
     report.tokens += tokens
-    report.ended_at.append(now)
     if now - started <= plan.deadline_s:
         report.on_time += 1
+        report.ended_at.append(now)
 
 
 def count_refusal(report: LoadReport, body: bytes) -> None:
@@ -225,7 +279,74 @@
     """Builds a prompt, with one of the common prefixes if there are any."""
     words = plan.prompt_words
     if not plan.prefixes:
-        return " ".join(f"p{number}w{i}" for i in range(words))
+        # Processes of one load number their prompts alike.
+        name = f"s{plan.seed}p{number}"
+        return " ".join(f"{name}w{i}" for i in range(words))
     prefix = rng.randrange(plan.prefixes)
     common = [f"c{prefix}w{i}" for i in range(words - 4)]
     return " ".join([*common, *(f"p{number}w{i}" for i in range(4))])
+
+
+async def run_processes(plan: LoadPlan, count: int) -> LoadReport:
+    """Splits a load over several processes and merges their reports.
+
+    Raises:
+        RuntimeError: If a process fails.
+    """
+    with tempfile.TemporaryDirectory(prefix="rattanroute-load-") as name:
+        folder = pathlib.Path(name)
+        works = [
+            run_process(
+                dataclasses.replace(
+                    plan, rate=plan.rate / count, seed=plan.seed * 100 + number
+                ),
+                folder / f"{number}.json",
+            )
+            for number in range(count)
+        ]
+        reports = await asyncio.gather(*works)
+    report = LoadReport()
+    for part in reports:
+        report.merge(part)
+    return report
+
+
+async def run_process(plan: LoadPlan, path: pathlib.Path) -> LoadReport:
+    """Runs a load in a process of its own."""
+    path.write_bytes(msgspec.json.encode(plan))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "rattanroute.tools.loads",
+        str(path),
+        stdout=asyncio.subprocess.PIPE,
+        stdin=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        output, _ = await process.communicate()
+    finally:
+        if process.returncode is None:
+            process.kill()
+    if process.returncode != 0:
+        raise RuntimeError(f"load process exited with {process.returncode}")
+    return LoadReport.decode(output)
+
+
+async def run_plan(plan: LoadPlan) -> LoadReport:
+    """Runs a load with a client session of its own."""
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=None),
+    ) as client:
+        return await LoadClient(client=client).run(plan)
+
+
+def main() -> None:
+    """Run the load of a plan file and print its report."""
+    data = pathlib.Path(sys.argv[1]).read_bytes()
+    plan = msgspec.json.decode(data, type=LoadPlan)
+    sys.stdout.buffer.write(uvloop.run(run_plan(plan)).encode())
+
+
+if __name__ == "__main__":
+    main()
