--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -28,6 +28,9 @@
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
 from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.listeners import ConnectionGuard
+from rattanroute.servers.listeners import GuardedSite
+from rattanroute.servers.listeners import KEEPALIVE_SECONDS
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
@@ -91,6 +94,7 @@
         self.ledger = LedgerGate(
             settings=settings,
             membership=self.membership,
+            configuration=lambda: self.configuration,
             execute=self.subsystems.execute,
         )
         self.configurations = ConfigurationGate(
@@ -141,6 +145,11 @@
         """Whether this VM may serve requests."""
         return self.configurations.ready
 
+    @property
+    def drained(self) -> bool:
+        """Whether operators have taken this VM out of service."""
+        return self.settings.vm_id in self.configuration.drained_vms
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
@@ -289,15 +298,19 @@
         self, application: web.Application, address: str
     ) -> None:
         """Opens an HTTP interface."""
+        guard = ConnectionGuard()
+        application.middlewares.append(guard.middleware)
         runner = web.AppRunner(
             application,
             access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
             handler_cancellation=True,
             shutdown_timeout=self.settings.limits.shutdown_grace_s,
         )
         await runner.setup()
         host, port = parse_address(address)
-        await web.TCPSite(runner, host, port).start()
+        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        await site.start()
         self.runners.append(runner)
 
     def build_targets_server(self) -> TargetsServer:
@@ -340,6 +353,7 @@
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
         self.ledger.update_holders()
+        self.router.note_delays(self.measure_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
         self.metrics.known_targets.set({}, len(self.targets))
         self.metrics.live_members.set({}, len(self.membership.alive()))
@@ -349,6 +363,17 @@
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
 
+    def measure_delays(self) -> dict[str, float]:
+        """Returns the least one-way delay to each other data centre."""
+        delays: dict[str, float] = {}
+        for peer, seconds in self.links.round_trips().items():
+            member = self.membership.get(peer)
+            if member is None:
+                continue
+            name = member.data_centre
+            delays[name] = min(delays.get(name, seconds), seconds / 2)
+        return delays
+
     async def stop(self) -> None:
         """Stops as planned: serves what it has, then closes everything."""
         self.stopping = True
