Let attempts that bring tokens not exhaust a request; tell VMs' status

Change: only attempts without a token count against the limit; the deadline and the retry budget bound the others. Each VM states whether it is ready.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -300,6 +300,7 @@
             event = dataclasses.replace(event, provenance=Provenance.STARTED)
         clean = event.provenance is Provenance.NOT_DISPATCHED
         request.tokens_out += event.tokens_out
+        attempt.tokens_out = event.tokens_out
         actions: list[Action] = []
         if event.crashed and not clean:
             actions += self.note_crash(attempt, event, now)
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -379,6 +379,7 @@
 
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
+        self.state_status()
         self.ledger.update_holders()
         self.router.note_delays(self.measure_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
@@ -390,6 +391,15 @@
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
 
+    def state_status(self) -> None:
+        """Tells the other VMs whether this one serves requests."""
+        actions = self.membership.set_status(
+            ready=self.ready and not self.stopping,
+            draining=self.stopping or self.drained,
+            now=time.monotonic(),
+        )
+        self.subsystems.execute(actions)
+
     def measure_delays(self) -> dict[str, float]:
         """Returns the least one-way delay to each other data centre."""
         delays: dict[str, float] = {}
@@ -404,10 +414,7 @@
     async def stop(self) -> None:
         """Stops as planned: serves what it has, then closes everything."""
         self.stopping = True
-        now = time.monotonic()
-        self.subsystems.execute(
-            self.membership.set_status(ready=False, draining=True, now=now)
-        )
+        self.state_status()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         with contextlib.suppress(TimeoutError):
--- a/rattanroute/journals.py
+++ b/rattanroute/journals.py
@@ -76,9 +76,9 @@
                 done = self.ticket
                 await asyncio.to_thread(self.file.write, tuple(batch))
                 self.on_synced(done)
-                if self.file.needs_compaction:
-                    # Records that wait in the batch are part of the snapshot
-                    # and are written again; reading them twice is harmless.
+                # A snapshot must not contain records that are still to be
+                # written.
+                if self.file.needs_compaction and not self.batch:
                     await asyncio.to_thread(self.file.compact, self.snapshot())
         except StorageError as error:
             log.error("journal not synced", peer=error.peer, error=error)
--- a/rattanroute/systems/retries.py
+++ b/rattanroute/systems/retries.py
@@ -60,8 +60,9 @@
 
     Attributes:
         random: Random numbers for the delays.
-        max_attempts: Attempts of one request that may have run; twice as many
-            may fail before they are dispatched.
+        max_attempts: Attempts of one request that may have run without a
+            token for the caller; twice as many may fail before they are
+            dispatched.
         budget: Retries that are left.
         delayed: Requests that wait as (time, id).
     """
@@ -90,9 +91,10 @@
             return refusals.outcome_unknown(request)
         if banned:
             return refusals.quarantined(request, banned)
-        ran = sum(not attempt.clean for attempt in request.attempts)
-        tries = len(request.attempts)
-        if ran >= self.max_attempts or tries >= 2 * self.max_attempts:
+        # An attempt that brought the answer forward is no reason to give up.
+        fruitless = [row for row in request.attempts if not row.tokens_out]
+        ran = sum(not attempt.clean for attempt in fruitless)
+        if ran >= self.max_attempts or len(fruitless) >= 2 * self.max_attempts:
             return refusals.attempts_exhausted(request)
         # A refused connection costs targets nothing; a target that answers
         # that it is overloaded must not be asked by retries in addition.
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -39,6 +39,7 @@
         live: Whether the attempt runs.
         clean: Whether it failed, provably, before it was dispatched.
         incarnations: Incarnation of each target of the chain at dispatch.
+        tokens_out: Tokens that the caller has of a failed attempt.
     """
 
     number: int
@@ -48,6 +49,7 @@
     live: bool = True
     clean: bool = False
     incarnations: tuple[int, ...] = ()
+    tokens_out: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -48,6 +48,18 @@
         self.assertLessEqual(max(delays), 1.0)
         self.assertEqual(len(system.release(1.0)), 8)
 
+    def test_attempts_that_bring_tokens_do_not_exhaust_a_request(self) -> None:
+        core = build_core(*(build_report(f"t{n}") for n in range(3)))
+        actions = arrive(core, "r1", max_tokens=40)
+        for _ in range(3 * CoreSettings().max_attempts):
+            [dispatch] = [a for a in actions if isinstance(a, Dispatch)]
+            actions = core.handle(
+                fail(dispatch, Provenance.STARTED, tokens_out=2), now=0.0
+            )
+            if not actions:
+                actions = core.tick(now=2.0)
+        self.assertFalse([a for a in actions if isinstance(a, Refuse)])
+
     def test_budget_bounds_retries(self) -> None:
         reports = [build_report(f"t{n}", slots=999) for n in range(3)]
         core = build_core(*reports)
