--- a/rattanroute/messages/memberships.py
+++ b/rattanroute/messages/memberships.py
@@ -21,6 +21,7 @@
         voter: Whether the VM takes part in the configuration log.
         state: State of the VM at the incarnation.
         incarnation: Incarnation that the state refers to.
+        round: Round within the incarnation.
         ready: Whether the VM serves requests.
         draining: Whether the VM is stopping as planned.
     """
@@ -32,9 +33,37 @@
     voter: bool
     state: MemberState
     incarnation: int
+    round: int
     ready: bool
     draining: bool
 
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Of two records of a VM the one with the greater order is newer."""
+        return self.incarnation, self.round, self.state
+
+
+class MemberVerdict(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """A changed state of a VM whose other facts the receiver knows.
+
+    A receiver that knows another incarnation of the VM ignores it. It has a
+    third of the bytes of a record, which decides how fast the two sides of a
+    healed partition take each other back.
+    """
+
+    vm_id: str
+    state: MemberState
+    incarnation: int
+    round: int
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """As in `MemberRecord`."""
+        return self.incarnation, self.round, self.state
+
+
+GossipItem = MemberRecord | MemberVerdict
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ping:
@@ -44,14 +73,16 @@
         sequence: Number that the ack repeats.
         digest: Digest of the sender's present members.
         accused: Incarnation at which the sender holds the receiver for
-            suspect or failed; -1 when it does not.
+            suspect; -1 when it does not.
         records: Piggybacked gossip.
+        verdicts: Piggybacked gossip.
     """
 
     sequence: int
     digest: int
     accused: int = -1
     records: tuple[MemberRecord, ...] = ()
+    verdicts: tuple[MemberVerdict, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,12 +95,14 @@
         digest: Digest of the sender's present members.
         records: Piggybacked gossip; the first one is the sender's own record
             when the ping accused it.
+        verdicts: Piggybacked gossip.
     """
 
     sequence: int
     subject: str
     digest: int
     records: tuple[MemberRecord, ...] = ()
+    verdicts: tuple[MemberVerdict, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,9 +115,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Gossip:
-    """Records that changed lately."""
+    """Records and verdicts that changed lately."""
 
-    records: tuple[MemberRecord, ...]
+    records: tuple[MemberRecord, ...] = ()
+    verdicts: tuple[MemberVerdict, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -93,9 +127,12 @@
 
     Attributes:
         digests: The sender's digest of each bucket.
+        record: The sender's own record, so that the receiver of a newcomer's
+            first message need not ask back.
     """
 
     digests: tuple[int, ...]
+    record: MemberRecord
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/rattanroute/records.py
+++ b/rattanroute/records.py
@@ -82,10 +82,11 @@
     """File access through the operating system."""
 
     def make_folder(self, path: pathlib.Path) -> None:
-        """Creates a folder and its parents; syncs the parent."""
+        """Creates a folder and its parents durably."""
         if path.is_dir():
             return
-        path.mkdir(parents=True, exist_ok=True)
+        self.make_folder(path.parent)
+        path.mkdir(exist_ok=True)
         self.sync_folder(path.parent)
 
     def list_names(self, path: pathlib.Path) -> list[str]:
--- a/rattanroute/systems/gossips.py
+++ b/rattanroute/systems/gossips.py
@@ -1,21 +1,23 @@
-"""Queue of membership records to pass on, within a byte budget."""
+"""Queue of membership gossip to pass on, within a byte budget."""
 
 import dataclasses
 import math
 
+from rattanroute.messages.memberships import GossipItem
 from rattanroute.messages.memberships import MemberRecord
+from rattanroute.messages.memberships import MemberVerdict
 from rattanroute.tables.members import Member
 
 # Each VM passes a record on this many times log10(members). A member that
 # still misses it is repaired by the comparison of digests.
 RETRANSMIT_FACTOR = 4
 GOSSIP_PERIOD_SECONDS = 0.1
-GOSSIP_FANOUT = 2
-GOSSIP_BYTES_PER_SECOND = 10_000.0
+GOSSIP_BYTES_PER_SECOND = 8_000.0
 GOSSIP_MESSAGE_BYTES = 1_000.0
 PIGGYBACK_BYTES = 300.0
 # Numbers, flags and length bytes of a record without its strings.
 RECORD_OVERHEAD_BYTES = 22
+VERDICT_OVERHEAD_BYTES = 14
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -62,6 +64,7 @@
         voter=member.voter,
         state=member.state,
         incarnation=member.incarnation,
+        round=member.round,
         ready=member.ready,
         draining=member.draining,
     )
@@ -77,33 +80,57 @@
         voter=record.voter,
         state=record.state,
         incarnation=record.incarnation,
+        round=record.round,
         ready=record.ready,
         draining=record.draining,
     )
 
 
-def estimate_bytes(record: MemberRecord) -> int:
-    """Returns the encoded size of a record, within a few bytes."""
+def build_verdict(member: Member) -> MemberVerdict:
+    """Builds the verdict on a member."""
+    return MemberVerdict(
+        vm_id=member.vm_id,
+        state=member.state,
+        incarnation=member.incarnation,
+        round=member.round,
+    )
+
+
+def estimate_bytes(item: GossipItem) -> int:
+    """Returns the encoded size of an item, within a few bytes."""
+    if isinstance(item, MemberVerdict):
+        return len(item.vm_id) + VERDICT_OVERHEAD_BYTES
     return (
-        len(record.vm_id)
-        + len(record.address)
-        + len(record.data_centre)
-        + len(record.region)
+        len(item.vm_id)
+        + len(item.address)
+        + len(item.data_centre)
+        + len(item.region)
         + RECORD_OVERHEAD_BYTES
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Payload:
+    """Gossip for one message."""
+
+    records: tuple[MemberRecord, ...] = ()
+    verdicts: tuple[MemberVerdict, ...] = ()
+
+
+NO_PAYLOAD = Payload()
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class GossipQueue:
-    """Records to pass on, those passed on least often first.
+    """Items to pass on, those passed on least often first.
 
     Attributes:
-        levels: Records by vm_id, for each number of transmissions so far.
-        level_of: Number of transmissions of each queued record.
+        levels: Items by vm_id, for each number of transmissions so far.
+        level_of: Number of transmissions of each queued item.
         tokens: Bytes that may be sent now.
     """
 
-    levels: list[dict[str, MemberRecord]] = dataclasses.field(
+    levels: list[dict[str, GossipItem]] = dataclasses.field(
         default_factory=list
     )
     level_of: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -113,55 +140,59 @@
         )
     )
 
-    def put(self, record: MemberRecord) -> None:
-        """Queues a record in place of an older one of the same VM."""
-        self.discard(record.vm_id)
-        self.move(record, 0)
+    def put(self, item: GossipItem) -> None:
+        """Queues an item in place of an older one of the same VM."""
+        self.discard(item.vm_id)
+        self.move(item, 0)
 
     def discard(self, vm_id: str) -> None:
-        """Drops the queued record of a VM."""
+        """Drops the queued item of a VM."""
         level = self.level_of.pop(vm_id, None)
         if level is not None:
             del self.levels[level][vm_id]
 
-    def move(self, record: MemberRecord, level: int) -> None:
-        """Files a record under its number of transmissions."""
+    def move(self, item: GossipItem, level: int) -> None:
+        """Files an item under its number of transmissions."""
         while len(self.levels) <= level:
             self.levels.append({})
-        self.levels[level][record.vm_id] = record
-        self.level_of[record.vm_id] = level
+        self.levels[level][item.vm_id] = item
+        self.level_of[item.vm_id] = level
 
-    def take(
-        self, *, max_bytes: float, members: int, now: float
-    ) -> tuple[MemberRecord, ...]:
-        """Returns records for one message and counts the transmission.
+    def take(self, *, max_bytes: float, members: int, now: float) -> Payload:
+        """Returns items for one message and counts their transmission.
 
         Args:
-            max_bytes: Largest encoded size of the records together.
+            max_bytes: Largest encoded size of the items together.
             members: Number of present members.
             now: The host's monotonic clock, in seconds.
         """
         if not self.level_of:
-            return ()
+            return NO_PAYLOAD
         limit = RETRANSMIT_FACTOR * max(1, math.ceil(math.log10(members + 1)))
-        taken: list[tuple[int, MemberRecord]] = []
-        left = budget = min(max_bytes, self.tokens.refill(now))
-        for level, records in enumerate(self.levels):
-            for record in records.values():
-                size = estimate_bytes(record)
-                if size > left:
-                    break
-                left -= size
-                taken.append((level, record))
-            else:
-                continue
-            break
-        self.tokens.tokens -= budget - left
-        for level, record in taken:
-            self.discard(record.vm_id)
+        budget = min(max_bytes, self.tokens.refill(now))
+        taken = self.choose(budget)
+        for level, item in taken:
+            self.tokens.tokens -= estimate_bytes(item)
+            self.discard(item.vm_id)
             if level + 1 < limit:
-                self.move(record, level + 1)
-        return tuple(record for _, record in taken)
+                self.move(item, level + 1)
+        items = [item for _, item in taken]
+        return Payload(
+            records=tuple(i for i in items if isinstance(i, MemberRecord)),
+            verdicts=tuple(i for i in items if isinstance(i, MemberVerdict)),
+        )
+
+    def choose(self, budget: float) -> list[tuple[int, GossipItem]]:
+        """Returns the first items that fit, each with its level."""
+        taken: list[tuple[int, GossipItem]] = []
+        left = budget
+        for level, items in enumerate(self.levels):
+            for item in items.values():
+                left -= estimate_bytes(item)
+                if left < 0:
+                    return taken
+                taken.append((level, item))
+        return taken
 
     def __len__(self) -> int:
         return len(self.level_of)
--- a/rattanroute/systems/memberships.py
+++ b/rattanroute/systems/memberships.py
@@ -5,10 +5,16 @@
 succession becomes suspect, and failed unless it refutes this by a greater
 incarnation, which only the VM itself may raise.
 
-A record that calls a VM failed is not adopted while this VM holds it as
-alive; the VM is probed instead, and the probe carries the accusation. This
-keeps the two sides of a healed partition from failing each other's members:
-each accused VM raises its incarnation and both sides take it back.
+After a partition each side holds the other one's members for failed, and
+must neither fail its own members on the word of the other side nor flood all
+members with refutations. Therefore:
+- a verdict "failed" is not adopted while this VM holds the member for alive;
+  the member is probed instead;
+- accusations by a VM that was itself absent until a moment ago are ignored;
+- a VM takes a failed member back when the member answers a ping, or when a
+  peer that itself has just come back from the same absence has it, without a
+  new incarnation: it raises the member's round. Members that hold it for
+  alive anyway store the round and do not pass it on.
 
 Traffic per second is bounded by constants here and in `systems/probes.py`
 and `systems/synchronisations.py`, and does not depend on the number of
@@ -19,7 +25,6 @@
 from random import Random
 
 from rattanroute.actions import Action
-from rattanroute.actions import MemberChanged
 from rattanroute.actions import SendMessage
 from rattanroute.messages.memberships import Ack
 from rattanroute.messages.memberships import Gossip
@@ -28,14 +33,12 @@
 from rattanroute.messages.memberships import PingRequest
 from rattanroute.messages.memberships import SyncPiece
 from rattanroute.messages.memberships import SyncRequest
-from rattanroute.systems.gossips import build_member
 from rattanroute.systems.gossips import build_record
-from rattanroute.systems.gossips import GOSSIP_FANOUT
 from rattanroute.systems.gossips import GOSSIP_MESSAGE_BYTES
 from rattanroute.systems.gossips import GOSSIP_PERIOD_SECONDS
-from rattanroute.systems.gossips import GossipQueue
+from rattanroute.systems.gossips import Payload
 from rattanroute.systems.gossips import PIGGYBACK_BYTES
-from rattanroute.systems.probes import HEALING_SECONDS
+from rattanroute.systems.member_views import MemberView
 from rattanroute.systems.probes import PingOrder
 from rattanroute.systems.probes import Prober
 from rattanroute.systems.probes import ProbeResult
@@ -45,9 +48,8 @@
 from rattanroute.tables.members import MemberTable
 from rattanroute.tables.members import Reach
 
-# Time for a refutation to reach all VMs before a suspect counts as failed.
-SUSPICION_SECONDS = 3.0
 SYNC_PERIOD_SECONDS = 2.0
+HEALING_SYNC_PERIOD_SECONDS = 0.25
 # Digests differ while gossip is on its way; a sync waits until the table has
 # been quiet for this time.
 SYNC_QUIET_SECONDS = 1.0
@@ -57,11 +59,6 @@
 # A pause this long between two ticks means that this VM was frozen, and that
 # the answers it missed say nothing about others.
 FREEZE_SECONDS = 1.0
-# An hour without contact between regions is expected; failed members are
-# tried for longer than that.
-FAILED_MEMORY_SECONDS = 6 * 3600.0
-LEFT_MEMORY_SECONDS = 600.0
-MAX_ABSENT_MEMBERS = 2_000
 CLEANUP_PERIOD_SECONDS = 10.0
 LEAVE_FANOUT = 8
 
@@ -110,29 +107,23 @@
             random: Source of all random choices.
             seeds: Peer addresses of the seeds.
         """
+        me = Member(
+            vm_id=vm_id,
+            address=address,
+            data_centre=data_centre,
+            region=region,
+            voter=voter,
+            incarnation=incarnation,
+        )
         self.vm_id = vm_id
         self.table = MemberTable()
-        self.table.put(
-            Member(
-                vm_id=vm_id,
-                address=address,
-                data_centre=data_centre,
-                region=region,
-                voter=voter,
-                incarnation=incarnation,
-            )
-        )
-        self.joined = all(seed == address for seed in seeds)
-        self.queue = GossipQueue()
-        self.queue.put(build_record(self.me))
         self.prober = Prober(vm_id=vm_id, table=self.table, random=random)
+        self.view = MemberView(me=me, table=self.table, prober=self.prober)
         self.sync = MemberSync(table=self.table, random=random)
+        self.joined = all(seed == address for seed in seeds)
         self.random = random
-        self.suspected_at: dict[str, float] = {}
-        self.absent_since: dict[str, float] = {}
         self.unknown_links: set[str] = set()
         self.last_tick = 0.0
-        self.last_change = 0.0
         self.next_gossip = 0.0
         self.next_sync = 0.0
         self.next_introduction = 0.0
@@ -143,7 +134,7 @@
     @property
     def me(self) -> Member:
         """The record of this VM."""
-        return self.table.rows[self.vm_id]
+        return self.view.me
 
     def alive(self) -> list[Member]:
         """Returns the members that count as running, with this VM."""
@@ -159,7 +150,7 @@
         """States whether this VM serves requests and whether it is stopping."""
         if (self.me.ready, self.me.draining) == (ready, draining):
             return []
-        return self.state_self(
+        return self.view.state_self(
             dataclasses.replace(self.me, ready=ready, draining=draining), now
         )
 
@@ -168,7 +159,7 @@
         member = dataclasses.replace(
             self.me, state=MemberState.LEFT, ready=False, draining=True
         )
-        actions = self.state_self(member, now)
+        actions = self.view.state_self(member, now)
         message = Gossip(records=(build_record(self.me),))
         for peer in self.prober.choose_peers(LEAVE_FANOUT):
             actions.append(SendMessage(peer=peer, message=message))
@@ -181,7 +172,7 @@
         member = self.table.get(peer)
         if member is None:
             self.unknown_links.add(peer)
-            return [self.request_sync(peer)]
+            return self.request_sync(peer, now)
         if member.state == MemberState.ALIVE:
             return []
         return self.send_ping(self.prober.order_ping(peer), now)
@@ -200,8 +191,11 @@
         """Handles a message of another member."""
         self.joined = True
         actions: list[Action] = []
-        if self.table.get(peer) is None:
-            actions.append(self.request_sync(peer))
+        member = self.table.get(peer)
+        if member is not None and member.state == MemberState.FAILED:
+            self.prober.add_urgent(peer)
+        if member is None and not isinstance(message, SyncRequest):
+            actions += self.request_sync(peer, now)
         if isinstance(message, Ping):
             actions += self.on_ping(peer, message, now)
         elif isinstance(message, Ack):
@@ -209,11 +203,9 @@
         elif isinstance(message, PingRequest):
             actions += self.on_ping_request(peer, message, now)
         elif isinstance(message, Gossip):
-            actions += self.merge(message.records, now)
+            actions += self.view.merge(peer, message, now)
         elif isinstance(message, SyncRequest):
-            piece = self.sync.build_piece(message, now)
-            if piece is not None:
-                actions.append(SendMessage(peer=peer, message=piece))
+            actions += self.on_sync_request(peer, message, now)
         elif isinstance(message, SyncPiece):
             actions += self.on_sync_piece(peer, message, now)
         return actions
@@ -222,7 +214,7 @@
         """Probes, passes records on and ends suspicions that are due."""
         if now - self.last_tick > FREEZE_SECONDS:
             self.prober.forget_missed_answers(now)
-            self.suspected_at = dict.fromkeys(self.suspected_at, now)
+            self.view.restart_suspicions(now)
         self.last_tick = now
         if self.me.state == MemberState.LEFT:
             return self.send_gossip(now)
@@ -230,9 +222,9 @@
         orders, results = self.prober.advance(now)
         for result in results:
             actions += self.on_probe_result(result, now)
-        actions += self.end_suspicions(now)
+        actions += self.view.end_suspicions(now)
         orders += self.prober.start_probes(now)
-        subject = self.prober.choose_reconnect(self.absent_since, now)
+        subject = self.prober.choose_reconnect(self.view.absent_since, now)
         if subject:
             orders.append(self.prober.order_ping(subject))
         for order in orders:
@@ -249,16 +241,15 @@
         """Builds a ping that tells the subject what it is accused of."""
         member = self.table.get(order.subject)
         accused = -1
-        if member is not None and member.state in (
-            MemberState.SUSPECT,
-            MemberState.FAILED,
-        ):
+        if member is not None and member.state == MemberState.SUSPECT:
             accused = member.incarnation
+        payload = self.take_payload(PIGGYBACK_BYTES, now)
         ping = Ping(
             sequence=order.sequence,
             digest=self.table.digest,
             accused=accused,
-            records=self.take_records(PIGGYBACK_BYTES, now),
+            records=payload.records,
+            verdicts=payload.verdicts,
         )
         request = PingRequest(sequence=order.sequence, subject=order.subject)
         return [
@@ -275,42 +266,36 @@
         if member is None or not member.present:
             return []
         reach = Reach.INDIRECT if result.indirect else Reach.NONE
-        actions = self.set_reach(member, reach)
+        actions = self.view.set_reach(member, reach)
         if result.suspicious and member.state == MemberState.ALIVE:
             suspect = dataclasses.replace(
                 member, state=MemberState.SUSPECT, reach=reach
             )
-            actions += self.adopt(suspect, now)
+            actions += self.view.adopt(suspect, now)
         return actions
 
-    def set_reach(self, member: Member, reach: Reach) -> list[Action]:
-        """Stores how this VM reaches a member."""
-        if member.reach == reach:
-            return []
-        member = dataclasses.replace(member, reach=reach)
-        self.table.put(member)
-        return [MemberChanged(member=member)]
-
     def on_ping(self, peer: str, message: Ping, now: float) -> list[Action]:
         """Answers a ping and refutes its accusation."""
-        actions = self.merge(message.records, now)
+        actions = self.view.merge(peer, message, now)
         own: tuple[MemberRecord, ...] = ()
         if message.accused >= 0:
             if message.accused >= self.me.incarnation:
-                actions += self.refute(message.accused, now)
+                actions += self.view.refute(message.accused, now)
             own = (build_record(self.me),)
+        payload = self.take_payload(PIGGYBACK_BYTES, now)
         ack = Ack(
             sequence=message.sequence,
             subject=self.vm_id,
             digest=self.table.digest,
-            records=own + self.take_records(PIGGYBACK_BYTES, now),
+            records=own + payload.records,
+            verdicts=payload.verdicts,
         )
         actions.append(SendMessage(peer=peer, message=ack))
         return actions + self.compare_digest(peer, message.digest, now)
 
     def on_ack(self, peer: str, message: Ack, now: float) -> list[Action]:
         """Ends the probe of a member, or forwards its answer."""
-        actions = self.merge(message.records, now)
+        actions = self.view.merge(peer, message, now)
         if message.subject != peer:
             self.prober.on_forwarded_answer(message.subject, message.sequence)
             return actions
@@ -324,8 +309,10 @@
             )
             actions.append(SendMessage(peer=relay.requester, message=forwarded))
         member = self.table.get(peer)
-        if member is not None and member.present:
-            actions += self.set_reach(member, Reach.DIRECT)
+        if member is not None and member.state == MemberState.FAILED:
+            actions += self.view.take_back(member, now)
+        elif member is not None and member.present:
+            actions += self.view.set_reach(member, Reach.DIRECT)
         return actions + self.compare_digest(peer, message.digest, now)
 
     def on_ping_request(
@@ -338,128 +325,31 @@
         order = PingOrder(subject=message.subject, sequence=number)
         return self.send_ping(order, now)
 
-    def end_suspicions(self, now: float) -> list[Action]:
-        """Declares suspects failed that did not refute in time."""
-        actions: list[Action] = []
-        for vm_id, since in list(self.suspected_at.items()):
-            if now - since < SUSPICION_SECONDS:
-                break
-            failed = dataclasses.replace(
-                self.table.rows[vm_id],
-                state=MemberState.FAILED,
-                reach=Reach.NONE,
-            )
-            actions += self.adopt(failed, now)
-        return actions
-
     # Gossip.
 
-    def merge(
-        self, records: tuple[MemberRecord, ...], now: float
-    ) -> list[Action]:
-        """Takes over the records that are newer than the known ones."""
-        actions: list[Action] = []
-        for record in records:
-            if record.vm_id == self.vm_id:
-                actions += self.merge_self(record, now)
-            else:
-                actions += self.merge_other(record, now)
-        return actions
-
-    def merge_other(self, record: MemberRecord, now: float) -> list[Action]:
-        """Takes over a record of another VM if it is newer."""
-        known = self.table.get(record.vm_id)
-        if known is None:
-            member = build_member(record)
-            return self.adopt(member, now) if member.present else []
-        old = (known.incarnation, known.state)
-        new = (record.incarnation, record.state)
-        if new == old:
-            return []
-        if new < old:
-            if (
-                known.state == MemberState.FAILED
-                and record.incarnation == known.incarnation
-            ):
-                self.prober.add_urgent(known.vm_id)
-            return []
-        if (
-            record.state == MemberState.FAILED
-            and known.state == MemberState.ALIVE
-        ):
-            self.prober.add_urgent(known.vm_id)
-            return []
-        member = build_member(record)
-        if known.present and member.present:
-            member = dataclasses.replace(member, reach=known.reach)
-        elif not member.present:
-            member = dataclasses.replace(member, reach=Reach.NONE)
-        return self.adopt(member, now)
-
-    def merge_self(self, record: MemberRecord, now: float) -> list[Action]:
-        """Refutes a record that calls this VM suspect, failed or left."""
-        if record.incarnation > self.me.incarnation or (
-            record.incarnation == self.me.incarnation
-            and record.state != MemberState.ALIVE
-        ):
-            return self.refute(record.incarnation, now)
-        return []
-
-    def refute(self, incarnation: int, now: float) -> list[Action]:
-        """Raises this VM's incarnation above an accusation."""
-        if self.me.state == MemberState.LEFT:
-            return []
-        member = dataclasses.replace(
-            self.me, incarnation=max(incarnation, self.me.incarnation)
-        )
-        return self.state_self(member, now)
-
-    def state_self(self, member: Member, now: float) -> list[Action]:
-        """Stores and gossips a new statement of this VM about itself."""
-        member = dataclasses.replace(member, incarnation=member.incarnation + 1)
-        self.table.put(member)
-        self.queue.put(build_record(member))
-        self.last_change = now
-        return [MemberChanged(member=member)]
-
-    def adopt(self, member: Member, now: float) -> list[Action]:
-        """Stores a newer record, passes it on and tells the host."""
-        vm_id = member.vm_id
-        known = self.table.get(vm_id)
-        if known is not None and known.state == MemberState.FAILED:
-            self.prober.healing_until = now + HEALING_SECONDS
-        self.suspected_at.pop(vm_id, None)
-        if member.state == MemberState.SUSPECT:
-            self.suspected_at[vm_id] = now
-        else:
-            self.prober.forget(vm_id)
-        if member.present:
-            self.absent_since.pop(vm_id, None)
-        else:
-            self.absent_since[vm_id] = now
-        self.table.put(member)
-        self.queue.put(build_record(member))
-        self.last_change = now
-        return [MemberChanged(member=member)]
-
-    def take_records(
-        self, max_bytes: float, now: float
-    ) -> tuple[MemberRecord, ...]:
-        """Takes queued records for one message."""
+    def take_payload(self, max_bytes: float, now: float) -> Payload:
+        """Takes queued gossip for one message to any member."""
         members = len(self.table.present_ids)
-        return self.queue.take(max_bytes=max_bytes, members=members, now=now)
+        return self.view.queue.take(
+            max_bytes=max_bytes, members=members, now=now
+        )
 
     def send_gossip(self, now: float) -> list[Action]:
-        """Sends queued records to a few random members."""
-        if now < self.next_gossip or not self.queue.level_of:
+        """Sends queued items to a member of any data centre and a near one."""
+        if now < self.next_gossip:
             return []
         self.next_gossip = now + GOSSIP_PERIOD_SECONDS
         actions: list[Action] = []
-        for peer in self.prober.choose_peers(GOSSIP_FANOUT):
-            records = self.take_records(GOSSIP_MESSAGE_BYTES, now)
-            if records:
-                message = Gossip(records=records)
-                actions.append(SendMessage(peer=peer, message=message))
+        if self.view.queue.level_of:
+            payload = self.take_payload(GOSSIP_MESSAGE_BYTES, now)
+            actions += send_payload(self.prober.choose_peers(1), payload)
+        if self.view.near_queue.level_of:
+            near = self.table.near(self.me.data_centre)
+            payload = self.view.near_queue.take(
+                max_bytes=GOSSIP_MESSAGE_BYTES, members=len(near), now=now
+            )
+            peers = self.prober.sample(near, 1, "")
+            actions += send_payload(peers, payload)
         return actions
 
     # Full state.
@@ -470,11 +360,17 @@
             return []
         self.next_introduction = now + INTRODUCTION_SECONDS
         self.unknown_links -= self.table.rows.keys()
-        return [self.request_sync(peer) for peer in sorted(self.unknown_links)]
+        actions: list[Action] = []
+        for peer in sorted(self.unknown_links):
+            actions += self.request_sync(peer, now)
+        return actions
 
-    def request_sync(self, peer: str) -> SendMessage:
-        """Asks a peer for the records that differ."""
-        return SendMessage(peer=peer, message=self.sync.build_request())
+    def request_sync(self, peer: str, now: float) -> list[Action]:
+        """Asks a peer for the records that differ, within a budget."""
+        request = self.sync.build_request(self.me, now)
+        return (
+            [] if request is None else [SendMessage(peer=peer, message=request)]
+        )
 
     def compare_digest(
         self, peer: str, digest: int, now: float
@@ -482,35 +378,45 @@
         """Asks for a sync when the tables stay different."""
         if digest == self.table.digest or now < self.next_sync:
             return []
-        quiet = now - self.last_change >= SYNC_QUIET_SECONDS
-        if not quiet and now >= self.prober.healing_until:
+        healing = now < self.prober.healing_until
+        if not healing and now - self.view.last_change < SYNC_QUIET_SECONDS:
             return []
-        jitter = self.random.uniform(0.75, 1.25)
-        self.next_sync = now + SYNC_PERIOD_SECONDS * jitter
-        return [self.request_sync(peer)]
+        period = HEALING_SYNC_PERIOD_SECONDS if healing else SYNC_PERIOD_SECONDS
+        self.next_sync = now + period * self.random.uniform(0.75, 1.25)
+        return self.request_sync(peer, now)
+
+    def on_sync_request(
+        self, peer: str, message: SyncRequest, now: float
+    ) -> list[Action]:
+        """Answers with one piece of what differs."""
+        actions = self.view.merge(peer, Gossip(records=(message.record,)), now)
+        piece = self.sync.build_piece(message, now)
+        if piece is not None:
+            actions.append(SendMessage(peer=peer, message=piece))
+        return actions
 
     def on_sync_piece(
         self, peer: str, message: SyncPiece, now: float
     ) -> list[Action]:
         """Merges a piece, returns newer records and asks for the rest."""
         newer = self.sync.find_newer(message)
-        actions = self.merge(message.records, now)
+        actions = self.view.merge(peer, Gossip(records=message.records), now)
         if newer:
             reply = Gossip(records=newer)
             actions.append(SendMessage(peer=peer, message=reply))
         if message.more:
-            actions.append(self.request_sync(peer))
+            actions += self.request_sync(peer, now)
         return actions
 
     def clean_up(self, now: float) -> None:
-        """Forgets members that have been absent for long."""
+        """Drops what is no longer needed."""
         self.prober.clean_up(now)
-        excess = len(self.absent_since) - MAX_ABSENT_MEMBERS
-        for vm_id, since in list(self.absent_since.items()):
-            left = self.table.rows[vm_id].state == MemberState.LEFT
-            keep = LEFT_MEMORY_SECONDS if left else FAILED_MEMORY_SECONDS
-            if now - since >= keep or excess > 0:
-                excess -= 1
-                del self.absent_since[vm_id]
-                self.queue.discard(vm_id)
-                self.table.remove(vm_id)
+        self.view.clean_up(now)
+
+
+def send_payload(peers: tuple[str, ...], payload: Payload) -> list[Action]:
+    """Builds the messages that carry gossip to peers."""
+    if not payload.records and not payload.verdicts:
+        return []
+    message = Gossip(records=payload.records, verdicts=payload.verdicts)
+    return [SendMessage(peer=peer, message=message) for peer in peers]
--- a/rattanroute/systems/probes.py
+++ b/rattanroute/systems/probes.py
@@ -17,6 +17,7 @@
 INDIRECT_PROBES = 3
 # Probes beyond the periodic one, for members with a hint of a problem.
 URGENT_PROBES_PER_SECOND = 10.0
+HEALING_URGENT_PROBES_PER_SECOND = 30.0
 MAX_URGENT_PROBES = 512
 # Attempts to reach failed members; more while a partition heals.
 RECONNECTS_PER_SECOND = 2.0
@@ -130,6 +131,11 @@
             subject = self.choose_next_subject()
             if subject is not None:
                 orders.append(self.start_probe(subject, now))
+        self.urgent_tokens.rate = (
+            HEALING_URGENT_PROBES_PER_SECOND
+            if now < self.healing_until
+            else URGENT_PROBES_PER_SECOND
+        )
         while self.urgent and self.urgent_tokens.take(amount=1, now=now):
             subject = next(iter(self.urgent))
             del self.urgent[subject]
@@ -176,7 +182,12 @@
 
     def choose_peers(self, count: int, excluded: str = "") -> tuple[str, ...]:
         """Returns distinct random present members other than this VM."""
-        present = self.table.present_ids
+        return self.sample(self.table.present_ids, count, excluded)
+
+    def sample(
+        self, present: list[str], count: int, excluded: str
+    ) -> tuple[str, ...]:
+        """Returns distinct random members of a list other than this VM."""
         chosen = self.random.sample(present, min(len(present), count + 2))
         others = [v for v in chosen if v not in (self.vm_id, excluded)]
         return tuple(others[:count])
--- a/rattanroute/systems/synchronisations.py
+++ b/rattanroute/systems/synchronisations.py
@@ -9,10 +9,18 @@
 from rattanroute.systems.gossips import estimate_bytes
 from rattanroute.systems.gossips import TokenBucket
 from rattanroute.tables.members import DIGEST_BUCKETS
+from rattanroute.tables.members import Member
+from rattanroute.tables.members import MemberState
 from rattanroute.tables.members import MemberTable
 
 SYNC_BYTES_PER_SECOND = 10_000.0
 SYNC_PIECE_BYTES = 4_000
+# A request has about 600 bytes. A newcomer hears of many members at once and
+# must not ask each of them.
+SYNC_REQUESTS_PER_SECOND = 6.0
+# After a partition most members of the other side are held for failed, and
+# saying so would only cost bytes.
+MAX_FAILED_SENT = 8
 
 
 class MemberSync:
@@ -25,10 +33,17 @@
         self.tokens = TokenBucket(
             rate=SYNC_BYTES_PER_SECOND, burst=2 * SYNC_PIECE_BYTES
         )
+        self.requests = TokenBucket(
+            rate=SYNC_REQUESTS_PER_SECOND, burst=SYNC_REQUESTS_PER_SECOND
+        )
 
-    def build_request(self) -> SyncRequest:
-        """Builds a request for the records that differ."""
-        return SyncRequest(digests=tuple(self.table.digests))
+    def build_request(self, me: Member, now: float) -> SyncRequest | None:
+        """Builds a request for what differs; None when there is no budget."""
+        if not self.requests.take(amount=1, now=now):
+            return None
+        return SyncRequest(
+            digests=tuple(self.table.digests), record=build_record(me)
+        )
 
     def build_piece(self, request: SyncRequest, now: float) -> SyncPiece | None:
         """Builds one piece of what differs; None when there is no budget."""
@@ -71,11 +86,12 @@
                     for member in self.table.in_bucket(bucket)
                     if member.vm_id not in sent
                 ]
+        failed = 0
         for vm_id, record in sent.items():
             known = self.table.get(vm_id)
-            if known is not None and (record.incarnation, record.state) < (
-                known.incarnation,
-                known.state,
-            ):
+            if known is None or record.order >= known.order:
+                continue
+            failed += known.state == MemberState.FAILED
+            if known.state != MemberState.FAILED or failed <= MAX_FAILED_SENT:
                 newer.append(build_record(known))
         return tuple(newer)
--- a/rattanroute/tables/members.py
+++ b/rattanroute/tables/members.py
@@ -12,7 +12,7 @@
 
 
 class MemberState(enum.IntEnum):
-    """State of a member; of two at equal incarnation the greater one wins."""
+    """State of a member; the greater one wins within a round."""
 
     ALIVE = 0
     SUSPECT = 1
@@ -40,6 +40,8 @@
         voter: Whether the VM takes part in the configuration log.
         state: Verdict of the cluster on the VM.
         incarnation: Grows with each start and each statement of the VM.
+        round: Grows within an incarnation each time that another VM takes the
+            failed member back after direct contact.
         ready: Whether the VM serves requests.
         draining: Whether the VM is stopping as planned.
         reach: How this VM reaches the member; DIRECT until a probe says
@@ -54,6 +56,7 @@
     voter: bool = False
     state: MemberState = MemberState.ALIVE
     incarnation: int = 0
+    round: int = 0
     ready: bool = False
     draining: bool = False
     reach: Reach = Reach.DIRECT
@@ -63,12 +66,10 @@
         """Whether the member counts as running; a suspect one does."""
         return self.state <= MemberState.SUSPECT
 
-    def precedes(self, other: "Member") -> bool:
-        """Whether `other` is newer than this record of the same VM."""
-        return (self.incarnation, self.state) < (
-            other.incarnation,
-            other.state,
-        )
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Of two records of a VM the one with the greater order is newer."""
+        return self.incarnation, self.round, self.state
 
 
 def hash_member(member: Member) -> int:
@@ -100,13 +101,17 @@
         default_factory=lambda: [0] * DIGEST_BUCKETS
     )
     digest: int = 0
+    ids_by_data_centre: dict[str, list[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def put(self, member: Member) -> None:
         """Adds a member or replaces its record."""
         old = self.rows.get(member.vm_id)
         self.rows[member.vm_id] = member
         was_present = old is not None and old.present
-        if was_present and member.present:
+        moved = was_present and old.data_centre != member.data_centre
+        if was_present and member.present and not moved:
             if old.incarnation != member.incarnation:
                 self.toggle_digest(old)
                 self.toggle_digest(member)
@@ -116,10 +121,13 @@
             self.toggle_digest(old)
             bucket.discard(member.vm_id)
             self.present_ids.remove(member.vm_id)
+            self.ids_by_data_centre[old.data_centre].remove(member.vm_id)
         if member.present:
             self.toggle_digest(member)
             bucket.add(member.vm_id)
             self.present_ids.append(member.vm_id)
+            near = self.ids_by_data_centre.setdefault(member.data_centre, [])
+            near.append(member.vm_id)
 
     def remove(self, vm_id: str) -> None:
         """Forgets a member that is not present."""
@@ -140,6 +148,10 @@
         """Returns the members that count as running."""
         return [self.rows[vm_id] for vm_id in self.present_ids]
 
+    def near(self, data_centre: str) -> list[str]:
+        """Returns the identifiers of the present members of a data centre."""
+        return self.ids_by_data_centre.get(data_centre, [])
+
     def in_bucket(self, bucket: int) -> list[Member]:
         """Returns the present members of a digest bucket."""
         return [self.rows[vm_id] for vm_id in sorted(self.buckets[bucket])]
--- a/rattanroute/tests/test_records.py
+++ b/rattanroute/tests/test_records.py
@@ -22,28 +22,62 @@
     Attributes:
         kill_at: Number of the changing operation that kills the process;
             a killed write leaves half of its bytes.
+        power_loss: Whether a kill also takes what has not been synced.
         full: Whether writes fail with ENOSPC after half of the bytes.
         sync_fails: Whether syncs fail with EIO.
         max_write: Most bytes taken by one write.
+        synced: Size that is durable, by file.
+        names: Files created or replaced since the folder was synced, with
+            their earlier content.
     """
 
-    def __init__(self, kill_at: int = -1) -> None:
+    def __init__(self, kill_at: int = -1, *, power_loss: bool = False) -> None:
         self.kill_at = kill_at
+        self.power_loss = power_loss
         self.operations = 0
         self.full = False
         self.sync_fails = False
         self.max_write = 1 << 30
+        self.paths: dict[int, pathlib.Path] = {}
+        self.synced: dict[pathlib.Path, int] = {}
+        self.names: list[tuple[pathlib.Path, bytes | None]] = []
 
     def count(self) -> bool:
         """Counts an operation; tells whether it kills the process."""
         self.operations += 1
         return self.operations - 1 == self.kill_at
 
+    def kill(self) -> None:
+        """Kills the process; a power loss undoes what is not durable."""
+        if self.power_loss:
+            for path, size in self.synced.items():
+                if path.exists():
+                    os.truncate(path, min(size, path.stat().st_size))
+            for path, content in reversed(self.names):
+                path.unlink(missing_ok=True)
+                if content is not None:
+                    path.write_bytes(content)
+        raise Killed
+
+    def record_name(self, path: pathlib.Path) -> None:
+        """Records that a name is about to change."""
+        content = path.read_bytes() if path.exists() else None
+        self.names.append((path, content))
+
+    def open(self, path: pathlib.Path, *, create: bool) -> int:
+        """Opens a file and records what is durable of it."""
+        if create:
+            self.record_name(path)
+        handle = super().open(path, create=create)
+        self.paths[handle] = path
+        self.synced[path] = path.stat().st_size
+        return handle
+
     def write(self, handle: int, data: bytes) -> int:
         """Writes, fails or is killed in the middle."""
         if self.count():
             super().write(handle, data[: len(data) // 2])
-            raise Killed
+            self.kill()
         if self.full:
             super().write(handle, data[: len(data) // 2])
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
@@ -52,34 +86,41 @@
     def sync(self, handle: int) -> None:
         """Syncs, fails or is killed before it."""
         if self.count():
-            raise Killed
+            self.kill()
         if self.sync_fails:
             raise OSError(errno.EIO, os.strerror(errno.EIO))
         super().sync(handle)
+        path = self.paths[handle]
+        self.synced[path] = path.stat().st_size
 
     def truncate(self, handle: int, size: int) -> None:
         """Truncates or is killed before it."""
         if self.count():
-            raise Killed
+            self.kill()
         super().truncate(handle, size)
+        path = self.paths[handle]
+        self.synced[path] = min(self.synced[path], size)
 
     def rename(self, old: pathlib.Path, new: pathlib.Path) -> None:
         """Renames or is killed before it."""
         if self.count():
-            raise Killed
+            self.kill()
+        self.record_name(new)
         super().rename(old, new)
+        self.synced[new] = self.synced.pop(old)
 
     def remove(self, path: pathlib.Path) -> None:
         """Removes or is killed before it."""
         if self.count():
-            raise Killed
+            self.kill()
         super().remove(path)
 
     def sync_folder(self, path: pathlib.Path) -> None:
         """Syncs a folder or is killed before it."""
         if self.count():
-            raise Killed
+            self.kill()
         super().sync_folder(path)
+        self.names.clear()
 
 
 class RecordFileTest(unittest.TestCase):
@@ -139,16 +180,16 @@
             self.assertEqual(self.path.read_bytes(), broken)
 
     def test_kill_at_every_operation_keeps_synced_records(self) -> None:
-        for kill_at in range(9):
+        for number in range(36):
             self.path.unlink(missing_ok=True)
-            files = FaultyFileAccess(kill_at)
+            files = FaultyFileAccess(number // 2, power_loss=number % 2 == 1)
             synced = []
             with self.assertRaises(Killed):
                 file = RecordFile(self.path, files=files)
-                for number in range(9):
-                    file.append(b"%d" % number)
+                for payload in range(9):
+                    file.append(b"%d" % payload)
                     file.sync()
-                    synced.append(b"%d" % number)
+                    synced.append(b"%d" % payload)
             found = self.read_payloads()
             self.assertEqual(found[: len(synced)], synced)
             self.assertLessEqual(len(found), len(synced) + 1)
@@ -197,14 +238,27 @@
         new = records.encode_file([b"new"])
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "b.rec")
-            for kill_at in range(4):
+            for number in range(8):
                 path.write_bytes(old)
-                files = FaultyFileAccess(kill_at)
+                files = FaultyFileAccess(
+                    number // 2, power_loss=number % 2 == 1
+                )
                 with self.assertRaises(Killed):
                     records.write_file_synced(path, new, files=files)
                 found = records.read_records(path, files=SystemFileAccess())
                 self.assertIn(found, ([b"old"], [b"new"]))
 
+    def test_power_loss_after_return_keeps_the_new_file(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "b.rec")
+            path.write_bytes(records.encode_file([b"old"]))
+            files = FaultyFileAccess(power_loss=True)
+            new = records.encode_file([b"new"])
+            records.write_file_synced(path, new, files=files)
+            with self.assertRaises(Killed):
+                files.kill()
+            self.assertEqual(path.read_bytes(), new)
+
     def test_full_disk_keeps_the_old_file(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "b.rec")
