--- a/rattanroute/systems/claimants.py
+++ b/rattanroute/systems/claimants.py
@@ -202,6 +202,11 @@
         return self.refuse(UNREACHABLE_REFUSAL)
 
 
+def refuse_at_once(request_id: str, refusal: Refusal) -> Claimed:
+    """Returns the verdict on a request that cannot claim its key."""
+    return Claimed(request_id=request_id, granted=False, refusal=refusal)
+
+
 def count_outcomes(replies: list[ClaimReply], outcome: Outcome) -> int:
     """Returns the number of replies with an outcome."""
     return sum(reply.outcome == outcome for reply in replies)
--- a/rattanroute/systems/claims.py
+++ b/rattanroute/systems/claims.py
@@ -13,7 +13,6 @@
 from rattanroute.actions import AnswerStored
 from rattanroute.actions import Claimed
 from rattanroute.actions import PersistClaims
-from rattanroute.actions import Refusal
 from rattanroute.actions import SendMessage
 from rattanroute.messages.claims import ClaimAck
 from rattanroute.messages.claims import ClaimRelease
@@ -28,6 +27,7 @@
 from rattanroute.systems.claimants import ClaimantPhase
 from rattanroute.systems.claimants import INVALID_KEY_REFUSAL
 from rattanroute.systems.claimants import NO_HOLDERS_REFUSAL
+from rattanroute.systems.claimants import refuse_at_once
 from rattanroute.systems.holders import ClaimHolder
 from rattanroute.systems.holders import HolderStatus
 from rattanroute.systems.holders import MAX_ANSWER_BYTES
@@ -46,8 +46,7 @@
 RESEND_SECONDS = 0.3
 # Releases and results are resent this long to holders that do not confirm.
 RESEND_LIMIT_SECONDS = 30.0
-# A held claim of which the host reports nothing this long after the deadline
-# is marked as unknown.
+# A claim without a result this long after its deadline is marked as unknown.
 HELD_GRACE_SECONDS = 600.0
 CLEANUP_PERIOD_SECONDS = 10.0
 
@@ -203,7 +202,7 @@
         """Stores the answer of a claimed request; `AnswerStored` follows."""
         claimant = self.get_held(request_id)
         if claimant is None:
-            return []
+            return [AnswerStored(request_id=request_id, stored=False)]
         kept = answer if len(answer) <= MAX_ANSWER_BYTES else None
         return self.store(claimant, ClaimState.DONE, kept, now)
 
@@ -327,17 +326,9 @@
         holders = holder.holder_set.holders
         if peer not in holders or peer == self.vm_id:
             return None
-        index = holders.index(peer)
-        copier = self.copiers[message.home]
-        now_ms = self.to_wall_ms(now)
-        if isinstance(message, CopyRequest):
-            return copier.serve(index, message, now)
-        if isinstance(message, CopyPiece):
-            return copier.on_piece(index, message, now, now_ms)
-        if isinstance(message, HandoverPiece):
-            return copier.on_handover_piece(message, now_ms)
-        copier.on_handover_ack(index, message, now)
-        return None
+        return self.copiers[message.home].on_message(
+            holders.index(peer), message, now, self.to_wall_ms(now)
+        )
 
     def answer(
         self,
@@ -506,8 +497,3 @@
             if not claimant.has_answered(index):
                 actions += self.deliver(peer, message, now)
         return actions
-
-
-def refuse_at_once(request_id: str, refusal: Refusal) -> Claimed:
-    """Returns the verdict on a request that cannot claim its key."""
-    return Claimed(request_id=request_id, granted=False, refusal=refusal)
--- a/rattanroute/systems/ledgers.py
+++ b/rattanroute/systems/ledgers.py
@@ -9,7 +9,6 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 
 import msgspec
 
@@ -21,10 +20,14 @@
 from rattanroute.messages.ledgers import SnapshotRequest
 from rattanroute.messages.ledgers import UsageAck
 from rattanroute.messages.ledgers import UsageBatch
-from rattanroute.systems.ledger_holders import ENCODER
 from rattanroute.systems.ledger_holders import LedgerHolder
 from rattanroute.systems.ledger_holders import STATE_DECODER
 from rattanroute.systems.ledger_holders import TotalRow
+from rattanroute.systems.snapshots import Adoption
+from rattanroute.systems.snapshots import Snapshot
+from rattanroute.systems.snapshots import SNAPSHOT_RETRY_SECONDS
+from rattanroute.systems.snapshots import SNAPSHOT_TIMEOUT_SECONDS
+from rattanroute.systems.snapshots import take_snapshot
 from rattanroute.systems.usages import ReportItem
 from rattanroute.systems.usages import StatementItem
 from rattanroute.systems.usages import UsageSender
@@ -40,52 +43,12 @@
 from rattanroute.tables.usages import UsageStatement
 
 RECONCILE_SECONDS = 5.0
-SNAPSHOT_PIECE_BYTES = 64_000
-SNAPSHOT_RETRY_SECONDS = 1.0
-SNAPSHOT_TIMEOUT_SECONDS = 60.0
 # Targets repeat a statement in several heartbeats.
 MAX_HEARD_STATEMENTS = 20_000
 # Attempts whose end the host never reported are forgotten.
 MAX_OPENED_ATTEMPTS = 50_000
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Snapshot:
-    """A snapshot that another holder fetches.
-
-    Attributes:
-        snapshot_id: Number of the snapshot.
-        pieces: The encoded state in pieces.
-        expires_at: Time at which it is dropped.
-        reused_until: Time until which a new request continues it, because
-            the answer to the first request may have been lost.
-    """
-
-    snapshot_id: int
-    pieces: list[bytes]
-    expires_at: float
-    reused_until: float
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Adoption:
-    """A snapshot that this holder fetches.
-
-    Attributes:
-        peer: The holder that sends it.
-        ends_at: Time at which the attempt is given up.
-        next_send: Time of the next request.
-        snapshot_id: Number of the snapshot; 0 before the first piece.
-        pieces: Pieces received.
-    """
-
-    peer: str
-    ends_at: float
-    next_send: float = 0.0
-    snapshot_id: int = 0
-    pieces: list[bytes] = dataclasses.field(default_factory=list)
-
-
 class LedgerSystem:
     """Usage of this VM's attempts, and the ledger where this VM holds it.
 
@@ -454,7 +417,8 @@
         snapshot = self.snapshots.get(peer)
         fresh = snapshot is not None and now < snapshot.reused_until
         if message.snapshot_id == 0 and not fresh:
-            snapshot = self.take_snapshot(now)
+            self.snapshot_count += 1
+            snapshot = take_snapshot(self.holder, self.snapshot_count, now)
             self.snapshots[peer] = snapshot
         if (
             snapshot is None
@@ -470,20 +434,6 @@
         )
         return [SendMessage(peer=peer, message=piece)]
 
-    def take_snapshot(self, now: float) -> Snapshot:
-        """Encodes the whole state in pieces."""
-        data = ENCODER.encode(self.holder.dump())
-        self.snapshot_count += 1
-        return Snapshot(
-            snapshot_id=self.snapshot_count,
-            pieces=[
-                data[start : start + SNAPSHOT_PIECE_BYTES]
-                for start in range(0, len(data), SNAPSHOT_PIECE_BYTES)
-            ],
-            expires_at=now + SNAPSHOT_TIMEOUT_SECONDS,
-            reused_until=now + 10 * SNAPSHOT_RETRY_SECONDS,
-        )
-
     def on_snapshot_piece(
         self, peer: str, message: SnapshotPiece, now: float
     ) -> list[Action]:
--- a/rattanroute/systems/memberships.py
+++ b/rattanroute/systems/memberships.py
@@ -165,7 +165,7 @@
             actions.append(SendMessage(peer=peer, message=message))
         return actions
 
-    def host_connected(self, *, peer: str, now: float) -> list[Action]:
+    def host_connected(self, peer: str, now: float) -> list[Action]:
         """Takes the hint that a link to a peer is open."""
         if peer == self.vm_id:
             return []
@@ -177,7 +177,7 @@
             return []
         return self.send_ping(self.prober.order_ping(peer), now)
 
-    def host_disconnected(self, *, peer: str, now: float) -> list[Action]:
+    def host_disconnected(self, peer: str, now: float) -> list[Action]:
         """Takes the hint that the link to a peer closed."""
         self.unknown_links.discard(peer)
         self.prober.add_urgent(peer)
--- a/rattanroute/systems/recoveries.py
+++ b/rattanroute/systems/recoveries.py
@@ -78,6 +78,19 @@
             return self.send_handover(now)
         return []
 
+    def on_message(
+        self, index: int, message: object, now: float, now_ms: int
+    ) -> object | None:
+        """Handles a message of another holder; returns the reply."""
+        if isinstance(message, CopyRequest):
+            return self.serve(index, message, now)
+        if isinstance(message, CopyPiece):
+            return self.on_piece(index, message, now, now_ms)
+        if isinstance(message, HandoverPiece):
+            return self.on_handover_piece(message, now_ms)
+        self.on_handover_ack(index, message, now)
+        return None
+
     def request_pieces(self, now: float) -> list[tuple[int, object]]:
         """Asks the sources that have not answered."""
         messages: list[tuple[int, object]] = []
