--- a/rattanroute/clients/attempts.py
+++ b/rattanroute/clients/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import dataclasses
 
+import msgspec
 import xxhash
 
 from rattanroute.errors import RouterError
@@ -13,9 +14,8 @@
 """Tokens of one block of the engines' prefix caches."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TokenChunk:
-    """One generated token.
+class TokenChunk(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """One generated token; a struct, as one is built for each token.
 
     Attributes:
         index: Position in the answer, from 0, over all attempts.
--- a/rattanroute/clients/engines.py
+++ b/rattanroute/clients/engines.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import Iterator
-import time
 
 import aiohttp
 import msgspec
@@ -20,6 +19,8 @@
 """Wait for the end of the body after `[DONE]`; the connection is reused only
 when the body has ended."""
 CANCEL_TIMEOUT_S = 2.0
+PAUSE_CHECK_S = 0.05
+"""Interval at which the watchdog looks again while the caller is slow."""
 
 EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
@@ -151,6 +152,52 @@
         )
 
 
+class Watchdog:
+    """Ends the wait for a body's next token at a deadline.
+
+    One timer serves the whole stream and is set anew only when it fires; a
+    time-out around each read would cost a tenth of the relay's time.
+
+    Attributes:
+        content: The body.
+        deadline: End of the present wait, on the event loop's clock.
+        waiting: Whether the reader waits, rather than its caller.
+    """
+
+    def __init__(self, content: aiohttp.StreamReader, deadline: float) -> None:
+        self.content = content
+        self.deadline = deadline
+        self.waiting = True
+        self.loop = asyncio.get_running_loop()
+        self.timer = self.schedule()
+
+    def schedule(self) -> asyncio.TimerHandle:
+        """Sets the timer to the present deadline."""
+        return self.loop.call_at(self.deadline, self.check)
+
+    def wait_until(self, deadline: float, timeout_s: float) -> None:
+        """Starts the wait for the next token."""
+        self.deadline = min(deadline, self.loop.time() + timeout_s)
+        self.waiting = True
+        if self.deadline < self.timer.when():
+            self.timer.cancel()
+            self.timer = self.schedule()
+
+    def check(self) -> None:
+        """Ends the wait when it is over, else sets the timer anew."""
+        now = self.loop.time()
+        if not self.waiting:
+            self.deadline = max(self.deadline, now + PAUSE_CHECK_S)
+        elif now >= self.deadline:
+            self.content.set_exception(TimeoutError())
+            return
+        self.timer = self.schedule()
+
+    def cancel(self) -> None:
+        """Stops the timer."""
+        self.timer.cancel()
+
+
 class EngineClient:
     """Runs attempts over a shared client session."""
 
@@ -175,16 +222,16 @@
         context = AttemptContext(
             target_id=order.target_id, first_index=first, next_index=first
         )
-        deadline = time.monotonic() + order.deadline_s
-        token_deadline = min(
-            deadline, time.monotonic() + order.first_token_timeout_s
-        )
+        now = asyncio.get_running_loop().time()
+        deadline = now + order.deadline_s
+        token_deadline = min(deadline, now + order.first_token_timeout_s)
         response = await self.send(order, context, token_deadline)
+        content = response.content
+        watchdog = Watchdog(content, token_deadline)
         try:
             reader = StreamReader(order, context)
-            content = response.content
             while not reader.done:
-                data = await receive(content, context, token_deadline)
+                data = await receive(content, context)
                 if not data and reader.usage is None:
                     raise context.fail(
                         "read stream", "stream ended early", crashed=True
@@ -192,13 +239,14 @@
                 if not data:
                     break
                 for chunk in reader.feed(data):
+                    watchdog.waiting = False
                     yield chunk
-                    token_deadline = min(
-                        deadline, time.monotonic() + order.token_timeout_s
-                    )
+                if not watchdog.waiting:
+                    watchdog.wait_until(deadline, order.token_timeout_s)
             await self.release(response)
             yield reader.usage
         finally:
+            watchdog.cancel()
             response.close()
 
     async def send(
@@ -212,7 +260,7 @@
         headers = order.headers
         headers["Content-Type"] = "application/json"
         try:
-            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+            async with asyncio.timeout_at(until):
                 response = await self.session.post(
                     f"{order.address}/v1/chat/completions",
                     data=ENCODER.encode(body),
@@ -258,12 +306,11 @@
 
 
 async def receive(
-    content: aiohttp.StreamReader, context: AttemptContext, until: float
+    content: aiohttp.StreamReader, context: AttemptContext
 ) -> bytes:
     """Returns the next bytes of a body; empty at its end."""
     try:
-        async with asyncio.timeout(max(0.0, until - time.monotonic())):
-            return await content.readany()
+        return await content.readany()
     except EXCHANGE_ERRORS as error:
         raise context.convert("read stream", error) from error
 
--- a/rattanroute/systems/chains.py
+++ b/rattanroute/systems/chains.py
@@ -17,8 +17,11 @@
 ROUNDING = 1e-9
 """Relative slack of a bound against rounding of sums."""
 MAX_REPEAT_SPLITS = 8
-"""Searches for a cheapest chain that uses no target twice. After them a valid
-chain is derived from the last one found."""
+"""Searches for a cheapest chain that uses no target twice. After them the
+best valid chain derived from those found is taken."""
+COST_TOLERANCE = 0.05
+"""Relative excess of a chain over the lower bound at which the search ends;
+measured speeds and reported loads vary by more."""
 
 Limits = dict[str, tuple[int, int]]
 
@@ -139,24 +142,27 @@
 def find_chain(
     candidates: list[Candidate], first: int, end: int
 ) -> Path | None:
-    """Finds the cheapest chain that uses no target twice.
+    """Finds a cheapest chain, within a tolerance, that repeats no target.
 
     A cheapest chain that uses a target twice is excluded by two searches:
     one in which that target begins only before, and one in which it begins
-    only from, its last use.
+    only from, its last use. Its cost bounds that of all chains not yet
+    excluded from below; a valid chain that comes close to it is taken.
     """
     order = itertools.count()
     start = search(candidates, first, end, {})
     heap = [(start.cost, next(order), start, {})] if start else []
-    path = None
+    best: Path | None = None
     for _ in range(MAX_REPEAT_SPLITS):
         if not heap:
             break
-        _, _, path, limits = heapq.heappop(heap)
-        repeated = find_repeated(path)
-        if repeated is None:
-            return path
-        target_id, begin = repeated
+        bound, _, path, limits = heapq.heappop(heap)
+        valid = merge_repeated(path)
+        if best is None or valid.cost < best.cost:
+            best = valid
+        if best.cost <= bound * (1 + COST_TOLERANCE):
+            break
+        target_id, begin = find_repeated(path)
         low, high = limits.get(target_id, (first, end))
         for limit in ((low, min(high, begin)), (max(low, begin), high)):
             narrowed = {**limits, target_id: limit}
@@ -164,7 +170,7 @@
             if found is not None:
                 entry = (found.cost, next(order), found, narrowed)
                 heapq.heappush(heap, entry)
-    return merge_repeated(path) if path is not None else None
+    return best
 
 
 def merge_repeated(path: Path) -> Path:
