Read an engine's stream without a wrapper

Cause: two coroutines around each read of a stream, in the profile of the streamed chunks. Change: the attempt converts the error of a read itself.

--- a/rattanroute/clients/engines.py
+++ b/rattanroute/clients/engines.py
@@ -240,7 +240,10 @@
         try:
             reader = StreamReader(order, context)
             while not reader.done:
-                data = await receive(timer, context)
+                try:
+                    data = await timer.read()
+                except EXCHANGE_ERRORS as error:
+                    raise context.convert("read stream", error) from error
                 if not data and reader.usage is None:
                     raise context.fail(
                         "read stream", "stream ended early", crashed=True
@@ -314,14 +317,6 @@
             return
 
 
-async def receive(timer: ReadTimer, context: AttemptContext) -> bytes:
-    """Returns the next bytes of a body; empty at its end."""
-    try:
-        return await timer.read()
-    except EXCHANGE_ERRORS as error:
-        raise context.convert("read stream", error) from error
-
-
 async def read_refusal(
     response: aiohttp.ClientResponse, context: AttemptContext
 ) -> Exception:
