Let a target's rejection end a request

Cause: an engine that rejects a request for its content had no event of its own; the core would have asked every other target. Change: AttemptFailed carries an optional refusal that ends the request and leaves the target's health as it is. Conclusion: the host passes rejected content on in one event.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -338,7 +338,7 @@
         now: float,
     ) -> list[Action]:
         """Starts the next attempt, or refuses, after a failed one."""
-        refusal = self.retries.judge(
+        refusal = event.refusal or self.retries.judge(
             request,
             event,
             banned=self.quarantines.banned_for(request.fingerprint, now),
--- a/rattanroute/events.py
+++ b/rattanroute/events.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from rattanroute.actions import Refusal
 from rattanroute.tables.requests import Request
 
 
@@ -60,6 +61,8 @@
         reason: One sentence for logs.
         retry_after_s: The target's own request to stay away, in seconds.
         tokens_out: Tokens of this attempt that the caller already has.
+        refusal: The end of a request that the target rejects for its content;
+            it is not tried again, and the target counts as healthy.
     """
 
     request_id: str
@@ -70,6 +73,7 @@
     reason: str = ""
     retry_after_s: float | None = None
     tokens_out: int = 0
+    refusal: Refusal | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/rattanroute/systems/attempts.py
+++ b/rattanroute/systems/attempts.py
@@ -165,7 +165,7 @@
     def note_failure(self, event: AttemptFailed, now: float) -> None:
         """Tells detection of a failed attempt."""
         row = self.targets.get(event.target_id)
-        if row is not None:
+        if row is not None and event.refusal is None:
             self.detections.note_failure(
                 row,
                 crashed=event.crashed,
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -7,6 +7,7 @@
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Execution
 from rattanroute.actions import Finish
+from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
 from rattanroute.cores import CoreSettings
 from rattanroute.events import AttemptSucceeded
@@ -76,6 +77,18 @@
         }
         self.assertNotIn(first.chain[0].target_id, chosen)
 
+    def test_rejected_content_is_not_tried_elsewhere(self) -> None:
+        core = build_core(build_report("t1"), build_report("t2"))
+        [first] = arrive(core, "r1")
+        refusal = Refusal(type="invalid_request", message="no", status=400)
+        rejected = fail(first, Provenance.NOT_DISPATCHED, refusal=refusal)
+        self.assertEqual(
+            core.handle(rejected, now=0.1),
+            [Refuse(request_id="r1", refusal=refusal)],
+        )
+        row = core.targets.get(first.chain[0].target_id)
+        self.assertEqual(row.failures, 0)
+
     def test_late_attempt_of_a_running_request_ends_at_its_deadline(self):
         core = build_core(build_report())
         arrive(core, "r1", kind=RequestKind.SERVICE, repeatable=False)
