Test the correction of late reports with foreign load

Cause: the test of late reports passed without the correction, because the attempts of this VM hid the reported load. Change: the report contains an attempt of another VM. Conclusion: the correction is guarded.

--- a/rattanroute/tests/test_routing.py
+++ b/rattanroute/tests/test_routing.py
@@ -4,6 +4,7 @@
 import unittest
 
 from rattanroute.actions import Dispatch
+from rattanroute.events import AttemptSucceeded
 from rattanroute.events import RequestArrived
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import Model
@@ -90,15 +91,21 @@
         self.assertEqual(route(core, build_request("a")), "old")
 
     def test_late_report_does_not_hide_what_was_sent_after_it(self) -> None:
-        core = warm_core(build_report("t1", slots=2))
+        core = warm_core(build_report("t1", slots=4))
         for number in range(2):
             route(core, build_request(f"r{number}"), now=20.0 + number)
-        late = build_report("t1", slots=2, sequence=1, running=1)
+        late = build_report("t1", slots=4, sequence=1, running=2)
         core.targets.record(report=late, observer="x", heard_at=20.5)
         row = core.targets.get("t1")
-        # The report contains the attempt of 20.0 s but not that of 21.0 s.
+        # The report contains the attempt of 20.0 s and one of another VM, but
+        # not the attempt of 21.0 s.
+        self.assertEqual(row.load, 3)
+        done = AttemptSucceeded(request_id="r0", attempt=1)
+        core.handle(done, now=21.1)
+        self.assertEqual(row.load, 2)
+        newer = build_report("t1", slots=4, sequence=2, running=2)
+        core.targets.record(report=newer, observer="x", heard_at=21.2)
         self.assertEqual(row.load, 2)
-        self.assertEqual(row.sent_since_report, 1)
 
     def test_vms_with_the_same_report_do_not_herd(self) -> None:
         chosen = []
