--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -1,13 +1,13 @@
 """The request core: decides what happens to each request of this VM.
 
 Every request ends in exactly one `Finish` or `Refuse`, unless its caller has
-gone. The core gives back the slots of an attempt before it decides what
-follows, so that a request that waits for a retry holds no slot.
+gone. An attempt's slots are given back before it is decided what follows.
 """
 
 from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
+import math
 import random as randoms
 
 from rattanroute.actions import Action
@@ -58,6 +58,7 @@
 
     Attributes:
         max_queued: Requests that may wait for a slot.
+        max_wait_s: Longest expected wait with which a request is queued.
         heartbeat_timeout_s: Age of a report after which its target gets no
             new work.
         max_attempts: Attempts of one request.
@@ -66,6 +67,7 @@
     """
 
     max_queued: int = 1000
+    max_wait_s: float = math.inf
     heartbeat_timeout_s: float = 2.5
     max_attempts: int = 4
     hedging: bool = False
@@ -122,7 +124,9 @@
             random=self.random,
         )
         self.admissions = AdmissionSystem(
-            max_queued=self.settings.max_queued, gate=self.gate
+            max_queued=self.settings.max_queued,
+            max_wait_s=self.settings.max_wait_s,
+            gate=self.gate,
         )
         self.detections = DetectionSystem(targets=self.targets)
         self.retries = RetrySystem(
@@ -180,7 +184,8 @@
         for request_id in self.retries.release(now):
             request = self.requests.get(request_id)
             if request is not None and not request.live:
-                actions += self.retry(request, now)
+                # Requests that have used work go ahead of the queue.
+                actions += self.place(request, now) or self.route(request, now)
         for key in list(self.admissions.queues):
             actions += self.drain(key, now)
         for request_id, number in self.hedges.late(now):
@@ -295,6 +300,7 @@
             event = dataclasses.replace(event, provenance=Provenance.STARTED)
         clean = event.provenance is Provenance.NOT_DISPATCHED
         request.tokens_out += event.tokens_out
+        attempt.tokens_out = event.tokens_out
         actions: list[Action] = []
         if event.crashed and not clean:
             actions += self.note_crash(attempt, event, now)
@@ -336,7 +342,7 @@
         now: float,
     ) -> list[Action]:
         """Starts the next attempt, or refuses, after a failed one."""
-        refusal = self.retries.judge(
+        refusal = event.refusal or self.retries.judge(
             request,
             event,
             banned=self.quarantines.banned_for(request.fingerprint, now),
@@ -359,10 +365,6 @@
         )
         return []
 
-    def retry(self, request: Request, now: float) -> list[Action]:
-        """Starts a request whose back-off has passed, ahead of the queue."""
-        return self.place(request, now) or self.route(request, now)
-
     def replace(
         self,
         request: Request,
@@ -454,20 +456,18 @@
     def stop_suspects(
         self, fingerprints: Collection[str], crashed: str, now: float
     ) -> list[Action]:
-        """Restarts attempts of suspects so that a single one runs.
-
-        Args:
-            fingerprints: The suspects.
-            crashed: A target whose attempts fail by themselves.
-            now: Time in seconds.
-        """
+        """Restarts suspects, except on a crashed target, or refuses them."""
         actions: list[Action] = []
         for request in list(self.requests) if fingerprints else ():
-            if request.fingerprint in fingerprints and request.repeatable:
-                targets = {h.target_id for a in request.live for h in a.chain}
-                if targets and crashed not in targets:
-                    actions += self.cancel(request, now)
-                    actions += self.route(request, now)
+            if request.fingerprint not in fingerprints:
+                continue
+            targets = {h.target_id for a in request.live for h in a.chain}
+            if crashed in targets or (targets and not request.repeatable):
+                continue
+            banned = self.quarantines.banned_for(request.fingerprint, now)
+            if targets or banned:
+                actions += self.cancel(request, now)
+                actions += self.route(request, now)
         return actions
 
     def expire(self, now: float) -> list[Action]:
--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -8,6 +8,7 @@
 import time
 from typing import Protocol
 
+from aioprometheus.histogram import Histogram
 from opentelemetry import trace
 
 from rattanroute.actions import Action
@@ -195,6 +196,7 @@
         names = tuple(hop.target_id for hop in dispatch.chain)
         self.route.append(",".join(names))
         span = self.start_attempt_span(dispatch)
+        stages = self.start_stage_spans(dispatch, span)
         self.attempt = dispatch.attempt
         self.attempt_tokens = 0
         self.dispatch_tokens = 0
@@ -215,7 +217,8 @@
             raise
         finally:
             self.scope = None
-            span.end()
+            for item in (*stages, span):
+                item.end()
         self.record(dispatch, event, started, describe_outcome(event))
         self.host.handle(event)
 
@@ -229,6 +232,25 @@
             target=",".join(hop.target_id for hop in dispatch.chain),
         )
 
+    def start_stage_spans(
+        self, dispatch: Dispatch, parent: trace.Span
+    ) -> list[trace.Span]:
+        """Starts a span for each stage of a pipeline."""
+        if len(dispatch.chain) == 1:
+            return []
+        context = trace.set_span_in_context(parent)
+        return [
+            self.host.traces.start(
+                "stage",
+                request_id=self.request.request_id,
+                parent=context,
+                target=hop.target_id,
+                first_layer=hop.first_layer,
+                last_layer=hop.last_layer,
+            )
+            for hop in dispatch.chain
+        ]
+
     async def execute(
         self, dispatch: Dispatch, span: trace.Span
     ) -> AttemptSucceeded | AttemptFailed:
@@ -330,6 +352,8 @@
         self.write = write
         self.tokens: list[str] = []
         self.last_token_at = 0.0
+        self.started_attempt = 0
+        self.gaps: Histogram | None = None
         self.usage = Usage()
 
     async def execute(
@@ -429,13 +453,18 @@
                 {"model": self.request.model}, now - self.request.arrived_at
             )
         else:
-            self.host.metrics.token_gap.observe(
-                {"model": self.request.model}, now - self.last_token_at
-            )
+            self.observe_gap(now - self.last_token_at)
         self.last_token_at = now
         self.tokens.append(text)
         self.attempt_tokens += 1
         self.dispatch_tokens += 1
+        if self.started_attempt != self.attempt:
+            self.note_started()
+        await self.write(text)
+
+    def note_started(self) -> None:
+        """Tells the core of an attempt's first token."""
+        self.started_attempt = self.attempt
         attempt = self.request.current
         if attempt is not None and attempt.started_at is None:
             self.host.handle(
@@ -443,7 +472,20 @@
                     request_id=self.request.request_id, attempt=self.attempt
                 )
             )
-        await self.write(text)
+
+    def observe_gap(self, seconds: float) -> None:
+        """Observes a time between tokens.
+
+        The histogram of the model is looked up once for each request, as the
+        lookup by labels costs more than the observation.
+        """
+        if self.gaps is not None:
+            self.gaps.observe(seconds)
+            return
+        metric = self.host.metrics.token_gap
+        labels = {"model": self.request.model}
+        metric.observe(labels, seconds)
+        self.gaps = metric.get_value(labels)
 
 
 class ServiceSession(Session):
