--- a/rattanroute/tests/integration/test_stops.py
+++ b/rattanroute/tests/integration/test_stops.py
@@ -11,7 +11,8 @@
 
 ENGINES = {"engine-a": "dc-a", "engine-b": "dc-b"}
 SERVICES = {"records-a": "dc-a", "records-b": "dc-b"}
-TOKENS = 60
+# More than a stop takes that does not wait: about 4 s.
+TOKENS = 160
 CHECK_SECONDS = 0.2
 CALL_SECONDS = 15.0
 
