Run late whole answers on a second target; split the sessions

Cause: the core hedges late repeatable whole answers, but the daemon ran the attempts of a request one after the other; a session whose caller's connection broke without a cancellation left its slot taken in the core. Change: AttemptRun holds what belongs to one attempt; attempts of whole repeatable answers run side by side; each session ends with CallerGone, which the core ignores for ended requests; content that a target rejects ends the request; the queue wait is observed.

--- /dev/null
+++ b/rattanroute/chatsessions.py
@@ -0,0 +1,225 @@
+"""Sessions of chat completions."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import time
+
+from aioprometheus.collectors import Histogram
+from opentelemetry import trace
+
+from rattanroute.actions import ReplaceStage
+from rattanroute.attemptruns import AttemptRun
+from rattanroute.clients.attempts import AttemptOrder
+from rattanroute.clients.attempts import TokenChunk
+from rattanroute.clients.attempts import Usage
+from rattanroute.clients.sockets import FailureKind
+from rattanroute.clients.stages import StageFailure
+from rattanroute.events import AttemptFailed
+from rattanroute.events import AttemptStarted
+from rattanroute.events import AttemptSucceeded
+from rattanroute.events import StageDegraded
+from rattanroute.logs import get_logger
+from rattanroute.sessions import Session
+from rattanroute.sessions import SessionHost
+from rattanroute.tables.requests import Request
+
+FIRST_TOKEN_TIMEOUT_SECONDS = 20.0
+TOKEN_TIMEOUT_SECONDS = 3.0
+
+log = get_logger(__name__)
+TokenWriter = Callable[[str], Awaitable[None]]
+
+
+class ChatSession(Session):
+    """A chat completion.
+
+    Args:
+        host: The daemon.
+        request: The request.
+        span: Span of the entry hop.
+        body: The caller's body.
+        write: Called with each token, once and in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: SessionHost,
+        request: Request,
+        span: trace.Span,
+        body: dict[str, object],
+        write: TokenWriter,
+    ) -> None:
+        super().__init__(host=host, request=request, span=span)
+        self.body = body
+        self.write = write
+        self.tokens: list[str] = []
+        self.last_token_at = 0.0
+        self.gaps: Histogram | None = None
+        self.usage = Usage()
+        self.is_complete = False
+
+    async def execute(
+        self, run: AttemptRun, span: trace.Span
+    ) -> AttemptSucceeded | AttemptFailed:
+        """Streams one attempt's tokens to the caller."""
+        order = self.build_order(run, span)
+        usage = Usage()
+        pass_on = self.keep_back if self.is_hedged else self.pass_on
+        async for chunk in self.open_run(order, run):
+            if isinstance(chunk, TokenChunk):
+                await pass_on(run, chunk.text)
+            else:
+                usage = chunk
+        # Two attempts may end in the same turn of the loop; the first counts.
+        if not self.is_complete:
+            self.is_complete = True
+            self.tokens += run.tokens
+            self.usage = usage
+        return AttemptSucceeded(
+            request_id=self.request.request_id,
+            attempt=run.attempt,
+            tokens_in=usage.tokens_in,
+            tokens_out=run.unreported,
+        )
+
+    def open_run(
+        self, order: AttemptOrder, run: AttemptRun
+    ) -> AsyncIterator[TokenChunk | Usage]:
+        """Starts a run on a whole-model engine or on a chain of stages."""
+        chain = run.dispatch.chain
+        if len(chain) == 1:
+            return self.host.engines.run(order)
+
+        async def on_failure(failure: StageFailure) -> ReplaceStage | None:
+            return self.replace_stage(run, failure)
+
+        return self.host.pipelines.open(
+            order=order, chain=chain, on_failure=on_failure
+        ).run()
+
+    def keep_tokens(self, run: AttemptRun) -> int:
+        """Keeps the tokens of a failed attempt for the next one.
+
+        With another attempt under way there is no next one.
+        """
+        if self.is_complete or (self.is_hedged and len(self.runs) > 1):
+            return 0
+        self.tokens += run.tokens
+        return run.unreported
+
+    def replace_stage(
+        self, run: AttemptRun, failure: StageFailure
+    ) -> ReplaceStage | None:
+        """Asks the core for a replacement of a failed or slow stage.
+
+        Returns:
+            The replacement, or None; the core has then decided what becomes
+            of the request, and its action waits in the inbox.
+        """
+        log.warning(
+            "stage failed",
+            request_id=self.request.request_id,
+            attempt=run.attempt,
+            peer=failure.hop.target_id,
+            kind=failure.kind.value,
+            reason=failure.error.message,
+        )
+        run.replacement = None
+        self.asking = run
+        self.host.handle(self.describe_stage_failure(run, failure))
+        self.asking = None
+        action = run.replacement
+        if action is not None:
+            run.attempt = action.attempt
+            run.replacements += action.hops
+            run.unreported = 0
+            run.has_started = False
+            names = ",".join(hop.target_id for hop in action.hops)
+            self.route.append(f"{failure.hop.target_id}={names}")
+        return action
+
+    def describe_stage_failure(
+        self, run: AttemptRun, failure: StageFailure
+    ) -> AttemptFailed | StageDegraded:
+        """Returns the event of a failed or slow stage."""
+        request_id = self.request.request_id
+        target_id = failure.hop.target_id
+        if failure.kind is FailureKind.DEGRADED:
+            return StageDegraded(
+                request_id=request_id, attempt=run.attempt, target_id=target_id
+            )
+        return AttemptFailed(
+            request_id=request_id,
+            attempt=run.attempt,
+            target_id=target_id,
+            provenance=failure.error.provenance,
+            crashed=failure.error.crashed,
+            reason=failure.error.message,
+            retry_after_s=failure.error.retry_after_s,
+            tokens_out=run.unreported,
+        )
+
+    def build_order(self, run: AttemptRun, span: trace.Span) -> AttemptOrder:
+        """Builds the order for an attempt."""
+        request = self.request
+        dispatch = run.dispatch
+        return AttemptOrder(
+            request_id=request.request_id,
+            attempt=dispatch.attempt,
+            target_id=dispatch.chain[0].target_id,
+            address=dispatch.chain[0].address,
+            body=self.body,
+            resume_tokens=tuple(self.tokens),
+            deadline_s=request.deadline - time.monotonic(),
+            first_token_timeout_s=FIRST_TOKEN_TIMEOUT_SECONDS,
+            token_timeout_s=TOKEN_TIMEOUT_SECONDS,
+            priority=request.priority,
+            account=self.host.open_account(request, dispatch.attempt),
+            trace_headers=self.host.traces.inject(span),
+        )
+
+    async def pass_on(self, run: AttemptRun, text: str) -> None:
+        """Counts a token and writes it to the caller."""
+        self.observe_token(run)
+        self.tokens.append(text)
+        await self.write(text)
+
+    async def keep_back(self, run: AttemptRun, text: str) -> None:
+        """Counts a token of a whole answer and keeps it until the end."""
+        self.observe_token(run)
+        run.tokens.append(text)
+
+    def observe_token(self, run: AttemptRun) -> None:
+        """Counts a token and observes its time."""
+        now = time.monotonic()
+        if self.last_token_at == 0.0:
+            self.host.metrics.first_token.observe(
+                {"model": self.request.model}, now - self.request.arrived_at
+            )
+        else:
+            self.observe_gap(now - self.last_token_at)
+        self.last_token_at = now
+        run.count_token()
+        if not run.has_started:
+            run.has_started = True
+            self.host.handle(
+                AttemptStarted(
+                    request_id=self.request.request_id, attempt=run.attempt
+                )
+            )
+
+    def observe_gap(self, seconds: float) -> None:
+        """Observes a time between tokens.
+
+        The histogram of the model is looked up once for each request, as the
+        lookup by labels costs more than the observation.
+        """
+        if self.gaps is not None:
+            self.gaps.observe(seconds)
+            return
+        metric = self.host.metrics.token_gap
+        labels = {"model": self.request.model}
+        metric.observe(labels, seconds)
+        self.gaps = metric.get_value(labels)
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -12,6 +12,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
+from rattanroute.attemptruns import AttemptUsage
 from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
@@ -39,7 +40,6 @@
 from rattanroute.servers.services import ServicesServer
 from rattanroute.servers.targets import TargetsServer
 from rattanroute.servers.targets import UsageStatement
-from rattanroute.sessions import AttemptUsage
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import parse_address
 from rattanroute.sources import DaemonSource
--- a/rattanroute/ledgergates.py
+++ b/rattanroute/ledgergates.py
@@ -6,6 +6,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import PersistUsages
+from rattanroute.attemptruns import AttemptUsage
 from rattanroute.journals import Journal
 from rattanroute.ledgers import LedgerFile
 from rattanroute.records import SystemFileAccess
@@ -13,7 +14,6 @@
 from rattanroute.servers.operator_sources import ShareUse
 from rattanroute.servers.operator_sources import UnsettledTotal
 from rattanroute.servers.targets import UsageStatement as UsageBody
-from rattanroute.sessions import AttemptUsage
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.ledgers import LedgerSystem
 from rattanroute.systems.memberships import MembershipSystem
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -111,6 +111,7 @@
             settings=CoreSettings(
                 max_queued=settings.limits.max_queued,
                 heartbeat_timeout_s=timeout_s,
+                hedging=True,
             ),
             random=random,
             planner=planner,
--- a/rattanroute/servers/callers.py
+++ b/rattanroute/servers/callers.py
@@ -19,6 +19,7 @@
 from rattanroute.callers import authenticate
 from rattanroute.callers import parse_deadline
 from rattanroute.callers import parse_priority
+from rattanroute.chatsessions import ChatSession
 from rattanroute.clients.attempts import prefix_hashes
 from rattanroute.clients.attempts import prompt_words
 from rattanroute.logs import get_logger
@@ -29,7 +30,6 @@
 from rattanroute.refusals import STOPPING
 from rattanroute.refusals import unwrap
 from rattanroute.servers.streams import ChatStream
-from rattanroute.sessions import ChatSession
 from rattanroute.sessions import Session
 from rattanroute.sessions import SessionHost
 from rattanroute.settings import DaemonSettings
--- a/rattanroute/servers/services.py
+++ b/rattanroute/servers/services.py
@@ -26,7 +26,7 @@
 from rattanroute.servers.callers import CallersHost
 from rattanroute.servers.callers import CallersServer
 from rattanroute.servers.callers import new_request_id
-from rattanroute.sessions import ServiceSession
+from rattanroute.servicesessions import ServiceSession
 from rattanroute.tables.configurations import Workspace
 from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestKind
--- /dev/null
+++ b/rattanroute/servicesessions.py
@@ -0,0 +1,64 @@
+"""Sessions of calls of plain services."""
+
+import time
+
+from opentelemetry import trace
+
+from rattanroute.attemptruns import AttemptRun
+from rattanroute.clients.services import ServiceAnswer
+from rattanroute.clients.services import ServiceOrder
+from rattanroute.events import AttemptFailed
+from rattanroute.events import AttemptSucceeded
+from rattanroute.sessions import Session
+from rattanroute.sessions import SessionHost
+from rattanroute.tables.requests import Request
+
+
+class ServiceSession(Session):
+    """A call of a plain service.
+
+    Args:
+        host: The daemon.
+        request: The request.
+        span: Span of the entry hop.
+        body: The caller's JSON body.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: SessionHost,
+        request: Request,
+        span: trace.Span,
+        body: bytes,
+    ) -> None:
+        super().__init__(host=host, request=request, span=span)
+        self.body = body
+        self.answer: ServiceAnswer | None = None
+
+    async def execute(
+        self, run: AttemptRun, span: trace.Span
+    ) -> AttemptSucceeded | AttemptFailed:
+        """Calls the operation once."""
+        request = self.request
+        dispatch = run.dispatch
+        answer = await self.host.services.call(
+            ServiceOrder(
+                request_id=request.request_id,
+                attempt=dispatch.attempt,
+                target_id=dispatch.chain[0].target_id,
+                address=dispatch.chain[0].address,
+                operation=request.operation,
+                body=self.body,
+                repeatable=request.repeatable,
+                deadline_s=request.deadline - time.monotonic(),
+                account=self.host.open_account(request, dispatch.attempt),
+                priority=request.priority,
+                trace_headers=self.host.traces.inject(span),
+            )
+        )
+        # With two attempts the answer of the first one to end counts.
+        self.answer = self.answer or answer
+        return AttemptSucceeded(
+            request_id=request.request_id, attempt=dispatch.attempt
+        )
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -78,6 +78,7 @@
         attempts: Attempts so far, oldest first.
         tokens_out: Tokens that the caller already has.
         stream: Whether the caller reads a stream.
+        queue_observed: Whether the wait for the first dispatch is counted.
         pool: Pool of the targets that may run it; None before routing.
     """
 
@@ -102,6 +103,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     tokens_out: int = 0
     stream: bool = False
+    queue_observed: bool = False
     pool: PoolKey | None = None
 
     @property
