--- /dev/null
+++ b/rattanroute/tests/test_chatsessions.py
@@ -0,0 +1,225 @@
+"""Tests of sessions of chat completions."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import random
+import time
+import unittest
+
+from rattanroute.actions import Action
+from rattanroute.actions import CancelAttempt
+from rattanroute.actions import Dispatch
+from rattanroute.actions import Finish
+from rattanroute.actions import Hop
+from rattanroute.attemptruns import AttemptUsage
+from rattanroute.chatsessions import ChatSession
+from rattanroute.clients.attempts import AttemptError
+from rattanroute.clients.attempts import AttemptOrder
+from rattanroute.clients.attempts import TokenChunk
+from rattanroute.clients.attempts import Usage
+from rattanroute.cores import CoreSettings
+from rattanroute.cores import RequestCore
+from rattanroute.events import CallerGone
+from rattanroute.events import Event
+from rattanroute.events import Provenance
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.sessions import SessionRegistry
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.requests import Request
+from rattanroute.tables.requests import RequestTable
+from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.support import build_report
+from rattanroute.tests.support import build_request
+from rattanroute.traces import TraceRecorder
+
+TOKENS = [" a", " b", " c", " d"]
+
+
+class FakeEngines:
+    """Engines that yield the tokens with a delay, and may fail.
+
+    Attributes:
+        delays: Seconds before each token, by target.
+        failures: Index of the token at which a target fails, by target.
+        running: Targets that run an attempt.
+        orders: Orders by target.
+    """
+
+    def __init__(self) -> None:
+        self.delays: dict[str, float] = {}
+        self.failures: dict[str, int] = {}
+        self.running: set[str] = set()
+        self.orders: dict[str, AttemptOrder] = {}
+
+    async def run(self, order: AttemptOrder) -> AsyncIterator[object]:
+        """Runs an attempt."""
+        name = order.target_id
+        self.orders[name] = order
+        self.running.add(name)
+        try:
+            for index in range(len(order.resume_tokens), len(TOKENS)):
+                await asyncio.sleep(self.delays.get(name, 0.0))
+                if self.failures.get(name) == index:
+                    raise AttemptError(
+                        step="read",
+                        peer=name,
+                        message="broke",
+                        provenance=Provenance.STARTED,
+                    )
+                yield TokenChunk(index=index, text=TOKENS[index])
+            yield Usage(tokens_in=3, tokens_out=len(TOKENS))
+        finally:
+            self.running.discard(name)
+
+
+class FakeHost:
+    """A daemon with the real core and fake engines."""
+
+    def __init__(self) -> None:
+        self.engines = FakeEngines()
+        self.metrics = MetricsRegistry()
+        self.traces = TraceRecorder(vm_id="vm-1", file=None, otlp_endpoint="")
+        self.sessions = SessionRegistry()
+        self.usages: list[AttemptUsage] = []
+        self.events: list[Event] = []
+        self.targets = TargetTable()
+        self.core = RequestCore(
+            vm_id="vm-1",
+            data_centre="dc-a",
+            targets=self.targets,
+            requests=RequestTable(),
+            configuration=Configuration,
+            settings=CoreSettings(),
+            random=random.Random(1),
+        )
+        for name in ("t1", "t2"):
+            self.targets.record(
+                report=build_report(name),
+                observer="vm-1",
+                heard_at=time.monotonic(),
+            )
+
+    def handle(self, event: Event) -> None:
+        """Passes an event to the core."""
+        self.events.append(event)
+        self.deliver(self.core.handle(event, now=time.monotonic()))
+
+    def deliver(self, actions: list[Action]) -> None:
+        """Passes actions to the sessions."""
+        for action in actions:
+            self.sessions.deliver(action)
+
+    def open_account(self, request: Request, attempt: int) -> str:
+        """Returns an account tag."""
+        return f"{request.request_id}/{attempt}"
+
+    def record_usage(self, usage: AttemptUsage) -> None:
+        """Keeps a usage record."""
+        self.usages.append(usage)
+
+
+class ChatSessionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against lost, doubled or mixed tokens and leaked slots."""
+
+    async def asyncSetUp(self) -> None:
+        self.host = FakeHost()
+        self.written: list[str] = []
+
+    def open_session(self, **changes: object) -> ChatSession:
+        """Opens a session with a deadline of 10 s."""
+        now = time.monotonic()
+        request = build_request(arrived_at=now, deadline=now + 10.0, **changes)
+        return ChatSession(
+            host=self.host,
+            request=request,
+            span=self.host.traces.start("entry", request_id="r1"),
+            body={"messages": []},
+            write=self.write,
+        )
+
+    async def write(self, text: str) -> None:
+        """Takes a token of a stream."""
+        self.written.append(text)
+
+    def in_flight(self) -> int:
+        """Returns the attempts that the core counts."""
+        return sum(row.in_flight for row in self.host.targets)
+
+    async def test_stream_resumes_without_a_gap_or_a_repeat(self) -> None:
+        self.host.engines.failures = {"t1": 2, "t2": 3}
+        session = self.open_session(stream=True)
+        run = asyncio.create_task(session.run())
+        await asyncio.sleep(0.05)
+        self.host.engines.failures.clear()
+        while not run.done():
+            now = time.monotonic()
+            self.host.deliver(self.host.core.tick(now=now))
+            await asyncio.sleep(0.01)
+        await run
+        self.assertEqual(self.written, TOKENS)
+        self.assertEqual(sum(u.tokens_out for u in self.host.usages), 4)
+
+    async def test_second_attempt_answers_and_the_late_one_is_cancelled(self):
+        """Guards against two answers in one, and against a lost hedge."""
+        session = self.open_session()
+        run = asyncio.create_task(session.run())
+        await asyncio.sleep(0)
+        self.host.engines.delays = {"t1": 0.2, "t2": 0.2}
+        await asyncio.sleep(0.05)
+        first = session.request.attempts[0].chain[0].target_id
+        other = "t2" if first == "t1" else "t1"
+        self.host.engines.delays[first] = 5.0
+        self.host.engines.delays[other] = 0.01
+        report = self.host.targets.get(other).report
+        hop = Hop(target_id=other, address=report.address, last_layer=7)
+        self.host.deliver(
+            self.host.core.dispatch(session.request, (hop,), time.monotonic())
+        )
+        await asyncio.wait_for(run, 2.0)
+        await asyncio.sleep(0.05)
+        self.assertEqual(session.tokens, TOKENS)
+        self.assertEqual(self.host.engines.running, set())
+        self.assertEqual(self.in_flight(), 0)
+
+    async def test_both_attempts_end_in_one_turn(self) -> None:
+        """Guards against the tokens of two complete attempts in one answer."""
+        session = self.open_session()
+        run = asyncio.create_task(session.run())
+        await asyncio.sleep(0)
+        first = session.request.attempts[0].chain[0].target_id
+        other = "t2" if first == "t1" else "t1"
+        hop = Hop(target_id=other, address="a", last_layer=7)
+        self.host.deliver(
+            self.host.core.dispatch(session.request, (hop,), time.monotonic())
+        )
+        await asyncio.wait_for(run, 2.0)
+        self.assertEqual(session.tokens, TOKENS)
+
+    async def test_broken_connection_gives_the_slot_back(self) -> None:
+        """Guards against slots that stay taken after a failed write."""
+
+        async def fail(_: str) -> None:
+            raise ConnectionResetError
+
+        session = self.open_session(stream=True)
+        session.write = fail
+        with self.assertRaises(ConnectionResetError):
+            await session.run()
+        self.assertEqual(self.in_flight(), 0)
+        self.assertIsInstance(self.host.events[-1], CallerGone)
+        self.assertEqual(self.host.usages[0].outcome, "cancelled")
+
+    async def test_attempt_cancelled_before_its_dispatch_never_runs(self):
+        """Guards against attempts that the core no longer counts."""
+        session = self.open_session()
+        dispatch = Dispatch(
+            request_id="r1",
+            attempt=7,
+            chain=(Hop(target_id="t1", address="a"),),
+        )
+        session.take(dispatch)
+        session.take(CancelAttempt(request_id="r1", attempt=7))
+        session.take(Finish(request_id="r1"))
+        action = await session.inbox.get()
+        await session.execute_action(action)
+        self.assertEqual(self.host.engines.orders, {})
