Answer errors of the HTTP layer in JSON

Cause: unknown paths and methods (404, 405) and requests that do not parse (for example a header of 64 KB) were answered as plain text by the HTTP library, and an X-Priority of 5,000 digits raised in int() and was answered as an internal error with execution unknown. Ruled out: handlers of our own, which answer in JSON already. Change: a middleware and a request handler answer such errors as refusals; a priority is one digit.

--- a/rattanroute/callers.py
+++ b/rattanroute/callers.py
@@ -56,7 +56,8 @@
     text = http_request.headers.get("X-Priority")
     if text is None:
         return Ok(workspace.priority)
-    if not text.isascii() or not text.isdigit() or int(text) > MAX_PRIORITY:
+    digit = text.isascii() and text.isdigit() and len(text) == 1
+    if not digit or int(text) > MAX_PRIORITY:
         return Error(invalid(f"X-Priority is not between 0 and {MAX_PRIORITY}"))
     return Ok(min(int(text), workspace.priority))
 
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -31,9 +31,9 @@
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
 from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.listeners import answer_errors
 from rattanroute.servers.listeners import ConnectionGuard
 from rattanroute.servers.listeners import GuardedSite
-from rattanroute.servers.listeners import KEEPALIVE_SECONDS
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
@@ -323,11 +323,9 @@
     ) -> None:
         """Opens an HTTP interface."""
         guard = ConnectionGuard()
-        application.middlewares.append(guard.middleware)
+        application.middlewares.extend([guard.middleware, answer_errors])
         runner = web.AppRunner(
             application,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
             handler_cancellation=True,
             shutdown_timeout=self.settings.limits.shutdown_grace_s,
         )
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -1,15 +1,63 @@
-"""HTTP listeners that bound the time until a connection's first request."""
+"""HTTP listeners that bound the time until a connection's first request.
+
+Errors that arise before a handler runs are answered in JSON, too.
+"""
 
 import asyncio
 
 from aiohttp import web
 
+from rattanroute.bodies import invalid
+from rattanroute.refusals import build_refusal_response
+from rattanroute.refusals import INTERNAL
+
 # A client that sends its headers slower than this is disconnected; open
 # connections without a request must not use up the file descriptors.
 FIRST_REQUEST_SECONDS = 10.0
 KEEPALIVE_SECONDS = 30.0
 
 
+def answer_error(status: int, message: str) -> web.Response:
+    """Returns an error of the HTTP layer as a refusal in JSON."""
+    refusal = INTERNAL
+    if status < INTERNAL.status:
+        refusal = invalid(message, status=status)
+    return build_refusal_response(refusal, "", {})
+
+
+@web.middleware
+async def answer_errors(
+    http_request: web.Request, handler: object
+) -> web.StreamResponse:
+    """Answers unknown paths and methods in JSON."""
+    try:
+        return await handler(http_request)
+    except web.HTTPClientError as error:
+        response = answer_error(error.status, error.reason)
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
+        return response
+
+
+class JsonRequestHandler(web.RequestHandler):
+    """Answers requests that do not parse in JSON."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Logs an error and returns its answer; the connection closes."""
+        super().handle_error(request, status, exc, message)
+        response = answer_error(status, message or "malformed request")
+        response.force_close()
+        return response
+
+
 class GuardedSite(web.BaseSite):
     """A TCP listener that closes connections without a request.
 
@@ -48,7 +96,12 @@
 
     def open_connection(self) -> asyncio.Protocol:
         """Returns the protocol of a new connection, under guard."""
-        protocol = self._runner.server()
+        protocol = JsonRequestHandler(
+            self._runner.server,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            access_log=None,
+        )
         self.guard.watch(protocol)
         return protocol
 
