--- a/rattanroute/clients/engines.py
+++ b/rattanroute/clients/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 import aiohttp
@@ -25,20 +26,20 @@
 EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
-class DeltaField(msgspec.Struct):
+class DeltaField(msgspec.Struct, gc=False):
     """Content of a choice."""
 
     content: str | None = None
 
 
-class ChoiceField(msgspec.Struct):
+class ChoiceField(msgspec.Struct, gc=False):
     """The only choice of a chunk."""
 
     delta: DeltaField
     finish_reason: str | None = None
 
 
-class UsageField(msgspec.Struct):
+class UsageField(msgspec.Struct, gc=False):
     """Usage numbers of the last chunk."""
 
     prompt_tokens: int = 0
@@ -46,7 +47,7 @@
     cached_tokens: int = 0
 
 
-class EventField(msgspec.Struct):
+class EventField(msgspec.Struct, gc=False):
     """A chunk of the event stream; other fields are ignored."""
 
     id: str
@@ -75,12 +76,28 @@
         self.usage: Usage | None = None
         self.done = False
 
-    def feed(self, data: bytes) -> Iterator[TokenChunk]:
-        """Yields the tokens of the complete lines.
+    def feed(self, data: bytes) -> Iterable[TokenChunk]:
+        """Returns the tokens of the complete lines.
+
+        Engines write one event at a time, which usually arrives alone; it is
+        decoded without a search for lines.
 
         Raises:
             AttemptError: If the stream breaks the protocol.
         """
+        if (
+            not self.buffer
+            and data.startswith(b"data: {")
+            and data.endswith(b"\n\n")
+            and data.find(b"\n") == len(data) - 2
+            and len(data) <= MAX_EVENT_BYTES
+        ):
+            chunk = self.read_event(data[6:])
+            return () if chunk is None else (chunk,)
+        return self.read_lines(data)
+
+    def read_lines(self, data: bytes) -> Iterator[TokenChunk]:
+        """Yields the tokens of the complete lines."""
         if self.buffer:
             data = self.buffer + data
         lines = data.split(b"\n")
@@ -88,7 +105,7 @@
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise self.context.fail("read stream", "line is too long")
         for line in lines:
-            if not line or line == b"\r" or not line.startswith(b"data:"):
+            if not line.startswith(b"data:"):
                 continue
             if self.done or len(line) > MAX_EVENT_BYTES:
                 raise self.context.fail("read stream", "unexpected line")
@@ -107,17 +124,6 @@
             event = DECODER.decode(data)
         except msgspec.DecodeError as error:
             raise self.context.fail("read stream", str(error)) from error
-        self.check_identity(event)
-        choice = event.choices[0]
-        if choice.finish_reason is not None:
-            self.finish(event, choice)
-            return None
-        if choice.delta.content is None:
-            return None
-        return self.take_token(event.index, choice.delta.content)
-
-    def check_identity(self, event: EventField) -> None:
-        """Checks that an event belongs to this attempt."""
         order = self.order
         if event.id != order.request_id or event.attempt != order.attempt:
             raise self.context.fail(
@@ -127,6 +133,13 @@
             )
         if len(event.choices) != 1 or self.usage is not None:
             raise self.context.fail("check answer", "unexpected event")
+        choice = event.choices[0]
+        if choice.finish_reason is not None:
+            self.finish(event, choice)
+            return None
+        if choice.delta.content is None:
+            return None
+        return self.take_token(event.index, choice.delta.content)
 
     def take_token(self, index: int, text: str) -> TokenChunk:
         """Checks that a token is the next one."""
@@ -161,25 +174,28 @@
     Attributes:
         content: The body.
         deadline: End of the present wait, on the event loop's clock.
+        due: Time at which the timer fires, at or before the deadline.
         waiting: Whether the reader waits, rather than its caller.
     """
 
     def __init__(self, content: aiohttp.StreamReader, deadline: float) -> None:
         self.content = content
         self.deadline = deadline
+        self.due = deadline
         self.waiting = True
         self.loop = asyncio.get_running_loop()
         self.timer = self.schedule()
 
     def schedule(self) -> asyncio.TimerHandle:
         """Sets the timer to the present deadline."""
-        return self.loop.call_at(self.deadline, self.check)
+        self.due = self.deadline
+        return self.loop.call_at(self.due, self.check)
 
     def wait_until(self, deadline: float, timeout_s: float) -> None:
         """Starts the wait for the next token."""
         self.deadline = min(deadline, self.loop.time() + timeout_s)
         self.waiting = True
-        if self.deadline < self.timer.when():
+        if self.deadline < self.due:
             self.timer.cancel()
             self.timer = self.schedule()
 
@@ -231,7 +247,10 @@
         try:
             reader = StreamReader(order, context)
             while not reader.done:
-                data = await receive(content, context)
+                try:
+                    data = await content.readany()
+                except EXCHANGE_ERRORS as error:
+                    raise context.convert("read stream", error) from error
                 if not data and reader.usage is None:
                     raise context.fail(
                         "read stream", "stream ended early", crashed=True
@@ -305,16 +324,6 @@
             return
 
 
-async def receive(
-    content: aiohttp.StreamReader, context: AttemptContext
-) -> bytes:
-    """Returns the next bytes of a body; empty at its end."""
-    try:
-        return await content.readany()
-    except EXCHANGE_ERRORS as error:
-        raise context.convert("read stream", error) from error
-
-
 async def read_refusal(
     response: aiohttp.ClientResponse, context: AttemptContext
 ) -> Exception:
--- a/rattanroute/tests/test_engines.py
+++ b/rattanroute/tests/test_engines.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import unittest
 
 from rattanroute.clients import engines
 from rattanroute.clients.attempts import AttemptError
 from rattanroute.clients.engines import EngineClient
+from rattanroute.clients.failures import AttemptContext
 from rattanroute.events import Provenance
 from rattanroute.standins.configurations import FaultSettings
 from rattanroute.standins.models import reference_tokens
@@ -183,6 +185,30 @@
                 self.assertEqual(self.host.slots.running, running)
 
 
+class StreamReaderTest(unittest.TestCase):
+    """Reading of events that arrive in other pieces than they were sent."""
+
+    def test_any_split_gives_the_same_tokens(self) -> None:
+        """Guards against tokens lost where a packet ends."""
+        ends = (b"\n: note\n\n", b"\r\n\r\n", b'\n\n: data: {"x": 1}\n\n')
+        stream = b"".join(
+            b'data: {"id": "r1", "attempt": 1, "index": %d, "choices": '
+            b'[{"delta": {"content": "w%d"}}]}%s' % (index, index, end)
+            for index, end in enumerate(ends)
+        )
+        for cut in range(1, len(stream)):
+            self.check([stream[:cut], stream[cut:]])
+        for size in (1, 2, 3, 7):
+            starts = range(0, len(stream), size)
+            self.check([stream[start : start + size] for start in starts])
+
+    def check(self, parts: list[bytes]) -> None:
+        context = AttemptContext(target_id="e1")
+        reader = engines.StreamReader(build_order(), context)
+        texts = [chunk.text for data in parts for chunk in reader.feed(data)]
+        self.assertEqual(texts, ["w0", "w1", "w2"])
+
+
 class RawEngineTest(StandinCase):
     """Attempts on servers that break the protocol below the chunks."""
 
