Measure the capacity before a refusal for want of it

Cause: a VM that had just started measured the capacity of its data centre before it knew any target, and for up to 0.5 s after its first targets answered 429 'the neighbour's share leaves no time to answer' with Retry-After 60, because an idle pool counted as a pool without capacity. A rolling restart therefore refused requests at VMs that were ready. Ruled out: the keeper's wait for old leases (a lease is not needed for the estimate, which uses the configured share of the capacity). Change: the estimate measures the capacity again while it is zero.

--- a/rattanroute/systems/shares.py
+++ b/rattanroute/systems/shares.py
@@ -218,6 +218,10 @@
         """Returns the seconds until an amount of work may have started."""
         if not self.configuration().neighbours:
             return 0.0
+        if not self.capacity:
+            # A VM that has just started may have learned of its first targets
+            # after the last measurement.
+            self.measure(now)
         self.advance(now)
         names = (neighbour, ANY)
         buckets = [self.buckets[n] for n in names if n in self.buckets]
