--- /dev/null
+++ b/rattanroute/tests/integration/test_accounts.py
@@ -0,0 +1,151 @@
+"""Accounts after the death of an entry VM, and limits of workspaces."""
+
+import asyncio
+import collections
+import json
+
+from rattanroute.clients.attempts import prompt_words
+from rattanroute.tests.integration.support import ClusterTestCase
+from rattanroute.tools.demo_configuration import build_workspace
+from rattanroute.tools.demo_configuration import CALLER_KEY
+from rattanroute.tools.demo_configuration import OTHER_KEY
+
+ENGINES = ("engine-a", "engine-b")
+ACCOUNTS_SECONDS = 20.0
+TOKENS = 12
+LONG_TOKENS = 200
+KEYS = {"notes": CALLER_KEY, "advice": OTHER_KEY}
+PROMPT = "how much is this"
+WORDS = len(prompt_words([{"role": "user", "content": PROMPT}]))
+PRIVATE_KEY = "key-of-workspace-private"
+
+
+class AccountsTest(ClusterTestCase):
+    """Accounts match the work that was done."""
+
+    data_centres = {"dc-a": 2, "dc-b": 1, "dc-c": 1}
+
+    async def start_targets(self) -> None:
+        for name, data_centre in zip(ENGINES, ("dc-a", "dc-b"), strict=True):
+            await self.cluster.add_engine(
+                name,
+                data_centre,
+                model="chat",
+                slots=8,
+                tokens_per_second=40.0,
+            )
+
+    async def read_accounts(self) -> dict[str, dict[str, int]]:
+        """Returns the accounts of each workspace."""
+        result = await self.cluster.run_tool("--output=json", "accounts")
+        self.assertEqual(result.code, 0, result.errors)
+        totals = json.loads(result.output)["totals"]
+        return {
+            row["workspace"]: {
+                name: int(row[name])
+                for name in ("requests", "tokens_in", "tokens_out")
+            }
+            for row in totals
+        }
+
+    async def count_positions(self) -> dict[tuple[str, int], int]:
+        """Returns the positions that engines ran for each attempt."""
+        counts: collections.Counter[tuple[str, int]] = collections.Counter()
+        for name in ENGINES:
+            for request, attempt, _, layer in (await self.executions(name))[
+                "executions"
+            ]:
+                counts[request, attempt] += layer == 0
+        return counts
+
+    async def test_accounts_survive_entry_vm(self) -> None:
+        """Guards against lost or doubled usage when an entry VM is killed.
+
+        The VM is killed right after some answers and in the middle of
+        others, whose usage only the engines can state.
+        """
+        workspaces = ["notes", "advice"] * 4
+        answers = await asyncio.gather(
+            *(
+                self.chat("dc-a-2", PROMPT, tokens=TOKENS, key=KEYS[name])
+                for name in workspaces
+            )
+        )
+        for answer in answers:
+            self.assert_complete(answer, PROMPT, TOKENS)
+        streams = [
+            asyncio.create_task(
+                self.chat("dc-a-2", PROMPT, tokens=LONG_TOKENS, key=KEYS[name])
+            )
+            for name in workspaces
+        ]
+        await asyncio.sleep(0.5)
+        await self.cluster.kill("dc-a-2")
+        for answer in await asyncio.gather(*streams):
+            self.assertFalse(answer.done)
+        await asyncio.sleep(1.0)
+        await self.check_accounts(len(workspaces))
+
+    async def check_accounts(self, count: int) -> None:
+        """Compares the accounts with what the engines ran.
+
+        A cancelled run may have run the position of a token that it never
+        sent, so that each counts one token more or less.
+        """
+        positions = await self.count_positions()
+        self.assertEqual(len(positions), 2 * count)
+        ran = sum(positions.values()) - 2 * count * WORDS
+        accounts: dict[str, dict[str, int]] = {}
+
+        async def are_complete() -> bool:
+            nonlocal accounts
+            accounts = await self.read_accounts()
+            total = sum(row["requests"] for row in accounts.values())
+            return total >= 2 * count
+
+        await self.wait_for(are_complete, seconds=ACCOUNTS_SECONDS)
+        for name in KEYS:
+            self.assertEqual(accounts[name]["requests"], count, accounts)
+            self.assertEqual(accounts[name]["tokens_in"], count * WORDS)
+        tokens_out = sum(row["tokens_out"] for row in accounts.values())
+        self.assertGreaterEqual(tokens_out, ran)
+        self.assertLessEqual(tokens_out, ran + 2 * count)
+        await asyncio.sleep(3.0)
+        self.assertEqual(await self.read_accounts(), accounts)
+
+    async def test_workspaces_see_their_models_only(self) -> None:
+        """Guards against models of one workspace that another one sees."""
+        private = build_workspace("private", "neighbour-b", PRIVATE_KEY)
+        private["put_workspace"]["models"] = ["secret"]
+        applied = await self.cluster.apply(
+            [{"put_model": {"name": "secret", "layers": 8}}, private]
+        )
+        self.assertEqual(applied.code, 0, applied.errors)
+        for vm in self.cluster.vms:
+            await self.wait_for(
+                lambda vm=vm: self.sees(vm, PRIVATE_KEY, "secret"),
+                seconds=10.0,
+            )
+            for key in KEYS.values():
+                self.assertFalse(await self.sees(vm, key, "secret"))
+                hidden = await self.chat(vm, PROMPT, model="secret", key=key)
+                unknown = await self.chat(vm, PROMPT, model="absent", key=key)
+                for answer in (hidden, unknown):
+                    self.assertEqual(answer.status, 404)
+                    answer.error.pop("request_id")
+                text = json.dumps(hidden.error).replace("secret", "absent")
+                self.assertEqual(json.loads(text), unknown.error)
+            self.assertFalse(await self.sees(vm, PRIVATE_KEY, "chat"))
+            refused = await self.chat(vm, PROMPT, key=PRIVATE_KEY)
+            self.assertEqual(refused.status, 404)
+            called = await self.call(vm, "status", {}, key=PRIVATE_KEY)
+            self.assertEqual(called.status, 404)
+
+    async def sees(self, vm: str, key: str, model: str) -> bool:
+        """Returns whether a workspace's list names a model."""
+        async with self.cluster.client.get(
+            f"{self.cluster.vms[vm].callers_url}/v1/models",
+            headers={"Authorization": f"Bearer {key}"},
+        ) as response:
+            body = await response.json()
+        return model in [row["id"] for row in body.get("data", ())]
