Blame no request for the crash of a target that was dead

Cause: integration.test_crashes refused harmless requests as request_quarantined. The logs of the VMs show that a harmless request of the second crashed engine moved to the first one, which another VM had already reported as crashed. The fault proxy accepts the connection and resets it, as a middlebox does, and the reset counted as a second crash of the request. Ruled out: suspects that share a target. Change: an attempt that was dispatched after the known crash of its target's incarnation is not blamed; the suspects of a crash start in turns of 0.1 s, so that the VM has heard of the crash.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -326,10 +326,20 @@
                 incarnation = number
         running = self.attempts.running.get(event.target_id, ())
         rows = [self.requests.get(request_id) for request_id in running]
+        # An attempt that was sent to a dead target cannot have crashed it;
+        # a middlebox may accept its connection and then reset it.
+        died_at = self.quarantines.died_at(
+            target_id=event.target_id, incarnation=incarnation
+        )
         suspects, actions = self.quarantines.note_crash(
             target_id=event.target_id,
             incarnation=incarnation,
-            fingerprints={row.fingerprint for row in rows if row},
+            fingerprints={
+                row.fingerprint
+                for row in rows
+                if row
+                and (died_at is None or row.current.dispatched_at <= died_at)
+            },
             now=now,
         )
         return actions + self.stop_suspects(suspects, event.target_id, now)
--- a/rattanroute/systems/quarantines.py
+++ b/rattanroute/systems/quarantines.py
@@ -16,10 +16,10 @@
 
 Two VMs that start the same suspect, or two suspects on one target, at the same
 moment are told of each other one message delay later. The VM with the higher
-identifier then moves its attempt, so that the rule is broken only if the
-request needs less than that delay to crash a target. First attempts that run
-in parallel on several VMs are not preventable; they are cancelled when the
-first crash is heard of.
+identifier then moves its attempt. Because a request may need less than that
+delay to crash a target, the suspects of a crash start in turns. First attempts
+that run in parallel on several VMs are not preventable; they are cancelled
+when the first crash is heard of.
 """
 
 from collections.abc import Callable
@@ -43,6 +43,9 @@
 # Most crashes are coincidences, after which all requests of a target move to
 # a few others; these must not run one by one.
 ISOLATION_SECONDS = 1.0
+# Time in which the other VMs hear of a crash or of the start of a suspect: two
+# ticks of 50 ms, in which a batch is sent and received.
+TURN_SECONDS = 0.1
 # A run of another VM that is not reported again is taken as ended.
 RUN_SECONDS = 30.0
 # Reports are sent again to one random peer, for messages that were lost and
@@ -88,6 +91,20 @@
         row = self.table.get(fingerprint)
         return row is not None and bool(self.running(row, now))
 
+    def is_early(self, fingerprint: str, now: float) -> bool:
+        """Tells whether a suspect must wait for its turn after a crash.
+
+        The suspects of one crash choose their targets one after the other, so
+        that each VM has heard of the crash and the choices before its own.
+        """
+        row = self.table.get(fingerprint)
+        if row is None:
+            return False
+        latest = max(row.crashes, key=row.crashes.get)
+        turn = 1 + sorted(self.table.suspects[latest]).index(fingerprint)
+        wait = min(ISOLATION_SECONDS, turn * TURN_SECONDS)
+        return now - row.changed_at < wait
+
     def crashed_targets(self, fingerprint: str) -> set[str]:
         """Returns the targets that crashed while a request ran on them."""
         row = self.table.get(fingerprint)
@@ -145,6 +162,13 @@
             self.table.remove(fingerprint)
         return self.flood(SuspectRun(fingerprint=fingerprint, cleared=cleared))
 
+    def died_at(self, *, target_id: str, incarnation: int) -> float | None:
+        """Returns the time of a crash that is known, or None."""
+        key = CrashKey(target_id, incarnation)
+        names = self.table.suspects.get(key, ())
+        times = [self.table.rows[name].crashes[key] for name in names]
+        return min(times, default=None)
+
     def note_crash(
         self,
         *,
--- a/rattanroute/systems/selections.py
+++ b/rattanroute/systems/selections.py
@@ -48,6 +48,8 @@
         """Returns a chain that can run a request now, or None."""
         if self.quarantines.must_wait(request.fingerprint, now):
             return None
+        if self.quarantines.is_early(request.fingerprint, now):
+            return None
         target = self.choose(request, now)
         if target is None:
             return self.plan(request, now)
