Close runs at once, bind writes to the source address, wait for a first lease

Change: aclosing around runs, build_session with a source, readiness needs a first lease; the test of two complete attempts in one turn now holds both at a gate, and fails without the guard.

--- a/rattanroute/chatsessions.py
+++ b/rattanroute/chatsessions.py
@@ -1,8 +1,9 @@
 """Sessions of chat completions."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import time
 
 from aioprometheus.collectors import Histogram
@@ -67,11 +68,13 @@
         order = self.build_order(run, span)
         usage = Usage()
         pass_on = self.keep_back if self.is_hedged else self.pass_on
-        async for chunk in self.open_run(order, run):
-            if isinstance(chunk, TokenChunk):
-                await pass_on(run, chunk.text)
-            else:
-                usage = chunk
+        # Closing the run cancels the work on its targets at once.
+        async with contextlib.aclosing(self.open_run(order, run)) as chunks:
+            async for chunk in chunks:
+                if isinstance(chunk, TokenChunk):
+                    await pass_on(run, chunk.text)
+                else:
+                    usage = chunk
         # Two attempts may end in the same turn of the loop; the first counts.
         if not self.is_complete:
             self.is_complete = True
@@ -86,7 +89,7 @@
 
     def open_run(
         self, order: AttemptOrder, run: AttemptRun
-    ) -> AsyncIterator[TokenChunk | Usage]:
+    ) -> AsyncGenerator[TokenChunk | Usage, None]:
         """Starts a run on a whole-model engine or on a chain of stages."""
         chain = run.dispatch.chain
         if len(chain) == 1:
--- a/rattanroute/clients/failures.py
+++ b/rattanroute/clients/failures.py
@@ -29,17 +29,36 @@
     ConnectionError,
 )
 """Errors that a crash of the target causes after the request was sent."""
+READ_BUFFER_BYTES = 16 * 1024
+"""Bytes of a stream that are buffered for a slow caller before the target is
+paused; aiohttp keeps up to twice as much."""
 
 
-def build_session() -> aiohttp.ClientSession:
-    """Builds the client session that a daemon shares among its clients."""
+def build_session(
+    *, source: str = "", reuse: bool = True
+) -> aiohttp.ClientSession:
+    """Builds a client session for targets.
+
+    Args:
+        source: IP number from which connections are opened; empty for the
+            system's choice.
+        reuse: Whether connections serve more than one request.
+    """
     connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
+        limit=0,
+        use_dns_cache=False,
+        local_addr=(source, 0) if source else None,
+        **(
+            {"keepalive_timeout": KEEPALIVE_S}
+            if reuse
+            else {"force_close": True}
+        ),
     )
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
--- a/rattanroute/clients/services.py
+++ b/rattanroute/clients/services.py
@@ -11,7 +11,7 @@
 from rattanroute.clients.attempts import AttemptError
 from rattanroute.clients.engines import EXCHANGE_ERRORS
 from rattanroute.clients.failures import AttemptContext
-from rattanroute.clients.failures import CONNECT_TIMEOUT_S
+from rattanroute.clients.failures import build_session
 from rattanroute.clients.failures import parse_retry_after
 
 MAX_ANSWER_BYTES = 1024 * 1024
@@ -78,17 +78,18 @@
         write_session: Session whose connections are used once.
     """
 
-    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, *, session: aiohttp.ClientSession, source: str = ""
+    ) -> None:
+        """Opens the session for writes.
+
+        Args:
+            session: Shared session.
+            source: IP number from which connections for writes are opened;
+                empty for the system's choice.
+        """
         self.session = session
-        self.write_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, force_close=True, use_dns_cache=False
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S
-            ),
-        )
+        self.write_session = build_session(source=source, reuse=False)
 
     async def close(self) -> None:
         """Closes the session for writes."""
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -6,7 +6,6 @@
 import random
 import time
 
-import aiohttp
 from aiohttp import web
 from grpclib.server import Server
 
@@ -15,6 +14,7 @@
 from rattanroute.attemptruns import AttemptUsage
 from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
+from rattanroute.clients.failures import build_session
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.clients.services import ServiceClient
 from rattanroute.clients.stages import PipelineClient
@@ -159,8 +159,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this VM may serve requests."""
-        return self.configurations.ready
+        """Whether this VM may serve requests.
+
+        A VM that has not yet had a lease of the shares could serve only a
+        small part of each of them.
+        """
+        return self.configurations.ready and self.router.had_lease
 
     @property
     def drained(self) -> bool:
@@ -226,18 +230,11 @@
 
     async def start(self) -> None:
         """Opens the listeners and starts the tick loop."""
-        source_ip = self.settings.listen.source
-        source = (source_ip, 0) if source_ip else None
-        self.client = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=30, local_addr=source
-            ),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
-            read_bufsize=16 * 1024,
-        )
+        source = self.settings.listen.source
+        self.client = build_session(source=source)
         self.engines = EngineClient(session=self.client)
         self.pipelines = PipelineClient(session=self.client)
-        self.services = ServiceClient(session=self.client)
+        self.services = ServiceClient(session=self.client, source=source)
         if self.placement is not None:
             self.placement.start(self.client)
         self.links = PeerLinks(
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -91,6 +91,7 @@
         self.quarantines = QuarantineSystem(
             vm_id=settings.vm_id, peers=view.others, random=random
         )
+        self.had_lease = False
         self.demand = DemandMeter(members=membership.alive)
         self.links = LinkTable()
         self.data_centre = settings.data_centre
@@ -155,6 +156,7 @@
 
     def tick(self) -> None:
         """Lets the core do what is due."""
+        self.had_lease = self.had_lease or bool(self.shares.held)
         self.execute(self.core.tick(now=time.monotonic()))
 
     def execute(self, actions: list[Action]) -> None:
--- a/rattanroute/tests/test_chatsessions.py
+++ b/rattanroute/tests/test_chatsessions.py
@@ -43,6 +43,7 @@
         failures: Index of the token at which a target fails, by target.
         running: Targets that run an attempt.
         orders: Orders by target.
+        gate: Holds complete attempts back until it is set.
     """
 
     def __init__(self) -> None:
@@ -50,6 +51,8 @@
         self.failures: dict[str, int] = {}
         self.running: set[str] = set()
         self.orders: dict[str, AttemptOrder] = {}
+        self.gate = asyncio.Event()
+        self.gate.set()
 
     async def run(self, order: AttemptOrder) -> AsyncIterator[object]:
         """Runs an attempt."""
@@ -67,6 +70,7 @@
                         provenance=Provenance.STARTED,
                     )
                 yield TokenChunk(index=index, text=TOKENS[index])
+            await self.gate.wait()
             yield Usage(tokens_in=3, tokens_out=len(TOKENS))
         finally:
             self.running.discard(name)
@@ -183,6 +187,7 @@
 
     async def test_both_attempts_end_in_one_turn(self) -> None:
         """Guards against the tokens of two complete attempts in one answer."""
+        self.host.engines.gate.clear()
         session = self.open_session()
         run = asyncio.create_task(session.run())
         await asyncio.sleep(0)
@@ -192,6 +197,9 @@
         self.host.deliver(
             self.host.core.dispatch(session.request, (hop,), time.monotonic())
         )
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.host.engines.running, {"t1", "t2"})
+        self.host.engines.gate.set()
         await asyncio.wait_for(run, 2.0)
         self.assertEqual(session.tokens, TOKENS)
 
