Make the hold and cooldown of placement settings

Cause: placement waits 30 s before it meets a need and 300 s between two orders to a target. A test with real processes cannot wait that long, and operators of small pools may want other values.

Change: a settings section `placement` with hold_s and cooldown_s, whose defaults are the former constants. The stand-in engine lists every order that reached it, refused ones included, at GET /v1/orders.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -153,6 +153,7 @@
             targets=self.targets,
             configuration=lambda: self.configuration,
             eligible=self.router.is_staying,
+            settings=self.settings.placement,
         )
         self.subsystems.add(placement.system)
         return placement
--- a/rattanroute/placementgates.py
+++ b/rattanroute/placementgates.py
@@ -17,6 +17,7 @@
 from rattanroute.logs import get_logger
 from rattanroute.messages.orders import Demand
 from rattanroute.messages.orders import DemandReport
+from rattanroute.settings import PlacementSettings
 from rattanroute.systems.placements import PlacementSystem
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.placements import Order
@@ -145,6 +146,7 @@
         targets: The known targets.
         configuration: Returns the configuration in force.
         eligible: Returns whether a target is healthy and stays.
+        settings: How long needs and orders last.
     """
 
     def __init__(
@@ -154,6 +156,7 @@
         targets: TargetTable,
         configuration: Callable[[], Configuration],
         eligible: Callable[[Target, float], bool],
+        settings: PlacementSettings,
     ) -> None:
         self.lease = LeaderLease(consensus=consensus)
         self.system = PlacementSystem(
@@ -161,6 +164,8 @@
             targets=targets,
             configuration=configuration,
             eligible=eligible,
+            hold_seconds=settings.hold_s,
+            cooldown_seconds=settings.cooldown_s,
         )
         self.client: OrderClient | None = None
         self.tasks: set[asyncio.Task[None]] = set()
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -142,6 +142,27 @@
     )
 
 
+class PlacementSettings(Section):
+    """When the leader orders targets to load another model or version."""
+
+    hold_s: float = pydantic.Field(
+        default=30.0,
+        ge=0,
+        description=(
+            "Time for which a need must last before an order meets it, so "
+            "that short peaks move nothing."
+        ),
+    )
+    cooldown_s: float = pydantic.Field(
+        default=300.0,
+        ge=0,
+        description=(
+            "Time after an order before its target gets another one, as each "
+            "load takes capacity away."
+        ),
+    )
+
+
 class SecuritySettings(Section):
     """Authentication of operators and peers."""
 
@@ -246,6 +267,7 @@
     storage: StorageSettings = StorageSettings()
     limits: LimitsSettings = LimitsSettings()
     targets: TargetsSettings = TargetsSettings()
+    placement: PlacementSettings = PlacementSettings()
     security: SecuritySettings = SecuritySettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
--- a/rattanroute/standins/engine.py
+++ b/rattanroute/standins/engine.py
@@ -92,6 +92,7 @@
         router.add_get("/v1/kv/{request_id}", self.stages.export_cache)
         router.add_put("/v1/kv/{request_id}", self.stages.import_cache)
         router.add_post("/v1/orders", self.orders.handle)
+        router.add_get("/v1/orders", self.orders.get_received)
         return app
 
     async def cancel(self, request: web.Request) -> web.Response:
--- a/rattanroute/standins/orders.py
+++ b/rattanroute/standins/orders.py
@@ -41,18 +41,34 @@
     last_layer: int = 0
 
 
+class ReceivedOrder(msgspec.Struct, kw_only=True):
+    """An order that arrived.
+
+    Attributes:
+        order: The order.
+        received_at: Time of arrival on the monotonic clock of the host.
+        accepted: Whether it was put into effect.
+    """
+
+    order: OrderBody
+    received_at: float
+    accepted: bool = False
+
+
 class OrderHandler:
     """Handles `POST /v1/orders`.
 
     Attributes:
         highest_token: Highest fencing token seen.
         done: Identifiers of orders already taken.
+        received: Every order that arrived, refused ones included.
     """
 
     def __init__(self, host: "EngineHost") -> None:
         self.host = host
         self.highest_token = 0
         self.done: set[str] = set()
+        self.received: list[ReceivedOrder] = []
         self.lock = asyncio.Lock()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -62,6 +78,8 @@
             order = msgspec.json.decode(await request.read(), type=OrderBody)
         except msgspec.DecodeError:
             return error_response(400, "invalid_order")
+        received = ReceivedOrder(order=order, received_at=time.monotonic())
+        self.received.append(received)
         if order.expires_at_ms <= time.time() * 1000:
             return error_response(410, "expired_order")
         if self.host.settings.checks_fencing:
@@ -71,6 +89,7 @@
         if order.order_id in self.done:
             return json_response({"accepted": True, "repeated": True})
         self.done.add(order.order_id)
+        received.accepted = True
         self.host.executions.append(
             ("order", order.fencing_token, order.action, order.order_id)
         )
@@ -79,6 +98,10 @@
         task.add_done_callback(self.tasks.discard)
         return json_response({"accepted": True, "repeated": False})
 
+    async def get_received(self, request: web.Request) -> web.Response:
+        """Answers with every order that arrived, oldest first."""
+        return json_response({"orders": msgspec.to_builtins(self.received)})
+
     async def execute(self, order: OrderBody) -> None:
         """Executes orders one by one; loads take the weight store's time."""
         async with self.lock:
--- a/rattanroute/systems/placements.py
+++ b/rattanroute/systems/placements.py
@@ -76,6 +76,9 @@
         targets: Known targets.
         configuration: Returns the configuration in force.
         eligible: Whether a target is healthy and stays.
+        hold_seconds: Time for which a need must last before it is met.
+        cooldown_seconds: Time after an order before its target gets another
+            one.
         table: Orders and demand.
         token: Fencing token of the present tenure; None without the lease.
         acquired_at: Start of the present tenure.
@@ -87,6 +90,8 @@
     targets: TargetTable
     configuration: Callable[[], Configuration]
     eligible: Callable[[Target, float], bool]
+    hold_seconds: float = HOLD_SECONDS
+    cooldown_seconds: float = COOLDOWN_SECONDS
     table: PlacementTable = dataclasses.field(default_factory=PlacementTable)
     token: int | None = None
     acquired_at: float = 0.0
@@ -160,7 +165,7 @@
         if not self.eligible(row, now):
             return False
         known = self.table.orders.get(row.report.target_id)
-        if known is not None and now - known[1] < COOLDOWN_SECONDS:
+        if known is not None and now - known[1] < self.cooldown_seconds:
             return False
         if row.report.checks_fencing:
             return True
@@ -196,7 +201,7 @@
         if not present:
             self.needs.pop(need, None)
             return False
-        return now - self.needs.setdefault(need, now) >= HOLD_SECONDS
+        return now - self.needs.setdefault(need, now) >= self.hold_seconds
 
     def place_versions(self, replicas: Replicas, now: float) -> Order | None:
         """Gives the version that lacks most another replica."""
