Test orders across a frozen leader with real processes

Change: three voters and two engines that hold no version, one of which ignores fencing tokens. Both load the version and serve it; only the leader sends orders. The leader is frozen for 11 s after a further change, while another one is elected. After the thaw it sends nothing, the tokens that each engine sees never go down, and the engine that ignores tokens gets its first order at least 13.5 s after the freeze.

A first try kept version 1 configured and timed out after 30 s: the demand that was just measured for version 1 keeps a replica for it until its mean has decayed, which is the rule. The test now puts only version 2 into service.

--- /dev/null
+++ b/rattanroute/tests/integration/test_orders.py
@@ -0,0 +1,166 @@
+"""Orders to targets while leaders of the configuration log come and go."""
+
+import time
+
+import msgspec
+
+from rattanroute.systems.placements import CLOCK_DRIFT_SECONDS
+from rattanroute.systems.placements import LEASE_SECONDS
+from rattanroute.systems.placements import ORDER_FLIGHT_SECONDS
+from rattanroute.tests.integration.support import ClusterTestCase
+from rattanroute.tools.demo_configuration import LAYERS
+
+MODEL = "instruct"
+CHECKS = "engine-checks"
+IGNORES = "engine-ignores"
+ENGINES = (CHECKS, IGNORES)
+OLD_LEASE_SECONDS = LEASE_SECONDS + CLOCK_DRIFT_SECONDS + ORDER_FLIGHT_SECONDS
+# Longer than the placement lease and shorter than the wait of a new leader for
+# targets that ignore tokens, so that the old one wakes up between the two.
+FROZEN_SECONDS = LEASE_SECONDS + 1.0
+LOADED_TIMEOUT_SECONDS = 30.0
+AWAKE_SECONDS = 8.0
+
+
+def build_model(*versions: str) -> list[dict[str, object]]:
+    """Returns the change that puts the last version into service."""
+    return [
+        {
+            "put_model": {
+                "name": MODEL,
+                "layers": LAYERS,
+                "versions": list(versions),
+                "version": versions[-1],
+                "min_replicas": len(ENGINES),
+            }
+        }
+    ]
+
+
+class OrderTest(ClusterTestCase):
+    """Only the holder of the control lease gives orders."""
+
+    data_centres = {"dc-a": 3}
+    voters = 3
+    settings = {"placement": {"hold_s": 0.5, "cooldown_s": 1.0}}
+
+    async def start_targets(self) -> None:
+        for name in ENGINES:
+            await self.cluster.add_engine(
+                name,
+                "dc-a",
+                model=MODEL,
+                version="",
+                load_seconds=0.3,
+                checks_fencing=name == CHECKS,
+            )
+
+    async def orders(self, engine: str) -> list[dict[str, object]]:
+        """Returns every order that reached an engine, oldest first."""
+        url = f"{self.cluster.targets[engine].url}/v1/orders"
+        async with self.cluster.client.get(url) as response:
+            return (await response.json())["orders"]
+
+    async def version(self, engine: str) -> str:
+        """Returns the version that an engine holds."""
+        url = f"{self.cluster.targets[engine].url}/healthz"
+        async with self.cluster.client.get(url) as response:
+            return (await response.json())["version"]
+
+    async def find_leader(self) -> str:
+        """Returns the leader that the VMs that answer know."""
+        result = await self.cluster.run_tool("--output=json", "status")
+        self.assertEqual(result.code, 0, result.errors)
+        return msgspec.json.decode(result.output)["leader"]
+
+    async def apply(self, *versions: str) -> None:
+        """Puts a version into service."""
+        result = await self.cluster.apply(build_model(*versions))
+        self.assertEqual(result.code, 0, result.errors)
+
+    async def wait_loaded(self, version: str, *engines: str) -> None:
+        """Waits until engines hold a version."""
+
+        async def is_loaded() -> bool:
+            held = [await self.version(name) for name in engines]
+            return set(held) == {version}
+
+        await self.wait_for(is_loaded, seconds=LOADED_TIMEOUT_SECONDS)
+
+    async def check_served(self, version: str) -> None:
+        """Sends a request for a version that was just loaded."""
+
+        async def is_served() -> bool:
+            answer = await self.chat("dc-a-1", version, model=MODEL)
+            if answer.status != 200:
+                return False
+            self.assert_complete(answer, version)
+            return True
+
+        await self.wait_for(is_served, seconds=5.0)
+
+    def count_sent(self, vm: str) -> int:
+        """Returns how many orders a VM sent, by its log."""
+        return self.cluster.read_log(vm).count('event="order ')
+
+    async def test_frozen_leader_sends_nothing(self) -> None:
+        """Guards against orders of two leaders at one target.
+
+        A leader that was frozen past its lease must send nothing when it
+        resumes, and a target that ignores fencing tokens must not get an
+        order of the new leader while one of the old may still arrive.
+        """
+        await self.apply("1")
+        await self.wait_loaded("1", *ENGINES)
+        await self.check_served("1")
+        leader = await self.find_leader()
+        self.check_only_sender(leader)
+        before = {name: await self.orders(name) for name in ENGINES}
+        # Version 1 is not kept: its recent demand would hold a replica back.
+        await self.apply("2")
+        self.cluster.freeze(leader)
+        frozen_at = time.monotonic()
+        await self.wait_loaded("2", CHECKS)
+        await self.wait_until(frozen_at + FROZEN_SECONDS)
+        sent = self.count_sent(leader)
+        self.cluster.thaw(leader)
+        await self.wait_loaded("2", *ENGINES)
+        await self.wait_until(time.monotonic() + AWAKE_SECONDS)
+        self.assertEqual(self.count_sent(leader), sent)
+        await self.check_served("2")
+        for name in ENGINES:
+            orders = await self.orders(name)
+            new = orders[len(before[name]) :]
+            self.check_tokens(orders, before[name], new)
+            if name == IGNORES:
+                waited = new[0]["received_at"] - frozen_at
+                self.assertGreaterEqual(waited, OLD_LEASE_SECONDS)
+
+    async def wait_until(self, due: float) -> None:
+        """Waits until a time of the monotonic clock."""
+
+        async def is_due() -> bool:
+            return time.monotonic() >= due
+
+        await self.wait_for(is_due, seconds=max(1.0, 2 * FROZEN_SECONDS))
+
+    def check_only_sender(self, leader: str) -> None:
+        """Checks that no VM but the leader has sent an order."""
+        senders = {name for name in self.cluster.vms if self.count_sent(name)}
+        self.assertEqual(senders, {leader})
+
+    def check_tokens(
+        self,
+        orders: list[dict[str, object]],
+        before: list[dict[str, object]],
+        new: list[dict[str, object]],
+    ) -> None:
+        """Checks the tokens of the orders that reached a target."""
+        tokens = [item["order"]["fencing_token"] for item in orders]
+        self.assertEqual(tokens, sorted(tokens))
+        self.assertTrue(before)
+        self.assertTrue(new, "the new leader gave no order")
+        old_token = before[-1]["order"]["fencing_token"]
+        for item in new:
+            self.assertGreater(item["order"]["fencing_token"], old_token)
+        self.assertTrue(all(item["accepted"] for item in orders))
