Keep peer links alive while certificate files are being replaced

Cause: the context of an outgoing connection was built anew for each connection. While a key did not fit its certificate, as during a rotation of the two files, this raised a SettingsError in the task of the link. The task ended, and the VM sent nothing to that peer until its own restart. Membership did not notice it: the other VMs confirmed the silent one through indirect probes.

Ruled out: the server side, which already kept its last usable context.

Change: both sides share one class that builds a context when the files change and keeps the last usable one. A failed reload is logged once.

--- a/rattanroute/security.py
+++ b/rattanroute/security.py
@@ -251,48 +251,77 @@
     return build_context(files, ssl.Purpose.SERVER_AUTH)
 
 
-class ServerContexts:
-    """Gives each incoming connection a context of the current files.
+class CurrentContext:
+    """A context of the current files, built again when they change.
+
+    While the files cannot be used, for example because a new key does not
+    fit the old certificate yet, the context built before stays in use.
 
     Attributes:
         files: The files.
-        signature: State of the files at the last read.
+        purpose: Which side of a connection the context is for.
         latest: Context of the last good read.
-        context: Context to start a server with; it never changes, and hands
-            each handshake over to `latest`.
+        signature: State of the files at the last read.
+        failure: Why the latest reload failed; empty when it did not.
     """
 
-    def __init__(self, files: TlsFiles) -> None:
+    def __init__(self, files: TlsFiles, purpose: ssl.Purpose) -> None:
         """Reads the files.
 
         Raises:
             SettingsError: If a file cannot be used.
         """
         self.files = files
-        self.latest = build_context(files, ssl.Purpose.CLIENT_AUTH)
+        self.purpose = purpose
+        self.latest = build_context(files, purpose)
         self.signature = files.signature()
-        self.context = build_context(files, ssl.Purpose.CLIENT_AUTH)
-        self.context.sni_callback = self.choose
+        self.failure = ""
 
     def refresh(self) -> ssl.SSLContext:
         """Returns a context of the current files."""
+        failure = self.failure
         try:
             signature = self.files.signature()
             if signature != self.signature:
                 self.signature = signature
-                self.latest = build_context(self.files, ssl.Purpose.CLIENT_AUTH)
+                self.latest = build_context(self.files, self.purpose)
+                failure = ""
         except (OSError, SettingsError) as error:
+            failure = str(error)
+        # One line per new failure: strangers must not be able to fill the log.
+        if failure and failure != self.failure:
             logger.warning(
-                "event=certificate_reload_failed error={!r}", str(error)
+                "event=certificate_reload_failed error={!r}", failure
             )
+        self.failure = failure
         return self.latest
 
+
+class ServerContexts:
+    """Gives each incoming connection a context of the current files.
+
+    Attributes:
+        current: The context of the current files.
+        context: Context to start a server with; it never changes, and hands
+            each handshake over to the current one.
+    """
+
+    def __init__(self, files: TlsFiles) -> None:
+        """Reads the files.
+
+        Raises:
+            SettingsError: If a file cannot be used.
+        """
+        self.current = CurrentContext(files, ssl.Purpose.CLIENT_AUTH)
+        self.context = build_context(files, ssl.Purpose.CLIENT_AUTH)
+        self.context.sni_callback = self.choose
+
     def choose(
         self, connection: ssl.SSLObject, name: str | None, context: object
     ) -> None:
         """Moves a handshake to the current context; called by `ssl`."""
         del name, context
-        connection.context = self.refresh()
+        connection.context = self.current.refresh()
 
 
 class TokenFiles:
@@ -304,6 +333,7 @@
         targets: Tokens of targets; None accepts every target.
         tls: Files of mutual TLS; None where it is off.
         server_contexts: Contexts of incoming connections.
+        client_contexts: Contexts of connections to peers.
     """
 
     def __init__(self, *, settings: DaemonSettings) -> None:
@@ -318,6 +348,11 @@
         self.targets = open_tokens(settings.targets.token_file)
         self.tls = find_tls_files(security)
         self.server_contexts = ServerContexts(self.tls) if self.tls else None
+        self.client_contexts = (
+            CurrentContext(self.tls, ssl.Purpose.SERVER_AUTH)
+            if self.tls
+            else None
+        )
 
     def peer_metadata(self) -> dict[str, str]:
         """Returns the metadata that authenticates this VM to peers."""
@@ -325,7 +360,8 @@
 
     def client_context(self) -> ssl.SSLContext | None:
         """Returns the context of a new connection to a peer."""
-        return build_client_context(self.tls) if self.tls else None
+        contexts = self.client_contexts
+        return contexts.refresh() if contexts is not None else None
 
 
 def open_tokens(path: pathlib.Path | None) -> TokenFile | None:
