Observe the queue wait of requests

Cause: rattanroute_queue_wait_seconds was declared and never observed, so that its count stayed 0.

Change: a session observes the time from arrival to its first dispatch, by kind of request.

Run before: test_telemetry, test_histograms_count_requests FAIL, count 0 of 7 requests. Run after: test_histograms_count_requests OK.

--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -193,6 +193,8 @@
 
     async def run_attempt(self, dispatch: Dispatch) -> None:
         """Runs one attempt and reports its end to the core."""
+        if not self.route:
+            self.observe_queue_wait()
         names = tuple(hop.target_id for hop in dispatch.chain)
         self.route.append(",".join(names))
         span = self.start_attempt_span(dispatch)
@@ -222,6 +224,13 @@
         self.record(dispatch, event, started, describe_outcome(event))
         self.host.handle(event)
 
+    def observe_queue_wait(self) -> None:
+        """Observes the time from arrival to the first dispatch."""
+        self.host.metrics.queue_wait.observe(
+            {"kind": self.request.kind.value},
+            time.monotonic() - self.request.arrived_at,
+        )
+
     def start_attempt_span(self, dispatch: Dispatch) -> trace.Span:
         """Starts the span of an attempt, a child of the entry span."""
         return self.host.traces.start(
