Log the fields of five modules as pairs of their own

Cause: the modules security, statefiles, consensus.hosts, distributions and operators put key=value text into the message, so that a line held one value such as event="event=change command_id=...". A search for command_id=X or verdict=accepted as a field found nothing, and the line named no module.

Change: they use the logger of their module and pass the fields by name.

Run before: test_telemetry, test_request_can_be_followed FAIL on the line of an operator's change.

--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -25,7 +25,6 @@
 
 from expression import Error
 from expression import Result
-from loguru import logger
 
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
@@ -50,6 +49,7 @@
 from rattanroute.consensus.storages import KEEP_ENTRIES
 from rattanroute.errors import RouterError
 from rattanroute.errors import StorageError
+from rattanroute.logs import get_logger
 from rattanroute.messages.consensus import BootstrapReport
 from rattanroute.messages.consensus import JoinRequest
 from rattanroute.messages.consensus import KINDS
@@ -66,6 +66,8 @@
 MAX_PROPOSAL_BYTES = 1024 * 1024
 CALLER_TYPES = (ProposeRequest, ProposeResponse, ReadRequest, ReadResponse)
 
+logger = get_logger(__name__)
+
 
 class StateMachine(Protocol):
     """The state that the log drives; equal on all members."""
@@ -322,7 +324,7 @@
             )
         except StorageError as error:
             self.snapshot_at = now + SNAPSHOT_RETRY_SECONDS
-            logger.warning("event=snapshot_failed error={!r}", str(error))
+            logger.warning("snapshot failed", error=error)
             if self.storage.is_stale:
                 self.fail(error, now)
             return
@@ -330,7 +332,7 @@
 
     def fail(self, error: StorageError, now: float) -> None:
         """Drops the node after its storage failed."""
-        logger.error("event=consensus_storage_failed error={!r}", str(error))
+        logger.error("consensus storage failed", error=error)
         self.node = None
         self.retry_at = now + STORAGE_RETRY_SECONDS
         self.storage.close()
@@ -343,7 +345,7 @@
             self.open(now)
         except StorageError as error:
             self.retry_at = now + STORAGE_RETRY_SECONDS
-            logger.warning("event=storage_unusable error={!r}", str(error))
+            logger.warning("consensus storage unusable", error=error)
 
     def receive_report(
         self, peer: str, report: BootstrapReport, now: float
--- a/rattanroute/security.py
+++ b/rattanroute/security.py
@@ -11,9 +11,9 @@
 from grpclib.events import RecvRequest
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
-from loguru import logger
 
 from rattanroute.errors import SettingsError
+from rattanroute.logs import get_logger
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import SecuritySettings
 
@@ -22,6 +22,8 @@
 IDENTITY = "rattanroute-identity"
 SCHEME = "bearer "
 
+logger = get_logger(__name__)
+
 
 def read_signature(path: pathlib.Path) -> tuple[int, int, int]:
     """Returns values of a file that change when it is replaced or edited."""
@@ -135,7 +137,7 @@
             failure = str(error)
         # One line per new failure: callers must not be able to fill the log.
         if failure and failure != self.failure:
-            logger.warning("event=token_reload_failed error={!r}", failure)
+            logger.warning("token reload failed", error=failure)
         self.failure = failure
         return self.tokens
 
@@ -290,9 +292,7 @@
             failure = str(error)
         # One line per new failure: strangers must not be able to fill the log.
         if failure and failure != self.failure:
-            logger.warning(
-                "event=certificate_reload_failed error={!r}", failure
-            )
+            logger.warning("certificate reload failed", error=failure)
         self.failure = failure
         return self.latest
 
--- a/rattanroute/servers/operators.py
+++ b/rattanroute/servers/operators.py
@@ -12,11 +12,11 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 from grpclib.server import Stream
-from loguru import logger
 import msgspec
 
 from rattanroute.errors import NotProposedError
 from rattanroute.errors import RouterError
+from rattanroute.logs import get_logger
 from rattanroute.proto import operators_pb2 as pb
 from rattanroute.proto.operators_grpc import OperatorsBase
 from rattanroute.security import IDENTITY
@@ -53,6 +53,9 @@
 DEFAULT_AUDITS = 100
 
 
+logger = get_logger(__name__)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class OperatorsServer(OperatorsBase):
     """Serves operators' calls.
@@ -145,10 +148,12 @@
                 return report_failure(result.error, change.command_id)
             outcome = result.ok
         logger.info(
-            "event=change command_id={} operator={} dry_run={} verdict={} "
-            "version={}",
-            *(change.command_id, change.operator, dry_run),
-            *(outcome.verdict, outcome.version),
+            "change",
+            command_id=change.command_id,
+            operator=change.operator,
+            dry_run=dry_run,
+            verdict=outcome.verdict,
+            version=outcome.version,
         )
         return messages.write_outcome(outcome, change.command_id)
 
@@ -381,8 +386,7 @@
     """Answers a change that the log gave no verdict on."""
     known = isinstance(error, NotProposedError)
     logger.warning(
-        "event=change_failed command_id={} certain={} error={!r}",
-        *(command_id, known, str(error)),
+        "change failed", command_id=command_id, certain=known, error=error
     )
     outcome = pb.NOT_ACCEPTED if known else pb.UNKNOWN
     return messages.write_failure(outcome, command_id)
--- a/rattanroute/statefiles.py
+++ b/rattanroute/statefiles.py
@@ -2,9 +2,8 @@
 
 import pathlib
 
-from loguru import logger
-
 from rattanroute.errors import StorageError
+from rattanroute.logs import get_logger
 from rattanroute.records import encode_file
 from rattanroute.records import FileAccess
 from rattanroute.records import RecordFile
@@ -15,6 +14,8 @@
 COMPACTION_FACTOR = 4
 MIN_COMPACTION_BYTES = 4_000_000
 
+logger = get_logger(__name__)
+
 
 class StateFile:
     """An append-only file of records that a snapshot can replace.
@@ -44,7 +45,7 @@
             files.make_folder(folder)
             self.file = RecordFile(self.path, files=files)
         except StorageError as error:
-            logger.error("state file moved aside error={!r}", str(error))
+            logger.error("state file moved aside", error=error)
             self.move_aside()
             self.file = RecordFile(self.path, files=files)
         except OSError as error:
--- a/rattanroute/systems/distributions.py
+++ b/rattanroute/systems/distributions.py
@@ -5,11 +5,11 @@
 import random
 from typing import Protocol
 
-from loguru import logger
 import msgspec
 
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
+from rattanroute.logs import get_logger
 from rattanroute.messages.distributions import SnapshotPart
 from rattanroute.messages.distributions import SnapshotRequest
 from rattanroute.messages.distributions import VersionAnswer
@@ -52,6 +52,8 @@
 # release, whose entities hash differently; it is taken as it is.
 MAX_MISMATCHES = 3
 
+logger = get_logger(__name__)
+
 
 class VoterSource(Protocol):
     """Knows on a voter whether the log is up to date."""
@@ -353,8 +355,9 @@
             diverged |= answer.content_hash != self.replica.content_hash
         if diverged and answer.from_voter:
             logger.warning(
-                "event=configuration_diverged version={} peer={}",
-                *(self.replica.version, peer),
+                "configuration diverged",
+                version=self.replica.version,
+                peer=peer,
             )
             actions += self.read_snapshot(peer, now)
         elif diverged:
