--- a/rattanroute/standins/hosts.py
+++ b/rattanroute/standins/hosts.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import time
 
 from aiohttp import web
 import msgspec
@@ -18,6 +19,7 @@
 from rattanroute.standins.configurations import TargetSettings
 from rattanroute.tables.targets import TargetReport
 
+MAX_RECEIVED = 10_000
 MAX_BODY_BYTES = 64 * 1024 * 1024
 CRASH_EXIT_CODE = 70
 DRAIN_POLL_S = 0.02
@@ -33,6 +35,7 @@
         exit_process: Called with an exit code to crash; tests replace it.
         leaving: Whether a planned stop is under way.
         active: Requests that are being served.
+        received: Headers of the latest requests with an identifier.
     """
 
     def __init__(self, settings: TargetSettings) -> None:
@@ -42,6 +45,9 @@
             collections.deque(maxlen=settings.max_executions)
         )
         self.exit_process: Callable[[int], None] = os._exit
+        self.received: collections.deque[dict[str, object]] = collections.deque(
+            maxlen=MAX_RECEIVED
+        )
         self.leaving = False
         self.active = 0
         self.runner: web.AppRunner | None = None
@@ -60,12 +66,31 @@
 
     def build_app(self) -> web.Application:
         """Builds the application with the shared routes."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self.note_received]
+        )
+        app.router.add_get("/v1/received", self.get_received)
         app.router.add_get("/v1/executions", self.get_executions)
         app.router.add_post("/v1/faults", self.set_faults)
         app.router.add_get("/healthz", self.get_health)
         return app
 
+    @web.middleware
+    async def note_received(
+        self, request: web.Request, handler: object
+    ) -> web.StreamResponse:
+        """Keeps the headers of a request that the router sent."""
+        if "X-Request-Id" in request.headers:
+            headers = {k.lower(): v for k, v in request.headers.items()}
+            self.received.append(
+                {"headers": headers, "received_at": time.monotonic()}
+            )
+        return await handler(request)
+
+    async def get_received(self, request: web.Request) -> web.Response:
+        """Answers with the headers of the latest requests, oldest first."""
+        return json_response({"received": list(self.received)})
+
     async def get_executions(self, request: web.Request) -> web.Response:
         """Answers with the executions log."""
         return json_response({"executions": list(self.executions)})
