--- a/rattanroute/sessions.py
+++ b/rattanroute/sessions.py
@@ -197,8 +197,8 @@
         """Runs one attempt and reports its end to the core."""
         run = AttemptRun(dispatch=dispatch, attempt=dispatch.attempt)
         self.runs.append(run)
-        if not self.request.queue_observed:
-            self.observe_queue_wait(run)
+        if not self.route:
+            self.observe_queue_wait()
         self.route.append(",".join(run.target_ids))
         span = self.start_attempt_span(dispatch)
         stages = self.start_stage_spans(dispatch, span)
@@ -220,11 +220,11 @@
         self.record(run, event, describe_outcome(event))
         self.host.handle(event)
 
-    def observe_queue_wait(self, run: AttemptRun) -> None:
+    def observe_queue_wait(self) -> None:
         """Observes the time from arrival to the first dispatch."""
-        self.request.queue_observed = True
         self.host.metrics.queue_wait.observe(
-            {"model": self.request.model}, run.started - self.request.arrived_at
+            {"kind": self.request.kind.value},
+            time.monotonic() - self.request.arrived_at,
         )
 
     def start_attempt_span(self, dispatch: Dispatch) -> trace.Span:
