--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -12,6 +12,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
+from rattanroute.attemptruns import AttemptUsage
 from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.peers import PeerLinks
@@ -19,11 +20,13 @@
 from rattanroute.clients.stages import PipelineClient
 from rattanroute.configurationgates import ConfigurationGate
 from rattanroute.configurationgates import REFRESH_SECONDS
+from rattanroute.errors import RouterError
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
 from rattanroute.ledgergates import LedgerGate
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.placementgates import PlacementGate
 from rattanroute.routers import RequestRouter
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
@@ -37,7 +40,6 @@
 from rattanroute.servers.services import ServicesServer
 from rattanroute.servers.targets import TargetsServer
 from rattanroute.servers.targets import UsageStatement
-from rattanroute.sessions import AttemptUsage
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import parse_address
 from rattanroute.sources import DaemonSource
@@ -120,6 +122,8 @@
         self.subsystems.add(self.reports)
         self.subsystems.add(self.router.shares)
         self.subsystems.add(self.router.quarantines)
+        self.subsystems.add(self.router.demand)
+        self.placement = self.build_placement()
         for subsystem in self.configurations.subsystems:
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
@@ -140,6 +144,19 @@
             seeds=settings.peers.seeds,
         )
 
+    def build_placement(self) -> PlacementGate | None:
+        """Builds placement on a voter; other VMs give no orders."""
+        if self.configurations.consensus is None:
+            return None
+        placement = PlacementGate(
+            consensus=self.configurations.consensus,
+            targets=self.targets,
+            configuration=lambda: self.configuration,
+            eligible=self.router.is_staying,
+        )
+        self.subsystems.add(placement.system)
+        return placement
+
     @property
     def ready(self) -> bool:
         """Whether this VM may serve requests."""
@@ -173,6 +190,8 @@
         """Executes an action of a subsystem."""
         if self.claims.take(action) or self.ledger.take(action):
             return
+        if self.placement is not None and self.placement.take(action):
+            return
         if isinstance(action, MemberChanged):
             member = action.member
             self.links.learn(peer=member.vm_id, address=member.address)
@@ -219,6 +238,8 @@
         self.engines = EngineClient(session=self.client)
         self.pipelines = PipelineClient(session=self.client)
         self.services = ServiceClient(session=self.client)
+        if self.placement is not None:
+            self.placement.start(self.client)
         self.links = PeerLinks(
             vm_id=self.settings.vm_id,
             own_address=self.settings.peer_address,
@@ -291,8 +312,11 @@
         """Starts a gRPC server, with mutual TLS where settings name files."""
         contexts = self.tokens.server_contexts
         ssl = contexts.context if contexts is not None else None
-        await server.start(*parse_address(address), ssl=ssl)
         self.servers.append(server)
+        try:
+            await server.start(*parse_address(address), ssl=ssl)
+        except OSError as error:
+            raise describe_listen_error(address, error) from error
 
     async def open_http(
         self, application: web.Application, address: str
@@ -309,9 +333,12 @@
         )
         await runner.setup()
         host, port = parse_address(address)
-        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
-        await site.start()
         self.runners.append(runner)
+        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        try:
+            await site.start()
+        except OSError as error:
+            raise describe_listen_error(address, error) from error
 
     def build_targets_server(self) -> TargetsServer:
         """Builds the interface on which targets announce themselves."""
@@ -352,6 +379,7 @@
 
     async def keep_house(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
+        self.state_status()
         self.ledger.update_holders()
         self.router.note_delays(self.measure_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
@@ -363,6 +391,15 @@
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
 
+    def state_status(self) -> None:
+        """Tells the other VMs whether this one serves requests."""
+        actions = self.membership.set_status(
+            ready=self.ready and not self.stopping,
+            draining=self.stopping or self.drained,
+            now=time.monotonic(),
+        )
+        self.subsystems.execute(actions)
+
     def measure_delays(self) -> dict[str, float]:
         """Returns the least one-way delay to each other data centre."""
         delays: dict[str, float] = {}
@@ -377,10 +414,7 @@
     async def stop(self) -> None:
         """Stops as planned: serves what it has, then closes everything."""
         self.stopping = True
-        now = time.monotonic()
-        self.subsystems.execute(
-            self.membership.set_status(ready=False, draining=True, now=now)
-        )
+        self.state_status()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         with contextlib.suppress(TimeoutError):
@@ -413,6 +447,12 @@
         log.info("daemon stopped")
 
 
+def describe_listen_error(address: str, error: OSError) -> RouterError:
+    """Returns the error of a listener that cannot be opened."""
+    reason = error.strerror or str(error)
+    return RouterError(step="listen", peer=address, message=reason)
+
+
 async def run_repeatedly(seconds: float, work: Callable[[], object]) -> None:
     """Does some work at an interval; a failure is logged and work goes on."""
     while True:
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -39,6 +39,7 @@
         live: Whether the attempt runs.
         clean: Whether it failed, provably, before it was dispatched.
         incarnations: Incarnation of each target of the chain at dispatch.
+        tokens_out: Tokens that the caller has of a failed attempt.
     """
 
     number: int
@@ -48,6 +49,7 @@
     live: bool = True
     clean: bool = False
     incarnations: tuple[int, ...] = ()
+    tokens_out: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -76,6 +78,7 @@
         attempts: Attempts so far, oldest first.
         tokens_out: Tokens that the caller already has.
         stream: Whether the caller reads a stream.
+        queue_observed: Whether the wait for the first dispatch is counted.
         pool: Pool of the targets that may run it; None before routing.
     """
 
@@ -100,6 +103,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     tokens_out: int = 0
     stream: bool = False
+    queue_observed: bool = False
     pool: PoolKey | None = None
 
     @property
