Wake idle peer links only while an acknowledgement is missing

Cause: each link woke every 1.5 s to look for missing acknowledgements, so the idle cost of a daemon grew with its peers. Change: the wait for messages has a bound only while frames are not acknowledged.

--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -165,11 +165,18 @@
     async def wait_for_work(self) -> None:
         """Waits for messages and lets a batch gather.
 
+        The wait is bounded only while an acknowledgement is missing: a wakeup
+        for each idle link would make the cost of a daemon grow with the
+        number of its peers.
+
         Raises:
             TimeoutError: If the peer has not acknowledged for too long.
         """
+        missing = self.unacknowledged_since is not None
         try:
-            async with asyncio.timeout(ACK_TIMEOUT_SECONDS):
+            async with asyncio.timeout(
+                ACK_TIMEOUT_SECONDS if missing else None
+            ):
                 await self.wakeup.wait()
             await asyncio.sleep(self.batch_seconds)
         except TimeoutError:
