Cut the frozen leader off in the test of orders

Cause: with the lease checks removed from a scratch copy the test still passed: the thawed leader heard of its successor before it could decide.

Change: the leader is also cut off from the other voters from the freeze until 5 s after the thaw.

Seen to fail: without the wait of a new leader for targets that ignore tokens (12.6 s is not 13.5 s).

--- a/rattanroute/tests/integration/test_orders.py
+++ b/rattanroute/tests/integration/test_orders.py
@@ -9,6 +9,8 @@
 from rattanroute.systems.placements import ORDER_FLIGHT_SECONDS
 from rattanroute.tests.integration.support import ClusterTestCase
 from rattanroute.tools.demo_configuration import LAYERS
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
 
 MODEL = "instruct"
 CHECKS = "engine-checks"
@@ -19,7 +21,7 @@
 # targets that ignore tokens, so that the old one wakes up between the two.
 FROZEN_SECONDS = LEASE_SECONDS + 1.0
 LOADED_TIMEOUT_SECONDS = 30.0
-AWAKE_SECONDS = 8.0
+AWAKE_SECONDS = 5.0
 
 
 def build_model(*versions: str) -> list[dict[str, object]]:
@@ -106,9 +108,10 @@
     async def test_frozen_leader_sends_nothing(self) -> None:
         """Guards against orders of two leaders at one target.
 
-        A leader that was frozen past its lease must send nothing when it
-        resumes, and a target that ignores fencing tokens must not get an
-        order of the new leader while one of the old may still arrive.
+        A leader that was frozen past its lease and is cut off must send
+        nothing when it resumes, and a target that ignores fencing tokens
+        must not get an order of the new leader while one of the old may
+        still arrive.
         """
         await self.apply("1")
         await self.wait_loaded("1", *ENGINES)
@@ -118,15 +121,19 @@
         before = {name: await self.orders(name) for name in ENGINES}
         # Version 1 is not kept: its recent demand would hold a replica back.
         await self.apply("2")
+        # Cut off, the leader hears of no other one after it resumes.
+        await self.cluster.set_faults(*self.isolate(leader))
         self.cluster.freeze(leader)
         frozen_at = time.monotonic()
         await self.wait_loaded("2", CHECKS)
         await self.wait_until(frozen_at + FROZEN_SECONDS)
         sent = self.count_sent(leader)
         self.cluster.thaw(leader)
-        await self.wait_loaded("2", *ENGINES)
         await self.wait_until(time.monotonic() + AWAKE_SECONDS)
         self.assertEqual(self.count_sent(leader), sent)
+        await self.cluster.set_faults()
+        await self.wait_loaded("2", *ENGINES)
+        self.assertEqual(self.count_sent(leader), sent)
         await self.check_served("2")
         for name in ENGINES:
             orders = await self.orders(name)
@@ -136,6 +143,15 @@
                 waited = new[0]["received_at"] - frozen_at
                 self.assertGreaterEqual(waited, OLD_LEASE_SECONDS)
 
+    def isolate(self, vm: str) -> list[Fault]:
+        """Returns faults that separate a VM from the others."""
+        return [
+            Fault(route=f"peer:{source}:{peer}", kind=FaultKind.HOLD)
+            for other in self.cluster.vms
+            if other != vm
+            for source, peer in ((vm, other), (other, vm))
+        ]
+
     async def wait_until(self, due: float) -> None:
         """Waits until a time of the monotonic clock."""
 
