--- a/rattanroute/tools/bench_baselines.py
+++ b/rattanroute/tools/bench_baselines.py
@@ -24,8 +24,6 @@
 from rattanroute.tools.clusters import LocalCluster
 
 MODULE = "rattanroute.tools.bench_baselines"
-ENGINE_MODULE = "rattanroute.standins.engine"
-BENCH_ENGINE_MODULE = "rattanroute.tools.bench_engines"
 
 
 class BaselineRouting(RoutingSystem):
@@ -111,9 +109,7 @@
         self.policy = policy
 
     async def spawn(self, name: str, module: str, *arguments: str) -> None:
-        """Starts a module, or the one that takes its place here."""
-        if module == ENGINE_MODULE:
-            module = BENCH_ENGINE_MODULE
+        """Starts a module; a daemon's is exchanged for the baseline's."""
         if self.policy and name in self.vms:
             module, arguments = MODULE, (*arguments, "--policy", self.policy)
         await super().spawn(name, module, *arguments)
