Back off before a target gets a request again that it has just failed

Change: after a failure only a chain without the failed targets starts at once; otherwise the request waits for the back-off.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -364,9 +364,9 @@
         )
         if hops is not None:
             return self.replace(request, attempt, event, hops, now)
-        placed = self.place(request, now)
-        if placed:
-            return placed
+        chain = self.choose_other(request, attempt, event, now)
+        if chain is not None:
+            return self.dispatch(request, chain, now)
         if not self.selections.is_servable(request, now):
             return self.refuse(request, refusals.no_target(request))
         request.state = RequestState.QUEUED
@@ -375,6 +375,28 @@
         )
         return []
 
+    def choose_other(
+        self,
+        request: Request,
+        attempt: Attempt,
+        event: AttemptFailed,
+        now: float,
+    ) -> tuple[Hop, ...] | None:
+        """Returns a chain without the failed targets, or None.
+
+        A target that has just failed the request gets it again only after the
+        back-off; at once it would fail it as often as retries are allowed.
+        """
+        if not self.admits(request, now):
+            return None
+        failed = request.tried
+        if len(attempt.chain) > 1:
+            failed = {event.target_id}
+        chain = self.selections.select(request, now)
+        if chain is None or any(hop.target_id in failed for hop in chain):
+            return None
+        return chain
+
     def replace(
         self,
         request: Request,
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -39,6 +39,14 @@
         # The only target is tried again, after it may take other work.
         self.assertEqual(core.targets.get("t1").in_flight, len(moved))
 
+    def test_only_target_gets_a_failed_request_after_the_back_off(self) -> None:
+        core = build_core(build_report(slots=2))
+        [first] = arrive(core, "r1")
+        moved = core.handle(fail(first, Provenance.NOT_DISPATCHED), now=0.0)
+        self.assertEqual(moved, [])
+        actions = core.tick(now=1.1)
+        self.assertEqual([type(action) for action in actions], [Dispatch])
+
     def test_back_off_grows_and_is_random(self) -> None:
         system = RetrySystem(random=random.Random(1), max_attempts=4)
         delays = [
