Prove that a voter without its disk does not vote

Cause: with one storage identity for all voters the test of the lost disk still passed, because no accepted change depended on the lost vote. Change: a test in which a voter that lost its folder and one that missed a change would form a majority without that change; they must accept nothing.

--- a/rattanroute/tests/integration/test_configurations.py
+++ b/rattanroute/tests/integration/test_configurations.py
@@ -84,6 +84,21 @@
             timeout_s=5.0,
         )
 
+    def build_request(
+        self, command_id: str, version: int, model: str
+    ) -> pb.ApplyRequest:
+        """Returns a change of one model for a version."""
+        return pb.ApplyRequest(
+            change=pb.Change(
+                command_id=command_id,
+                operator="tests",
+                expected_version=version,
+                operations=[
+                    pb.Operation(put_model=pb.Model(name=model, layers=1))
+                ],
+            )
+        )
+
     async def change(self, *vms: str) -> None:
         """Makes the next change; it names its version in a model."""
         version = self.accepted
@@ -282,16 +297,7 @@
         await asyncio.sleep(max(0, started + FROZEN_SECONDS - time.monotonic()))
         await self.change(*others)
         self.cluster.thaw(leader)
-        request = pb.ApplyRequest(
-            change=pb.Change(
-                command_id="stale",
-                operator="tests",
-                expected_version=stale,
-                operations=[
-                    pb.Operation(put_model=pb.Model(name="stale", layers=1))
-                ],
-            )
-        )
+        request = self.build_request("stale", stale, "stale")
         try:
             response = await self.client(leader).change("Apply", request)
             self.assertEqual(response.outcome, pb.CONFLICT, response)
@@ -363,3 +369,33 @@
         await self.wait_in_force(seconds=START_SECONDS)
         await self.assert_content()
         self.assertEqual(self.reverted, [])
+
+    async def test_voter_without_disk_does_not_vote(self) -> None:
+        """Guards against a majority that forgot an accepted change.
+
+        Two voters accept a change without the third one. Then one of the two
+        loses its data folder, the other one is down, and the third returns:
+        together they must accept nothing.
+        """
+        await self.change()
+        first, second, third = self.list_voters()
+        stale = self.accepted
+        await self.kill_vm(second)
+        await self.change(*self.others(second))
+        await self.kill_vm(first, third)
+        shutil.rmtree(self.cluster.folder / first)
+        for name in (first, second):
+            await self.cluster.start_vm(name)
+            await self.cluster.wait_healthy(name)
+        ends_at = time.monotonic() + FROZEN_SECONDS
+        request = self.build_request("forgotten", stale, "forgotten")
+        while time.monotonic() < ends_at:
+            with self.assertRaises(CliError):
+                response = await self.client(second).change("Apply", request)
+                self.fail(f"accepted without the last change: {response}")
+        await self.cluster.start_vm(third)
+        await self.wait_in_force(seconds=START_SECONDS)
+        await self.assert_content()
+        await self.change()
+        await self.wait_in_force()
+        self.assertEqual(self.reverted, [])
