Prove at most once with a frozen entry VM and poor links

Cause: delays, one-way cuts and frozen entry VMs had no test. Change: a test of records whose entry VM is frozen while it claims, calls and answers, with delayed links and messages lost in one direction.

--- a/rattanroute/tests/integration/test_claims.py
+++ b/rattanroute/tests/integration/test_claims.py
@@ -16,6 +16,7 @@
 SERVICE_DELAY_SECONDS = 0.3
 REPEATED_HEADER = "Idempotent-Replayed"
 LOAD_SECONDS = 8.0
+LINK_DELAY_SECONDS = 0.05
 RECOVERY_SECONDS = 15.0
 REFUSAL_SECONDS = 5.0
 
@@ -223,3 +224,49 @@
         for key, answer in own.items():
             await self.assert_first_answer(key, answer, ("dc-a-1", "dc-b-1"))
         await self.assert_at_most_once()
+
+    async def test_frozen_entry_vm_and_poor_links(self) -> None:
+        """Guards against a late second run by a VM that was frozen.
+
+        Messages between VMs are delayed, one VM's messages to the other data
+        centre are lost in one direction, and the entry VM is frozen while it
+        claims, calls and answers. The callers repeat their calls elsewhere.
+        """
+        await self.cluster.set_faults(
+            Fault(
+                route="peer:*", kind=FaultKind.DELAY, seconds=LINK_DELAY_SECONDS
+            ),
+            Fault(
+                route="peer:dc-b-1:dc-a-*",
+                kind=FaultKind.HOLD,
+                direction=Direction.TO_SERVER,
+            ),
+        )
+        keys = [f"dc-a/frozen-entry-{i}" for i in range(12)]
+        tasks = []
+        for key in keys:
+            tasks.append(asyncio.create_task(self.write("dc-a-2", key)))
+            await asyncio.sleep(SERVICE_DELAY_SECONDS / 8)
+        self.cluster.freeze("dc-a-2")
+        answers: dict[str, list[CallerAnswer]] = {key: [] for key in keys}
+        for vm in ("dc-a-1", "dc-b-2", "dc-a-3"):
+            found = await asyncio.gather(*(self.write(vm, k) for k in keys))
+            for key, answer in zip(keys, found, strict=True):
+                answers[key].append(answer)
+        await self.assert_at_most_once()
+        self.cluster.thaw("dc-a-2")
+        for key, task in zip(keys, tasks, strict=True):
+            answers[key].append(await task)
+        await self.cluster.set_faults()
+        for vm in self.cluster.vms:
+            found = await asyncio.gather(*(self.write(vm, k) for k in keys))
+            for key, answer in zip(keys, found, strict=True):
+                answers[key].append(answer)
+        runs = await self.assert_at_most_once()
+        for key, known in answers.items():
+            done = [answer.body for answer in known if answer.status == 200]
+            self.assertEqual(done, done[:1] * len(done))
+            self.assertLessEqual(bool(done), runs[key])
+            for answer in known:
+                if answer.error and answer.error["execution"] == "not_run":
+                    self.assertEqual(runs[key], 0, answer.error)
