Let a need last into the freeze in the test of orders

Cause: the test still passed without the lease checks. The leader looks for needs only 5 s after its last load, and the change came earlier, so that it had no need to meet when it resumed.

Change: the test waits for that interval before the change, and freezes the leader between the start of the need and its order.

Seen to fail on a scratch copy: without the lease checks and with targets of stale heartbeats as eligible the thawed leader decides on an order (3 != 2). With only the lease checks removed the stale heartbeats stop it as well.

--- a/rattanroute/tests/integration/test_orders.py
+++ b/rattanroute/tests/integration/test_orders.py
@@ -1,11 +1,13 @@
 """Orders to targets while leaders of the configuration log come and go."""
 
+import asyncio
 import time
 
 import msgspec
 
 from rattanroute.systems.placements import CLOCK_DRIFT_SECONDS
 from rattanroute.systems.placements import LEASE_SECONDS
+from rattanroute.systems.placements import LOAD_INTERVAL_SECONDS
 from rattanroute.systems.placements import ORDER_FLIGHT_SECONDS
 from rattanroute.tests.integration.support import ClusterTestCase
 from rattanroute.tools.demo_configuration import LAYERS
@@ -22,6 +24,8 @@
 FROZEN_SECONDS = LEASE_SECONDS + 1.0
 LOADED_TIMEOUT_SECONDS = 30.0
 AWAKE_SECONDS = 5.0
+# Long enough for a freeze between the start of a need and its order.
+HOLD_SECONDS = 2.0
 
 
 def build_model(*versions: str) -> list[dict[str, object]]:
@@ -44,7 +48,7 @@
 
     data_centres = {"dc-a": 3}
     voters = 3
-    settings = {"placement": {"hold_s": 0.5, "cooldown_s": 1.0}}
+    settings = {"placement": {"hold_s": HOLD_SECONDS, "cooldown_s": 1.0}}
 
     async def start_targets(self) -> None:
         for name in ENGINES:
@@ -116,6 +120,8 @@
         await self.apply("1")
         await self.wait_loaded("1", *ENGINES)
         await self.check_served("1")
+        # The leader looks for the next need only after this time.
+        await asyncio.sleep(LOAD_INTERVAL_SECONDS)
         leader = await self.find_leader()
         self.check_only_sender(leader)
         before = {name: await self.orders(name) for name in ENGINES}
@@ -123,6 +129,7 @@
         await self.apply("2")
         # Cut off, the leader hears of no other one after it resumes.
         await self.cluster.set_faults(*self.isolate(leader))
+        await asyncio.sleep(HOLD_SECONDS / 4)
         self.cluster.freeze(leader)
         frozen_at = time.monotonic()
         await self.wait_loaded("2", CHECKS)
