--- /dev/null
+++ b/rattanroute/tests/test_reports.py
@@ -0,0 +1,129 @@
+"""Tests of the passing of target reports between VMs."""
+
+import dataclasses
+import unittest
+
+from rattanroute.actions import SendMessage
+from rattanroute.messages.targets import TargetReports
+from rattanroute.systems import reports
+from rattanroute.systems.reports import TargetReportSystem
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.support import build_report
+
+
+@dataclasses.dataclass
+class FakeMember:
+    """A live VM."""
+
+    vm_id: str
+    data_centre: str
+
+
+MEMBERS = [
+    FakeMember("vm-1", "dc-a"),
+    FakeMember("vm-2", "dc-a"),
+    FakeMember("vm-3", "dc-b"),
+]
+
+
+class TargetReportSystemTest(unittest.TestCase):
+    """Guards against old reports that replace newer ones."""
+
+    def setUp(self) -> None:
+        self.targets = TargetTable()
+        self.system = TargetReportSystem(
+            vm_id="vm-1",
+            data_centre="dc-a",
+            targets=self.targets,
+            members=lambda: MEMBERS,
+        )
+
+    def build(self, sequence: int, **changes: object) -> TargetReport:
+        """Builds a report."""
+        return build_report("t1", incarnation=1, sequence=sequence, **changes)
+
+    def hear(self, report: TargetReport, *, age: float, now: float) -> None:
+        """Takes a report from a peer."""
+        message = TargetReports(reports=(report,), ages=(age,))
+        self.system.receive(peer="vm-2", message=message, now=now)
+
+    @property
+    def running(self) -> int:
+        """Load in the report that counts."""
+        return self.targets.get("t1").report.running
+
+    def test_reordered_and_duplicate_reports_change_nothing(self) -> None:
+        """Guards against load and age that go back in time."""
+        self.hear(self.build(2, running=2), age=0.1, now=10.0)
+        heard_at = self.targets.get("t1").heard_at
+        for sequence, running in ((1, 1), (2, 9)):
+            self.hear(self.build(sequence, running=running), age=0.0, now=11.0)
+            self.assertEqual(self.running, 2)
+            self.assertEqual(self.targets.get("t1").heard_at, heard_at)
+        self.hear(self.build(3, running=3), age=0.0, now=12.0)
+        self.assertEqual(self.running, 3)
+
+    def test_stale_report_is_as_old_as_its_sender_says(self) -> None:
+        """Guards against a silent target that looks alive."""
+        self.hear(self.build(1), age=5.0, now=10.0)
+        self.assertEqual(self.targets.get("t1").heard_at, 5.0)
+
+    def test_age_below_zero_is_none(self) -> None:
+        """Guards against a report from the future that stays fresh."""
+        self.hear(self.build(1), age=-100.0, now=10.0)
+        self.assertEqual(self.targets.get("t1").heard_at, 10.0)
+
+    def test_duplicate_announcement_is_not_passed_on(self) -> None:
+        """Guards against batches filled with repeats."""
+        self.system.announce(report=self.build(1), now=1.0)
+        self.assertEqual(len(self.system.tick(now=1.0)), 2)
+        self.system.announce(report=self.build(1), now=2.0)
+        self.assertEqual(self.system.tick(now=10.0), [])
+
+    def test_only_the_latest_report_of_a_batch_is_sent(self) -> None:
+        """Guards against reports that wait in line, and wrong ages."""
+        self.system.tick(now=0.0)
+        for sequence in (1, 2, 3):
+            report = self.build(sequence, running=sequence)
+            self.system.announce(report=report, now=0.01 * sequence)
+        actions = self.system.tick(now=1.0)
+        self.assertEqual({a.peer for a in actions}, {"vm-2", "vm-3"})
+        for action in actions:
+            (report,) = action.message.reports
+            self.assertEqual(report.running, 3)
+            self.assertAlmostEqual(action.message.ages[0], 0.97)
+
+    def test_other_data_centres_get_reports_less_often(self) -> None:
+        """Guards against traffic over slow links."""
+        self.system.tick(now=0.0)
+        self.system.announce(report=self.build(1), now=0.0)
+        (action,) = self.system.tick(now=reports.LOCAL_INTERVAL_SECONDS)
+        self.assertEqual(action.peer, "vm-2")
+        (action,) = self.system.tick(now=reports.REMOTE_INTERVAL_SECONDS)
+        self.assertEqual(action.peer, "vm-3")
+
+    def test_leave_notice_goes_to_all_at_once(self) -> None:
+        """Guards against new work for a target that leaves."""
+        actions = self.system.announce(
+            report=self.build(1, leaving=True), now=1.0
+        )
+        self.assertEqual(len(actions), 2)
+        for action in actions:
+            self.assertIsInstance(action, SendMessage)
+            self.assertTrue(action.message.reports[0].leaving)
+        self.assertEqual({a.peer for a in actions}, {"vm-2", "vm-3"})
+
+    def test_older_report_does_not_undo_a_leave(self) -> None:
+        """Guards against a batch that arrives after the leave notice."""
+        self.hear(self.build(2, leaving=True), age=0.0, now=1.0)
+        self.hear(self.build(1), age=0.0, now=1.1)
+        self.assertTrue(self.targets.get("t1").report.leaving)
+
+    def test_forgets_targets_that_stay_silent(self) -> None:
+        """Guards against a table that only grows."""
+        self.hear(self.build(1), age=0.0, now=0.0)
+        self.system.tick(now=reports.FORGET_SECONDS - 1)
+        self.assertEqual(len(self.targets), 1)
+        self.system.tick(now=reports.FORGET_SECONDS + 1)
+        self.assertEqual(len(self.targets), 0)
