--- a/rattanroute/journals.py
+++ b/rattanroute/journals.py
@@ -82,11 +82,20 @@
                     await asyncio.to_thread(self.file.compact, self.snapshot())
         except StorageError as error:
             log.error("journal not synced", peer=error.peer, error=error)
-            self.failed = True
-            self.on_failed()
+            self.fail()
+        except Exception as error:
+            # The batch is lost; a later ticket must not confirm it.
+            log.exception("journal not synced", error=error)
+            self.fail()
         finally:
             self.task = None
 
+    def fail(self) -> None:
+        """Takes no more records, as some may be missing."""
+        self.failed = True
+        self.batch.clear()
+        self.on_failed()
+
     async def close(self) -> None:
         """Waits for the last sync and closes the file."""
         if self.task is not None:
--- a/rattanroute/tests/test_journals.py
+++ b/rattanroute/tests/test_journals.py
@@ -19,6 +19,7 @@
         snapshots: Snapshots that replaced the file.
         needs_compaction: Whether the next look finds the file too long.
         failing: Whether writes fail.
+        error: How they fail.
     """
 
     def __init__(self) -> None:
@@ -28,6 +29,9 @@
         self.snapshots: list[list[bytes]] = []
         self.needs_compaction = False
         self.failing = False
+        self.error: Exception = StorageError(
+            step="sync", peer="file", message="disk is full"
+        )
         self.closed = False
 
     def write(self, records: tuple[bytes, ...]) -> None:
@@ -35,7 +39,7 @@
         if not self.open.wait(WAIT_SECONDS):
             raise TimeoutError("the test did not let the write end")
         if self.failing:
-            raise StorageError(step="sync", peer="file", message="disk is full")
+            raise self.error
         self.batches.append(records)
 
     def compact(self, snapshot: list[bytes]) -> None:
@@ -119,6 +123,20 @@
         self.assertEqual((self.failures, self.synced), (1, []))
         self.assertEqual(self.file.batches, [])
 
+    async def test_unexpected_error_is_a_failure(self) -> None:
+        """Guards against the confirmation of a batch that was lost.
+
+        A record that is too long to encode raises a ValueError.
+        """
+        self.file.failing = True
+        self.file.error = ValueError("record is too long")
+        self.append(1)
+        await asyncio.gather(self.journal.task, return_exceptions=True)
+        self.file.failing = False
+        self.append(2)
+        await self.finish()
+        self.assertEqual((self.failures, self.synced), (1, []))
+
     async def test_failure_drops_what_waits(self) -> None:
         """Guards against a later batch that hides the lost one."""
         self.file.open.clear()
