Escape every line separator in log lines

Cause: values were escaped by json.dumps without ASCII, which leaves U+0085, U+2028 and U+2029 as they are: a value from a caller could start a line of its own for readers that split at them. A lone surrogate could not be encoded, and the line was lost with a stack trace in its place.

Change: a value with characters that cannot be printed is escaped to ASCII. Printable text keeps its characters.

--- a/rattanroute/logs.py
+++ b/rattanroute/logs.py
@@ -24,7 +24,8 @@
     text = str(value)
     if text and text.isprintable() and not any(c in text for c in ' "=\\'):
         return text
-    return json.dumps(text, ensure_ascii=False)
+    # Some line separators and lone surrogates are not escaped otherwise.
+    return json.dumps(text, ensure_ascii=not text.isprintable())
 
 
 def format_record(record: "Record") -> str:
