Test the targets' interface with malformed and lying bodies

Cause: the interface had no tests of its own.

Change: wrong types, negative numbers, huge lists, oversized bodies, bytes that are no object, another address for a known incarnation and unknown fields, for announcements, heartbeats and leave notices. A refused body changes nothing and its usage statements are not counted.

--- /dev/null
+++ b/rattanroute/tests/test_target_servers.py
@@ -0,0 +1,220 @@
+"""Tests of the interface on which targets announce themselves."""
+
+import time
+import unittest
+
+from aiohttp.test_utils import TestClient
+from aiohttp.test_utils import TestServer
+
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.servers import targets as servers
+from rattanroute.servers.targets import TargetsServer
+from rattanroute.servers.targets import UsageStatement
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+GOOD: dict[str, object] = {
+    "target_id": "t1",
+    "incarnation": 5,
+    "sequence": 1,
+    "address": "http://127.0.0.1:9000",
+    "data_centre": "dc-a",
+    "model": "m",
+    "version": "1",
+    "first_layer": 0,
+    "last_layer": 7,
+    "total_layers": 8,
+    "slots": 4,
+    "running": 1,
+}
+STATEMENT: dict[str, object] = {
+    "request_id": "r1",
+    "attempt": 1,
+    "tokens_out": 3,
+    "seconds": 0.5,
+}
+WRONG_FIELDS: tuple[tuple[str, object], ...] = (
+    ("target_id", None),
+    ("target_id", ""),
+    ("target_id", 7),
+    ("target_id", "a\nb"),
+    ("target_id", "x" * 129),
+    ("incarnation", -1),
+    ("incarnation", 2**54),
+    ("incarnation", "new"),
+    ("sequence", -1),
+    ("sequence", 1.5),
+    ("address", "127.0.0.1:9000"),
+    ("address", "http://example.org:80"),
+    ("address", "http://127.0.0.1:9000/path"),
+    ("address", "file:///etc"),
+    ("data_centre", ["dc-a"]),
+    ("kind", "something"),
+    ("model", {"name": "m"}),
+    ("version", "v" * 65),
+    ("adapters", "a"),
+    ("adapters", ["a"] * 257),
+    ("first_layer", -1),
+    ("last_layer", 10_001),
+    ("slots", 0),
+    ("slots", 4097),
+    ("slots", -4),
+    ("tokens_per_second", -1.0),
+    ("tokens_per_second", 1e300),
+    ("running", -1),
+    ("queued", -1),
+    ("cached_prefixes", [-1]),
+    ("cached_prefixes", [2**64]),
+    ("cached_prefixes", list(range(513))),
+    ("checks_fencing", "perhaps"),
+    ("leaving", []),
+    ("usage", [{**STATEMENT, "attempt": -1}]),
+    ("usage", [{**STATEMENT, "tokens_out": -3}]),
+    ("usage", [{**STATEMENT, "seconds": -0.5}]),
+    ("usage", [{**STATEMENT, "seconds": 1e7}]),
+    ("usage", [{**STATEMENT, "account": "x" * 1025}]),
+    ("usage", [STATEMENT] * 1025),
+)
+NOT_A_BODY = (
+    b"",
+    b"null",
+    b"[]",
+    b'"text"',
+    b"{",
+    b'{"target_id": NaN}',
+    b"\xff\xfe",
+    b"[" * 100_000,
+)
+
+
+class TargetsServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bodies that lie, and bodies that cost too much."""
+
+    async def asyncSetUp(self) -> None:
+        self.targets = TargetTable()
+        self.statements: list[UsageStatement] = []
+        server = TargetsServer(
+            targets=self.targets,
+            data_centre="dc-a",
+            tokens=None,
+            announce=self.announce,
+            state=self.state,
+            metrics=MetricsRegistry(),
+        )
+        application = server.build_application()
+        self.client = TestClient(TestServer(application, host="127.0.0.1"))
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    def announce(self, report: TargetReport) -> None:
+        """Stores a report as the daemon does."""
+        self.targets.record(
+            report=report, observer="vm-1", heard_at=time.monotonic()
+        )
+
+    def state(
+        self, report: TargetReport, usage: tuple[UsageStatement, ...]
+    ) -> list[tuple[str, int]]:
+        """Acknowledges all statements."""
+        self.statements += usage
+        return [(item.request_id, item.attempt) for item in usage]
+
+    async def post(
+        self, kind: str, body: dict[str, object] | bytes
+    ) -> tuple[int, object]:
+        """Posts a body; returns the status and the answer."""
+        values = {"data": body} if isinstance(body, bytes) else {"json": body}
+        async with self.client.post(f"/v1/targets/{kind}", **values) as answer:
+            return answer.status, await answer.json()
+
+    async def check_refused(
+        self, status: int, body: dict[str, object] | bytes, kind: str
+    ) -> None:
+        """Checks that a body is refused and changes nothing."""
+        row = self.targets.get("t1")
+        before = row.report if row is not None else None
+        found, answer = await self.post(kind, body)
+        self.assertEqual(found, status, answer)
+        self.assertNotIn("Traceback", answer["error"]["message"])
+        row = self.targets.get("t1")
+        self.assertEqual(row.report if row is not None else None, before)
+        self.assertLessEqual(len(self.targets), 1)
+        self.assertEqual(self.statements, [])
+
+    async def test_wrong_fields_are_refused(self) -> None:
+        """Guards against wrong types, negative numbers and huge lists."""
+        status, _ = await self.post("announce", GOOD)
+        self.assertEqual(status, 200)
+        for kind in ("announce", "heartbeat", "leave"):
+            for name, value in WRONG_FIELDS:
+                with self.subTest(kind=kind, name=name, value=str(value)[:40]):
+                    body = {**GOOD, "sequence": 2, name: value}
+                    await self.check_refused(400, body, kind)
+
+    async def test_what_is_no_body_is_refused(self) -> None:
+        """Guards against a server error on bytes that are no object."""
+        for body in NOT_A_BODY:
+            with self.subTest(body=body[:20]):
+                await self.check_refused(400, body, "announce")
+
+    async def test_oversized_body_is_refused(self) -> None:
+        """Guards against a body that fills the memory."""
+        body = {**GOOD, "more": "x" * servers.MAX_BODY_BYTES}
+        await self.check_refused(413, body, "announce")
+
+    async def test_first_report_must_be_complete(self) -> None:
+        """Guards against a target that nobody can reach."""
+        for name in ("address", "data_centre", "model"):
+            with self.subTest(missing=name):
+                body = {k: v for k, v in GOOD.items() if k != name}
+                await self.check_refused(409, body, "heartbeat")
+
+    async def test_layers_must_fit(self) -> None:
+        """Guards against ranges that no pipeline can use."""
+        for first, last, total in ((5, 4, 8), (0, 8, 8)):
+            body = {
+                **GOOD,
+                "first_layer": first,
+                "last_layer": last,
+                "total_layers": total,
+            }
+            await self.check_refused(409, body, "announce")
+
+    async def test_another_address_for_a_known_incarnation(self) -> None:
+        """Guards against a process that takes over another one's name."""
+        await self.post("announce", GOOD)
+        other = {**GOOD, "sequence": 2, "address": "http://127.0.0.1:9001"}
+        await self.check_refused(409, other, "announce")
+        await self.check_refused(409, other, "leave")
+        status, _ = await self.post("announce", {**other, "incarnation": 6})
+        self.assertEqual(status, 200)
+        report = self.targets.get("t1").report
+        self.assertEqual(report.address, "http://127.0.0.1:9001")
+
+    async def test_unknown_fields_are_ignored(self) -> None:
+        """Guards against newer targets that cannot announce themselves."""
+        body = {**GOOD, "colour": "blue", "usage": [{**STATEMENT, "new": 1}]}
+        status, answer = await self.post("heartbeat", body)
+        self.assertEqual(status, 200)
+        known = [{"request_id": "r1", "attempt": 1}]
+        self.assertEqual(answer["acknowledged"], known)
+
+    async def test_heartbeat_keeps_what_it_does_not_name(self) -> None:
+        """Guards against a heartbeat that resets the announcement."""
+        await self.post("announce", GOOD)
+        status, _ = await self.post(
+            "heartbeat", {"target_id": "t1", "running": 3}
+        )
+        self.assertEqual(status, 200)
+        report = self.targets.get("t1").report
+        self.assertEqual((report.running, report.slots), (3, 4))
+        self.assertEqual(report.address, GOOD["address"])
+
+    async def test_leave_lasts_for_the_incarnation(self) -> None:
+        """Guards against a heartbeat on its way that undoes a leave."""
+        await self.post("announce", GOOD)
+        await self.post("leave", {"target_id": "t1"})
+        await self.post("heartbeat", {**GOOD, "sequence": 9, "leaving": False})
+        self.assertTrue(self.targets.get("t1").report.leaving)
+        await self.post("announce", {**GOOD, "incarnation": 6})
+        self.assertFalse(self.targets.get("t1").report.leaving)
