Split the core's construction; bound the wait in the queue by a setting

Change: coresystems.py builds the systems; limits.max_queue_wait_s (30 s) is passed to admission; the setting without effect is gone.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -4,11 +4,8 @@
 gone. An attempt's slots are given back before it is decided what follows.
 """
 
-from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
-import math
-import random as randoms
 
 from rattanroute.actions import Action
 from rattanroute.actions import CancelAttempt
@@ -18,6 +15,7 @@
 from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
+from rattanroute.coresystems import CoreSystems
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
@@ -27,134 +25,18 @@
 from rattanroute.events import RequestArrived
 from rattanroute.events import StageDegraded
 from rattanroute.systems import refusals
-from rattanroute.systems.admissions import AdmissionSystem
-from rattanroute.systems.admissions import OpenGate
-from rattanroute.systems.admissions import ShareGate
 from rattanroute.systems.admissions import weights_of
-from rattanroute.systems.attempts import AttemptSystem
-from rattanroute.systems.detections import DetectionSystem
-from rattanroute.systems.drains import DrainSystem
-from rattanroute.systems.expirations import ExpirationSystem
-from rattanroute.systems.quarantines import QuarantineSystem
-from rattanroute.systems.retries import HedgeSystem
-from rattanroute.systems.retries import RetrySystem
 from rattanroute.systems.routing import hop_of
-from rattanroute.systems.routing import RoutingSystem
-from rattanroute.systems.selections import ChainPlanner
-from rattanroute.systems.selections import SelectionSystem
-from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.pools import PoolKey
 from rattanroute.tables.requests import Attempt
 from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.requests import RequestState
-from rattanroute.tables.requests import RequestTable
-from rattanroute.tables.targets import TargetTable
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CoreSettings:
-    """Settings of the request core.
-
-    Attributes:
-        max_queued: Requests that may wait for a slot.
-        max_wait_s: Longest expected wait with which a request is queued.
-        heartbeat_timeout_s: Age of a report after which its target gets no
-            new work.
-        max_attempts: Attempts of one request.
-        hedging: Whether late whole answers are asked of a second target. The
-            host must then run two attempts of a request side by side.
-    """
-
-    max_queued: int = 1000
-    max_wait_s: float = math.inf
-    heartbeat_timeout_s: float = 2.5
-    max_attempts: int = 4
-    hedging: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class RequestCore:
-    """Takes events of requests and returns actions for the host.
-
-    Attributes:
-        vm_id: This VM.
-        data_centre: Its data centre.
-        targets: All targets; the core counts its attempts in them.
-        requests: Requests that have not ended.
-        configuration: Returns the configuration in force.
-        settings: Settings of the core.
-        random: Random numbers for all decisions.
-        planner: Chains for models that are split over targets.
-        gate: Shares of the neighbours.
-        quarantines: Requests that crash targets.
-    """
-
-    vm_id: str
-    data_centre: str
-    targets: TargetTable
-    requests: RequestTable
-    configuration: Callable[[], Configuration]
-    settings: CoreSettings
-    random: randoms.Random
-    planner: ChainPlanner | None = None
-    gate: ShareGate = dataclasses.field(default_factory=OpenGate)
-    quarantines: QuarantineSystem | None = None
-    routing: RoutingSystem = dataclasses.field(init=False)
-    admissions: AdmissionSystem = dataclasses.field(init=False)
-    detections: DetectionSystem = dataclasses.field(init=False)
-    retries: RetrySystem = dataclasses.field(init=False)
-    hedges: HedgeSystem = dataclasses.field(init=False)
-    attempts: AttemptSystem = dataclasses.field(init=False)
-    selections: SelectionSystem = dataclasses.field(init=False)
-    expirations: ExpirationSystem = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        if self.quarantines is None:
-            self.quarantines = QuarantineSystem(
-                vm_id=self.vm_id, peers=tuple, random=self.random
-            )
-        self.routing = RoutingSystem(
-            data_centre=self.data_centre,
-            targets=self.targets,
-            configuration=self.configuration,
-            drains=DrainSystem(
-                heartbeat_timeout_s=self.settings.heartbeat_timeout_s
-            ),
-            random=self.random,
-        )
-        self.admissions = AdmissionSystem(
-            max_queued=self.settings.max_queued,
-            max_wait_s=self.settings.max_wait_s,
-            gate=self.gate,
-        )
-        self.detections = DetectionSystem(targets=self.targets)
-        self.retries = RetrySystem(
-            random=self.random, max_attempts=self.settings.max_attempts
-        )
-        self.hedges = HedgeSystem()
-        self.attempts = AttemptSystem(
-            targets=self.targets,
-            gate=self.gate,
-            admissions=self.admissions,
-            detections=self.detections,
-            quarantines=self.quarantines,
-            routing=self.routing,
-            hedges=self.hedges,
-            hedging=self.settings.hedging,
-        )
-        self.selections = SelectionSystem(
-            targets=self.targets,
-            routing=self.routing,
-            quarantines=self.quarantines,
-            planner=self.planner,
-            random=self.random,
-        )
-        self.expirations = ExpirationSystem(
-            requests=self.requests,
-            admissions=self.admissions,
-            selections=self.selections,
-        )
+class RequestCore(CoreSystems):
+    """Takes events of requests and returns actions for the host."""
 
     def handle(self, event: Event, *, now: float) -> list[Action]:
         """Handles an event; events of ended requests are ignored."""
@@ -393,9 +275,8 @@
         if len(attempt.chain) > 1:
             failed = {event.target_id}
         chain = self.selections.select(request, now)
-        if chain is None or any(hop.target_id in failed for hop in chain):
-            return None
-        return chain
+        names = {hop.target_id for hop in chain or ()}
+        return None if names & failed else chain
 
     def replace(
         self,
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -6,8 +6,8 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import Event
 from rattanroute.events import RequestArrived
 from rattanroute.placementgates import DemandMeter
@@ -111,6 +111,7 @@
             configuration=configuration,
             settings=CoreSettings(
                 max_queued=settings.limits.max_queued,
+                max_wait_s=settings.limits.max_queue_wait_s,
                 heartbeat_timeout_s=timeout_s,
                 hedging=True,
             ),
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -114,8 +114,15 @@
     max_queued: int = pydantic.Field(
         default=1000, gt=0, description="Requests that may wait for a slot."
     )
-    stream_buffer_chunks: int = pydantic.Field(
-        default=64, gt=0, description="Chunks buffered for a slow reader."
+    max_queue_wait_s: float = pydantic.Field(
+        default=30.0,
+        gt=0,
+        description=(
+            "Longest expected wait with which a request is queued; one that "
+            "would wait longer is refused at once with the time to come "
+            "back. About 1.2 keeps the first token within 1.6 s also under "
+            "overload, at the price of more refusals."
+        ),
     )
     shutdown_grace_s: float = pydantic.Field(
         default=120.0,
--- a/rattanroute/tests/test_admissions.py
+++ b/rattanroute/tests/test_admissions.py
@@ -8,7 +8,7 @@
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Execution
 from rattanroute.actions import Refuse
-from rattanroute.cores import CoreSettings
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import RequestArrived
 from rattanroute.systems.admissions import OpenGate
--- a/rattanroute/tests/test_chatsessions.py
+++ b/rattanroute/tests/test_chatsessions.py
@@ -17,8 +17,8 @@
 from rattanroute.clients.attempts import AttemptOrder
 from rattanroute.clients.attempts import TokenChunk
 from rattanroute.clients.attempts import Usage
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import CallerGone
 from rattanroute.events import Event
 from rattanroute.events import Provenance
--- a/rattanroute/tests/test_core_properties.py
+++ b/rattanroute/tests/test_core_properties.py
@@ -14,8 +14,8 @@
 from rattanroute.actions import Execution
 from rattanroute.actions import Finish
 from rattanroute.actions import Refuse
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
--- a/rattanroute/tests/test_cores.py
+++ b/rattanroute/tests/test_cores.py
@@ -10,8 +10,8 @@
 from rattanroute.actions import Hop
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import CallerGone
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -9,7 +9,7 @@
 from rattanroute.actions import Finish
 from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
-from rattanroute.cores import CoreSettings
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
--- a/rattanroute/tools/bench_decisions.py
+++ b/rattanroute/tools/bench_decisions.py
@@ -11,8 +11,8 @@
 from rattanroute import codecs
 from rattanroute.actions import Dispatch
 from rattanroute.actions import SendMessage
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import Provenance
--- a/rattanroute/tools/bench_policies.py
+++ b/rattanroute/tools/bench_policies.py
@@ -17,8 +17,8 @@
 from rattanroute.actions import CancelAttempt
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Refuse
-from rattanroute.cores import CoreSettings
 from rattanroute.cores import RequestCore
+from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import RequestArrived
