Bound what a slow or stuck reader of a stream costs

Cause: three parts. The library waits for a slow reader only every 64 KB, so that the write buffer of 16 KB had no effect, and small chunks cost several times their length while they wait. The kernel's buffer of a connection may grow to 4 MB. After the deadline, the close of a connection waited without end for a reader that takes nothing; the constant that was to bound this was used nowhere.

Change: a write waits for the reader as soon as 4 KB are buffered, the socket buffer is 32 KB, and a reader that is behind when its stream fails is disconnected after 5 s.

Aborting only when the write of the error event blocks left the connection open, as a short event fits the buffer and does not block.

--- a/rattanroute/servers/streams.py
+++ b/rattanroute/servers/streams.py
@@ -1,6 +1,8 @@
 """Server-sent events of a chat completion."""
 
+import asyncio
 from collections.abc import Callable
+import socket
 import time
 
 from aiohttp import web
@@ -10,10 +12,14 @@
 from rattanroute.refusals import build_refusal_event
 
 DONE_EVENT = b"data: [DONE]\n\n"
-# A reader that takes nothing for this long is disconnected, so that it cannot
-# hold a slot of a target for ever.
-WRITE_TIMEOUT_SECONDS = 60.0
-WRITE_BUFFER_BYTES = 16 * 1024
+# About 20 tokens; each costs several times its length while it waits.
+WRITE_BUFFER_BYTES = 4 * 1024
+# The system's own choice grows to 4 MB for a reader that is slow, in memory
+# that no limit of the process counts. Linux doubles this value.
+SOCKET_BUFFER_BYTES = 32 * 1024
+# A reader that does not take the rest and the error event within this time is
+# disconnected, so that it cannot hold its connection for ever.
+FAIL_TIMEOUT_SECONDS = 5.0
 
 
 class ChatStream:
@@ -69,6 +75,9 @@
         transport = self.http_request.transport
         if transport is not None:
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+            )
 
     async def write(self, text: str) -> None:
         """Sends one token."""
@@ -77,6 +86,13 @@
         await self.response.write(
             self.prefix + self.encoder.encode(text) + self.suffix
         )
+        # The library itself waits for a slow reader only every 64 KB.
+        transport = self.http_request.transport
+        if (
+            transport is not None
+            and transport.get_write_buffer_size() > WRITE_BUFFER_BYTES
+        ):
+            await self.http_request.writer.drain()
 
     async def finish(self, finish_reason: str) -> web.StreamResponse:
         """Sends the end of a complete answer."""
@@ -89,6 +105,22 @@
 
     async def fail(self, refusal: Refusal) -> web.StreamResponse:
         """Sends an error event in place of the rest of the answer."""
-        await self.response.write(build_refusal_event(refusal, self.request_id))
+        self.bound_close()
+        event = build_refusal_event(refusal, self.request_id)
+        await self.response.write(event)
         await self.response.write_eof()
         return self.response
+
+    def bound_close(self) -> None:
+        """Bounds the time in which a reader that is behind takes the rest.
+
+        Closing a connection waits until all is taken, so that it is aborted
+        after that time; an aborted connection is no complete answer.
+        """
+        transport = self.http_request.transport
+        if transport is None or not transport.get_write_buffer_size():
+            return
+        self.response.force_close()
+        asyncio.get_running_loop().call_later(
+            FAIL_TIMEOUT_SECONDS, transport.abort
+        )
