--- a/rattanroute/standins/chats.py
+++ b/rattanroute/standins/chats.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator
 import contextlib
 import dataclasses
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -255,6 +256,7 @@
             async for index, token in items:
                 if not response.prepared:
                     await response.prepare(request)
+                    self.limit_buffers(request)
                 await self.write_token(request, response, run, index, token)
         if not response.prepared:
             await response.prepare(request)
@@ -265,6 +267,14 @@
         await response.write_eof()
         return response
 
+    def limit_buffers(self, request: web.Request) -> None:
+        """Makes a stream wait soon for a reader that is slow."""
+        size = self.host.settings.send_buffer_bytes
+        if size and request.transport is not None:
+            connection = request.transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+            request.transport.set_write_buffer_limits(high=size)
+
     async def write_token(
         self,
         request: web.Request,
--- a/rattanroute/standins/configurations.py
+++ b/rattanroute/standins/configurations.py
@@ -75,6 +75,8 @@
     cache_event_gap: int = pydantic.Field(default=0, ge=0)
     """Every n-th cache event is lost; 0 for none."""
     checks_fencing: bool = True
+    send_buffer_bytes: int = pydantic.Field(default=0, ge=0)
+    """Kernel buffer of a stream; 0 for the system's choice."""
     load_seconds: float = pydantic.Field(default=1.0, ge=0)
     """Time that the weight store needs for one load."""
 
