Let the last request of a crashed target run by itself

Change: the last request that each VM gave to a crashed target shares no target with other suspects for 20 s.

--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -213,16 +213,20 @@
         died_at = self.quarantines.died_at(
             target_id=event.target_id, incarnation=incarnation
         )
+        rows = [
+            row
+            for row in rows
+            if row and (died_at is None or row.current.dispatched_at <= died_at)
+        ]
+        latest = max(
+            rows, key=lambda row: row.current.dispatched_at, default=None
+        )
         suspects, actions = self.quarantines.note_crash(
             target_id=event.target_id,
             incarnation=incarnation,
-            fingerprints={
-                row.fingerprint
-                for row in rows
-                if row
-                and (died_at is None or row.current.dispatched_at <= died_at)
-            },
+            fingerprints={row.fingerprint for row in rows},
             now=now,
+            latest=latest.fingerprint if latest else "",
         )
         return actions + self.stop_suspects(suspects, event.target_id, now)
 
--- a/rattanroute/messages/quarantines.py
+++ b/rattanroute/messages/quarantines.py
@@ -35,11 +35,14 @@
         fingerprint: The request's fingerprint.
         target_id: The target that runs it; empty when the run has ended.
         cleared: Whether the run ended with a complete answer.
+        latest: Whether it was the last request that the sending VM gave to a
+            target that crashed.
     """
 
     fingerprint: str
     target_id: str = ""
     cleared: bool = False
+    latest: bool = False
 
 
 KINDS: dict[int, type] = {160: CrashReports, 161: SuspectRun}
--- a/rattanroute/systems/quarantines.py
+++ b/rattanroute/systems/quarantines.py
@@ -9,6 +9,10 @@
 refused for the short `DOUBT_SECONDS`, which keeps the number of crashed
 targets at two for that time.
 
+The last request that each VM gave to a crashed target is the likeliest
+culprit. It waits for `LATEST_ISOLATION_SECONDS` for a target without suspects,
+and no other suspect shares its target meanwhile.
+
 Requests that ran beside the failing one are moved at once, to different
 targets, and are cleared by their first complete answer. An innocent request is
 banned only if its own second target crashes by coincidence while it runs: with
@@ -46,6 +50,10 @@
 # Time in which the other VMs hear of a crash or of the start of a suspect: two
 # ticks of 50 ms, in which a batch is sent and received.
 TURN_SECONDS = 0.1
+# A request that crashes its targets mostly does so early in its run. The last
+# one that each VM gave to a crashed target therefore does not share a target
+# with other suspects for this time.
+LATEST_ISOLATION_SECONDS = 20.0
 # A run of another VM that is not reported again is taken as ended.
 RUN_SECONDS = 30.0
 # Reports are sent again to one random peer, for messages that were lost and
@@ -115,7 +123,18 @@
     def may_share(self, fingerprint: str, now: float) -> bool:
         """Tells whether a suspect has waited long for a target of its own."""
         row = self.table.get(fingerprint)
-        return row is None or now - row.changed_at > ISOLATION_SECONDS
+        if row is None:
+            return True
+        limit = LATEST_ISOLATION_SECONDS if row.latest else ISOLATION_SECONDS
+        return now - row.changed_at > limit
+
+    def latest_targets(self, now: float) -> set[str]:
+        """Returns the targets on which the most likely culprits run."""
+        targets: set[str] = set()
+        for row in self.table.rows.values():
+            if row.latest and now - row.changed_at <= LATEST_ISOLATION_SECONDS:
+                targets.update(self.running(row, now))
+        return targets
 
     def suspect_targets(self, fingerprint: str, now: float) -> set[str]:
         """Returns the targets on which other suspects run."""
@@ -143,7 +162,11 @@
         row.runs[self.vm_id] = target_id
         row.run_until[self.vm_id] = until
         return self.flood(
-            SuspectRun(fingerprint=fingerprint, target_id=target_id)
+            SuspectRun(
+                fingerprint=fingerprint,
+                target_id=target_id,
+                latest=row.latest,
+            )
         )
 
     def note_end(self, fingerprint: str, *, cleared: bool) -> list[Action]:
@@ -176,6 +199,7 @@
         incarnation: int,
         fingerprints: Collection[str],
         now: float,
+        latest: str = "",
     ) -> tuple[list[str], list[Action]]:
         """Records a crash and tells the other VMs.
 
@@ -184,6 +208,7 @@
             incarnation: Its incarnation when the attempts were dispatched.
             fingerprints: All requests of this VM that ran on it.
             now: Time in seconds.
+            latest: The one of them that was dispatched last.
 
         Returns:
             Fingerprints for which this crash is new, and messages.
@@ -198,6 +223,8 @@
         new = self.add(crash, now)
         if not new:
             return [], []
+        if latest in new:
+            self.table.rows[latest].latest = True
         return new, self.flood(CrashReports(crashes=(crash,)))
 
     def receive(
@@ -225,6 +252,7 @@
             row.runs.pop(peer, None)
             row.run_until.pop(peer, None)
             return
+        row.latest = row.latest or message.latest
         row.runs[peer] = message.target_id
         row.run_until[peer] = now + RUN_SECONDS
         if peer > self.vm_id:
--- a/rattanroute/systems/selections.py
+++ b/rattanroute/systems/selections.py
@@ -78,6 +78,7 @@
             target = self.routing.choose(request, key=key, avoid=busy, now=now)
         shared = busy and self.quarantines.may_share(request.fingerprint, now)
         if target is None and shared:
+            avoid = avoid | self.quarantines.latest_targets(now)
             target = self.routing.choose(request, key=key, avoid=avoid, now=now)
         return target
 
--- a/rattanroute/tables/fingerprints.py
+++ b/rattanroute/tables/fingerprints.py
@@ -21,6 +21,8 @@
         banned_until: Time until which it is refused.
         runs: Targets that run it at present, by VM.
         run_until: Time after which a run is taken as ended, by VM.
+        latest: Whether it was the last request that a VM gave to a target
+            that crashed.
     """
 
     value: str
@@ -28,6 +30,7 @@
     banned_until: float = 0.0
     runs: dict[str, str] = dataclasses.field(default_factory=dict)
     run_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    latest: bool = False
 
     @property
     def changed_at(self) -> float:
--- a/rattanroute/tests/test_quarantines.py
+++ b/rattanroute/tests/test_quarantines.py
@@ -21,6 +21,8 @@
 from rattanroute.messages.quarantines import SuspectRun
 from rattanroute.systems.quarantines import BAN_SECONDS
 from rattanroute.systems.quarantines import DOUBT_SECONDS
+from rattanroute.systems.quarantines import ISOLATION_SECONDS
+from rattanroute.systems.quarantines import LATEST_ISOLATION_SECONDS
 from rattanroute.systems.quarantines import QuarantineSystem
 from rattanroute.tests.support import build_report
 from rattanroute.tests.support import build_request
@@ -32,6 +34,30 @@
 POISON = "poison"
 
 
+class LatestSuspectTest(unittest.TestCase):
+    """Guards against bans of harmless requests beside a crashing one."""
+
+    def test_latest_request_of_a_crashed_target_runs_by_itself(self) -> None:
+        system = QuarantineSystem(
+            vm_id="vm-1", peers=lambda: ("vm-2",), random=random.Random(1)
+        )
+        system.note_crash(
+            target_id="t1",
+            incarnation=1,
+            fingerprints={"harmless", POISON},
+            now=0.0,
+            latest=POISON,
+        )
+        soon = ISOLATION_SECONDS + 0.1
+        self.assertTrue(system.may_share("harmless", soon))
+        self.assertFalse(system.may_share(POISON, soon))
+        [sent] = system.note_start(POISON, target_id="t2", until=30.0)
+        self.assertTrue(sent.message.latest)
+        self.assertEqual(system.latest_targets(soon), {"t2"})
+        late = LATEST_ISOLATION_SECONDS + 0.1
+        self.assertTrue(system.may_share(POISON, late))
+
+
 class Cluster:
     """Cores of several VMs over targets that the poison crashes."""
 
