--- a/rattanroute/tests/integration/test_orders.py
+++ b/rattanroute/tests/integration/test_orders.py
@@ -1,14 +1,18 @@
 """Orders to targets while leaders of the configuration log come and go."""
 
+import asyncio
 import time
 
 import msgspec
 
 from rattanroute.systems.placements import CLOCK_DRIFT_SECONDS
 from rattanroute.systems.placements import LEASE_SECONDS
+from rattanroute.systems.placements import LOAD_INTERVAL_SECONDS
 from rattanroute.systems.placements import ORDER_FLIGHT_SECONDS
 from rattanroute.tests.integration.support import ClusterTestCase
 from rattanroute.tools.demo_configuration import LAYERS
+from rattanroute.tools.proxies import Fault
+from rattanroute.tools.proxies import FaultKind
 
 MODEL = "instruct"
 CHECKS = "engine-checks"
@@ -19,7 +23,9 @@
 # targets that ignore tokens, so that the old one wakes up between the two.
 FROZEN_SECONDS = LEASE_SECONDS + 1.0
 LOADED_TIMEOUT_SECONDS = 30.0
-AWAKE_SECONDS = 8.0
+AWAKE_SECONDS = 5.0
+# Long enough for a freeze between the start of a need and its order.
+HOLD_SECONDS = 2.0
 
 
 def build_model(*versions: str) -> list[dict[str, object]]:
@@ -42,7 +48,7 @@
 
     data_centres = {"dc-a": 3}
     voters = 3
-    settings = {"placement": {"hold_s": 0.5, "cooldown_s": 1.0}}
+    settings = {"placement": {"hold_s": HOLD_SECONDS, "cooldown_s": 1.0}}
 
     async def start_targets(self) -> None:
         for name in ENGINES:
@@ -106,27 +112,35 @@
     async def test_frozen_leader_sends_nothing(self) -> None:
         """Guards against orders of two leaders at one target.
 
-        A leader that was frozen past its lease must send nothing when it
-        resumes, and a target that ignores fencing tokens must not get an
-        order of the new leader while one of the old may still arrive.
+        A leader that was frozen past its lease and is cut off must send
+        nothing when it resumes, and a target that ignores fencing tokens
+        must not get an order of the new leader while one of the old may
+        still arrive.
         """
         await self.apply("1")
         await self.wait_loaded("1", *ENGINES)
         await self.check_served("1")
+        # The leader looks for the next need only after this time.
+        await asyncio.sleep(LOAD_INTERVAL_SECONDS)
         leader = await self.find_leader()
         self.check_only_sender(leader)
         before = {name: await self.orders(name) for name in ENGINES}
         # Version 1 is not kept: its recent demand would hold a replica back.
         await self.apply("2")
+        # Cut off, the leader hears of no other one after it resumes.
+        await self.cluster.set_faults(*self.isolate(leader))
+        await asyncio.sleep(HOLD_SECONDS / 4)
         self.cluster.freeze(leader)
         frozen_at = time.monotonic()
         await self.wait_loaded("2", CHECKS)
         await self.wait_until(frozen_at + FROZEN_SECONDS)
         sent = self.count_sent(leader)
         self.cluster.thaw(leader)
-        await self.wait_loaded("2", *ENGINES)
         await self.wait_until(time.monotonic() + AWAKE_SECONDS)
         self.assertEqual(self.count_sent(leader), sent)
+        await self.cluster.set_faults()
+        await self.wait_loaded("2", *ENGINES)
+        self.assertEqual(self.count_sent(leader), sent)
         await self.check_served("2")
         for name in ENGINES:
             orders = await self.orders(name)
@@ -136,6 +150,15 @@
                 waited = new[0]["received_at"] - frozen_at
                 self.assertGreaterEqual(waited, OLD_LEASE_SECONDS)
 
+    def isolate(self, vm: str) -> list[Fault]:
+        """Returns faults that separate a VM from the others."""
+        return [
+            Fault(route=f"peer:{source}:{peer}", kind=FaultKind.HOLD)
+            for other in self.cluster.vms
+            if other != vm
+            for source, peer in ((vm, other), (other, vm))
+        ]
+
     async def wait_until(self, due: float) -> None:
         """Waits until a time of the monotonic clock."""
 
