--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Coroutine
 import ssl
 import time
 
@@ -19,6 +18,7 @@
 from rattanroute.proto.peers_pb2 import Frame
 from rattanroute.proto.peers_pb2 import Item
 from rattanroute.settings import parse_address
+from rattanroute.tasks import run_together
 
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 MAX_FRAME_BYTES = 512 * 1024
@@ -135,9 +135,10 @@
                 self.frames_sent = 0
                 self.unacknowledged_since = None
                 self.on_state(self.peer, self.address, True)
-                await run_until_first_ends(
+                await run_together(
                     self.read_acknowledgements(stream),
                     self.write_batches(stream),
+                    until=asyncio.FIRST_COMPLETED,
                 )
         finally:
             channel.close()
@@ -210,19 +211,6 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
 
-async def run_until_first_ends(*works: Coroutine[None, None, None]) -> None:
-    """Runs works until one ends, cancels the others and raises its error."""
-    tasks = [asyncio.create_task(work) for work in works]
-    try:
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    for task in done:
-        task.result()
-
-
 class PeerLinks:
     """Links by address, with the addresses of the known peers.
 
--- a/rattanroute/tests/integration/test_backpressure.py
+++ b/rattanroute/tests/integration/test_backpressure.py
@@ -8,7 +8,7 @@
 import time
 
 from rattanroute.tests.integration.support import ClusterTestCase
-from rattanroute.tools.clusters import CALLERS_PORT
+from rattanroute.tools.cluster_hosts import CALLERS_PORT
 from rattanroute.tools.clusters import LocalCluster
 from rattanroute.tools.demo_configuration import apply_configuration
 from rattanroute.tools.demo_configuration import CALLER_KEY
--- a/rattanroute/tests/integration/test_bad_input.py
+++ b/rattanroute/tests/integration/test_bad_input.py
@@ -9,9 +9,9 @@
 
 import aiohttp
 
-from rattanroute.tools.clusters import CALLERS_PORT
+from rattanroute.tools.cluster_hosts import CALLERS_PORT
+from rattanroute.tools.cluster_hosts import TARGETS_PORT
 from rattanroute.tools.clusters import LocalCluster
-from rattanroute.tools.clusters import TARGETS_PORT
 from rattanroute.tools.demo_configuration import apply_configuration
 from rattanroute.tools.demo_configuration import CALLER_KEY
 
--- a/rattanroute/tests/integration/test_channels.py
+++ b/rattanroute/tests/integration/test_channels.py
@@ -19,12 +19,12 @@
 from rattanroute.tests.authorities import Authority
 from rattanroute.tests.integration.support import ClusterTestCase
 from rattanroute.tests.support import build_report
+from rattanroute.tools.cluster_hosts import merge_settings
+from rattanroute.tools.cluster_hosts import OPERATORS_TOKEN
+from rattanroute.tools.cluster_hosts import TARGETS_PORT
+from rattanroute.tools.cluster_hosts import ToolResult
+from rattanroute.tools.cluster_hosts import Vm
 from rattanroute.tools.clusters import LocalCluster
-from rattanroute.tools.clusters import merge_settings
-from rattanroute.tools.clusters import OPERATORS_TOKEN
-from rattanroute.tools.clusters import TARGETS_PORT
-from rattanroute.tools.clusters import ToolResult
-from rattanroute.tools.clusters import Vm
 from rattanroute.tools.demo_configuration import apply_configuration
 from rattanroute.tools.demo_configuration import CALLER_KEY
 from rattanroute.tools.demo_configuration import OTHER_KEY
--- a/rattanroute/tests/integration/test_configurations.py
+++ b/rattanroute/tests/integration/test_configurations.py
@@ -12,7 +12,7 @@
 from rattanroute.tools.cli_client import CliError
 from rattanroute.tools.cli_client import ExitCode
 from rattanroute.tools.cli_client import OperatorsClient
-from rattanroute.tools.clusters import OPERATORS_TOKEN
+from rattanroute.tools.cluster_hosts import OPERATORS_TOKEN
 from rattanroute.tools.proxies import Fault
 from rattanroute.tools.proxies import FaultKind
 
--- a/rattanroute/tools/bench_control.py
+++ b/rattanroute/tools/bench_control.py
@@ -22,8 +22,8 @@
 from rattanroute.tools.bench_baselines import BenchCluster
 from rattanroute.tools.cli_client import CliError
 from rattanroute.tools.cli_client import OperatorsClient
-from rattanroute.tools.clusters import OPERATORS_TOKEN
-from rattanroute.tools.clusters import TARGETS_PORT
+from rattanroute.tools.cluster_hosts import OPERATORS_TOKEN
+from rattanroute.tools.cluster_hosts import TARGETS_PORT
 from rattanroute.tools.demo_configuration import apply_configuration
 from rattanroute.tools.plots import save_series
 
--- a/rattanroute/tools/bench_relay.py
+++ b/rattanroute/tools/bench_relay.py
@@ -16,7 +16,7 @@
 
 from rattanroute.tools.bench_arithmetic import build_row
 from rattanroute.tools.bench_baselines import BenchCluster
-from rattanroute.tools.clusters import Vm
+from rattanroute.tools.cluster_hosts import Vm
 from rattanroute.tools.demo_configuration import apply_configuration
 from rattanroute.tools.demo_configuration import LOAD_KEYS
 from rattanroute.tools.loads import LoadClient
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import os
 import pathlib
-import random
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -18,19 +15,22 @@
 import msgspec
 import yaml
 
+from rattanroute.tools.cluster_hosts import CALLERS_PORT
+from rattanroute.tools.cluster_hosts import merge_settings
+from rattanroute.tools.cluster_hosts import OPERATORS_TOKEN
+from rattanroute.tools.cluster_hosts import reserve_network
+from rattanroute.tools.cluster_hosts import StandIn
+from rattanroute.tools.cluster_hosts import TARGET_PORT
+from rattanroute.tools.cluster_hosts import TARGETS_PORT
+from rattanroute.tools.cluster_hosts import ToolResult
+from rattanroute.tools.cluster_hosts import Vm
 from rattanroute.tools.proxies import Fault
 from rattanroute.tools.proxies import FaultKind
 from rattanroute.tools.proxies import Route
 
-CALLERS_PORT = 8080
-TARGETS_PORT = 8081
-PEERS_PORT = 8082
-OPERATORS_PORT = 8083
 PROXY_CONTROL_PORT = 8090
-TARGET_PORT = 9000
 TARGET_PROXY_PORT = 9100
 FIRST_PEER_ROUTE_PORT = 20000
-LOCK_PORT = 8099
 FIRST_TARGET_HOST = 100
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 20.0
@@ -39,72 +39,6 @@
 FOUNDING_SECONDS = 4.0
 FOUNDING_MARGIN_SECONDS = 1.2
 LOG_TAIL_CHARACTERS = 2000
-OPERATORS_TOKEN = "operators-token"
-
-
-@dataclasses.dataclass(kw_only=True)
-class Vm:
-    """A VM of a local cluster.
-
-    Attributes:
-        name: Identifier.
-        data_centre: Its data centre.
-        address: IP number.
-        voter: Whether it takes part in the configuration log.
-    """
-
-    name: str
-    data_centre: str
-    address: str
-    voter: bool
-
-    @property
-    def callers_url(self) -> str:
-        """Base URL of the callers' interface."""
-        return f"http://{self.address}:{CALLERS_PORT}"
-
-    @property
-    def operators_address(self) -> str:
-        """Address of the operators' interface."""
-        return f"{self.address}:{OPERATORS_PORT}"
-
-    @property
-    def peers_address(self) -> str:
-        """Address of the peers' interface."""
-        return f"{self.address}:{PEERS_PORT}"
-
-
-@dataclasses.dataclass(kw_only=True)
-class StandIn:
-    """A stand-in target of a local cluster.
-
-    Attributes:
-        name: Identifier.
-        data_centre: Its data centre.
-        address: IP number.
-        module: Module that runs it.
-        configuration: Contents of its configuration file.
-    """
-
-    name: str
-    data_centre: str
-    address: str
-    module: str
-    configuration: dict[str, object]
-
-    @property
-    def url(self) -> str:
-        """Base URL, not through the proxy."""
-        return f"http://{self.address}:{TARGET_PORT}"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ToolResult:
-    """What a run of the operators' tool gave."""
-
-    code: int
-    output: str
-    errors: str
 
 
 class LocalCluster:
@@ -503,35 +437,3 @@
         kept = os.environ.get("RATTANROUTE_KEEP_FOLDER")
         if not kept:
             shutil.rmtree(self.folder, ignore_errors=True)
-
-
-def reserve_network() -> tuple[socket.socket, str]:
-    """Reserves a /16 of the loopback range for one cluster.
-
-    Returns:
-        A socket that holds the reservation, and the first two numbers.
-    """
-    numbers = list(range(2, 250))
-    random.shuffle(numbers)
-    for number in numbers:
-        lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            lock.bind((f"127.{number}.0.1", LOCK_PORT))
-            return lock, f"127.{number}"
-        except OSError:
-            lock.close()
-    raise RuntimeError("all loopback networks are in use")
-
-
-def merge_settings(
-    base: dict[str, object], changes: dict[str, object]
-) -> dict[str, object]:
-    """Merges nested settings; a value of `changes` goes first."""
-    merged = dict(base)
-    for name, value in changes.items():
-        known = merged.get(name)
-        if isinstance(known, dict) and isinstance(value, dict):
-            merged[name] = merge_settings(known, value)
-        else:
-            merged[name] = value
-    return merged
--- a/rattanroute/tools/proxies.py
+++ b/rattanroute/tools/proxies.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 import dataclasses
 import enum
 import fnmatch
@@ -15,6 +14,8 @@
 import msgspec
 import uvloop
 
+from rattanroute.tasks import run_together
+
 CHUNK_BYTES = 64 * 1024
 POLL_SECONDS = 0.01
 
@@ -144,9 +145,10 @@
             await self.wait_opening(connection)
             server = await asyncio.open_connection(host, int(port))
             writers.append(server[1])
-            await run_both(
+            await run_together(
                 self.pump(connection, Direction.TO_SERVER, reader, server[1]),
                 self.pump(connection, Direction.TO_CLIENT, server[0], writer),
+                until=asyncio.FIRST_EXCEPTION,
             )
         except OSError:
             for side in writers:
@@ -227,19 +229,6 @@
             await asyncio.sleep(wait)
 
 
-async def run_both(*pumps: Coroutine[None, None, None]) -> None:
-    """Runs both directions until they end or one fails."""
-    tasks = [asyncio.create_task(pump) for pump in pumps]
-    try:
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    for task in done:
-        task.result()
-
-
 class ControlServer:
     """HTTP interface that sets routes and faults.
 
