Freeze the engine in the test of callers that go away

Cause: with the cancellation of handlers switched off in a scratch copy the test still passed, as the next token told the daemon of the closed connection.

Change: the engine gives no further token when the caller goes away.

Seen to fail: without the cancellation of handlers, both cases, after 1 s.

--- a/rattanroute/tests/integration/test_backpressure.py
+++ b/rattanroute/tests/integration/test_backpressure.py
@@ -204,9 +204,11 @@
 
     async def test_caller_gone_cancels_work(self) -> None:
         """Guards against work for a caller that has gone away."""
-        await self.set_target_faults("engine-a", slow_factor=500.0)
         for tokens_read in (0, 3):
             with self.subTest(tokens_read=tokens_read):
+                await self.set_target_faults(
+                    "engine-a", slow_factor=500.0, freeze=tokens_read == 0
+                )
                 await self.check_gone(tokens_read)
 
     async def check_gone(self, tokens_read: int) -> None:
@@ -229,6 +231,8 @@
         await self.wait_for(is_running, seconds=5.0)
         if tokens_read:
             await asyncio.wait_for(reached.wait(), 10)
+        # No further token tells the daemon that the connection is closed.
+        await self.set_target_faults("engine-a", freeze=True)
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
