Take start-up objects out of garbage collection

Cause: full collections stopped the loop for 82 and 119 ms within 24 s at 100 requests/s (gc callbacks and a stall sampler in a scratch copy); the added time to first token at the 99th percentile was 123 ms in the relay benchmark. Change: gc.freeze after the start and thresholds (2000, 5, 50).

--- a/rattanroute/__main__.py
+++ b/rattanroute/__main__.py
@@ -1,5 +1,6 @@
 """Starts the daemon."""
 
+import gc
 import pathlib
 import sys
 from typing import NoReturn
@@ -20,6 +21,9 @@
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 STOP_MARGIN_SECONDS = 10.0
+# Allocations before a collection of the youngest generation, and collections
+# before one of the next generation.
+COLLECTION_THRESHOLDS = (2_000, 5, 50)
 
 
 class DaemonService(aiomisc.Service):
@@ -31,12 +35,24 @@
     async def start(self) -> None:
         """Starts the daemon."""
         await self.daemon.start()
+        freeze_startup_objects()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the daemon as planned."""
         await self.daemon.stop()
 
 
+def freeze_startup_objects() -> None:
+    """Takes the objects of the start out of garbage collection.
+
+    A full collection over the imported modules stopped the loop for up to
+    120 ms, which was the 99th percentile of the time to the first token.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+
+
 @click.command()
 @click.version_option(VERSION, prog_name="rattanrouted")
 @click.option(
