Send only the load of targets of which nothing else has changed

Cause: whole reports of each target went to every VM, 310 bytes each, four times a second within a data centre. Change: whole reports follow a change, a new VM or 5 s; otherwise a message carries number, load and age.

--- a/rattanroute/messages/targets.py
+++ b/rattanroute/messages/targets.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from rattanroute.tables.targets import TargetReport
 
 
@@ -13,4 +15,31 @@
     ages: tuple[float, ...]
 
 
-KINDS: dict[int, type] = {140: TargetReports}
+class TargetLoad(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Load of a target whose other values have not changed.
+
+    Attributes:
+        target_id: The target.
+        incarnation: Its incarnation.
+        sequence: Number of the report.
+        running: Requests running at the time of the report.
+        queued: Requests queued at the time of the report.
+        age: Age of the report when it was sent, in seconds.
+    """
+
+    target_id: str
+    incarnation: int
+    sequence: int
+    running: int
+    queued: int
+    age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLoads:
+    """Loads that the sending VM heard since it sent the whole reports."""
+
+    loads: tuple[TargetLoad, ...]
+
+
+KINDS: dict[int, type] = {140: TargetReports, 141: TargetLoads}
--- a/rattanroute/systems/reports.py
+++ b/rattanroute/systems/reports.py
@@ -3,6 +3,10 @@
 The VM that hears a target passes its report to the VMs of its own data centre
 at a short interval and to those of other data centres at a longer one. A
 notice that a target leaves is passed to all of them at once.
+
+A report is sent whole when something but the load has changed, when the VMs of
+the group have changed, and now and then in case a message was lost; otherwise
+only the load is sent, which takes a tenth of the bytes.
 """
 
 from collections.abc import Callable
@@ -12,12 +16,16 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
+from rattanroute.messages.targets import TargetLoad
+from rattanroute.messages.targets import TargetLoads
 from rattanroute.messages.targets import TargetReports
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
 LOCAL_INTERVAL_SECONDS = 0.25
 REMOTE_INTERVAL_SECONDS = 0.75
+# Bounds how long a VM that lost a whole report goes on with an older one.
+WHOLE_REPORT_SECONDS = 5.0
 # A record that no report renewed for this long is removed. It must be longer
 # than a partition's usual blips, so that measured speeds survive them.
 FORGET_SECONDS = 120.0
@@ -38,6 +46,34 @@
     heard_at: float
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Group:
+    """The VMs of this data centre, or those of the others.
+
+    Attributes:
+        is_local: Whether the group is this data centre.
+        interval: Seconds between two batches.
+        due: Time of the next batch.
+        batch: Reports that wait, by target.
+        whole: Latest whole report and its time, by target.
+        members: VMs that got the whole reports.
+    """
+
+    is_local: bool
+    interval: float
+    due: float = 0.0
+    batch: dict[str, HeardReport] = dataclasses.field(default_factory=dict)
+    whole: dict[str, HeardReport] = dataclasses.field(default_factory=dict)
+    members: frozenset[str] = frozenset()
+
+    def needs_whole(self, heard: HeardReport, now: float) -> bool:
+        """Returns whether a report must be sent whole."""
+        known = self.whole.get(heard.report.target_id)
+        if known is None or now - known.heard_at >= WHOLE_REPORT_SECONDS:
+            return True
+        return not is_same_but_load(known.report, heard.report)
+
+
 class TargetReportSystem:
     """Passes reports on and stores those of peers.
 
@@ -48,7 +84,7 @@
         members: Returns the live VMs, this one included.
     """
 
-    message_types: tuple[type, ...] = (TargetReports,)
+    message_types: tuple[type, ...] = (TargetReports, TargetLoads)
 
     def __init__(
         self,
@@ -62,10 +98,10 @@
         self.data_centre = data_centre
         self.targets = targets
         self.members = members
-        self.local_batch: dict[str, HeardReport] = {}
-        self.remote_batch: dict[str, HeardReport] = {}
-        self.local_due = 0.0
-        self.remote_due = 0.0
+        self.groups = (
+            Group(is_local=True, interval=LOCAL_INTERVAL_SECONDS),
+            Group(is_local=False, interval=REMOTE_INTERVAL_SECONDS),
+        )
 
     def announce(self, *, report: TargetReport, now: float) -> list[Action]:
         """Stores a report that a target gave to this VM.
@@ -87,46 +123,79 @@
                 for member in self.members()
                 if member.vm_id != self.vm_id
             ]
-        self.local_batch[report.target_id] = heard
-        self.remote_batch[report.target_id] = heard
+        for group in self.groups:
+            group.batch[report.target_id] = heard
         return []
 
     def receive(
         self, *, peer: str, message: object, now: float
     ) -> list[Action]:
-        """Stores the reports that a peer heard."""
-        assert isinstance(message, TargetReports)
+        """Stores the reports and loads that a peer heard."""
+        if isinstance(message, TargetLoads):
+            for load in message.loads:
+                self.take_load(peer, load, now)
+            return []
         for report, age in zip(message.reports, message.ages, strict=False):
             self.targets.record(
                 report=report, observer=peer, heard_at=now - max(0.0, age)
             )
         return []
 
+    def take_load(self, peer: str, load: TargetLoad, now: float) -> None:
+        """Stores the load of a target that is known in this incarnation."""
+        row = self.targets.get(load.target_id)
+        if row is None or row.report.incarnation != load.incarnation:
+            return
+        report = dataclasses.replace(
+            row.report,
+            sequence=load.sequence,
+            running=load.running,
+            queued=load.queued,
+        )
+        self.targets.record(
+            report=report, observer=peer, heard_at=now - max(0.0, load.age)
+        )
+
     def tick(self, *, now: float) -> list[Action]:
         """Sends the batches that are due and forgets old targets."""
         actions: list[Action] = []
-        if now >= self.local_due:
-            self.local_due = now + LOCAL_INTERVAL_SECONDS
-            actions += self.flush(self.local_batch, local=True, now=now)
-        if now >= self.remote_due:
-            self.remote_due = now + REMOTE_INTERVAL_SECONDS
-            actions += self.flush(self.remote_batch, local=False, now=now)
-            self.forget(now)
+        for group in self.groups:
+            if now >= group.due:
+                group.due = now + group.interval
+                actions += self.flush(group, now)
+                self.forget(now)
         return actions
 
-    def flush(
-        self, batch: dict[str, HeardReport], *, local: bool, now: float
-    ) -> list[Action]:
-        """Returns a batch as messages to one group of VMs and empties it."""
-        if not batch:
+    def flush(self, group: Group, now: float) -> list[Action]:
+        """Returns a group's batch as messages and empties it."""
+        if not group.batch:
             return []
-        message = build_message(list(batch.values()), now)
-        batch.clear()
-        return [
-            SendMessage(peer=member.vm_id, message=message)
+        members = frozenset(
+            member.vm_id
             for member in self.members()
             if member.vm_id != self.vm_id
-            and (member.data_centre == self.data_centre) == local
+            and (member.data_centre == self.data_centre) == group.is_local
+        )
+        if not members <= group.members:
+            group.whole.clear()
+        group.members = members
+        batch = list(group.batch.values())
+        group.batch.clear()
+        whole = [item for item in batch if group.needs_whole(item, now)]
+        loads = [item for item in batch if not group.needs_whole(item, now)]
+        for item in whole:
+            group.whole[item.report.target_id] = HeardReport(
+                report=item.report, heard_at=now
+            )
+        messages: list[object] = []
+        if whole:
+            messages.append(build_message(whole, now))
+        if loads:
+            messages.append(build_loads(loads, now))
+        return [
+            SendMessage(peer=peer, message=message)
+            for peer in sorted(members)
+            for message in messages
         ]
 
     def forget(self, now: float) -> None:
@@ -134,6 +203,8 @@
         for target in list(self.targets):
             if target.in_flight == 0 and now - target.heard_at > FORGET_SECONDS:
                 self.targets.remove(target.report.target_id)
+                for group in self.groups:
+                    group.whole.pop(target.report.target_id, None)
 
 
 def build_message(heard: list[HeardReport], now: float) -> TargetReports:
@@ -142,3 +213,27 @@
         reports=tuple(item.report for item in heard),
         ages=tuple(now - item.heard_at for item in heard),
     )
+
+
+def build_loads(heard: list[HeardReport], now: float) -> TargetLoads:
+    """Builds a message with the loads only."""
+    return TargetLoads(
+        loads=tuple(
+            TargetLoad(
+                target_id=item.report.target_id,
+                incarnation=item.report.incarnation,
+                sequence=item.report.sequence,
+                running=item.report.running,
+                queued=item.report.queued,
+                age=round(now - item.heard_at, 3),
+            )
+            for item in heard
+        )
+    )
+
+
+def is_same_but_load(old: TargetReport, new: TargetReport) -> bool:
+    """Returns whether two reports differ at most in load and number."""
+    return old == dataclasses.replace(
+        new, sequence=old.sequence, running=old.running, queued=old.queued
+    )
--- a/rattanroute/tests/test_reports.py
+++ b/rattanroute/tests/test_reports.py
@@ -3,7 +3,11 @@
 import dataclasses
 import unittest
 
+import msgspec
+
 from rattanroute.actions import SendMessage
+from rattanroute.messages.targets import TargetLoad
+from rattanroute.messages.targets import TargetLoads
 from rattanroute.messages.targets import TargetReports
 from rattanroute.systems import reports
 from rattanroute.systems.reports import TargetReportSystem
@@ -127,3 +131,57 @@
         self.assertEqual(len(self.targets), 1)
         self.system.tick(now=reports.FORGET_SECONDS + 1)
         self.assertEqual(len(self.targets), 0)
+
+    def announce_and_flush(self, report: TargetReport, now: float) -> list:
+        """Announces a report and returns the messages to the own VMs."""
+        self.system.announce(report=report, now=now)
+        actions = self.system.tick(now=now)
+        return [a.message for a in actions if a.peer == "vm-2"]
+
+    def test_unchanged_target_sends_its_load_only(self) -> None:
+        """Guards against whole reports at each heartbeat."""
+        (first,) = self.announce_and_flush(self.build(1), now=1.0)
+        self.assertIsInstance(first, TargetReports)
+        (second,) = self.announce_and_flush(self.build(2, running=3), now=2.0)
+        self.assertIsInstance(second, TargetLoads)
+        self.assertEqual(second.loads[0].running, 3)
+        changed = self.build(3, running=3, version="2")
+        (third,) = self.announce_and_flush(changed, now=3.0)
+        self.assertIsInstance(third, TargetReports)
+
+    def test_whole_reports_are_repeated(self) -> None:
+        """Guards against a VM that goes on without a lost report."""
+        self.announce_and_flush(self.build(1), now=1.0)
+        late = 1.0 + reports.WHOLE_REPORT_SECONDS
+        (again,) = self.announce_and_flush(self.build(2), now=late)
+        self.assertIsInstance(again, TargetReports)
+
+    def test_new_vm_gets_whole_reports(self) -> None:
+        """Guards against a VM that knows loads but no targets."""
+        self.announce_and_flush(self.build(1), now=1.0)
+        joined = [*MEMBERS, FakeMember("vm-4", "dc-a")]
+        self.system.members = lambda: joined
+        (message,) = self.announce_and_flush(self.build(2), now=2.0)
+        self.assertIsInstance(message, TargetReports)
+
+    def test_load_renews_a_known_target(self) -> None:
+        """Guards against loads that are lost or applied to another start."""
+        self.hear(self.build(1, running=1), age=0.0, now=1.0)
+        load = TargetLoad(
+            target_id="t1",
+            incarnation=1,
+            sequence=2,
+            running=4,
+            queued=0,
+            age=0.5,
+        )
+        for kind in (load, msgspec.structs.replace(load, incarnation=2)):
+            message = TargetLoads(loads=(kind,))
+            self.system.receive(peer="vm-2", message=message, now=3.0)
+        self.assertEqual(self.running, 4)
+        self.assertEqual(self.targets.get("t1").heard_at, 2.5)
+        self.assertEqual(self.targets.get("t1").report.incarnation, 1)
+        unknown = msgspec.structs.replace(load, target_id="t9")
+        message = TargetLoads(loads=(unknown,))
+        self.system.receive(peer="vm-2", message=message, now=3.0)
+        self.assertIsNone(self.targets.get("t9"))
