List the daemon's subsystems in one place and close the log's files

Cause: the order of the subsystems was spread over the constructor, and a planned stop left the files of the log open. Change: list_subsystems, ConfigurationGate.close.

--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -16,6 +16,7 @@
 from rattanroute.errors import RouterError
 from rattanroute.forwards import LogForwarder
 from rattanroute.settings import DaemonSettings
+from rattanroute.subsystems import Subsystem
 from rattanroute.systems.configurations import ConfigurationStateMachine
 from rattanroute.systems.distributions import DistributionSystem
 from rattanroute.systems.memberships import MembershipSystem
@@ -151,9 +152,9 @@
         self.log = log or self.forwarder
 
     @property
-    def subsystems(self) -> list[object]:
+    def subsystems(self) -> list[Subsystem]:
         """The subsystems to host."""
-        found: list[object] = [self.forwarder, self.distribution]
+        found: list[Subsystem] = [self.forwarder, self.distribution]
         if self.consensus is not None:
             found.append(self.consensus)
         return found
@@ -196,3 +197,8 @@
             ):
                 return member.vm_id
         return None
+
+    def close(self) -> None:
+        """Closes the files of the log."""
+        if self.consensus is not None:
+            self.consensus.close()
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -43,6 +43,7 @@
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import parse_address
 from rattanroute.sources import DaemonSource
+from rattanroute.subsystems import Subsystem
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.tables.configurations import Configuration
@@ -110,9 +111,6 @@
             random=self.random,
         )
         self.running: set[asyncio.Task[object]] = set()
-        self.subsystems.add(self.membership)
-        self.subsystems.add(self.claims.system)
-        self.subsystems.add(self.ledger.system)
         self.router = RequestRouter(
             settings=settings,
             membership=self.membership,
@@ -122,12 +120,8 @@
             random=self.random,
         )
         self.sessions = self.router.sessions
-        self.subsystems.add(self.reports)
-        self.subsystems.add(self.router.shares)
-        self.subsystems.add(self.router.quarantines)
-        self.subsystems.add(self.router.demand)
         self.placement = self.build_placement()
-        for subsystem in self.configurations.subsystems:
+        for subsystem in self.list_subsystems():
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.AppRunner] = []
@@ -151,15 +145,28 @@
         """Builds placement on a voter; other VMs give no orders."""
         if self.configurations.consensus is None:
             return None
-        placement = PlacementGate(
+        return PlacementGate(
             consensus=self.configurations.consensus,
             targets=self.targets,
             configuration=lambda: self.configuration,
             eligible=self.router.is_staying,
             settings=self.settings.placement,
         )
-        self.subsystems.add(placement.system)
-        return placement
+
+    def list_subsystems(self) -> list[Subsystem]:
+        """Returns the subsystems in the order of their ticks."""
+        found: list[Subsystem] = [
+            self.membership,
+            self.claims.system,
+            self.ledger.system,
+            self.reports,
+            self.router.shares,
+            self.router.quarantines,
+            self.router.demand,
+        ]
+        if self.placement is not None:
+            found.append(self.placement.system)
+        return [*found, *self.configurations.subsystems]
 
     @property
     def ready(self) -> bool:
@@ -435,6 +442,7 @@
             await server.wait_closed()
         await self.claims.close()
         await self.ledger.close()
+        self.configurations.close()
         await self.traces.export()
         await self.pipelines.close()
         await self.services.close()
