--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -21,7 +21,6 @@
 import pathlib
 import random
 import time
-from typing import Protocol
 
 from expression import Error
 from expression import Result
@@ -39,6 +38,7 @@
 from rattanroute.consensus.entries import HardState
 from rattanroute.consensus.entries import Membership
 from rattanroute.consensus.entries import Snapshot
+from rattanroute.consensus.machines import StateMachine
 from rattanroute.consensus.nodes import Output
 from rattanroute.consensus.operations import MembershipOperations
 from rattanroute.consensus.proposals import lose_track
@@ -69,22 +69,6 @@
 logger = get_logger(__name__)
 
 
-class StateMachine(Protocol):
-    """The state that the log drives; equal on all members."""
-
-    def apply(self, index: int, data: bytes) -> object:
-        """Applies a proposal deterministically and returns its result."""
-        ...
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-        ...
-
-    def restore(self, data: bytes) -> None:
-        """Replaces the whole state."""
-        ...
-
-
 class ConsensusHost:
     """The consensus subsystem of a voter VM.
 
