Name methods by the usual terms; start daemons from compiled modules

Cause: make test exported PYTHONDONTWRITEBYTECODE, so that every daemon of the integration tests compiled the package anew; claim holders that need more than 4 s to start never grant.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,6 @@
 PYTHON ?= python3.11
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
-export PYTHONDONTWRITEBYTECODE := 1
 
 .PHONY: demo test lint format bench proto settings-docs clean
 
--- a/rattanroute/cores.py
+++ b/rattanroute/cores.py
@@ -50,7 +50,7 @@
             case AttemptFailed():
                 return self.fail(event, now)
             case StageDegraded():
-                return self.relieve(event, now)
+                return self.replace_slow_stage(event, now)
             case CallerGone():
                 return self.abandon(event, now)
 
@@ -303,7 +303,9 @@
         )
         return [replaced, *messages]
 
-    def relieve(self, event: StageDegraded, now: float) -> list[Action]:
+    def replace_slow_stage(
+        self, event: StageDegraded, now: float
+    ) -> list[Action]:
         """Replaces a slow stage where another target can run its layers."""
         request, attempt = self.find(event.request_id, event.attempt)
         if attempt is None:
@@ -388,7 +390,7 @@
         return actions
 
     def expire(self, now: float) -> list[Action]:
-        """Refuses requests that are late or wait in vain."""
+        """Refuses requests that are late or that no target can serve."""
         actions: list[Action] = []
         for request, refusal in self.expirations.due(now):
             actions += self.cancel(request, now)
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -277,7 +277,7 @@
         freshness = self.configurations.freshness
         if freshness is not None:
             self.repeat(REFRESH_SECONDS, freshness.refresh)
-        self.repeat(HOUSEKEEPING_SECONDS, self.keep_house)
+        self.repeat(HOUSEKEEPING_SECONDS, self.run_housekeeping)
         log.info("daemon started", data_centre=self.settings.data_centre)
 
     def repeat(self, seconds: float, work: Callable[[], object]) -> None:
@@ -379,9 +379,9 @@
             actions = self.membership.host_disconnected(peer=peer, now=now)
         self.subsystems.execute(actions)
 
-    async def keep_house(self) -> None:
+    async def run_housekeeping(self) -> None:
         """Updates gauges, exports spans and closes idle links."""
-        self.state_status()
+        self.publish_status()
         self.ledger.update_holders()
         self.router.note_delays(self.measure_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
@@ -393,7 +393,7 @@
         await self.traces.export()
         await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
 
-    def state_status(self) -> None:
+    def publish_status(self) -> None:
         """Tells the other VMs whether this one serves requests."""
         actions = self.membership.set_status(
             ready=self.ready and not self.stopping,
@@ -416,7 +416,7 @@
     async def stop(self) -> None:
         """Stops as planned: serves what it has, then closes everything."""
         self.stopping = True
-        self.state_status()
+        self.publish_status()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         with contextlib.suppress(TimeoutError):
--- a/rattanroute/systems/expirations.py
+++ b/rattanroute/systems/expirations.py
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ExpirationSystem:
-    """Finds late requests and requests that wait in vain.
+    """Finds late requests and requests that no target can serve.
 
     Attributes:
         requests: Requests that have not ended.
--- a/rattanroute/systems/quarantines.py
+++ b/rattanroute/systems/quarantines.py
@@ -9,12 +9,12 @@
 refused for the short `DOUBT_SECONDS`, which keeps the number of crashed
 targets at two for that time.
 
-The last request that each VM gave to a crashed target is the likeliest
-culprit. It waits for `LATEST_ISOLATION_SECONDS` for a target without suspects,
+The last request that each VM gave to a crashed target most likely caused the
+crash. It waits for `LATEST_ISOLATION_SECONDS` for a target without suspects,
 and no other suspect shares its target meanwhile.
 
 Requests that ran beside the failing one are moved at once, to different
-targets, and are cleared by their first complete answer. An innocent request is
+targets, and are cleared by their first complete answer. Another request is
 banned only if its own second target crashes by coincidence while it runs: with
 one crash per target and day and a run of 10 s that is about 1 in 9,000 moves.
 
@@ -129,7 +129,7 @@
         return now - row.changed_at > limit
 
     def latest_targets(self, now: float) -> set[str]:
-        """Returns the targets on which the most likely culprits run."""
+        """Returns the targets that run the most likely causes of crashes."""
         targets: set[str] = set()
         for row in self.table.rows.values():
             if row.latest and now - row.changed_at <= LATEST_ISOLATION_SECONDS:
@@ -286,8 +286,8 @@
         row = self.table.rows[value]
         if len(row.crashes) < MAX_CRASHES:
             return
-        # Only requests that were suspects before a crash can share the
-        # blame for it: the others ran during one crash.
+        # Only requests that were suspects before a crash are possible causes of
+        # it: the others ran during one crash.
         shared = any(
             len(self.table.rows[name].crashes) >= MAX_CRASHES
             for key in row.crashes
--- a/rattanroute/systems/shares.py
+++ b/rattanroute/systems/shares.py
@@ -129,7 +129,7 @@
         capacity: Slot seconds per second of the data centre.
         measured_at: Time of the latest measurement of the capacity.
         updated_at: Time to which buckets are advanced.
-        hungry: Whether a request was held back since the latest demand.
+        held_back: Whether a request was held back since the latest demand.
     """
 
     vm_id: str
@@ -156,7 +156,7 @@
     capacity: float = 0.0
     measured_at: float = float("-inf")
     updated_at: float = 0.0
-    hungry: bool = False
+    held_back: bool = False
     message_types: tuple[type, ...] = (ShareDemand, ShareLease)
 
     def shares(self) -> dict[str, float]:
@@ -171,7 +171,7 @@
         self.advance(now)
         if self.paying(neighbour) is not None:
             return True
-        self.hungry = True
+        self.held_back = True
         return False
 
     def paying(self, neighbour: str) -> str | None:
@@ -355,7 +355,7 @@
                 return []
             self.keeper_id = keeper_id
             self.sent_at.clear()
-        interval = MIN_RENEW_SECONDS if self.hungry else RENEW_SECONDS
+        interval = MIN_RENEW_SECONDS if self.held_back else RENEW_SECONDS
         if now - self.asked_at < interval - 1e-9:
             return []
         return self.ask(now)
@@ -398,7 +398,7 @@
     def ask(self, now: float) -> list[Action]:
         """Sends the demand of this VM to the keeper."""
         self.asked_at = now
-        self.hungry = False
+        self.held_back = False
         self.number += 1
         self.sent_at[self.number] = now
         for number, at in list(self.sent_at.items()):
--- a/rattanroute/tools/demo.py
+++ b/rattanroute/tools/demo.py
@@ -85,7 +85,7 @@
 
 async def show_chat(cluster: LocalCluster, vm: str, model: str) -> str:
     """Sends a chat request, checks the answer and returns its identifier."""
-    prompt = f"how is the sleeper of box seven, asked of {model}"
+    prompt = f"what is the state of box seven, asked of {model}"
     body = {
         "model": model,
         "max_tokens": TOKENS,
@@ -108,7 +108,7 @@
 
 async def show_stream(cluster: LocalCluster, vm: str) -> None:
     """Sends a streamed request over layer-split engines."""
-    prompt = "which grease for the middle gate"
+    prompt = "which lubricant fits the middle gate"
     body = {
         "model": "split",
         "stream": True,
