Give up sooner on a target that refuses its connections

Change: half as many more tries, not twice as many, may fail before dispatch: at most 2.5 s of back-off.

--- a/rattanroute/systems/retries.py
+++ b/rattanroute/systems/retries.py
@@ -61,8 +61,8 @@
     Attributes:
         random: Random numbers for the delays.
         max_attempts: Attempts of one request that may have run without a
-            token for the caller; twice as many may fail before they are
-            dispatched.
+            token for the caller; half as many more may fail before they are
+            dispatched, which takes at most 2.5 s of back-off.
         budget: Retries that are left.
         delayed: Requests that wait as (time, id).
     """
@@ -94,7 +94,8 @@
         # An attempt that brought the answer forward is no reason to give up.
         fruitless = [row for row in request.attempts if not row.tokens_out]
         ran = sum(not attempt.clean for attempt in fruitless)
-        if ran >= self.max_attempts or len(fruitless) >= 2 * self.max_attempts:
+        tries = len(fruitless)
+        if ran >= self.max_attempts or tries >= self.max_attempts * 3 // 2:
             return refusals.attempts_exhausted(request)
         # A refused connection costs targets nothing; a target that answers
         # that it is overloaded must not be asked by retries in addition.
