--- a/rattanroute/__main__.py
+++ b/rattanroute/__main__.py
@@ -1,6 +1,5 @@
 """Starts the daemon."""
 
-import gc
 import pathlib
 import sys
 from typing import NoReturn
@@ -17,13 +16,11 @@
 from rattanroute.security import TokenFiles
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import load_settings
+from rattanroute.startup import freeze_startup_objects
 
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 STOP_MARGIN_SECONDS = 10.0
-# Allocations before a collection of the youngest generation, and collections
-# before one of the next generation.
-COLLECTION_THRESHOLDS = (2_000, 5, 50)
 
 
 class DaemonService(aiomisc.Service):
@@ -42,17 +39,6 @@
         await self.daemon.stop()
 
 
-def freeze_startup_objects() -> None:
-    """Takes the objects of the start out of garbage collection.
-
-    A full collection over the imported modules stopped the loop for up to
-    120 ms, which was the 99th percentile of the time to the first token.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*COLLECTION_THRESHOLDS)
-
-
 @click.command()
 @click.version_option(VERSION, prog_name="rattanrouted")
 @click.option(
--- a/rattanroute/codecs.py
+++ b/rattanroute/codecs.py
@@ -7,9 +7,11 @@
 from rattanroute.errors import CodecError
 from rattanroute.messages import claims
 from rattanroute.messages import consensus
+from rattanroute.messages import departures
 from rattanroute.messages import distributions
 from rattanroute.messages import forwards
 from rattanroute.messages import ledgers
+from rattanroute.messages import loads
 from rattanroute.messages import memberships
 from rattanroute.messages import orders
 from rattanroute.messages import quarantines
@@ -27,6 +29,8 @@
     quarantines,
     orders,
     forwards,
+    loads,
+    departures,
 )
 
 
--- /dev/null
+++ b/rattanroute/controlplanes.py
@@ -0,0 +1,193 @@
+"""What each VM has of the control plane: members, links, configuration."""
+
+import asyncio
+from collections.abc import Callable
+import random as randoms
+import time
+
+from grpclib.server import Server
+
+from rattanroute.actions import Action
+from rattanroute.actions import MemberChanged
+from rattanroute.clients.peers import PeerLinks
+from rattanroute.configurationgates import ConfigurationGate
+from rattanroute.configurationgates import REFRESH_SECONDS
+from rattanroute.errors import RouterError
+from rattanroute.hosts import SubsystemHost
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.servers.peers import PeersServer
+from rattanroute.settings import DaemonSettings
+from rattanroute.settings import parse_address
+from rattanroute.subsystems import Subsystem
+from rattanroute.systems.memberships import MembershipSystem
+from rattanroute.tables.members import MemberState
+from rattanroute.tasks import run_repeatedly
+
+TICK_SECONDS = 0.1
+HOUSEKEEPING_SECONDS = 1.0
+MILLISECONDS_PER_SECOND = 1000
+
+log = get_logger(__name__)
+
+
+class ControlPlane:
+    """Membership, peer links and the configuration of one VM.
+
+    Args:
+        settings: Settings of the VM.
+        metrics: Metrics of the process.
+        random: Random numbers for all decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DaemonSettings,
+        metrics: MetricsRegistry,
+        random: randoms.Random,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self.random = random
+        self.host = SubsystemHost(send=self.send, execute_other=self.execute)
+        self.membership = MembershipSystem(
+            vm_id=settings.vm_id,
+            address=settings.peer_address,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            voter=settings.storage.voter,
+            incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
+            random=random,
+            seeds=settings.peers.seeds,
+        )
+        self.configurations = ConfigurationGate(
+            settings=settings,
+            membership=self.membership,
+            send=self.send,
+            execute=self.host.execute,
+            random=random,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        self.server: Server | None = None
+        self.add(self.membership)
+        for subsystem in self.configurations.subsystems:
+            self.add(subsystem)
+
+    def add(self, subsystem: Subsystem) -> None:
+        """Adds a subsystem that talks to peers."""
+        self.host.add(subsystem)
+
+    def send(self, peer: str, message: object) -> bool:
+        """Sends a message to a peer; one to this VM is delivered directly."""
+        if peer == self.settings.vm_id:
+            asyncio.get_running_loop().call_soon(
+                self.host.deliver, peer, message
+            )
+            return True
+        return self.links.send(peer=peer, message=message)
+
+    def execute(self, action: Action) -> None:
+        """Executes an action that is no message."""
+        if not isinstance(action, MemberChanged):
+            return
+        member = action.member
+        self.links.learn(peer=member.vm_id, address=member.address)
+        log.info(
+            "member changed",
+            peer=member.vm_id,
+            state=member.state.name.lower(),
+            incarnation=member.incarnation,
+        )
+
+    async def start(self) -> None:
+        """Opens the listener for peers and starts the ticks.
+
+        Raises:
+            RouterError: If the address cannot be used.
+        """
+        self.links = PeerLinks(
+            vm_id=self.settings.vm_id,
+            own_address=self.settings.peer_address,
+            batch_seconds=self.settings.peers.batch_ms
+            / MILLISECONDS_PER_SECOND,
+            address_map=self.settings.peers.address_map,
+            metadata=dict,
+            tls=lambda: None,
+            metrics=self.metrics,
+            on_state=self.note_link,
+        )
+        peers = PeersServer(
+            vm_id=self.settings.vm_id,
+            deliver=self.host.deliver,
+            learn=lambda peer, address: self.links.learn(
+                peer=peer, address=address
+            ),
+            metrics=self.metrics,
+        )
+        self.server = Server([peers])
+        address = self.settings.listen.peers
+        try:
+            await self.server.start(*parse_address(address))
+        except OSError as error:
+            raise RouterError(
+                step="listen", peer=address, message=str(error)
+            ) from error
+        for seed in self.settings.peers.seeds:
+            if seed != self.settings.peer_address:
+                self.links.open(seed)
+        self.repeat(TICK_SECONDS, self.host.tick)
+        self.repeat(HOUSEKEEPING_SECONDS, self.run_housekeeping)
+        freshness = self.configurations.freshness
+        if freshness is not None:
+            self.repeat(REFRESH_SECONDS, freshness.refresh)
+
+    def repeat(self, seconds: float, work: Callable[[], object]) -> None:
+        """Starts a task that does some work at an interval."""
+        self.tasks.append(asyncio.create_task(run_repeatedly(seconds, work)))
+
+    def note_link(self, peer: str, connected: bool) -> None:
+        """Tells membership that a link to a peer opened or closed."""
+        log.info("peer link", peer=peer, connected=connected)
+        now = time.monotonic()
+        if connected:
+            actions = self.membership.host_connected(peer=peer, now=now)
+        else:
+            actions = self.membership.host_disconnected(peer=peer, now=now)
+        self.host.execute(actions)
+
+    async def run_housekeeping(self) -> None:
+        """Updates gauges and closes idle links."""
+        age_s = self.configurations.age_s
+        self.metrics.live_members.set({}, len(self.membership.alive()))
+        self.metrics.configuration_age.set({}, -1 if age_s is None else age_s)
+        self.metrics.configuration_version.set(
+            {}, self.configurations.replica.version
+        )
+        await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
+
+    def set_status(self, *, ready: bool, draining: bool) -> None:
+        """Tells the other VMs whether this one serves requests."""
+        actions = self.membership.set_status(
+            ready=ready, draining=draining, now=time.monotonic()
+        )
+        self.host.execute(actions)
+
+    def count_servers(self) -> int:
+        """Returns the live VMs that serve callers, at least one."""
+        return max(1, sum(not x.voter for x in self.membership.alive()))
+
+    async def stop(self) -> None:
+        """Leaves the cluster as planned and closes everything."""
+        await self.configurations.hand_over()
+        if self.membership.me.state != MemberState.LEFT:
+            self.host.execute(self.membership.leave(time.monotonic()))
+        await asyncio.sleep(2 * TICK_SECONDS)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.links.close()
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+        self.configurations.close()
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -50,6 +50,7 @@
 from rattanroute.tables.requests import Request
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
+from rattanroute.tasks import run_repeatedly
 from rattanroute.traces import TraceRecorder
 
 # The request core starts what waits for a slot or a back-off; the subsystems
@@ -454,15 +455,3 @@
     """Returns the error of a listener that cannot be opened."""
     reason = error.strerror or str(error)
     return RouterError(step="listen", peer=address, message=reason)
-
-
-async def run_repeatedly(seconds: float, work: Callable[[], object]) -> None:
-    """Does some work at an interval; a failure is logged and work goes on."""
-    while True:
-        await asyncio.sleep(seconds)
-        try:
-            result = work()
-            if asyncio.iscoroutine(result):
-                await result
-        except Exception as error:
-            log.exception("periodic work failed", error=error)
--- /dev/null
+++ b/rattanroute/gateway/calls.py
@@ -0,0 +1,45 @@
+"""A caller's request on its way through the gateway."""
+
+import dataclasses
+
+from rattanroute.gateway.terms import RequestTerms
+from rattanroute.http1.servers import Exchange
+from rattanroute.tables.routes import BackendService
+from rattanroute.tables.routes import Route
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Call:
+    """A request whose route and caller are known.
+
+    Attributes:
+        exchange: Connection of the caller.
+        terms: What the request says about itself.
+        route: Its route.
+        service: The service that answers it.
+        workspace: Workspace of the caller; empty on a public route.
+        deadline: Time at which the answer is due, in seconds of the loop.
+        revision: Manifest by which it was routed.
+        attempts: Sends to targets that may have run it.
+        sends: Sends to targets.
+        may_have_run: Whether a target may have run it.
+        targets: Identifiers of the targets it was sent to.
+        failures: Why attempts failed, in order.
+    """
+
+    exchange: Exchange
+    terms: RequestTerms
+    route: Route
+    service: BackendService
+    workspace: str
+    deadline: float
+    revision: int
+    attempts: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    targets: list[str] = dataclasses.field(default_factory=list)
+    failures: list[str] = dataclasses.field(default_factory=list)
+
+    def time_left(self, now: float) -> float:
+        """Returns the seconds until the answer is due."""
+        return self.deadline - now
--- /dev/null
+++ b/rattanroute/gateway/handlers.py
@@ -0,0 +1,134 @@
+"""Takes callers' requests: route, key, deadline, and who answers."""
+
+from collections.abc import Callable
+import dataclasses
+import random as randoms
+from typing import Protocol
+
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.terms import HeaderCodec
+from rattanroute.gateway.terms import RequestTerms
+from rattanroute.http1.servers import Exchange
+from rattanroute.logs import get_logger
+from rattanroute.tables.routes import Route
+from rattanroute.tables.routes import RouteKind
+from rattanroute.tables.routes import RoutingTable
+from rattanroute.tables.routes import Split
+
+UNREADY_RETRY_SECONDS = 0.5
+
+log = get_logger(__name__)
+
+
+class Forwarder(Protocol):
+    """Answers calls of one kind."""
+
+    async def forward(self, call: Call) -> None:
+        """Sends a call to targets and answers the caller."""
+        ...
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class GatewayHandler:
+    """The first steps of a request.
+
+    Attributes:
+        codec: Headers of the deployment.
+        routing: Returns the manifest in force; None before the first one.
+        services: Answers requests to plain services.
+        streams: Answers requests to engines.
+        random: Chooses among the services of a split route.
+    """
+
+    codec: HeaderCodec
+    routing: Callable[[], RoutingTable | None]
+    services: Forwarder
+    streams: Forwarder
+    random: randoms.Random
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answers a request."""
+        head = exchange.request.head
+        terms = self.codec.read_request(head)
+        table = self.routing()
+        if table is None:
+            self.refuse(exchange, terms, 503, "no manifest is in force")
+            return
+        route = table.find_route(terms.host, head.path)
+        if route is None:
+            self.refuse(exchange, terms, 404, "no route", table.revision)
+            return
+        workspace = find_workspace(table, route, terms.key)
+        if workspace is None:
+            self.refuse(exchange, terms, 401, "unknown key", table.revision)
+            return
+        call = self.build_call(exchange, terms, table, route, workspace)
+        if route.kind is RouteKind.STREAM and call.service.engine is not None:
+            await self.streams.forward(call)
+        else:
+            await self.services.forward(call)
+
+    def build_call(
+        self,
+        exchange: Exchange,
+        terms: RequestTerms,
+        table: RoutingTable,
+        route: Route,
+        workspace: str,
+    ) -> Call:
+        """Returns the call with its service and deadline."""
+        left = route.timeout_s
+        if terms.time_left_s is not None:
+            left = min(left, terms.time_left_s)
+        return Call(
+            exchange=exchange,
+            terms=terms,
+            route=route,
+            service=table.services[self.choose_split(route.splits)],
+            workspace=workspace,
+            deadline=exchange.received_at + left,
+            revision=table.revision,
+        )
+
+    def choose_split(self, splits: tuple[Split, ...]) -> str:
+        """Returns a service of a route by the weights."""
+        if len(splits) == 1:
+            return splits[0].service
+        weights = [split.weight for split in splits]
+        return self.random.choices(splits, weights)[0].service
+
+    def refuse(
+        self,
+        exchange: Exchange,
+        terms: RequestTerms,
+        status: int,
+        reason: str,
+        revision: int = 0,
+    ) -> None:
+        """Answers a request that goes to no target."""
+        retry_after_s = UNREADY_RETRY_SECONDS if status == 503 else None
+        log.info(
+            "request refused",
+            request_id=terms.request_id,
+            status=status,
+            reason=reason,
+            host=terms.host,
+            revision=revision,
+        )
+        exchange.send(
+            self.codec.build_refusal(
+                status=status,
+                request_id=terms.request_id,
+                retry_after_s=retry_after_s,
+            )
+        )
+
+
+def find_workspace(table: RoutingTable, route: Route, key: str) -> str | None:
+    """Returns the workspace of a key; None when the key is refused."""
+    if table.keys is None:
+        return ""
+    owner = table.keys.get(key) if key else None
+    if owner is not None:
+        return owner.workspace
+    return "" if route.public else None
--- /dev/null
+++ b/rattanroute/gateway/manifests.py
@@ -0,0 +1,63 @@
+"""The manifest in force as a routing table, decoded once for each change."""
+
+from collections.abc import Callable
+import zlib
+
+from rattanroute.errors import RouterError
+from rattanroute.logs import get_logger
+from rattanroute.tables.configurations import Configuration
+from rattanroute.tables.configurations import Manifest
+from rattanroute.tables.routes import RoutingTable
+
+MANIFEST = "gateway"
+
+log = get_logger(__name__)
+
+
+class RoutingView:
+    """Follows the manifest of the configuration in force.
+
+    Args:
+        configuration: The configuration; always the same object.
+        decode: Decodes the content of a manifest.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        decode: Callable[[bytes], RoutingTable],
+    ) -> None:
+        self.configuration = configuration
+        self.decode = decode
+        self.manifest: Manifest | None = None
+        self.table: RoutingTable | None = None
+
+    def current(self) -> RoutingTable | None:
+        """Returns the routing table in force; None before the first one.
+
+        A manifest with a lower revision than the one in force is ignored:
+        what was in force once never comes back.
+        """
+        manifest = self.configuration.manifests.get(MANIFEST)
+        if manifest is None or manifest is self.manifest:
+            return self.table
+        held = self.manifest
+        self.manifest = manifest
+        if held is not None and manifest.revision <= held.revision:
+            return self.table
+        try:
+            self.table = self.decode(zlib.decompress(manifest.content))
+        except (RouterError, zlib.error) as error:
+            log.error(
+                "manifest not usable", revision=manifest.revision, error=error
+            )
+            return self.table
+        log.info(
+            "manifest in force",
+            revision=manifest.revision,
+            version=self.configuration.version,
+            hosts=len(self.table.routes),
+            services=len(self.table.services),
+        )
+        return self.table
--- /dev/null
+++ b/rattanroute/gateway/outcomes.py
@@ -0,0 +1,103 @@
+"""What became of an attempt, and how a call without an answer ends."""
+
+import dataclasses
+import random as randoms
+
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.terms import HeaderCodec
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.logs import get_logger
+
+# A caller that comes back after this time finds the load that it met reduced
+# by about one answer of each open request; the spread keeps those who were
+# refused together from returning together.
+MIN_RETRY_SECONDS = 0.4
+MAX_RETRY_SECONDS = 1.6
+
+log = get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """A target answered; the request ran."""
+
+    head: ResponseHead
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotRun:
+    """The request certainly did not run at the target."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: str
+    timed_out: bool = False
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class CallEnder:
+    """Ends calls: logs the outcome and answers those without an answer.
+
+    Attributes:
+        codec: Headers of the deployment.
+        random: Spreads the times to come back.
+    """
+
+    codec: HeaderCodec
+    random: randoms.Random
+
+    def refuse(self, call: Call, reason: str, *, timed_out: bool) -> None:
+        """Ends a call that no target answered.
+
+        Only a call that certainly did not run is told so.
+        """
+        exchange = call.exchange
+        if exchange.gone:
+            self.log(call, 0, "caller left")
+            return
+        if exchange.started:
+            exchange.abort()
+            self.log(call, 0, reason)
+            return
+        retry_after_s = None
+        if not call.may_have_run:
+            status = 503
+            retry_after_s = self.random.uniform(
+                MIN_RETRY_SECONDS, MAX_RETRY_SECONDS
+            )
+        else:
+            status = 504 if timed_out else 502
+        exchange.send(
+            self.codec.build_refusal(
+                status=status,
+                request_id=call.terms.request_id,
+                retry_after_s=retry_after_s,
+            )
+        )
+        self.log(call, status, reason)
+
+    def log(self, call: Call, status: int, reason: str) -> None:
+        """Writes the line of a call that ended."""
+        now = call.exchange.connection.loop.time()
+        log.info(
+            "request ended",
+            request_id=call.terms.request_id,
+            status=status,
+            reason=reason,
+            route=call.route.name,
+            revision=call.revision,
+            service=call.service.name,
+            sends=call.sends,
+            targets=",".join(call.targets),
+            failures=";".join(call.failures),
+            seconds=now - call.exchange.received_at,
+        )
--- /dev/null
+++ b/rattanroute/gateway/selectors.py
@@ -0,0 +1,107 @@
+"""Health of targets and the choice among the targets of a plain service."""
+
+from collections.abc import Callable
+import dataclasses
+import random as randoms
+
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetHealth
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+# A target whose reports stopped for so long while those of others go on is
+# gone. Reports come every second or so and may be delayed.
+STALE_SECONDS = 5.0
+# Penalties in units of one open request.
+OTHER_CENTRE_PENALTY = 0.5
+SUSPECT_PENALTY = 3.0
+JITTER = 0.3
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class TargetSelector:
+    """Chooses targets and learns from their answers.
+
+    Attributes:
+        data_centre: Data centre of this VM.
+        targets: All targets.
+    detections: Verdicts on targets.
+    has_departed: Whether a report comes from a target that said it ends.
+        random: Source of the jitter.
+    """
+
+    data_centre: str
+    targets: TargetTable
+    detections: DetectionSystem
+    has_departed: Callable[[TargetReport], bool]
+    random: randoms.Random
+
+    def is_current(self, target: Target, now: float) -> bool:
+        """Whether a target's report still counts.
+
+        When no reports arrive at all, this VM is cut off and goes on with
+        what it knows.
+        """
+        return self.newest_report() - target.heard_at <= STALE_SECONDS
+
+    def newest_report(self) -> float:
+        """Returns the time of the newest report of any target."""
+        return max((x.heard_at for x in self.targets), default=0.0)
+
+    def is_usable(self, target: Target, now: float) -> bool:
+        """Whether a target may get new work."""
+        report = target.report
+        if report.leaving or target.blocked_until > now:
+            return False
+        if self.has_departed(report):
+            return False
+        if target.health is TargetHealth.PROBING and target.in_flight:
+            return False
+        return self.is_current(target, now)
+
+    def choose(
+        self, service: str, *, excluded: set[str], now: float
+    ) -> Target | None:
+        """Returns the least loaded target of a plain service, or None."""
+        self.detections.wake(now)
+        found = [
+            target
+            for target in self.targets.serving(service)
+            if target.report.target_id not in excluded
+            and self.is_usable(target, now)
+        ]
+        return min(found, key=self.rank, default=None)
+
+    def rank(self, target: Target) -> float:
+        """Returns how unwelcome more work is at a target."""
+        score = float(target.in_flight) + JITTER * self.random.random()
+        if target.report.data_centre != self.data_centre:
+            score += OTHER_CENTRE_PENALTY
+        if target.health is not TargetHealth.HEALTHY:
+            score += SUSPECT_PENALTY
+        return score
+
+    def note_success(self, target_id: str, now: float) -> None:
+        """Restores a target that answered."""
+        row = self.targets.get(target_id)
+        if row is not None:
+            self.detections.note_success(row, now)
+
+    def note_failure(
+        self, target_id: str, *, now: float, crashed: bool = False
+    ) -> None:
+        """Suspects or ejects a target that failed an attempt."""
+        row = self.targets.get(target_id)
+        if row is not None:
+            self.detections.note_failure(
+                row, crashed=crashed, retry_after_s=None, now=now
+            )
+
+    def find_address(self, address: str) -> str:
+        """Returns the newest target at an address; empty if none is known."""
+        found = [x for x in self.targets if x.report.address == address]
+        if not found:
+            return ""
+        newest = max(found, key=lambda x: x.report.incarnation)
+        return newest.report.target_id
--- /dev/null
+++ b/rattanroute/gateway/streams.py
@@ -0,0 +1,441 @@
+"""Forwards streams of engines, event by event, and resumes broken ones."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from rattanroute.errors import RouterError
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.events import EventSplitter
+from rattanroute.gateway.events import number_of
+from rattanroute.gateway.outcomes import Answered
+from rattanroute.gateway.outcomes import CallEnder
+from rattanroute.gateway.outcomes import NotRun
+from rattanroute.gateway.outcomes import Outcome
+from rattanroute.gateway.outcomes import Unknown
+from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.services import MISDIRECTED
+from rattanroute.gateway.services import PROMISES
+from rattanroute.gateway.stalls import StallInspector
+from rattanroute.gateway.terms import AnswerTerms
+from rattanroute.gateway.terms import ChainHop
+from rattanroute.gateway.terms import HeaderCodec
+from rattanroute.gateway.terms import Upstream
+from rattanroute.http1.clients import ClientConnection
+from rattanroute.http1.clients import ConnectError
+from rattanroute.http1.clients import ConnectionPool
+from rattanroute.http1.clients import ResponseSink
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.stagechoices import Demand
+from rattanroute.systems.stagechoices import StageChooser
+
+CONNECT_SECONDS = 0.5
+MAX_SENDS = 5
+MAX_FAILURE_BYTES = 65_536
+# A stream without an event for so long is looked into. Callers give up after
+# about two seconds without an event, and a repair takes up to half a second.
+FIRST_EVENT_SECONDS = 1.0
+EVENT_GAP_SECONDS = 0.7
+# Time after the deadline at which a stream is broken off.
+DEADLINE_MARGIN_SECONDS = 0.1
+OK = 200
+# Part of the stall time of engines after which a target's "not run" means
+# that a member of its chain is dead rather than full.
+STALL_PART = 0.8
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StreamState:
+    """What the caller has of a stream over all attempts.
+
+    Attributes:
+        call: The call.
+        last_event_id: Identifier of the last event that was passed on.
+        head: Head of the first answer; later ones are not shown.
+    """
+
+    call: Call
+    last_event_id: bytes = b""
+    head: ResponseHead | None = None
+
+
+class StreamSink(ResponseSink):
+    """Passes the events of one attempt on to the caller.
+
+    Attributes:
+        ended: Gets the outcome of the attempt; None after a whole stream.
+        event_at: Time of the latest event, or of the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: StreamState,
+        codec: HeaderCodec,
+        connection: ClientConnection,
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.state = state
+        self.codec = codec
+        self.connection = connection
+        self.splitter = EventSplitter()
+        self.head: ResponseHead | None = None
+        self.terms: AnswerTerms | None = None
+        self.failure: list[bytes] = []
+        self.failure_bytes = 0
+        self.is_stream = False
+        self.events = 0
+        self.event_at = self.loop.time()
+        self.ended: asyncio.Future[Outcome | None] = self.loop.create_future()
+
+    def finish(self, outcome: Outcome | None) -> None:
+        """Sets the outcome once."""
+        if not self.ended.done():
+            self.ended.set_result(outcome)
+
+    def take_head(self, head: ResponseHead) -> None:
+        """Decides whether the answer is the stream that was asked for."""
+        self.head = head
+        self.terms = self.codec.read_answer(head)
+        call = self.state.call
+        if self.terms.request_id not in ("", call.terms.request_id):
+            self.finish(Unknown(reason="answer to another request"))
+        elif head.status != OK:
+            return
+        elif not self.terms.stamped or self.terms.encoded:
+            self.finish(Unknown(reason="unsigned or encoded answer"))
+        else:
+            self.is_stream = True
+            call.may_have_run = True
+
+    def take_body(self, data: bytes) -> None:
+        """Passes whole events on; collects the body of a failure."""
+        if self.ended.done():
+            return
+        if not self.is_stream:
+            self.failure_bytes += len(data)
+            if self.failure_bytes <= MAX_FAILURE_BYTES:
+                self.failure.append(data)
+            return
+        events = self.splitter.feed(data)
+        if not events:
+            return
+        self.event_at = self.loop.time()
+        passed = []
+        for event in events:
+            if not self.accept(event.event_id):
+                continue
+            passed.append(event.data)
+            self.events += 1
+        if self.ended.done():
+            return
+        self.start_answer()
+        self.state.call.exchange.write(b"".join(passed))
+        if not self.state.call.exchange.writable:
+            self.connection.pause()
+
+    def accept(self, event_id: bytes) -> bool:
+        """Whether an event is the next one for the caller."""
+        known = number_of(self.state.last_event_id)
+        number = number_of(event_id)
+        if known is not None and number is not None:
+            if number <= known:
+                return False
+            if number > known + 1 and self.events == 0:
+                self.finish(Unknown(reason="events are missing"))
+                return False
+        if event_id:
+            self.state.last_event_id = event_id
+        return True
+
+    def start_answer(self) -> None:
+        """Sends the head of the first attempt that has an event."""
+        exchange = self.state.call.exchange
+        if not exchange.started:
+            self.state.head = self.head
+            exchange.start(self.codec.build_answer(self.head))
+
+    def take_end(self) -> None:
+        """Ends the answer, or judges a failure."""
+        if self.ended.done():
+            return
+        if not self.is_stream:
+            self.finish(self.judge_failure())
+        elif self.splitter.rest:
+            self.finish(Unknown(reason="the last event is not whole"))
+        else:
+            self.start_answer()
+            self.state.call.exchange.end()
+            self.finish(None)
+
+    def judge_failure(self) -> Outcome:
+        """Decides what an answer without a stream means."""
+        if self.head.status == MISDIRECTED or self.terms.not_run:
+            place = self.terms.faulty_address
+            return NotRun(reason=f"status {self.head.status} {place}".strip())
+        if self.head.status in PROMISES:
+            return Unknown(reason=f"status {self.head.status}")
+        return Answered(head=self.head, body=b"".join(self.failure))
+
+    def take_loss(self, error: RouterError) -> None:
+        """Ends the attempt."""
+        self.finish(Unknown(reason=error.message))
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StreamForwarder:
+    """Sends calls over chains of engines until a stream is whole.
+
+    Attributes:
+        codec: Headers of the deployment.
+        pool: Connections to targets.
+        selector: Health of targets.
+        chooser: Choice of chains.
+        budget: Attempts beyond the first.
+        ender: Ends calls without an answer.
+        inspector: Finds the target at which a stream stalls.
+        vms: Returns the number of VMs that share the budget.
+    """
+
+    codec: HeaderCodec
+    pool: ConnectionPool
+    selector: TargetSelector
+    chooser: StageChooser
+    budget: RepeatBudget
+    ender: CallEnder
+    inspector: StallInspector
+    vms: Callable[[], int]
+
+    async def forward(self, call: Call) -> None:
+        """Sends a call to engines and answers the caller."""
+        call.exchange.on_gone = asyncio.current_task().cancel
+        loop = asyncio.get_running_loop()
+        state = StreamState(call=call)
+        excluded: set[str] = set()
+        reason = "no chain has room"
+        while self.may_send(call, loop.time()):
+            now = loop.time()
+            self.selector.detections.wake(now)
+            demand = build_demand(call)
+            chain = self.chooser.choose(
+                call.service, demand, excluded=frozenset(excluded), now=now
+            )
+            if not chain or not self.take_budget(call, now):
+                break
+            outcome = await self.attempt(call, state, chain, excluded)
+            if outcome is None:
+                self.ender.log(call, OK, "answered")
+                return
+            if isinstance(outcome, Answered):
+                self.answer_failure(call, outcome)
+                return
+            reason = outcome.reason
+            call.failures.append(reason)
+        timed_out = call.time_left(loop.time()) <= 0
+        self.ender.refuse(call, reason, timed_out=timed_out)
+
+    def may_send(self, call: Call, now: float) -> bool:
+        """Whether another attempt is allowed."""
+        if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
+            return False
+        if call.attempts >= call.route.max_attempts:
+            return False
+        return call.route.repeatable or not call.may_have_run
+
+    def take_budget(self, call: Call, now: float) -> bool:
+        """Counts an attempt against the budget of the service."""
+        if call.sends == 0:
+            self.budget.note_first(call.service.name, now)
+            return True
+        return self.budget.take_repeat(
+            call.service.name, vms=self.vms(), now=now
+        )
+
+    async def attempt(
+        self,
+        call: Call,
+        state: StreamState,
+        chain: tuple[ChainHop, ...],
+        excluded: set[str],
+    ) -> Outcome | None:
+        """Sends a call over a chain, counting its load meanwhile."""
+        loop = asyncio.get_running_loop()
+        call.sends += 1
+        call.targets.append("+".join(hop.target_id for hop in chain))
+        tokens = build_demand(call).tokens
+        self.count_load(chain, tokens, 1, loop.time())
+        try:
+            return await self.exchange(call, state, chain, excluded)
+        finally:
+            self.count_load(chain, tokens, -1, loop.time())
+
+    def count_load(
+        self, chain: tuple[ChainHop, ...], tokens: int, sign: int, now: float
+    ) -> None:
+        """Adds the load of a request to its targets, or takes it away."""
+        targets = self.selector.targets
+        for hop in chain:
+            layers = hop.end_layer - hop.first_layer
+            self.chooser.loads.add(
+                hop.target_id, requests=sign, cache_units=sign * tokens * layers
+            )
+            if sign > 0:
+                targets.note_dispatch(hop.target_id, now)
+            else:
+                targets.note_end(hop.target_id, now)
+
+    async def exchange(
+        self,
+        call: Call,
+        state: StreamState,
+        chain: tuple[ChainHop, ...],
+        excluded: set[str],
+    ) -> Outcome | None:
+        """Sends a call to the first target and follows the stream."""
+        loop = asyncio.get_running_loop()
+        first = chain[0]
+        try:
+            connection = await self.pool.take(
+                first.address,
+                timeout_s=min(CONNECT_SECONDS, call.time_left(loop.time())),
+            )
+        except ConnectError as error:
+            self.selector.note_failure(
+                first.target_id, now=loop.time(), crashed=True
+            )
+            excluded.add(first.target_id)
+            return NotRun(reason=str(error))
+        sink = StreamSink(state=state, codec=self.codec, connection=connection)
+        call.exchange.on_writable = connection.resume
+        try:
+            self.send(call, state, chain, connection, sink)
+            outcome = await self.follow(call, chain, sink, excluded)
+        finally:
+            if connection.parser.receiver is not None:
+                connection.cancel()
+        self.note_health(call, chain, sink, outcome, excluded)
+        return outcome
+
+    def send(
+        self,
+        call: Call,
+        state: StreamState,
+        chain: tuple[ChainHop, ...],
+        connection: ClientConnection,
+        sink: StreamSink,
+    ) -> None:
+        """Sends the request to the first target of a chain."""
+        request = call.exchange.request
+        head = self.codec.build_request(
+            request.head,
+            Upstream(
+                target_id=chain[0].target_id,
+                time_left_s=call.time_left(sink.loop.time()),
+                workspace=call.workspace,
+                last_event_id=state.last_event_id,
+                chain=chain,
+            ),
+        )
+        connection.send(head, request.body, sink)
+
+    async def follow(
+        self,
+        call: Call,
+        chain: tuple[ChainHop, ...],
+        sink: StreamSink,
+        excluded: set[str],
+    ) -> Outcome | None:
+        """Waits for the end of an attempt and looks into pauses."""
+        loop = asyncio.get_running_loop()
+        end = call.deadline + DEADLINE_MARGIN_SECONDS
+        checked_at = sink.event_at
+        while not sink.ended.done():
+            now = loop.time()
+            if now >= end:
+                return Unknown(reason="deadline", timed_out=True)
+            limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
+            due = max(sink.event_at, checked_at) + limit
+            if now >= due and call.exchange.writable:
+                checked_at = now
+                stalled = await self.inspector.find_stalled(call, chain)
+                if stalled and not sink.ended.done():
+                    excluded.update(stalled)
+                    return Unknown(reason="stalled at " + "+".join(stalled))
+                continue
+            wait = max(0.01, min(end, max(due, now + 0.01)) - now)
+            await asyncio.wait((sink.ended,), timeout=wait)
+        return sink.ended.result()
+
+    def note_health(
+        self,
+        call: Call,
+        chain: tuple[ChainHop, ...],
+        sink: StreamSink,
+        outcome: Outcome | None,
+        excluded: set[str],
+    ) -> None:
+        """Learns from an attempt and excludes targets from the next one."""
+        now = sink.loop.time()
+        if outcome is None:
+            for hop in chain:
+                self.selector.note_success(hop.target_id, now)
+            return
+        if isinstance(outcome, Answered):
+            call.attempts += 1
+            return
+        if isinstance(outcome, NotRun):
+            self.note_not_run(call, chain, sink, excluded)
+            return
+        call.may_have_run = True
+        if outcome.timed_out:
+            call.attempts += 1
+            return
+        ended = sink.connection.transport.is_closing()
+        if not ended or excluded.isdisjoint(x.target_id for x in chain):
+            call.attempts += 0 if ended else 1
+        if excluded.isdisjoint(hop.target_id for hop in chain):
+            excluded.add(chain[0].target_id)
+            self.selector.note_failure(chain[0].target_id, now=now)
+
+    def note_not_run(
+        self,
+        call: Call,
+        chain: tuple[ChainHop, ...],
+        sink: StreamSink,
+        excluded: set[str],
+    ) -> None:
+        """Excludes the target that refused, or that was named at fault."""
+        now = sink.loop.time()
+        address = sink.terms.faulty_address or chain[0].address
+        by_address = {hop.address: hop.target_id for hop in chain}
+        target_id = by_address.get(address, chain[0].target_id)
+        excluded.add(target_id)
+        waited = now - sink.event_at
+        dead = waited >= STALL_PART * call.service.engine.stall_s
+        self.selector.note_failure(target_id, now=now, crashed=dead)
+
+    def answer_failure(self, call: Call, outcome: Answered) -> None:
+        """Returns a target's own failure to the caller."""
+        exchange = call.exchange
+        if exchange.started:
+            self.ender.refuse(
+                call, f"status {outcome.head.status}", timed_out=False
+            )
+            return
+        exchange.send(self.codec.build_answer(outcome.head), outcome.body)
+        self.ender.log(call, outcome.head.status, "failed at the target")
+
+
+def build_demand(call: Call) -> Demand:
+    """Returns what a call needs of a chain."""
+    terms = call.terms
+    engine = call.service.engine
+    answer = terms.answer_estimate or int(engine.typical_answer)
+    if terms.max_answer_tokens:
+        answer = min(answer, terms.max_answer_tokens)
+    return Demand(
+        service=call.service.name,
+        prompt_tokens=terms.prompt_tokens or int(engine.typical_prompt),
+        answer_tokens=max(1, answer),
+    )
--- /dev/null
+++ b/rattanroute/http1/heads.py
@@ -0,0 +1,125 @@
+"""Heads of requests and responses, with names and values as received."""
+
+import dataclasses
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+REASONS = {
+    100: b"Continue",
+    200: b"OK",
+    202: b"Accepted",
+    307: b"Temporary Redirect",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the value of the first header of a lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def drop_connection_headers(headers: Headers) -> Headers:
+    """Returns the headers that are passed on to the next connection."""
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    dropped = CONNECTION_HEADERS | named
+    return [item for item in headers if item[0].lower() not in dropped]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RequestHead:
+    """The head of a request.
+
+    Attributes:
+        method: Method.
+        target: Path and query exactly as received.
+        headers: Headers in order.
+        keep_alive: Whether the connection may be used again.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    keep_alive: bool = True
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b"?")[0]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Request:
+    """A whole request."""
+
+    head: RequestHead
+    body: bytes
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ResponseHead:
+    """The head of a response.
+
+    Attributes:
+        status: Status code.
+        reason: Reason phrase as received.
+        headers: Headers in order.
+    """
+
+    status: int
+    reason: bytes = b""
+    headers: Headers = dataclasses.field(default_factory=list)
+
+
+def encode_request(head: RequestHead, body: bytes) -> bytes:
+    """Encodes a request; its headers say nothing about the body's length."""
+    lines = [head.method + b" " + head.target + b" HTTP/1.1"]
+    lines += [key + b": " + value for key, value in head.headers]
+    if body or head.method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def encode_response_head(head: ResponseHead, framing: Headers) -> bytes:
+    """Encodes the head of a response.
+
+    Args:
+        head: The head without headers of the connection.
+        framing: Headers that say where the body ends and whether the
+            connection stays open.
+    """
+    reason = head.reason or REASONS.get(head.status, b"Unknown")
+    lines = [b"HTTP/1.1 %d " % head.status + reason]
+    lines += [key + b": " + value for key, value in head.headers]
+    lines += [key + b": " + value for key, value in framing]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/rattanroute/leases.py
@@ -0,0 +1,34 @@
+"""The control lease: that of the leader of the configuration log."""
+
+import time
+
+from rattanroute.consensus.elections import compute_lease_end
+from rattanroute.consensus.hosts import ConsensusHost
+
+
+class LeaderLease:
+    """The control lease: that of the leader of the configuration log.
+
+    Args:
+        consensus: The consensus host of this voter.
+    """
+
+    def __init__(self, *, consensus: ConsensusHost) -> None:
+        self.consensus = consensus
+
+    @property
+    def fencing_token(self) -> int:
+        """Term of the log; it grows with each leader."""
+        return self.consensus.term
+
+    @property
+    def expires_at(self) -> float:
+        """End of the lease on the monotonic clock; 0 without a lease."""
+        now = time.monotonic()
+        if not self.held(now):
+            return 0.0
+        return compute_lease_end(self.consensus.node.state, now)
+
+    def held(self, now: float) -> bool:
+        """Returns whether this VM holds the lease at a time."""
+        return self.consensus.is_leader_with_lease(now)
--- a/rattanroute/logs.py
+++ b/rattanroute/logs.py
@@ -6,6 +6,7 @@
 import sys
 import traceback
 import types
+from typing import TextIO
 from typing import TYPE_CHECKING
 
 import loguru
@@ -67,17 +68,20 @@
         )
 
 
-def configure_logs(*, level: str, vm_id: str) -> None:
-    """Sends all logs to standard error.
+def configure_logs(
+    *, level: str, vm_id: str, stream: TextIO = sys.stderr
+) -> None:
+    """Sends all logs to a stream.
 
     Args:
         level: Least severe level that is logged.
         vm_id: Identifier of this VM, part of each line.
+        stream: Where the lines go.
     """
     loguru.logger.remove()
     loguru.logger.configure(extra={"vm": vm_id})
     loguru.logger.add(
-        sys.stderr, level=level, format=format_record, backtrace=False
+        stream, level=level, format=format_record, backtrace=False
     )
     logging.basicConfig(
         handlers=[StandardLoggingHandler()], level=logging.WARNING, force=True
--- /dev/null
+++ b/rattanroute/messages/loads.py
@@ -0,0 +1,39 @@
+"""Messages on the load of engines; kinds 220 to 239."""
+
+import msgspec
+
+
+class EngineLoad(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Open requests on one target.
+
+    Attributes:
+        target_id: The target.
+        requests: Requests whose chain contains the target.
+        cache_units: Tokens of these requests times the layers that the
+            target runs for them.
+    """
+
+    target_id: str
+    requests: int
+    cache_units: int
+
+
+class OwnLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Load that the sending VM has put on engines."""
+
+    loads: tuple[EngineLoad, ...]
+
+
+class OtherLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Load that the VMs other than the receiver have put on engines.
+
+    Attributes:
+        loads: The sums by target.
+        vms: VMs that reported, with the receiver.
+    """
+
+    loads: tuple[EngineLoad, ...]
+    vms: int
+
+
+KINDS: dict[int, type] = {220: OwnLoads, 221: OtherLoads}
--- /dev/null
+++ b/rattanroute/platform/daemons.py
@@ -0,0 +1,389 @@
+"""The two programs that run on the platform's machines."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import functools
+import pathlib
+import random as randoms
+from typing import Protocol
+
+from rattanroute.controlplanes import ControlPlane
+from rattanroute.errors import RouterError
+from rattanroute.errors import SettingsError
+from rattanroute.gateway.handlers import GatewayHandler
+from rattanroute.gateway.manifests import RoutingView
+from rattanroute.gateway.outcomes import CallEnder
+from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.services import ServiceForwarder
+from rattanroute.gateway.stageorders import StageOrderer
+from rattanroute.gateway.stalls import StallInspector
+from rattanroute.gateway.streams import StreamForwarder
+from rattanroute.http1.clients import ConnectionPool
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.servers import Exchange
+from rattanroute.http1.servers import Handler
+from rattanroute.http1.servers import HttpServer
+from rattanroute.leases import LeaderLease
+from rattanroute.logs import get_logger
+from rattanroute.metrics import MetricsRegistry
+from rattanroute.platform.control import ControlHandler
+from rattanroute.platform.headers import PlatformHeaders
+from rattanroute.platform.manifests import decode_manifest
+from rattanroute.platform.replicas import build_report_request
+from rattanroute.platform.replicas import decode_stalled
+from rattanroute.platform.replicas import PlatformOrders
+from rattanroute.platform.settings import Boot
+from rattanroute.platform.settings import build_settings
+from rattanroute.platform.settings import load_boot
+from rattanroute.settings import parse_address
+from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.departures import DepartureSystem
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.systems.engineloads import EngineLoadSystem
+from rattanroute.systems.reports import TargetReportSystem
+from rattanroute.systems.stagechoices import StageChooser
+from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.targets import TargetTable
+
+READY_PATH = b"/rattanroute/ready"
+# Two misses of the entry's question each second, and a margin for the
+# connections that are on their way.
+LEAVE_ROTATION_SECONDS = 2.5
+# Time before SIGKILL at which a stopping process ends what is left.
+EXIT_MARGIN_SECONDS = 0.6
+STATUS_SECONDS = 0.5
+PLAN_SECONDS = 0.5
+# A front that has a manifest takes callers after this time even when it has
+# not heard of a target of each service.
+TARGETS_WAIT_SECONDS = 3.0
+CONTROL_BODY_BYTES = 16_777_216
+
+log = get_logger(__name__)
+
+
+class PlatformDaemon(Protocol):
+    """A program that is started and stopped."""
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the work."""
+        ...
+
+    async def stop(self) -> None:
+        """Stops as planned."""
+        ...
+
+    def reload(self) -> None:
+        """Reads the settings file again."""
+        ...
+
+
+class BaseDaemon:
+    """What both programs have.
+
+    Args:
+        path: The settings file.
+        boot: Its content.
+    """
+
+    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
+        self.path = path
+        self.boot = boot
+        self.random = randoms.Random()
+        self.metrics = MetricsRegistry()
+        self.control = ControlPlane(
+            settings=build_settings(boot),
+            metrics=self.metrics,
+            random=self.random,
+        )
+        self.vm_id = self.control.settings.vm_id
+        self.targets = TargetTable()
+        self.pool = ConnectionPool()
+        self.departures = DepartureSystem(
+            vm_id=self.vm_id,
+            targets=self.targets,
+            members=self.control.membership.alive,
+        )
+        self.reports = TargetReportSystem(
+            vm_id=self.vm_id,
+            data_centre=boot.zone,
+            targets=self.targets,
+            members=self.control.membership.alive,
+        )
+        self.decode = functools.partial(
+            decode_manifest, stall_s=boot.bounds.stall_ms / 1000
+        )
+        self.routing = RoutingView(
+            configuration=self.control.configurations.replica.configuration,
+            decode=self.decode,
+        )
+        self.control.add(self.departures)
+        self.control.add(self.reports)
+        self.servers: list[HttpServer] = []
+        self.stopping = False
+
+    async def open(
+        self, address: str, handler: Handler, limits: RequestLimits
+    ) -> HttpServer:
+        """Opens an HTTP listener.
+
+        Raises:
+            RouterError: If the address cannot be used.
+        """
+        server = HttpServer(handler=handler, limits=limits)
+        try:
+            await server.start(*parse_address(address))
+        except OSError as error:
+            raise RouterError(
+                step="listen", peer=address, message=str(error)
+            ) from error
+        self.servers.append(server)
+        return server
+
+    async def start_control(self) -> None:
+        """Starts what both programs run."""
+        await self.control.start()
+        await self.open(
+            f"{self.boot.ip}:{self.boot.metrics_port}",
+            self.show_metrics,
+            RequestLimits(),
+        )
+        self.control.repeat(1.0, self.pool.sweep)
+        log.info(
+            "daemon started",
+            node=self.boot.node,
+            zone=self.boot.zone,
+            seeds=",".join(self.boot.seeds),
+            bootstrap=self.boot.bootstrap,
+        )
+
+    async def show_metrics(self, exchange: Exchange) -> None:
+        """Answers with all metrics."""
+        body, headers = self.metrics.render(["text/plain"])
+        fields = [(k.encode(), v.encode()) for k, v in headers.items()]
+        exchange.send(ResponseHead(status=200, headers=fields), body)
+
+    def reload(self) -> None:
+        """Reads the settings file again; only the seeds can change."""
+        try:
+            boot = load_boot(self.path)
+        except SettingsError as error:
+            log.error("settings not reloaded", error=error)
+            return
+        log.info("settings reloaded", seeds=",".join(boot.seeds))
+        self.boot = boot
+
+    async def close(self) -> None:
+        """Leaves the cluster and closes everything."""
+        await self.control.stop()
+        for server in self.servers:
+            await server.close()
+        self.pool.close()
+        log.info("daemon stopped", node=self.boot.node)
+
+
+class FrontDaemon(BaseDaemon):
+    """Serves requesters.
+
+    Args:
+        path: The settings file.
+        boot: Its content.
+    """
+
+    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
+        super().__init__(path=path, boot=boot)
+        self.loads = EngineLoadTable()
+        self.control.add(
+            EngineLoadSystem(
+                vm_id=self.vm_id,
+                members=self.control.membership.alive,
+                loads=self.loads,
+            )
+        )
+        self.limits = RequestLimits()
+        self.configured_at: float | None = None
+        self.ready = False
+        self.handler = self.build_handler()
+
+    def build_handler(self) -> GatewayHandler:
+        """Builds the path of a request."""
+        codec = PlatformHeaders()
+        bounds = self.boot.bounds
+        selector = TargetSelector(
+            data_centre=self.boot.zone,
+            targets=self.targets,
+            detections=DetectionSystem(targets=self.targets),
+            has_departed=self.departures.covers,
+            random=self.random,
+        )
+        budget = RepeatBudget(
+            ratio=bounds.retry_budget_ratio,
+            extra=bounds.budget_extra,
+            window_s=bounds.budget_window_s,
+        )
+        ender = CallEnder(codec=codec, random=self.random)
+        services = ServiceForwarder(
+            codec=codec,
+            pool=self.pool,
+            selector=selector,
+            budget=budget,
+            ender=ender,
+            vms=self.control.count_servers,
+        )
+        streams = StreamForwarder(
+            codec=codec,
+            pool=self.pool,
+            selector=selector,
+            chooser=StageChooser(
+                data_centre=self.boot.zone,
+                targets=self.targets,
+                loads=self.loads,
+                random=self.random,
+                is_usable=selector.is_usable,
+            ),
+            budget=budget,
+            ender=ender,
+            inspector=StallInspector(
+                pool=self.pool,
+                selector=selector,
+                build_request=build_report_request,
+                decode=decode_stalled,
+            ),
+            vms=self.control.count_servers,
+        )
+        return GatewayHandler(
+            codec=codec,
+            routing=self.routing.current,
+            services=services,
+            streams=streams,
+            random=self.random,
+        )
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the work."""
+        await self.start_control()
+        listen = self.boot.listen
+        await self.open(listen.ready, self.show_ready, RequestLimits())
+        self.front = await self.open(
+            listen.front, self.handler.handle, self.limits
+        )
+        self.control.repeat(STATUS_SECONDS, self.update_status)
+
+    def update_status(self) -> None:
+        """Follows the manifest and tells the others whether it is ready."""
+        now = asyncio.get_running_loop().time()
+        table = self.routing.current()
+        if table is not None:
+            self.configured_at = self.configured_at or now
+            self.limits.max_head_bytes = table.limits.max_head_bytes
+            self.limits.max_body_bytes = table.limits.max_body_bytes
+            self.limits.head_seconds = table.limits.head_s
+            self.limits.idle_seconds = table.limits.idle_s
+        ready = self.find_ready(now)
+        if ready != self.ready:
+            log.info(
+                "readiness changed", ready=ready, targets=len(self.targets)
+            )
+        self.ready = ready
+        self.control.set_status(ready=ready, draining=self.stopping)
+
+    def find_ready(self, now: float) -> bool:
+        """Whether this process takes requesters."""
+        table = self.routing.table
+        if self.stopping or table is None:
+            return False
+        if now - self.configured_at >= TARGETS_WAIT_SECONDS:
+            return True
+        return all(
+            next(iter(self.targets.serving(name)), None) is not None
+            for name in table.services
+        )
+
+    async def show_ready(self, exchange: Exchange) -> None:
+        """Answers whether this process takes requesters."""
+        known = exchange.request.head.path == READY_PATH
+        status = 404 if not known else 200 if self.ready else 503
+        exchange.send(ResponseHead(status=status))
+
+    async def stop(self) -> None:
+        """Stops as planned: leaves the rotation, then ends its requests."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.boot.bounds.grace_s - EXIT_MARGIN_SECONDS
+        self.stopping = True
+        self.ready = False
+        self.front.start_draining()
+        self.control.set_status(ready=False, draining=True)
+        log.info("planned stop", open_requests=self.front.busy)
+        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        self.front.stop_accepting()
+        self.front.note_idle()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                while self.front.busy:
+                    self.front.empty.clear()
+                    await self.front.empty.wait()
+        log.info("requests ended", open_requests=self.front.busy)
+        await self.close()
+
+
+class CoreDaemon(BaseDaemon):
+    """Keeps the configuration and takes the reports of replicas.
+
+    Args:
+        path: The settings file.
+        boot: Its content.
+    """
+
+    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
+        super().__init__(path=path, boot=boot)
+        self.control.add(
+            EngineLoadSystem(
+                vm_id=self.vm_id, members=self.control.membership.alive
+            )
+        )
+        self.handler = ControlHandler(
+            vm_id=self.vm_id,
+            zones=frozenset(boot.zones),
+            configurations=self.control.configurations,
+            routing=self.routing.current,
+            reports=self.reports,
+            departures=self.departures,
+            execute=self.control.host.execute,
+            stall_s=boot.bounds.stall_ms / 1000,
+        )
+        self.orderer = StageOrderer(
+            lease=LeaderLease(consensus=self.control.configurations.consensus),
+            targets=self.targets,
+            routing=self.routing.current,
+            pool=self.pool,
+            codec=PlatformOrders(),
+            has_left=lambda row: (
+                row.report.leaving or self.departures.covers(row.report)
+            ),
+        )
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the work."""
+        await self.start_control()
+        limits = RequestLimits(max_body_bytes=CONTROL_BODY_BYTES)
+        self.front = await self.open(
+            self.boot.listen.control, self.handler.handle, limits
+        )
+        self.control.repeat(PLAN_SECONDS, self.orderer.run)
+        self.control.set_status(ready=True, draining=False)
+
+    async def stop(self) -> None:
+        """Stops as planned: hands leadership over and ends its requests."""
+        self.stopping = True
+        log.info("planned stop", open_requests=self.front.busy)
+        self.control.set_status(ready=False, draining=True)
+        self.front.start_draining()
+        self.front.stop_accepting()
+        await self.close()
+
+
+ROLES: dict[str, Callable[..., PlatformDaemon]] = {
+    "front": FrontDaemon,
+    "core": CoreDaemon,
+}
--- a/rattanroute/systems/configurations.py
+++ b/rattanroute/systems/configurations.py
@@ -17,7 +17,9 @@
 from rattanroute.tables.changes import Delta
 from rattanroute.tables.changes import describe_operation
 from rattanroute.tables.changes import ENCODER
+from rattanroute.tables.changes import Operation
 from rattanroute.tables.changes import Problem
+from rattanroute.tables.changes import PutManifest
 from rattanroute.tables.changes import Verdict
 from rattanroute.tables.changes import Winner
 from rattanroute.tables.configurations import Configuration
@@ -124,7 +126,7 @@
         outcome = self.dry_run(change)
         if change.dry_run or change.command_id in self.commands:
             return outcome
-        if outcome.verdict is Verdict.ACCEPTED:
+        if outcome.version > version:
             self._accept(change)
         self._remember(change, outcome)
         return outcome
@@ -149,6 +151,8 @@
             return ChangeOutcome(
                 verdict=Verdict.REFUSED, version=version, problems=problems
             )
+        if not self._select_effective(change):
+            return ChangeOutcome(verdict=Verdict.ACCEPTED, version=version)
         return ChangeOutcome(verdict=Verdict.ACCEPTED, version=version + 1)
 
     def _repeat(
@@ -191,8 +195,23 @@
             verdict=Verdict.CONFLICT, version=version, winner=winner
         )
 
+    def _is_outdated(self, operation: Operation) -> bool:
+        """Whether an operation puts a manifest that is not a newer one."""
+        if not isinstance(operation, PutManifest):
+            return False
+        held = self.configuration.manifests.get(operation.entity.name)
+        return held is not None and operation.entity.revision <= held.revision
+
+    def _select_effective(self, change: Change) -> tuple[Operation, ...]:
+        """Returns the operations of a change that have an effect."""
+        return tuple(
+            operation
+            for operation in change.operations
+            if not self._is_outdated(operation)
+        )
+
     def _accept(self, change: Change) -> None:
-        delta = self.replica.advance(change.operations)
+        delta = self.replica.advance(self._select_effective(change))
         summary = tuple(
             describe_operation(operation)
             for operation in change.operations[:SUMMARY_OPERATIONS]
--- /dev/null
+++ b/rattanroute/systems/stagechoices.py
@@ -0,0 +1,167 @@
+"""Chooses the chain of engines for a request by its expected duration.
+
+The engines pass work on among themselves, so that one chain is chosen before
+the request is sent. The duration of a stage follows from the published model
+of the engines and from the open requests of all VMs.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random as randoms
+
+from rattanroute.gateway.terms import ChainHop
+from rattanroute.systems.chains import Candidate
+from rattanroute.systems.chains import find_chain
+from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.engineloads import LoadRow
+from rattanroute.tables.routes import Accelerator
+from rattanroute.tables.routes import BackendService
+from rattanroute.tables.routes import Engine
+from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetHealth
+from rattanroute.tables.targets import TargetTable
+
+# Part of the memory beside the layers that requests may fill. The rest covers
+# answers that are longer than expected and loads that are not yet known.
+FILLED_PART = 0.92
+# Fronts that read the same loads would otherwise all take the same chain.
+JITTER = 0.05
+# Factor on the expected time of a target whose last attempts failed.
+SUSPECT_FACTOR = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """What a request needs of a chain.
+
+    Attributes:
+        service: Service of the engines.
+        prompt_tokens: Tokens to read.
+        answer_tokens: Expected tokens of the answer.
+    """
+
+    service: str
+    prompt_tokens: int
+    answer_tokens: int
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of cache at the end of the answer."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StageChooser:
+    """Chooses chains.
+
+    Attributes:
+        data_centre: Data centre of this VM.
+        targets: All targets.
+        loads: Open requests on engines.
+        random: Source of the jitter.
+        is_usable: Whether a target may get new work.
+    """
+
+    data_centre: str
+    targets: TargetTable
+    loads: EngineLoadTable
+    random: randoms.Random
+    is_usable: Callable[[Target, float], bool]
+
+    def choose(
+        self,
+        service: BackendService,
+        demand: Demand,
+        *,
+        excluded: frozenset[str],
+        now: float,
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain that runs each layer once, or nothing.
+
+        Args:
+            service: Service with the model of its engines.
+            demand: What the request needs.
+            excluded: Targets that must not be used.
+            now: Time in seconds.
+        """
+        engine = service.engine
+        candidates = []
+        for target in self.targets.ranged.get(service.name, {}).values():
+            if target.report.target_id in excluded:
+                continue
+            if not self.is_usable(target, now):
+                continue
+            candidate = self.build_candidate(target, engine, demand)
+            if candidate is not None:
+                candidates.append(candidate)
+        if not candidates:
+            return ()
+        path = find_chain(candidates, 0, engine.layers)
+        if path is None:
+            return ()
+        return tuple(
+            ChainHop(
+                target_id=candidate.target_id,
+                address=candidate.address,
+                first_layer=first,
+                end_layer=end,
+            )
+            for candidate, first, end in path.steps()
+        )
+
+    def build_candidate(
+        self, target: Target, engine: Engine, demand: Demand
+    ) -> Candidate | None:
+        """Returns a target as the search sees it, unless it is full."""
+        report = target.report
+        accelerator = engine.accelerators.get(report.accelerator)
+        layers = report.last_layer + 1 - report.first_layer
+        if accelerator is None or layers <= 0:
+            return None
+        load = self.loads.get(report.target_id)
+        room = cache_capacity(engine, accelerator, layers)
+        room = room * FILLED_PART - load.all_cache_units
+        if room < demand.tokens * layers or load.all_requests >= engine.slots:
+            return None
+        seconds = estimate_layer_seconds(engine, accelerator, load, demand)
+        if target.health is not TargetHealth.HEALTHY:
+            seconds *= SUSPECT_FACTOR
+        seconds *= 1 + JITTER * self.random.random()
+        return Candidate(
+            target_id=report.target_id,
+            address=report.address,
+            first=report.first_layer,
+            end=report.last_layer + 1,
+            layer_seconds=seconds,
+            link_seconds=estimate_link_seconds(
+                engine, self.data_centre, report.data_centre
+            )
+            * demand.answer_tokens,
+        )
+
+
+def cache_capacity(
+    engine: Engine, accelerator: Accelerator, layers: int
+) -> float:
+    """Returns the room for requests, in tokens times layers."""
+    free = accelerator.memory_bytes - layers * engine.layer_bytes
+    return free / (engine.cache_token_bytes / engine.layers)
+
+
+def estimate_layer_seconds(
+    engine: Engine, accelerator: Accelerator, load: LoadRow, demand: Demand
+) -> float:
+    """Returns the time that one layer takes for the whole request."""
+    others = load.all_requests
+    context = demand.prompt_tokens + demand.answer_tokens / 2
+    step = engine.step_s + (others + 1) * (
+        engine.request_step_s + engine.context_step_s * context
+    )
+    writing = demand.answer_tokens * step * accelerator.step_factor
+    reading = demand.prompt_tokens * engine.read_s * accelerator.read_factor
+    return (writing + reading) / engine.layers
+
+
+def estimate_link_seconds(engine: Engine, own: str, data_centre: str) -> float:
+    """Returns the delay that a stage adds to each token."""
+    return engine.delay_s(own, data_centre) or 1e-5
--- a/rattanroute/systems/validations.py
+++ b/rattanroute/systems/validations.py
@@ -12,11 +12,13 @@
 from rattanroute.tables.changes import Operation
 from rattanroute.tables.changes import Problem
 from rattanroute.tables.changes import Put
+from rattanroute.tables.changes import PutManifest
 from rattanroute.tables.changes import Undrain
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import Entity
 from rattanroute.tables.configurations import EntityKind
 from rattanroute.tables.configurations import KIND_BY_CLASS
+from rattanroute.tables.configurations import Manifest
 from rattanroute.tables.configurations import Model
 from rattanroute.tables.configurations import Neighbour
 from rattanroute.tables.configurations import Service
@@ -32,6 +34,7 @@
 MAX_REPLICAS = 100_000
 MAX_PRIORITY = 100
 MAX_WEIGHT = 1e6
+MAX_REVISION = 2**62
 # Decimal shares such as 0.1 + 0.2 + 0.7 are not exact in binary.
 SHARE_TOLERANCE = 1e-9
 
@@ -75,14 +78,15 @@
                 f"{count} operations; 1 to {MAX_OPERATIONS} are allowed",
             )
         version = change.expected_version
-        only_drains = all(
-            isinstance(operation, Drain | Undrain)
+        any_order = all(
+            isinstance(operation, Drain | Undrain | PutManifest)
             for operation in change.operations
         )
-        if version < 0 and not (version == ANY_VERSION and only_drains):
+        if version < 0 and not (version == ANY_VERSION and any_order):
             self.report(
                 "expected_version",
-                "must be at least 0; only a change of drains may leave it out",
+                "must be at least 0; only a change of drains or manifests may "
+                "leave it out",
             )
         return tuple(self.problems)
 
@@ -174,6 +178,10 @@
                 self.check_model(path, entity)
             case Service():
                 self.check_service(path, entity)
+            case Manifest():
+                self.check_number(
+                    f"{path}.revision", entity.revision, 0, MAX_REVISION
+                )
 
     def check_workspace(self, path: str, workspace: Workspace) -> None:
         """Checks a workspace, its references and its keys."""
--- a/rattanroute/tables/changes.py
+++ b/rattanroute/tables/changes.py
@@ -8,13 +8,15 @@
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import DrainKind
 from rattanroute.tables.configurations import EntityKind
+from rattanroute.tables.configurations import Manifest
 from rattanroute.tables.configurations import Model
 from rattanroute.tables.configurations import Neighbour
 from rattanroute.tables.configurations import Service
 from rattanroute.tables.configurations import Workspace
 
-# Expected version of a change of drains only. Drains commute with every other
-# operation, so an urgent drain need not lose a race against other changes.
+# Expected version of a change of drains or manifests only. Drains commute with
+# every other operation, and manifests are ordered by their own revisions, so
+# neither need lose a race against other changes.
 ANY_VERSION = -1
 
 
@@ -44,6 +46,12 @@
     entity: Service
 
 
+class PutManifest(msgspec.Struct, frozen=True, kw_only=True, tag="pf"):
+    """Adds or replaces a manifest unless its revision is not higher."""
+
+    entity: Manifest
+
+
 class DeleteEntity(msgspec.Struct, frozen=True, kw_only=True, tag="de"):
     """Removes an entity."""
 
@@ -65,12 +73,13 @@
     name: str
 
 
-Put = PutNeighbour | PutWorkspace | PutModel | PutService
+Put = PutNeighbour | PutWorkspace | PutModel | PutService | PutManifest
 Operation = (
     PutNeighbour
     | PutWorkspace
     | PutModel
     | PutService
+    | PutManifest
     | DeleteEntity
     | Drain
     | Undrain
--- a/rattanroute/tables/configurations.py
+++ b/rattanroute/tables/configurations.py
@@ -71,7 +71,25 @@
     repeatable_operations: tuple[str, ...] = ()
 
 
-Entity = Neighbour | Workspace | Model | Service
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Manifest:
+    """A whole declaration of routes, targets' services and tenants.
+
+    Operators number its revisions themselves; the highest one is in force.
+
+    Attributes:
+        name: Identifier.
+        revision: Number chosen by the operator; a manifest whose revision is
+            not higher than the stored one changes nothing.
+        content: The declaration, compressed with zlib.
+    """
+
+    name: str
+    revision: int
+    content: bytes
+
+
+Entity = Neighbour | Workspace | Model | Service | Manifest
 
 
 class EntityKind(enum.StrEnum):
@@ -81,6 +99,7 @@
     WORKSPACE = "workspace"
     MODEL = "model"
     SERVICE = "service"
+    MANIFEST = "manifest"
 
 
 class DrainKind(enum.StrEnum):
@@ -95,6 +114,7 @@
     Workspace: EntityKind.WORKSPACE,
     Model: EntityKind.MODEL,
     Service: EntityKind.SERVICE,
+    Manifest: EntityKind.MANIFEST,
 }
 
 
@@ -110,6 +130,7 @@
         workspaces: Workspaces by name.
         models: Models by name.
         services: Services by name.
+        manifests: Manifests by name.
         drained_targets: Targets that operators take out of service.
         drained_vms: VMs that operators take out of service.
         workspaces_by_key_hash: Names of workspaces by the hash of a key.
@@ -120,6 +141,7 @@
     workspaces: dict[str, Workspace] = dataclasses.field(default_factory=dict)
     models: dict[str, Model] = dataclasses.field(default_factory=dict)
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    manifests: dict[str, Manifest] = dataclasses.field(default_factory=dict)
     drained_targets: set[str] = dataclasses.field(default_factory=set)
     drained_vms: set[str] = dataclasses.field(default_factory=set)
     workspaces_by_key_hash: dict[str, str] = dataclasses.field(
@@ -135,8 +157,10 @@
                 return self.workspaces
             case EntityKind.MODEL:
                 return self.models
-            case _:
+            case EntityKind.SERVICE:
                 return self.services
+            case EntityKind.MANIFEST:
+                return self.manifests
 
     def drains(self, kind: DrainKind) -> set[str]:
         """Returns the identifiers of a kind that are taken out of service."""
--- /dev/null
+++ b/rattanroute/tables/engineloads.py
@@ -0,0 +1,85 @@
+"""Open requests on engines, by target."""
+
+import dataclasses
+
+from rattanroute.messages.loads import EngineLoad
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class LoadRow:
+    """The load of one target.
+
+    Attributes:
+        requests: Open requests of this VM.
+        cache_units: Tokens times layers of the requests of this VM.
+        other_requests: Open requests of the other VMs, as last heard.
+        other_cache_units: Tokens times layers of their requests.
+    """
+
+    requests: int = 0
+    cache_units: int = 0
+    other_requests: int = 0
+    other_cache_units: int = 0
+
+    @property
+    def all_requests(self) -> int:
+        """Open requests of all VMs."""
+        return self.requests + self.other_requests
+
+    @property
+    def all_cache_units(self) -> int:
+        """Tokens times layers of the requests of all VMs."""
+        return self.cache_units + self.other_cache_units
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class EngineLoadTable:
+    """Loads by target.
+
+    Attributes:
+        rows: Loads by target.
+        vms: VMs that share the targets, as last heard.
+    """
+
+    rows: dict[str, LoadRow] = dataclasses.field(default_factory=dict)
+    vms: int = 1
+
+    def get(self, target_id: str) -> LoadRow:
+        """Returns the load of a target."""
+        row = self.rows.get(target_id)
+        if row is None:
+            row = self.rows[target_id] = LoadRow()
+        return row
+
+    def add(self, target_id: str, *, requests: int, cache_units: int) -> None:
+        """Adds to the load of this VM on a target, or takes from it."""
+        row = self.get(target_id)
+        row.requests += requests
+        row.cache_units += cache_units
+
+    def own(self) -> tuple[EngineLoad, ...]:
+        """Returns the load of this VM."""
+        return tuple(
+            EngineLoad(
+                target_id=target_id,
+                requests=row.requests,
+                cache_units=row.cache_units,
+            )
+            for target_id, row in self.rows.items()
+            if row.requests
+        )
+
+    def take_others(self, loads: tuple[EngineLoad, ...], vms: int) -> None:
+        """Replaces the load of the other VMs."""
+        self.vms = max(1, vms)
+        heard = {load.target_id: load for load in loads}
+        for target_id, row in list(self.rows.items()):
+            if target_id not in heard:
+                row.other_requests = 0
+                row.other_cache_units = 0
+                if not row.requests:
+                    del self.rows[target_id]
+        for target_id, load in heard.items():
+            row = self.get(target_id)
+            row.other_requests = load.requests
+            row.other_cache_units = load.cache_units
--- a/rattanroute/tables/replicas.py
+++ b/rattanroute/tables/replicas.py
@@ -16,6 +16,7 @@
 from rattanroute.tables.configurations import DrainKind
 from rattanroute.tables.configurations import Entity
 from rattanroute.tables.configurations import KIND_BY_CLASS
+from rattanroute.tables.configurations import Manifest
 from rattanroute.tables.configurations import Model
 from rattanroute.tables.configurations import Neighbour
 from rattanroute.tables.configurations import Service
@@ -43,6 +44,7 @@
     services: tuple[Service, ...]
     drained_targets: tuple[str, ...]
     drained_vms: tuple[str, ...]
+    manifests: tuple[Manifest, ...] = ()
 
 
 CONTENT_DECODER = msgspec.msgpack.Decoder(ConfigurationContent)
@@ -71,6 +73,7 @@
         content.workspaces,
         content.models,
         content.services,
+        content.manifests,
     ):
         total += sum(hash_entity(entity) for entity in entities)
     for name in content.drained_targets:
@@ -204,6 +207,7 @@
             services=tuple(source.services.values()),
             drained_targets=tuple(sorted(source.drained_targets)),
             drained_vms=tuple(sorted(source.drained_vms)),
+            manifests=tuple(source.manifests.values()),
         )
 
     def encode(self) -> bytes:
@@ -219,6 +223,7 @@
             content.workspaces,
             content.models,
             content.services,
+            content.manifests,
         ):
             for entity in entities:
                 configuration.put(entity)
--- a/rattanroute/tasks.py
+++ b/rattanroute/tasks.py
@@ -1,8 +1,13 @@
 """Helpers for asyncio tasks."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 
+from rattanroute.logs import get_logger
+
+log = get_logger(__name__)
+
 
 async def run_together(*works: Coroutine[None, None, None], until: str) -> None:
     """Runs works side by side and cancels those that are left at the end.
@@ -24,3 +29,15 @@
         await asyncio.gather(*tasks, return_exceptions=True)
     for task in done:
         task.result()
+
+
+async def run_repeatedly(seconds: float, work: Callable[[], object]) -> None:
+    """Does some work at an interval; a failure is logged and work goes on."""
+    while True:
+        await asyncio.sleep(seconds)
+        try:
+            result = work()
+            if asyncio.iscoroutine(result):
+                await result
+        except Exception as error:
+            log.exception("periodic work failed", error=error)
