Run test modules side by side in processes of their own

The suite took 617 s in one process, most of it waiting for processes and timers. No test is dropped; a module that ends without a result fails.

--- a/rattanroute/tests/test_run_tests.py
+++ b/rattanroute/tests/test_run_tests.py
@@ -4,7 +4,10 @@
 import tempfile
 import unittest
 
+from rattanroute.tools.run_tests import find_modules
+from rattanroute.tools.run_tests import name_failures
 from rattanroute.tools.run_tests import read_known_red
+from rattanroute.tools.run_tests import run_process
 from rattanroute.tools.run_tests import split_failures
 
 
@@ -27,10 +30,18 @@
 
     def test_failures_that_are_not_listed_count(self) -> None:
         test = Sample()
-        failures = [(test, "trace")]
+        names = name_failures([(test, "trace")])
         self.assertEqual(
-            split_failures(failures, frozenset({test.id()})), ([test.id()], [])
-        )
-        self.assertEqual(
-            split_failures(failures, frozenset()), ([], [test.id()])
+            split_failures(names, frozenset({test.id()})), ([test.id()], [])
         )
+        self.assertEqual(split_failures(names, frozenset()), ([], [test.id()]))
+
+    def test_module_without_a_result_fails(self) -> None:
+        result = run_process("rattanroute.tests.no_such_module")
+        self.assertTrue(result.failures)
+
+    def test_each_module_is_found(self) -> None:
+        modules = find_modules()
+        self.assertIn(__name__, modules)
+        self.assertIn("rattanroute.tests.integration.test_stops", modules)
+        self.assertEqual(len(modules), len(set(modules)))
--- a/rattanroute/tools/run_tests.py
+++ b/rattanroute/tools/run_tests.py
@@ -1,15 +1,46 @@
 """Runs the test suite; failures that KNOWN-RED.txt lists do not fail it.
 
-A line of KNOWN-RED.txt that does not start with a blank names a test; the
+Each test module runs in a process of its own, a few of them side by side. A
+line of KNOWN-RED.txt that does not start with a blank names a test; the
 indented lines below it describe the case. Listed tests run like all others.
 """
 
+from collections.abc import Iterable
+import concurrent.futures
+import dataclasses
+import json
 import pathlib
+import subprocess
 import sys
+import time
 import unittest
 
 KNOWN_RED_FILE = pathlib.Path("KNOWN-RED.txt")
 TESTS_FOLDER = "rattanroute/tests"
+# Clusters of the integration tests have a few dozen processes each.
+PARALLEL_MODULES = 4
+# Far above the longest module; a module that hangs fails the run.
+MODULE_TIMEOUT_SECONDS = 900
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ModuleResult:
+    """The outcome of a test module.
+
+    Attributes:
+        module: Its name.
+        tests: Tests that ran.
+        failures: Identifiers of the failed tests; the module itself when it
+            ended without a result.
+        output: What it printed.
+        seconds: How long it took.
+    """
+
+    module: str
+    tests: int
+    failures: tuple[str, ...]
+    output: str
+    seconds: float
 
 
 def read_known_red(path: pathlib.Path) -> frozenset[str]:
@@ -22,33 +53,105 @@
     )
 
 
-def split_failures(
-    failures: list[tuple[unittest.TestCase, str]], known: frozenset[str]
-) -> tuple[list[str], list[str]]:
-    """Splits failed tests into listed ones and others, by identifier.
+def name_failures(
+    failures: Iterable[tuple[unittest.TestCase, str]],
+) -> list[str]:
+    """Returns the identifiers of failed tests.
 
     A failed subtest counts for its test.
     """
-    names = [
+    return [
         getattr(test, "test_case", test).id().split(" ")[0]
         for test, _ in failures
     ]
+
+
+def split_failures(
+    names: Iterable[str], known: frozenset[str]
+) -> tuple[list[str], list[str]]:
+    """Splits failed tests into listed ones and others."""
+    names = list(names)
     listed = [name for name in names if name in known]
     return listed, [name for name in names if name not in known]
 
 
+def find_modules() -> list[str]:
+    """Returns the test modules, those with processes of their own first."""
+    paths = pathlib.Path(TESTS_FOLDER).rglob("test_*.py")
+    names = [".".join(path.with_suffix("").parts) for path in paths]
+    return sorted(names, key=lambda name: ("integration" not in name, name))
+
+
+def run_module(module: str) -> None:
+    """Runs a module in this process and prints its outcome as JSON."""
+    suite = unittest.defaultTestLoader.loadTestsFromName(module)
+    result = unittest.TextTestRunner(stream=sys.stderr).run(suite)
+    failures = name_failures([*result.failures, *result.errors])
+    print(json.dumps({"tests": result.testsRun, "failures": failures}))
+
+
+def run_process(module: str) -> ModuleResult:
+    """Runs a module in a process of its own."""
+    started = time.monotonic()
+    command = [sys.executable, "-m", "rattanroute.tools.run_tests", module]
+    try:
+        process = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=MODULE_TIMEOUT_SECONDS,
+            check=False,
+        )
+        outcome = json.loads(process.stdout.splitlines()[-1])
+        tests, failures = outcome["tests"], tuple(outcome["failures"])
+        output = process.stderr
+    except subprocess.TimeoutExpired as error:
+        tests, failures, output = 0, (module,), f"{module}: {error}"
+    except (IndexError, ValueError):
+        tests, failures, output = 0, (module,), process.stderr
+    return ModuleResult(
+        module=module,
+        tests=tests,
+        failures=failures,
+        output=output,
+        seconds=time.monotonic() - started,
+    )
+
+
+def run_all() -> list[ModuleResult]:
+    """Runs all modules and prints the output of those that fail."""
+    results = []
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as executor:
+        for result in executor.map(run_process, find_modules()):
+            verdict = "failed" if result.failures else "ok"
+            print(
+                f"{result.module}: {result.tests} tests in "
+                f"{result.seconds:.1f} s: {verdict}",
+                flush=True,
+            )
+            if result.failures:
+                print(result.output, flush=True)
+            results.append(result)
+    return results
+
+
 def main() -> None:
-    """Run the suite."""
+    """Run the suite, or one module of it."""
+    if len(sys.argv) > 1:
+        run_module(sys.argv[1])
+        return
     known = read_known_red(KNOWN_RED_FILE)
-    suite = unittest.defaultTestLoader.discover(TESTS_FOLDER, top_level_dir=".")
-    result = unittest.TextTestRunner().run(suite)
-    failures = [*result.failures, *result.errors]
+    results = run_all()
+    failures = [name for result in results for name in result.failures]
     listed, others = split_failures(failures, known)
     for name in sorted(known):
         seen = "failed" if name in listed else "passed"
         print(f"known red: {name}: {seen} in this run")
-    print(f"{result.testsRun - len(failures)} passed, {len(others)} failed")
-    sys.exit(1 if others or result.testsRun == 0 else 0)
+    for name in others:
+        print(f"failed: {name}")
+    tests = sum(result.tests for result in results)
+    print(f"{tests - len(set(failures))} passed, {len(set(others))} failed")
+    sys.exit(1 if others or tests == 0 else 0)
 
 
 if __name__ == "__main__":
