Let the configuration log keep its own voters

Cause: a core machine that is gone for good is replaced by an empty one at another address. Only operators could add it, so the log stayed with two of three voters and could not bear the next loss.

Change: with storage.voter_target, VMs that announce themselves join as learners, fill the voters up to the target, and take the place of a voter that is silent for 4 s. A voter is removed only while a learner that has all entries can take its place. Without the setting nothing changes.

--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -127,6 +127,7 @@
                 now=time.monotonic(),
                 bootstrap_voters=settings.storage.bootstrap_voters,
                 send=execute,
+                voter_target=settings.storage.voter_target,
             )
             log = ConsensusLog(host=self.consensus)
             self.freshness = VoterFreshness(log=log)
--- a/rattanroute/consensus/core.py
+++ b/rattanroute/consensus/core.py
@@ -79,6 +79,7 @@
     hard_state: HardState,
     rng: random.Random,
     now: float,
+    voter_target: int = 0,
 ) -> NodeState:
     """Builds the state of a node that starts from durable state."""
     commit = min(max(hard_state.commit, log.snapshot.index), log.last_index)
@@ -97,6 +98,7 @@
         applied=log.snapshot.index,
         quiet_until=now + ELECTION_MIN_SECONDS,
         election_at=now if is_lone else now + delay,
+        voter_target=voter_target,
     )
 
 
--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -98,6 +98,7 @@
         files: FileAccess | None = None,
         clock: Callable[[], float] = time.monotonic,
         send: Callable[[list[Action]], None] | None = None,
+        voter_target: int = 0,
     ) -> None:
         """Opens the data folder.
 
@@ -113,6 +114,8 @@
             clock: The same clock as `now`.
             send: Takes actions that arise between calls of `receive` and
                 `tick`; without it they wait for the next tick.
+            voter_target: Voters that the log keeps by itself; 0 leaves
+                changes of the membership to operators.
 
         Raises:
             StorageError: If the folder is unusable or its state is damaged.
@@ -125,6 +128,7 @@
         self.files = files
         self.clock = clock
         self.send = send
+        self.voter_target = voter_target
         self.pending = PendingProposals()
         self.requests = CallerRequests(host=self, rng=rng)
         self.operations = MembershipOperations(host=self)
@@ -169,6 +173,7 @@
             hard_state=hard_state,
             rng=self.rng,
             now=now,
+            voter_target=self.voter_target,
         )
         return ConsensusNode(state)
 
--- a/rattanroute/consensus/memberships.py
+++ b/rattanroute/consensus/memberships.py
@@ -18,6 +18,7 @@
 from rattanroute.consensus.nodes import Joiner
 from rattanroute.consensus.nodes import LEAVE_SECONDS
 from rattanroute.consensus.nodes import NodeState
+from rattanroute.consensus.nodes import REPLACE_SECONDS
 from rattanroute.consensus.nodes import Role
 from rattanroute.errors import RouterError
 from rattanroute.messages.consensus import JoinRequest
@@ -214,7 +215,8 @@
 def repair(state: NodeState, now: float) -> None:
     """Replaces a lost member by a learner, or promotes a learner.
 
-    A refusal is not an error: the next tick tries again.
+    Where the log keeps its own voters, newcomers and spares are looked after
+    as well. A refusal is not an error: the next tick tries again.
     """
     try:
         check_ready(state, "")
@@ -226,10 +228,64 @@
         learner = find_learner_to_promote(state, now)
         if learner:
             promote(state, learner, now)
+        elif state.voter_target:
+            keep_voters(state, now)
     except MembershipError:
         return
 
 
+def find_newcomer(state: NodeState, now: float) -> str:
+    """Returns a VM that announced itself and is no member, or ""."""
+    for vm_id, joiner in state.joiners.items():
+        fresh = now - joiner.heard_at < JOIN_FRESH_SECONDS
+        if fresh and state.log.membership.find(vm_id) is None:
+            return vm_id
+    return ""
+
+
+def find_spare(state: NodeState, now: float) -> str:
+    """Returns a learner that could become a voter, or ""."""
+    for member in state.log.membership.members:
+        if not member.voter and is_caught_up(state, member.vm_id, now):
+            return member.vm_id
+    return ""
+
+
+def find_silent_voter(state: NodeState, now: float) -> str:
+    """Returns a voter that has not answered for long, or ""."""
+    for member in state.log.membership.voters:
+        progress = state.progress.get(member.vm_id)
+        if progress is None or member.vm_id == state.vm_id:
+            continue
+        if now - progress.heard_at >= REPLACE_SECONDS:
+            return member.vm_id
+    return ""
+
+
+def keep_voters(state: NodeState, now: float) -> None:
+    """Admits VMs that announce themselves and replaces lost voters.
+
+    A voter is removed only while a learner that has all entries can take its
+    place, so that the number of voters recovers at once.
+
+    Raises:
+        MembershipError: If a change is refused.
+    """
+    newcomer = find_newcomer(state, now)
+    if newcomer:
+        add_learner(state, newcomer, promote=False, now=now)
+        return
+    spare = find_spare(state, now)
+    if not spare:
+        return
+    if len(state.log.membership.voters) < state.voter_target:
+        promote(state, spare, now)
+        return
+    silent = find_silent_voter(state, now)
+    if silent:
+        remove(state, silent, now)
+
+
 def start_transfer(state: NodeState, vm_id: str, now: float) -> None:
     """Starts to hand leadership to another voter.
 
--- a/rattanroute/consensus/nodes.py
+++ b/rattanroute/consensus/nodes.py
@@ -30,6 +30,9 @@
 LEAVE_SECONDS = 10.0
 # An announcement by a VM without membership counts for this long.
 JOIN_FRESH_SECONDS = 5.0
+# A voter that is silent for this long gives its place to a spare learner,
+# where the log keeps its own voters. A restart takes less.
+REPLACE_SECONDS = 4.0
 
 
 class Role(enum.StrEnum):
@@ -181,6 +184,8 @@
         transfer_until: When the transfer is given up.
         joiners: VMs that announced a storage identity, by VM identifier.
         incoming: Snapshot being received.
+        voter_target: Voters that the log keeps by itself; 0 leaves changes of
+            the membership to operators.
         out: Output of the current step.
     """
 
@@ -210,6 +215,7 @@
     transfer_until: float = 0.0
     joiners: dict[str, Joiner] = dataclasses.field(default_factory=dict)
     incoming: IncomingSnapshot | None = None
+    voter_target: int = 0
     out: Output = dataclasses.field(default_factory=Output)
 
     def send(self, peer: str, message: object) -> None:
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -135,5 +135,6 @@
             folder=folder,
             voter=folder is not None,
             bootstrap_voters=voters,
+            voter_target=2 * boot.fault_tolerance.machines + 1,
         ),
     )
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -94,6 +94,15 @@
             "folder is empty."
         ),
     )
+    voter_target: int = pydantic.Field(
+        default=0,
+        ge=0,
+        description=(
+            "Voters that the configuration log keeps by itself: VMs with a "
+            "disk that announce themselves join, and take the place of "
+            "voters that stay silent. 0 leaves the membership to operators."
+        ),
+    )
 
 
 class LimitsSettings(Section):
--- a/rattanroute/tests/consensus_support.py
+++ b/rattanroute/tests/consensus_support.py
@@ -104,8 +104,16 @@
         cut: Pairs (sender, receiver) between which all messages are lost.
     """
 
-    def __init__(self, *, seed: int, voters: int, spares: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        voters: int,
+        spares: int = 0,
+        voter_target: int = 0,
+    ) -> None:
         self.rng = random.Random(seed)
+        self.voter_target = voter_target
         self.now = 100.0
         self.loss = 0.0
         self.max_delay = 0.05
@@ -146,6 +154,7 @@
             hard_state=disk.hard_state,
             rng=random.Random(self.rng.random()),
             now=self.now,
+            voter_target=self.voter_target,
         )
         vm.node = ConsensusNode(state)
         vm.machine = Register()
--- /dev/null
+++ b/rattanroute/tests/test_consensus_voters.py
@@ -0,0 +1,81 @@
+"""Tests of a log that keeps its own voters."""
+
+import unittest
+
+from rattanroute.tests.consensus_support import Cluster
+
+DOWN_SECONDS = 1000.0
+SEEDS = range(8)
+
+
+def list_voters(cluster: Cluster) -> set[str]:
+    """Returns the voters as the leader sees them."""
+    leader = cluster.find_leader()
+    membership = cluster.vms[leader].node.state.log.membership
+    return {member.vm_id for member in membership.voters}
+
+
+class KeptVotersTest(unittest.TestCase):
+    """Guards against a log that loses its quorum after a replacement."""
+
+    def build(self, seed: int, spares: int) -> Cluster:
+        """Builds a cluster of three voters that has a leader."""
+        cluster = Cluster(seed=seed, voters=3, spares=spares, voter_target=3)
+        cluster.run(6)
+        self.assertTrue(cluster.find_leader())
+        return cluster
+
+    def test_newcomer_replaces_voter_that_is_gone(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = self.build(seed, spares=0)
+                cluster.crash("v1", DOWN_SECONDS)
+                cluster.run(8)
+                self.add_newcomer(cluster)
+                cluster.run(15)
+                self.assertEqual(list_voters(cluster), {"v0", "v2", "v3"})
+
+    def test_replaced_log_survives_a_second_loss(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = self.build(seed, spares=1)
+                cluster.crash("v1", DOWN_SECONDS)
+                cluster.run(15)
+                cluster.crash("v2", DOWN_SECONDS)
+                cluster.run(10)
+                leader = cluster.find_leader()
+                entry = cluster.propose(leader, b"c:0:1")
+                cluster.run(2)
+                self.assertIn(entry.index, cluster.committed)
+
+    def test_spare_stays_learner_while_all_voters_answer(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = self.build(seed, spares=2)
+                cluster.run(20)
+                self.assertEqual(list_voters(cluster), {"v0", "v1", "v2"})
+
+    def test_voter_that_restarts_quickly_is_kept(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cluster = self.build(seed, spares=1)
+                cluster.crash("v1", 1.0)
+                cluster.run(15)
+                self.assertEqual(list_voters(cluster), {"v0", "v1", "v2"})
+
+    def test_voters_grow_to_the_target(self) -> None:
+        cluster = Cluster(seed=1, voters=3, spares=2, voter_target=5)
+        cluster.run(20)
+        self.assertEqual(len(list_voters(cluster)), 5)
+
+    def test_without_target_membership_stays(self) -> None:
+        cluster = Cluster(seed=1, voters=3, spares=1)
+        cluster.crash("v1", DOWN_SECONDS)
+        cluster.run(20)
+        self.assertEqual(list_voters(cluster), {"v0", "v1", "v2"})
+
+    def add_newcomer(self, cluster: Cluster) -> None:
+        """Starts a VM that no member knows."""
+        donor = Cluster(seed=99, voters=1, spares=3, voter_target=3)
+        cluster.vms["v3"] = donor.vms["v3"]
+        cluster.start("v3")
