Push a change before it is acknowledged; elect within two seconds on the platform

A front answered 404 on a route added 4 to 5 s before.

Change: news go out when entries are applied, before their proposers learn of it. Election times are a setting (storage.election_s, 2 s as before); the platform uses 0.8 s. Peers are dialled again after at most 0.4 s.

--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -27,7 +27,7 @@
 # acknowledgements mean that the path drops packets without an error.
 ACK_TIMEOUT_SECONDS = 1.5
 FIRST_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 1.0
+MAX_RETRY_SECONDS = 0.4
 # Longer than a round of membership probes over the members of the design scale
 # (410 at one a second). A probe that opens a link costs 0.56% of a core and 540
 # B/s more than one on an open link; an open link costs about 60 KiB.
--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -10,6 +10,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.consensus.hosts import ConsensusHost
+from rattanroute.consensus.nodes import Timing
 from rattanroute.consensus.proposals import Outcome
 from rattanroute.consensus.proposals import ProposalError
 from rattanroute.errors import NotProposedError
@@ -128,6 +129,7 @@
                 bootstrap_voters=settings.storage.bootstrap_voters,
                 send=execute,
                 voter_target=settings.storage.voter_target,
+                timing=Timing(election_min_s=settings.storage.election_s),
             )
             log = ConsensusLog(host=self.consensus)
             self.freshness = VoterFreshness(log=log)
@@ -142,6 +144,12 @@
             replica=self.replica,
             voter=self.freshness,
         )
+        if self.consensus is not None:
+            # News go out before a change is acknowledged: a voter may be lost
+            # right after it.
+            self.consensus.on_applied = lambda now: execute(
+                self.distribution.publish(now)
+            )
         self.forwarder = LogForwarder(
             vm_id=settings.vm_id,
             members=membership.alive,
--- a/rattanroute/consensus/callers.py
+++ b/rattanroute/consensus/callers.py
@@ -11,7 +11,6 @@
 
 from rattanroute.actions import SendMessage
 from rattanroute.consensus.core import ConsensusNode
-from rattanroute.consensus.nodes import HEARTBEAT_SECONDS
 from rattanroute.consensus.nodes import Output
 from rattanroute.consensus.proposals import lose_track
 from rattanroute.consensus.proposals import PendingProposals
@@ -27,6 +26,8 @@
 # A repeated request is answered from these, so that a message that arrives
 # twice is not appended twice.
 RECENT_REQUESTS = 4096
+# A forwarded read that was lost is sent again after this time.
+READ_RETRY_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -300,7 +301,7 @@
                 self.reads.remove(read)
                 response = ReadResponse(request_id=read.request_id, index=-1)
                 actions.append(SendMessage(peer=read.peer, message=response))
-            elif leader_id and now - read.sent_at >= HEARTBEAT_SECONDS:
+            elif leader_id and now - read.sent_at >= READ_RETRY_SECONDS:
                 read.sent_at = now
                 request = ReadRequest(request_id=read.request_id)
                 actions.append(SendMessage(peer=leader_id, message=request))
--- a/rattanroute/consensus/core.py
+++ b/rattanroute/consensus/core.py
@@ -24,12 +24,12 @@
 from rattanroute.consensus.entries import Snapshot
 from rattanroute.consensus.logs import EntryLog
 from rattanroute.consensus.logs import measure_entry
-from rattanroute.consensus.nodes import ELECTION_MAX_SECONDS
-from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
 from rattanroute.consensus.nodes import MAX_UNCOMMITTED_BYTES
 from rattanroute.consensus.nodes import NodeState
 from rattanroute.consensus.nodes import Output
 from rattanroute.consensus.nodes import Role
+from rattanroute.consensus.nodes import Timing
+from rattanroute.consensus.nodes import USUAL_TIMING
 from rattanroute.messages.consensus import AppendRequest
 from rattanroute.messages.consensus import AppendResponse
 from rattanroute.messages.consensus import JoinRequest
@@ -80,12 +80,13 @@
     rng: random.Random,
     now: float,
     voter_target: int = 0,
+    timing: Timing = USUAL_TIMING,
 ) -> NodeState:
     """Builds the state of a node that starts from durable state."""
     commit = min(max(hard_state.commit, log.snapshot.index), log.last_index)
     # A lone voter needs no one's vote, so it does not wait.
     is_lone = log.membership.quorum == 1
-    delay = rng.uniform(ELECTION_MIN_SECONDS, ELECTION_MAX_SECONDS)
+    delay = rng.uniform(timing.election_min_s, timing.election_max_s)
     return NodeState(
         vm_id=vm_id,
         storage_id=storage_id,
@@ -96,9 +97,10 @@
         vote=hard_state.vote,
         commit=commit,
         applied=log.snapshot.index,
-        quiet_until=now + ELECTION_MIN_SECONDS,
+        quiet_until=now + timing.election_min_s,
         election_at=now if is_lone else now + delay,
         voter_target=voter_target,
+        timing=timing,
     )
 
 
--- a/rattanroute/consensus/elections.py
+++ b/rattanroute/consensus/elections.py
@@ -2,9 +2,6 @@
 
 from rattanroute.consensus import replications
 from rattanroute.consensus.entries import EntryKind
-from rattanroute.consensus.nodes import ELECTION_MAX_SECONDS
-from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
-from rattanroute.consensus.nodes import LEASE_SECONDS
 from rattanroute.consensus.nodes import NodeState
 from rattanroute.consensus.nodes import Role
 from rattanroute.messages.consensus import TimeoutNow
@@ -15,7 +12,7 @@
 def reset_election_timer(state: NodeState, now: float) -> None:
     """Draws a new election timeout."""
     state.election_at = now + state.rng.uniform(
-        ELECTION_MIN_SECONDS, ELECTION_MAX_SECONDS
+        state.timing.election_min_s, state.timing.election_max_s
     )
 
 
@@ -41,7 +38,7 @@
     """Tells whether a leader may hold a lease that relies on this node."""
     if now < state.quiet_until or state.role == Role.LEADER:
         return True
-    return now - state.heard_leader_at < ELECTION_MIN_SECONDS
+    return now - state.heard_leader_at < state.timing.election_min_s
 
 
 def is_up_to_date(state: NodeState, message: VoteRequest) -> bool:
@@ -191,7 +188,7 @@
         progress = state.progress.get(member.vm_id)
         if member.vm_id == state.vm_id or (
             progress is not None
-            and now - progress.heard_at < ELECTION_MIN_SECONDS
+            and now - progress.heard_at < state.timing.election_min_s
         ):
             active.add(member.vm_id)
     return active
@@ -204,11 +201,11 @@
     """
     answered = replications.compute_quorum_round(state)
     if answered == state.round and state.log.membership.quorum == 1:
-        return now + LEASE_SECONDS
+        return now + state.timing.lease_s
     sent_at = state.round_sent_at.get(answered)
     if sent_at is None:
         return float("-inf")
-    return sent_at + LEASE_SECONDS
+    return sent_at + state.timing.lease_s
 
 
 def has_lease(state: NodeState, now: float) -> bool:
--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -40,6 +40,8 @@
 from rattanroute.consensus.entries import Snapshot
 from rattanroute.consensus.machines import StateMachine
 from rattanroute.consensus.nodes import Output
+from rattanroute.consensus.nodes import Timing
+from rattanroute.consensus.nodes import USUAL_TIMING
 from rattanroute.consensus.operations import MembershipOperations
 from rattanroute.consensus.proposals import lose_track
 from rattanroute.consensus.proposals import PendingProposals
@@ -82,6 +84,8 @@
         pending: Proposals of this VM whose position is known.
         requests: Other requests of this VM and of its peers.
         operations: Membership changes and leader transfer.
+        on_applied: Called with the time after entries were applied, before
+            their proposers learn of it.
     """
 
     message_types: tuple[type, ...] = tuple(KINDS.values())
@@ -99,6 +103,7 @@
         clock: Callable[[], float] = time.monotonic,
         send: Callable[[list[Action]], None] | None = None,
         voter_target: int = 0,
+        timing: Timing = USUAL_TIMING,
     ) -> None:
         """Opens the data folder.
 
@@ -116,6 +121,7 @@
                 `tick`; without it they wait for the next tick.
             voter_target: Voters that the log keeps by itself; 0 leaves
                 changes of the membership to operators.
+            timing: Times that all voters share.
 
         Raises:
             StorageError: If the folder is unusable or its state is damaged.
@@ -129,6 +135,7 @@
         self.clock = clock
         self.send = send
         self.voter_target = voter_target
+        self.timing = timing
         self.pending = PendingProposals()
         self.requests = CallerRequests(host=self, rng=rng)
         self.operations = MembershipOperations(host=self)
@@ -139,6 +146,7 @@
         self.join_at = now
         self.retry_at = now
         self.snapshot_at = now
+        self.on_applied: Callable[[float], None] | None = None
         self.open(now)
 
     def open(self, now: float) -> None:
@@ -174,6 +182,7 @@
             rng=self.rng,
             now=now,
             voter_target=self.voter_target,
+            timing=self.timing,
         )
         return ConsensusNode(state)
 
@@ -247,6 +256,8 @@
             self.restore(output.snapshot)
         for entry in output.committed:
             self.apply(entry)
+        if output.committed and self.on_applied is not None:
+            self.on_applied(now)
         self.requests.finish_reads()
         actions: list[Action] = list(output.messages)
         actions.extend(self.requests.finish_confirmations(output))
--- a/rattanroute/consensus/memberships.py
+++ b/rattanroute/consensus/memberships.py
@@ -13,7 +13,6 @@
 from rattanroute.consensus.entries import EntryKind
 from rattanroute.consensus.entries import Member
 from rattanroute.consensus.entries import Membership
-from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
 from rattanroute.consensus.nodes import JOIN_FRESH_SECONDS
 from rattanroute.consensus.nodes import Joiner
 from rattanroute.consensus.nodes import LEAVE_SECONDS
@@ -69,7 +68,7 @@
         if (
             progress is not None
             and progress.storage_id == member.storage_id
-            and now - progress.heard_at < ELECTION_MIN_SECONDS
+            and now - progress.heard_at < state.timing.election_min_s
         ):
             active.add(member.vm_id)
     if len(active) < membership.quorum:
@@ -128,7 +127,7 @@
     return (
         progress is not None
         and progress.match >= state.commit
-        and now - progress.heard_at < ELECTION_MIN_SECONDS
+        and now - progress.heard_at < state.timing.election_min_s
     )
 
 
@@ -193,7 +192,7 @@
         if (
             joiner.storage_id != member.storage_id
             and now - joiner.heard_at < JOIN_FRESH_SECONDS
-            and now - progress.heard_at >= ELECTION_MIN_SECONDS
+            and now - progress.heard_at >= state.timing.election_min_s
         ):
             return Member(
                 vm_id=vm_id,
@@ -297,10 +296,10 @@
     progress = state.progress.get(vm_id)
     if member is None or not member.voter or progress is None:
         raise refuse(vm_id, "is not another voter")
-    if now - progress.heard_at >= ELECTION_MIN_SECONDS:
+    if now - progress.heard_at >= state.timing.election_min_s:
         raise refuse(vm_id, "does not answer")
     state.transfer_target = vm_id
-    state.transfer_until = now + ELECTION_MIN_SECONDS
+    state.transfer_until = now + state.timing.election_min_s
     continue_transfer(state, now)
 
 
--- a/rattanroute/consensus/nodes.py
+++ b/rattanroute/consensus/nodes.py
@@ -11,15 +11,8 @@
 from rattanroute.consensus.entries import Snapshot
 from rattanroute.consensus.logs import EntryLog
 
-# Two rounds a second keep an idle leader of five voters at 16 messages/s,
-# far below the control budget, and notice a lost leader within 4 s.
-HEARTBEAT_SECONDS = 0.5
-# A follower refuses votes for this long after it heard from a leader.
-ELECTION_MIN_SECONDS = 2.0
-ELECTION_MAX_SECONDS = 4.0
-# Shorter than ELECTION_MIN_SECONDS, so that a leader's lease ends before its
-# followers vote for another one even if clocks run apart by 10%.
-LEASE_SECONDS = 1.5
+# Notices a lost leader within 4 s and covers slow links between regions.
+ELECTION_SECONDS = 2.0
 MAX_BATCH_BYTES = 64 * 1024
 MAX_INFLIGHT_BYTES = 256 * 1024
 SNAPSHOT_CHUNK_BYTES = 64 * 1024
@@ -35,6 +28,44 @@
 REPLACE_SECONDS = 4.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Timing:
+    """Times that all voters share.
+
+    Attributes:
+        election_min_s: A follower refuses votes for this long after it heard
+            from a leader.
+    """
+
+    election_min_s: float = ELECTION_SECONDS
+
+    @property
+    def election_max_s(self) -> float:
+        """Longest time without a leader before a follower stands."""
+        return 2 * self.election_min_s
+
+    @property
+    def lease_s(self) -> float:
+        """How long an answered round makes a leader the only possible one.
+
+        Shorter than `election_min_s`, so that the lease ends before followers
+        vote for another one even if clocks run apart by 10%.
+        """
+        return 0.75 * self.election_min_s
+
+    @property
+    def heartbeat_s(self) -> float:
+        """Time between two rounds of a leader.
+
+        With the usual times an idle leader of five voters sends 16 messages
+        a second, far below the control budget.
+        """
+        return 0.25 * self.election_min_s
+
+
+USUAL_TIMING = Timing()
+
+
 class Role(enum.StrEnum):
     """The part that a node plays in its term."""
 
@@ -186,6 +217,7 @@
         incoming: Snapshot being received.
         voter_target: Voters that the log keeps by itself; 0 leaves changes of
             the membership to operators.
+        timing: Times that all voters share.
         out: Output of the current step.
     """
 
@@ -216,6 +248,7 @@
     joiners: dict[str, Joiner] = dataclasses.field(default_factory=dict)
     incoming: IncomingSnapshot | None = None
     voter_target: int = 0
+    timing: Timing = USUAL_TIMING
     out: Output = dataclasses.field(default_factory=Output)
 
     def send(self, peer: str, message: object) -> None:
--- a/rattanroute/consensus/replications.py
+++ b/rattanroute/consensus/replications.py
@@ -5,7 +5,6 @@
 from rattanroute.consensus.entries import Entry
 from rattanroute.consensus.entries import EntryKind
 from rattanroute.consensus.logs import measure_entry
-from rattanroute.consensus.nodes import HEARTBEAT_SECONDS
 from rattanroute.consensus.nodes import MAX_BATCH_BYTES
 from rattanroute.consensus.nodes import MAX_INFLIGHT_BYTES
 from rattanroute.consensus.nodes import NodeState
@@ -51,7 +50,7 @@
     """Sends a heartbeat to every member."""
     state.round += 1
     state.round_sent_at[state.round] = now
-    state.heartbeat_at = now + HEARTBEAT_SECONDS
+    state.heartbeat_at = now + state.timing.heartbeat_s
     refresh_progress(state, now)
     for peer, progress in state.progress.items():
         send_heartbeat(state, peer, progress)
@@ -303,7 +302,7 @@
     """Tells members of a new commit index unless more entries follow.
 
     Without this, followers would apply the last entry of a burst up to
-    HEARTBEAT_SECONDS later.
+    a heartbeat later.
     """
     if state.commit < state.log.last_index:
         return
--- a/rattanroute/consensus/snapshots.py
+++ b/rattanroute/consensus/snapshots.py
@@ -2,8 +2,6 @@
 
 from rattanroute.consensus import replications
 from rattanroute.consensus.entries import Snapshot
-from rattanroute.consensus.nodes import ELECTION_MIN_SECONDS
-from rattanroute.consensus.nodes import HEARTBEAT_SECONDS
 from rattanroute.consensus.nodes import IncomingSnapshot
 from rattanroute.consensus.nodes import NodeState
 from rattanroute.consensus.nodes import Phase
@@ -34,9 +32,9 @@
     state: NodeState, peer: str, progress: Progress, now: float
 ) -> None:
     """Sends a chunk again that was not answered, if the member is alive."""
-    if now - progress.heard_at >= ELECTION_MIN_SECONDS:
+    if now - progress.heard_at >= state.timing.election_min_s:
         return
-    if now - progress.chunk_sent_at >= HEARTBEAT_SECONDS:
+    if now - progress.chunk_sent_at >= state.timing.heartbeat_s:
         send_chunk(state, peer, progress, now)
 
 
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -12,7 +12,10 @@
 from rattanroute.settings import StorageSettings
 
 PATH_VARIABLE = "RATTANROUTE_BOOT"
-MILLISECOND = 0.001
+# The core must lead again within `contactMs` after a restart, of which the
+# start of a process takes a second. It covers two retransmissions of a lost
+# packet and a pause of the process.
+ELECTION_SECONDS = 0.8
 
 
 class Listen(msgspec.Struct, frozen=True, kw_only=True):
@@ -135,6 +138,7 @@
             folder=folder,
             voter=folder is not None,
             bootstrap_voters=voters,
+            election_s=ELECTION_SECONDS,
             voter_target=2 * boot.fault_tolerance.machines + 1,
         ),
     )
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -94,6 +94,16 @@
             "folder is empty."
         ),
     )
+    election_s: float = pydantic.Field(
+        default=2.0,
+        ge=0.5,
+        le=60,
+        description=(
+            "Shortest time without a leader before another voter stands for "
+            "election; the same on all voters. It must cover pauses of a "
+            "process and lost packets."
+        ),
+    )
     voter_target: int = pydantic.Field(
         default=0,
         ge=0,
--- a/rattanroute/tests/test_consensus_core.py
+++ b/rattanroute/tests/test_consensus_core.py
@@ -10,11 +10,11 @@
 from rattanroute.consensus.entries import HardState
 from rattanroute.consensus.entries import Member
 from rattanroute.consensus.memberships import MembershipError
-from rattanroute.consensus.nodes import LEASE_SECONDS
 from rattanroute.consensus.nodes import MAX_BATCH_BYTES
 from rattanroute.consensus.nodes import MAX_INFLIGHT_BYTES
 from rattanroute.consensus.nodes import MAX_UNCOMMITTED_BYTES
 from rattanroute.consensus.nodes import Role
+from rattanroute.consensus.nodes import Timing
 from rattanroute.messages.consensus import AppendRequest
 from rattanroute.messages.consensus import AppendResponse
 from rattanroute.messages.consensus import JoinRequest
@@ -323,7 +323,7 @@
 
     def test_lease_ends_without_answers(self) -> None:
         now = self.cluster.now
-        self.assertFalse(self.node.has_lease(now=now + LEASE_SECONDS))
+        self.assertFalse(self.node.has_lease(now=now + Timing().lease_s))
 
     def test_leader_that_hears_nobody_steps_down(self) -> None:
         for peer in self.cluster.vms:
@@ -346,7 +346,7 @@
         for vm_id in others:
             self.cluster.cut.add((self.leader, vm_id))
             self.cluster.crash(vm_id, 0)
-        self.cluster.run(LEASE_SECONDS)
+        self.cluster.run(Timing().lease_s)
         self.assertEqual(self.cluster.find_leader(), self.leader)
 
     def test_restarting_voter_does_not_vote_within_a_lease(self) -> None:
