Find dead engines at once, keep the pipe between data centres free

Changes: a meter bounds mixed chains to 0.4 of the pipe. One voter in each data centre asks the engines there each second, and at once when one closes a kept connection or a front suspects it; all VMs hear of changes and move the open streams. Engines whose layers are held twice move into gaps. Attempts are counted by first target. A front that has just started lets requests wait up to 1.5 s.

--- a/rattanroute/codecs.py
+++ b/rattanroute/codecs.py
@@ -10,6 +10,7 @@
 from rattanroute.messages import departures
 from rattanroute.messages import distributions
 from rattanroute.messages import forwards
+from rattanroute.messages import inspections
 from rattanroute.messages import ledgers
 from rattanroute.messages import loads
 from rattanroute.messages import memberships
@@ -31,6 +32,7 @@
     forwards,
     loads,
     departures,
+    inspections,
 )
 
 
--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -20,9 +20,11 @@
         workspace: Workspace of the caller; empty on a public route.
         deadline: Time at which the answer is due, in seconds of the loop.
         revision: Manifest by which it was routed.
-        attempts: Sends to targets that may have run it.
         sends: Sends to targets.
         may_have_run: Whether a target may have run it.
+        ran_on: Targets that may have run it.
+        first_event_s: Seconds until the first event of a stream.
+        longest_gap_s: Longest pause between two events.
         targets: Identifiers of the targets it was sent to.
         failures: Why attempts failed, in order.
     """
@@ -34,9 +36,11 @@
     workspace: str
     deadline: float
     revision: int
-    attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    ran_on: set[str] = dataclasses.field(default_factory=set)
+    first_event_s: float = 0.0
+    longest_gap_s: float = 0.0
     targets: list[str] = dataclasses.field(default_factory=list)
     failures: list[str] = dataclasses.field(default_factory=list)
 
--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -1,6 +1,8 @@
 """Takes callers' requests: route, key, deadline, and who answers."""
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import random as randoms
 from typing import Protocol
@@ -16,6 +18,8 @@
 from rattanroute.tables.routes import Split
 
 UNREADY_RETRY_SECONDS = 0.5
+START_WAIT_SECONDS = 1.5
+START_WAIT_PART = 0.25
 
 log = get_logger(__name__)
 
@@ -38,6 +42,7 @@
         services: Answers requests to plain services.
         streams: Answers requests to engines.
         random: Chooses among the services of a split route.
+        settled: Set once a manifest and targets are known.
     """
 
     codec: HeaderCodec
@@ -45,11 +50,14 @@
     services: Forwarder
     streams: Forwarder
     random: randoms.Random
+    settled: asyncio.Event
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers a request."""
         head = exchange.request.head
         terms = self.codec.read_request(head)
+        if not self.settled.is_set():
+            await self.wait_for_start(terms)
         table = self.routing()
         if table is None:
             self.refuse(exchange, terms, 503, "no manifest is in force")
@@ -68,6 +76,19 @@
         else:
             await self.services.forward(call)
 
+    async def wait_for_start(self, terms: RequestTerms) -> None:
+        """Waits until a process that has just started can serve.
+
+        That takes a fraction of a second, while a refused caller would come
+        back later and may have no try left.
+        """
+        wait = START_WAIT_SECONDS
+        if terms.time_left_s is not None:
+            wait = min(wait, START_WAIT_PART * terms.time_left_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self.settled.wait()
+
     def build_call(
         self,
         exchange: Exchange,
--- /dev/null
+++ b/rattanroute/gateway/inspectors.py
@@ -0,0 +1,77 @@
+"""Asks targets for their state on behalf of the inspection system."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from rattanroute.actions import Action
+from rattanroute.errors import RouterError
+from rattanroute.gateway.questions import TargetQuestions
+from rattanroute.http1.clients import ConnectError
+from rattanroute.logs import get_logger
+from rattanroute.systems.inspections import InspectionSystem
+from rattanroute.tables.targets import Target
+
+# A healthy target of the same data centre answers within a few milliseconds.
+ANSWER_SECONDS = 0.3
+
+log = get_logger(__name__)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class TargetInspector:
+    """Runs the questions that are due.
+
+    Attributes:
+        system: Says whom to ask, and learns from the answers.
+        questions: Asks a target.
+        execute: Executes the actions of the system.
+        is_engine: Whether a target can be asked for its state.
+        tasks: Questions without an answer.
+    """
+
+    system: InspectionSystem
+    questions: TargetQuestions
+    execute: Callable[[list[Action]], None]
+    is_engine: Callable[[Target], bool]
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+    def run(self) -> None:
+        """Asks the targets that are due; called at an interval."""
+        now = asyncio.get_running_loop().time()
+        for target in self.system.take_due(now):
+            if not self.is_engine(target):
+                continue
+            task = asyncio.create_task(self.ask(target))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def note_lost_link(self, address: str) -> None:
+        """Asks a target at once that closed a connection."""
+        now = asyncio.get_running_loop().time()
+        self.system.note_lost_link(address, now)
+        self.run()
+
+    async def ask(self, target: Target) -> None:
+        """Asks a target once."""
+        report = target.report
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                state = await self.questions.ask_state(report.address)
+        except (RouterError, TimeoutError) as error:
+            log.info(
+                "target silent",
+                target=report.target_id,
+                error=str(error) or "timed out",
+            )
+            actions = self.system.note_silence(
+                report.target_id,
+                refused=isinstance(error, ConnectError) and error.refused,
+                now=loop.time(),
+            )
+        else:
+            actions = self.system.note_answer(
+                report.target_id, pace=state.pace, now=loop.time()
+            )
+        self.execute(actions)
--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -28,6 +28,7 @@
         targets: All targets.
     detections: Verdicts on targets.
     has_departed: Whether a report comes from a target that said it ends.
+        suspect: Asks for an inspection of a target.
         random: Source of the jitter.
     """
 
@@ -35,6 +36,7 @@
     targets: TargetTable
     detections: DetectionSystem
     has_departed: Callable[[TargetReport], bool]
+    suspect: Callable[[Target], None]
     random: randoms.Random
 
     def is_current(self, target: Target, now: float) -> bool:
@@ -54,6 +56,8 @@
         report = target.report
         if report.leaving or target.blocked_until > now:
             return False
+        if not target.reachable:
+            return False
         if self.has_departed(report):
             return False
         if target.health is TargetHealth.PROBING and target.in_flight:
@@ -97,6 +101,7 @@
             self.detections.note_failure(
                 row, crashed=crashed, retry_after_s=None, now=now
             )
+            self.suspect(row)
 
     def find_address(self, address: str) -> str:
         """Returns the newest target at an address; empty if none is known."""
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -23,7 +23,8 @@
 from rattanroute.systems.budgets import RepeatBudget
 from rattanroute.tables.targets import Target
 
-CONNECT_SECONDS = 0.5
+# A connection within a region takes a few milliseconds.
+CONNECT_SECONDS = 0.25
 MAX_SENDS = 4
 # Part of the time left that the first attempt of a repeatable request may
 # take, so that there is time for another one.
@@ -95,7 +96,7 @@
         """Whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
             return False
-        if call.attempts >= call.route.max_attempts:
+        if len(call.ran_on) >= call.route.max_attempts:
             return False
         return call.route.repeatable or not call.may_have_run
 
@@ -122,7 +123,7 @@
             targets.note_end(target_id, loop.time())
         self.note_health(target_id, outcome, loop.time())
         if not isinstance(outcome, NotRun):
-            call.attempts += 1
+            call.ran_on.add(target_id)
             call.may_have_run = True
         return outcome
 
@@ -165,7 +166,7 @@
             ),
         )
         wait = left + ANSWER_AFTER_DEADLINE_SECONDS
-        if repeatable and call.attempts + 1 < call.route.max_attempts:
+        if repeatable and len(call.ran_on) + 1 < call.route.max_attempts:
             wait = max(call.route.goal_s, FIRST_ATTEMPT_PART * left)
         sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
         try:
--- a/rattanroute/gateway/stageorders.py
+++ b/rattanroute/gateway/stageorders.py
@@ -6,11 +6,10 @@
 from typing import Protocol
 
 from rattanroute.errors import RouterError
-from rattanroute.http1.clients import CollectingSink
-from rattanroute.http1.clients import ConnectionPool
-from rattanroute.http1.heads import RequestHead
+from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.logs import get_logger
 from rattanroute.systems.stageplans import LayerRange
+from rattanroute.systems.stageplans import plan_moves
 from rattanroute.systems.stageplans import plan_stages
 from rattanroute.systems.stageplans import StageHolder
 from rattanroute.tables.routes import BackendService
@@ -19,60 +18,22 @@
 from rattanroute.tables.targets import TargetTable
 
 ORDER_TIMEOUT_SECONDS = 1.0
-# Time after the first report of an engine before a plan counts it, so that
-# the engines of a start are planned together.
+# While many engines have just reported for the first time, a plan waits for
+# the others of the same start.
 SETTLE_SECONDS = 1.5
+SETTLING_PART = 0.25
+# Time for which a layer must be missing in a data centre before engines move:
+# one that restarts fills its own gap.
+GAP_SECONDS = 2.0
 # An order without effect after the expected time of loading and this margin
 # is given again.
 RETRY_MARGIN_SECONDS = 6.0
 STALE_SECONDS = 5.0
-MAX_ANSWER_BYTES = 1_048_576
 ACCEPTED = frozenset({200, 202})
 
 log = get_logger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EngineState:
-    """What an engine says when asked.
-
-    Attributes:
-        orders: Orders that it has accepted since its start.
-        busy: Whether it is carrying one out.
-        layers: Layers that it holds; None when it is empty.
-    """
-
-    orders: int
-    busy: bool
-    layers: LayerRange | None
-
-
-class OrderCodec(Protocol):
-    """Encodes questions and orders for engines, and decodes their state."""
-
-    def build_question(self, address: str) -> RequestHead:
-        """Returns the head of the question for an engine's state."""
-        ...
-
-    def decode_state(self, address: str, data: bytes) -> EngineState:
-        """Decodes an engine's state.
-
-        Raises:
-            RouterError: If it cannot be read.
-        """
-        ...
-
-    def build_order(self, address: str) -> RequestHead:
-        """Returns the head of an order."""
-        ...
-
-    def encode_order(
-        self, layers: LayerRange, *, fence: int, expected: int
-    ) -> bytes:
-        """Encodes the order to hold some layers."""
-        ...
-
-
 class ControlLease(Protocol):
     """The lease of the VM that may give orders."""
 
@@ -98,8 +59,7 @@
         lease: The control lease.
         targets: All targets.
         routing: Returns the manifest in force.
-        pool: Connections to targets.
-        codec: Questions and orders.
+        questions: Asks and orders engines.
         has_left: Whether a target said it ends.
     """
 
@@ -109,17 +69,16 @@
         lease: ControlLease,
         targets: TargetTable,
         routing: Callable[[], RoutingTable | None],
-        pool: ConnectionPool,
-        codec: OrderCodec,
+        questions: TargetQuestions,
         has_left: Callable[[Target], bool],
     ) -> None:
         self.lease = lease
         self.targets = targets
         self.routing = routing
-        self.pool = pool
-        self.codec = codec
+        self.questions = questions
         self.has_left = has_left
         self.pending: dict[tuple[str, int], PendingOrder] = {}
+        self.gap_since: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     def run(self) -> None:
@@ -142,29 +101,41 @@
             for row in self.targets.serving(service.name)
             if now - row.heard_at < STALE_SECONDS and not self.has_left(row)
         ]
-        if any(now - row.first_heard_at < SETTLE_SECONDS for row in rows):
+        settling = sum(now - x.first_heard_at < SETTLE_SECONDS for x in rows)
+        if settling > SETTLING_PART * len(rows):
             return
         holders = [self.build_holder(row) for row in rows]
         plan = plan_stages(service.engine, holders)
+        if not plan:
+            plan = self.plan_lasting_moves(service, holders, now)
         for row in rows:
             layers = plan.get(row.report.target_id)
             if layers is not None:
                 self.start_order(service, row, layers, now)
 
+    def plan_lasting_moves(
+        self, service: BackendService, holders: list[StageHolder], now: float
+    ) -> dict[str, LayerRange]:
+        """Returns moves into gaps that have lasted for a while."""
+        moves = plan_moves(service.engine, holders)
+        if not moves:
+            self.gap_since.pop(service.name, None)
+            return {}
+        since = self.gap_since.setdefault(service.name, now)
+        if now - since < GAP_SECONDS:
+            return {}
+        return moves
+
     def build_holder(self, row: Target) -> StageHolder:
-        """Returns a target as the plan sees it."""
+        """Returns a target as the plan sees it; orders count as done."""
         report = row.report
-        layers = None
-        if report.last_layer >= report.first_layer:
-            layers = LayerRange(
-                first=report.first_layer, end=report.last_layer + 1
-            )
+        layers = find_held(row)
         key = (report.target_id, report.incarnation)
-        if key in self.pending:
-            if layers is None:
-                layers = self.pending[key].layers
-            else:
+        pending = self.pending.get(key)
+        if pending is not None:
+            if layers == pending.layers:
                 del self.pending[key]
+            layers = pending.layers
         return StageHolder(
             target_id=report.target_id,
             data_centre=report.data_centre,
@@ -183,47 +154,54 @@
         report = row.report
         engine = service.engine
         part = (layers.end - layers.first) / engine.layers
-        self.pending[report.target_id, report.incarnation] = PendingOrder(
+        key = (report.target_id, report.incarnation)
+        self.pending[key] = PendingOrder(
             layers=layers,
             expires_at=now + engine.load_s * part + RETRY_MARGIN_SECONDS,
         )
-        task = asyncio.create_task(self.order(row, layers))
+        task = asyncio.create_task(self.run_order(row, layers, key))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def order(self, row: Target, layers: LayerRange) -> None:
-        """Asks an engine for its state and orders it to load layers."""
+    async def run_order(
+        self, row: Target, layers: LayerRange, key: tuple[str, int]
+    ) -> None:
+        """Gives an order; one that has no effect may be given again."""
+        if not await self.order(row, layers):
+            self.pending.pop(key, None)
+
+    async def order(self, row: Target, layers: LayerRange) -> bool:
+        """Asks an engine for its state and orders it to hold layers.
+
+        Returns:
+            Whether the engine holds or loads them now, as far as is known.
+        """
         report = row.report
         address = report.address
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_SECONDS):
-                question = self.codec.build_question(address)
-                _, body = await self.ask(address, question, b"")
-                state = self.codec.decode_state(address, body)
-                if state.busy or state.layers is not None:
+                state = await self.questions.ask_state(address)
+                if state.busy or state.layers != find_held(row):
                     log.info(
-                        "order not needed",
+                        "order not given",
                         target=report.target_id,
                         busy=state.busy,
                         layers=state.layers,
                     )
-                    return
+                    return state.busy
                 if not self.lease.held(asyncio.get_running_loop().time()):
-                    return
-                status, _ = await self.ask(
+                    return False
+                status = await self.questions.order_layers(
                     address,
-                    self.codec.build_order(address),
-                    self.codec.encode_order(
-                        layers,
-                        fence=self.lease.fencing_token,
-                        expected=state.orders,
-                    ),
+                    layers,
+                    fence=self.lease.fencing_token,
+                    expected=state.orders,
                 )
         except (RouterError, TimeoutError) as error:
             log.warning(
                 "order failed", target=report.target_id, error=str(error)
             )
-            return
+            return False
         log.info(
             "order accepted" if status in ACCEPTED else "order refused",
             target=report.target_id,
@@ -235,23 +213,12 @@
             orders=state.orders,
             status=status,
         )
+        return status in ACCEPTED
 
-    async def ask(
-        self, address: str, head: RequestHead, body: bytes
-    ) -> tuple[int, bytes]:
-        """Sends a request and returns status and body.
 
-        Raises:
-            RouterError: If there is no whole answer.
-        """
-        connection = await self.pool.take(
-            address, timeout_s=ORDER_TIMEOUT_SECONDS
-        )
-        sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
-        try:
-            connection.send(head, body, sink)
-            await sink.done
-        finally:
-            if not sink.done.done() or sink.done.cancelled():
-                connection.cancel()
-        return sink.head.status, sink.body
+def find_held(row: Target) -> LayerRange | None:
+    """Returns the layers that a target reports; None when it is empty."""
+    report = row.report
+    if report.last_layer < report.first_layer:
+        return None
+    return LayerRange(first=report.first_layer, end=report.last_layer + 1)
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -30,13 +30,14 @@
 from rattanroute.systems.stagechoices import Demand
 from rattanroute.systems.stagechoices import StageChooser
 
-CONNECT_SECONDS = 0.5
+# A connection within a region takes a few milliseconds.
+CONNECT_SECONDS = 0.25
 MAX_SENDS = 5
 MAX_FAILURE_BYTES = 65_536
 # A stream without an event for so long is looked into. Callers give up after
 # about two seconds without an event, and a repair takes up to half a second.
-FIRST_EVENT_SECONDS = 1.0
-EVENT_GAP_SECONDS = 0.7
+FIRST_EVENT_SECONDS = 0.6
+EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is broken off.
 DEADLINE_MARGIN_SECONDS = 0.1
 OK = 200
@@ -52,12 +53,14 @@
     Attributes:
         call: The call.
         last_event_id: Identifier of the last event that was passed on.
-        head: Head of the first answer; later ones are not shown.
+    head: Head of the first answer; later ones are not shown.
+        event_at: Time of the latest event.
     """
 
     call: Call
     last_event_id: bytes = b""
     head: ResponseHead | None = None
+    event_at: float = 0.0
 
 
 class StreamSink(ResponseSink):
@@ -121,7 +124,7 @@
         events = self.splitter.feed(data)
         if not events:
             return
-        self.event_at = self.loop.time()
+        self.note_event()
         passed = []
         for event in events:
             if not self.accept(event.event_id):
@@ -135,6 +138,17 @@
         if not self.state.call.exchange.writable:
             self.connection.pause()
 
+    def note_event(self) -> None:
+        """Measures the time since the start or the last event."""
+        now = self.loop.time()
+        call = self.state.call
+        if not call.exchange.started:
+            call.first_event_s = now - call.exchange.received_at
+        else:
+            gap = now - self.state.event_at
+            call.longest_gap_s = max(call.longest_gap_s, gap)
+        self.event_at = self.state.event_at = now
+
     def accept(self, event_id: bytes) -> bool:
         """Whether an event is the next one for the caller."""
         known = number_of(self.state.last_event_id)
@@ -196,6 +210,7 @@
         ender: Ends calls without an answer.
         inspector: Finds the target at which a stream stalls.
         vms: Returns the number of VMs that share the budget.
+        following: Chains and sinks of the attempts that are open.
     """
 
     codec: HeaderCodec
@@ -206,6 +221,15 @@
     ender: CallEnder
     inspector: StallInspector
     vms: Callable[[], int]
+    following: set[tuple[tuple[ChainHop, ...], StreamSink]] = dataclasses.field(
+        default_factory=set
+    )
+
+    def leave_target(self, target_id: str) -> None:
+        """Ends the attempts whose chain contains a target that is gone."""
+        for chain, sink in list(self.following):
+            if any(hop.target_id == target_id for hop in chain):
+                sink.finish(Unknown(reason=f"target {target_id} is gone"))
 
     async def forward(self, call: Call) -> None:
         """Sends a call to engines and answers the caller."""
@@ -218,8 +242,15 @@
             now = loop.time()
             self.selector.detections.wake(now)
             demand = build_demand(call)
+            starts = None
+            if len(call.ran_on) >= call.route.max_attempts:
+                starts = frozenset(call.ran_on)
             chain = self.chooser.choose(
-                call.service, demand, excluded=frozenset(excluded), now=now
+                call.service,
+                demand,
+                excluded=frozenset(excluded),
+                starts=starts,
+                now=now,
             )
             if not chain or not self.take_budget(call, now):
                 break
@@ -239,8 +270,6 @@
         """Whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
             return False
-        if call.attempts >= call.route.max_attempts:
-            return False
         return call.route.repeatable or not call.may_have_run
 
     def take_budget(self, call: Call, now: float) -> bool:
@@ -309,9 +338,11 @@
         sink = StreamSink(state=state, codec=self.codec, connection=connection)
         call.exchange.on_writable = connection.resume
         try:
+            self.following.add((chain, sink))
             self.send(call, state, chain, connection, sink)
             outcome = await self.follow(call, chain, sink, excluded)
         finally:
+            self.following.discard((chain, sink))
             if connection.parser.receiver is not None:
                 connection.cancel()
         self.note_health(call, chain, sink, outcome, excluded)
@@ -381,23 +412,24 @@
             for hop in chain:
                 self.selector.note_success(hop.target_id, now)
             return
-        if isinstance(outcome, Answered):
-            call.attempts += 1
-            return
         if isinstance(outcome, NotRun):
             self.note_not_run(call, chain, sink, excluded)
             return
         call.may_have_run = True
-        if outcome.timed_out:
-            call.attempts += 1
+        call.ran_on.add(chain[0].target_id)
+        if isinstance(outcome, Answered) or outcome.timed_out:
             return
-        ended = sink.connection.transport.is_closing()
-        if not ended or excluded.isdisjoint(x.target_id for x in chain):
-            call.attempts += 0 if ended else 1
+        gone = [hop.target_id for hop in chain if self.is_gone(hop)]
+        excluded.update(gone)
         if excluded.isdisjoint(hop.target_id for hop in chain):
             excluded.add(chain[0].target_id)
             self.selector.note_failure(chain[0].target_id, now=now)
 
+    def is_gone(self, hop: ChainHop) -> bool:
+        """Whether a target of a chain is known not to answer."""
+        target = self.selector.targets.get(hop.target_id)
+        return target is None or not target.reachable
+
     def note_not_run(
         self,
         call: Call,
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import re
@@ -35,7 +36,13 @@
 
 @dataclasses.dataclass(kw_only=True)
 class ConnectError(RouterError):
-    """A connection could not be opened; nothing was sent."""
+    """A connection could not be opened; nothing was sent.
+
+    Attributes:
+        refused: Whether the machine refused it.
+    """
+
+    refused: bool = False
 
 
 class ResponseSink:
@@ -68,6 +75,7 @@
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self.uses = 0
         self.pool: ConnectionPool | None = None
+        self.kept = False
 
     # Callbacks of the transport.
 
@@ -100,8 +108,10 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tells the open request that its connection broke."""
+        """Tells the open request, or the pool, that the connection broke."""
         self.usable = False
+        if self.kept and self.pool is not None:
+            self.pool.note_lost(self)
         self.fail(
             RouterError(
                 step="read response",
@@ -182,9 +192,15 @@
 
 
 class ConnectionPool:
-    """Open connections by address."""
+    """Open connections by address.
+
+    Attributes:
+        idle: Connections without a request, the latest used last.
+        on_idle_lost: Called with the address when a target closes one.
+    """
 
     def __init__(self) -> None:
+        self.on_idle_lost: Callable[[str], None] | None = None
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.opened = 0
 
@@ -218,6 +234,7 @@
                 step="connect",
                 peer=address,
                 message=str(error) or "timed out",
+                refused=isinstance(error, ConnectionRefusedError),
             ) from error
         connection.pool = self
         return connection
@@ -228,6 +245,7 @@
         now = asyncio.get_running_loop().time()
         while kept:
             connection = kept.pop()
+            connection.kept = False
             age = now - connection.idle_since
             if connection.usable and age < connection.idle_seconds:
                 return connection
@@ -242,8 +260,23 @@
         connection.idle_since = connection.loop.time()
         kept = self.idle.setdefault(connection.address, collections.deque())
         kept.append(connection)
+        connection.kept = True
         if len(kept) > MAX_IDLE_PER_ADDRESS:
-            kept.popleft().close()
+            self.drop(kept.popleft())
+
+    def drop(self, connection: ClientConnection) -> None:
+        """Closes a connection that is no longer kept."""
+        connection.kept = False
+        connection.close()
+
+    def note_lost(self, connection: ClientConnection) -> None:
+        """Notes that a target closed a kept connection."""
+        connection.kept = False
+        kept = self.idle.get(connection.address)
+        if kept is not None and connection in kept:
+            kept.remove(connection)
+        if self.on_idle_lost is not None:
+            self.on_idle_lost(connection.address)
 
     def sweep(self) -> None:
         """Closes connections that have been idle too long."""
@@ -253,7 +286,7 @@
                 not kept[0].usable
                 or now - kept[0].idle_since >= kept[0].idle_seconds
             ):
-                kept.popleft().close()
+                self.drop(kept.popleft())
             if not kept:
                 del self.idle[address]
 
@@ -261,7 +294,7 @@
         """Closes all idle connections."""
         for kept in self.idle.values():
             for connection in kept:
-                connection.close()
+                self.drop(connection)
         self.idle.clear()
 
 
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -12,8 +12,10 @@
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
 from rattanroute.gateway.handlers import GatewayHandler
+from rattanroute.gateway.inspectors import TargetInspector
 from rattanroute.gateway.manifests import RoutingView
 from rattanroute.gateway.outcomes import CallEnder
+from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.gateway.selectors import TargetSelector
 from rattanroute.gateway.services import ServiceForwarder
 from rattanroute.gateway.stageorders import StageOrderer
@@ -31,8 +33,6 @@
 from rattanroute.platform.control import ControlHandler
 from rattanroute.platform.headers import PlatformHeaders
 from rattanroute.platform.manifests import decode_manifest
-from rattanroute.platform.replicas import build_report_request
-from rattanroute.platform.replicas import decode_stalled
 from rattanroute.platform.replicas import PlatformOrders
 from rattanroute.platform.settings import Boot
 from rattanroute.platform.settings import build_settings
@@ -42,9 +42,11 @@
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.detections import DetectionSystem
 from rattanroute.systems.engineloads import EngineLoadSystem
+from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.systems.stagechoices import StageChooser
 from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetTable
 
 READY_PATH = b"/rattanroute/ready"
@@ -53,8 +55,9 @@
 LEAVE_ROTATION_SECONDS = 2.5
 # Time before SIGKILL at which a stopping process ends what is left.
 EXIT_MARGIN_SECONDS = 0.6
-STATUS_SECONDS = 0.5
+STATUS_SECONDS = 0.1
 PLAN_SECONDS = 0.5
+INSPECT_SECONDS = 0.1
 # A front that has a manifest takes callers after this time even when it has
 # not heard of a target of each service.
 TARGETS_WAIT_SECONDS = 3.0
@@ -118,7 +121,16 @@
             configuration=self.control.configurations.replica.configuration,
             decode=self.decode,
         )
+        self.inspections = InspectionSystem(
+            vm_id=self.vm_id,
+            data_centre=boot.zone,
+            voter=self.control.settings.storage.voter,
+            targets=self.targets,
+            members=self.control.membership.alive,
+        )
+        self.questions = TargetQuestions(pool=self.pool, codec=PlatformOrders())
         self.control.add(self.departures)
+        self.control.add(self.inspections)
         self.control.add(self.reports)
         self.servers: list[HttpServer] = []
         self.stopping = False
@@ -204,17 +216,21 @@
         self.limits = RequestLimits()
         self.configured_at: float | None = None
         self.ready = False
+        self.settled = asyncio.Event()
+        self.usable: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
+        self.inspections.on_unreachable = self.leave_target
 
     def build_handler(self) -> GatewayHandler:
         """Builds the path of a request."""
         codec = PlatformHeaders()
         bounds = self.boot.bounds
-        selector = TargetSelector(
+        self.selector = selector = TargetSelector(
             data_centre=self.boot.zone,
             targets=self.targets,
             detections=DetectionSystem(targets=self.targets),
             has_departed=self.departures.covers,
+            suspect=self.suspect,
             random=self.random,
         )
         budget = RepeatBudget(
@@ -231,7 +247,7 @@
             ender=ender,
             vms=self.control.count_servers,
         )
-        streams = StreamForwarder(
+        self.streams = streams = StreamForwarder(
             codec=codec,
             pool=self.pool,
             selector=selector,
@@ -241,14 +257,12 @@
                 loads=self.loads,
                 random=self.random,
                 is_usable=selector.is_usable,
+                vms=self.control.count_servers,
             ),
             budget=budget,
             ender=ender,
             inspector=StallInspector(
-                pool=self.pool,
-                selector=selector,
-                build_request=build_report_request,
-                decode=decode_stalled,
+                questions=self.questions, selector=selector
             ),
             vms=self.control.count_servers,
         )
@@ -258,8 +272,19 @@
             services=services,
             streams=streams,
             random=self.random,
+            settled=self.settled,
         )
 
+    def leave_target(self, target_id: str) -> None:
+        """Moves streams away from a target that is gone."""
+        log.info("target gone", target=target_id)
+        self.streams.leave_target(target_id)
+
+    def suspect(self, target: Target) -> None:
+        """Asks the core to look at a target that failed a request."""
+        now = asyncio.get_running_loop().time()
+        self.control.host.execute(self.inspections.suspect(target, now))
+
     async def start(self) -> None:
         """Opens the listeners and starts the work."""
         await self.start_control()
@@ -280,14 +305,30 @@
             self.limits.max_body_bytes = table.limits.max_body_bytes
             self.limits.head_seconds = table.limits.head_s
             self.limits.idle_seconds = table.limits.idle_s
+        self.log_targets(now)
         ready = self.find_ready(now)
         if ready != self.ready:
             log.info(
                 "readiness changed", ready=ready, targets=len(self.targets)
             )
         self.ready = ready
+        if ready:
+            self.settled.set()
         self.control.set_status(ready=ready, draining=self.stopping)
 
+    def log_targets(self, now: float) -> None:
+        """Logs how many targets may get work, when that has changed."""
+        usable: dict[tuple[str, str], int] = {}
+        for target in self.targets:
+            key = (target.report.model, target.report.data_centre)
+            usable.setdefault(key, 0)
+            usable[key] += self.selector.is_usable(target, now)
+        if usable == self.usable:
+            return
+        self.usable = usable
+        counts = (f"{a}@{b}:{count}" for (a, b), count in usable.items())
+        log.info("usable targets", targets=",".join(sorted(counts)))
+
     def find_ready(self, now: float) -> bool:
         """Whether this process takes requesters."""
         table = self.routing.table
@@ -356,13 +397,20 @@
             lease=LeaderLease(consensus=self.control.configurations.consensus),
             targets=self.targets,
             routing=self.routing.current,
-            pool=self.pool,
-            codec=PlatformOrders(),
+            questions=self.questions,
             has_left=lambda row: (
                 row.report.leaving or self.departures.covers(row.report)
             ),
         )
 
+        self.inspector = TargetInspector(
+            system=self.inspections,
+            questions=self.questions,
+            execute=self.control.host.execute,
+            is_engine=lambda row: row.report.total_layers > 0,
+        )
+        self.pool.on_idle_lost = self.inspector.note_lost_link
+
     async def start(self) -> None:
         """Opens the listeners and starts the work."""
         await self.start_control()
@@ -371,6 +419,7 @@
             self.boot.listen.control, self.handler.handle, limits
         )
         self.control.repeat(PLAN_SECONDS, self.orderer.run)
+        self.control.repeat(INSPECT_SECONDS, self.inspector.run)
         self.control.set_status(ready=True, draining=False)
 
     async def stop(self) -> None:
--- a/rattanroute/platform/manifests.py
+++ b/rattanroute/platform/manifests.py
@@ -19,6 +19,7 @@
 MILLISECOND = 0.001
 MEGABYTE = 1e6
 PER_THOUSAND = 1e-3
+BYTES_PER_MEGABIT = 125_000.0
 
 KINDS = {
     "safe": RouteKind.REPEATABLE,
@@ -99,6 +100,8 @@
     token_bytes: float = msgspec.field(name="kvTokenBytes", default=0.0)
     layers: int = 0
     layer_mb: float = msgspec.field(name="layerMb", default=0.0)
+    activation_bytes: float = msgspec.field(name="activationBytes", default=0.0)
+    pipe_mbps: float = msgspec.field(name="pipeMbps", default=0.0)
     loads_at_once: int = 1
     delays: list[DelayDocument] = []
     usual: UsualDocument = UsualDocument()
@@ -301,6 +304,8 @@
         typical_answer=item.usual.answer,
         link_seconds=delays,
         accelerators=accelerators,
+        activation_bytes=item.activation_bytes,
+        pipe_bytes_per_s=item.pipe_mbps * BYTES_PER_MEGABIT,
         stall_s=stall_s,
     )
 
--- a/rattanroute/platform/replicas.py
+++ b/rattanroute/platform/replicas.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from rattanroute.errors import RouterError
-from rattanroute.gateway.stageorders import EngineState
-from rattanroute.gateway.stalls import StalledRequest
+from rattanroute.gateway.questions import EngineState
+from rattanroute.gateway.questions import StalledRequest
 from rattanroute.http1.heads import RequestHead
 from rattanroute.systems.stageplans import LayerRange
 from rattanroute.tables.routes import BackendService
@@ -160,24 +160,16 @@
         raise refuse(address, str(error)) from error
 
 
-def decode_stalled(data: bytes) -> list[StalledRequest]:
-    """Returns the requests that a replica holds up for others.
-
-    Raises:
-        BeatError: If the state cannot be read.
-    """
-    return [
-        StalledRequest(request_id=item.id, address=item.address)
-        for item in decode_report("", data).stalled
-    ]
-
-
 class PlatformOrders:
     """Questions and orders to replicas."""
 
     def build_question(self, address: str) -> RequestHead:
         """Returns the head of the question for a replica's state."""
-        return build_report_request(address)
+        return RequestHead(
+            method=b"GET",
+            target=REPORT_PATH,
+            headers=[(b"Host", address.encode())],
+        )
 
     def decode_state(self, address: str, data: bytes) -> EngineState:
         """Decodes a replica's state.
@@ -189,58 +181,42 @@
         return EngineState(
             orders=report.sequence,
             busy=report.busy,
+            pace=report.pace,
             layers=find_layers(report.layers),
+            stalled=tuple(
+                StalledRequest(request_id=item.id, address=item.address)
+                for item in report.stalled
+            ),
         )
 
     def build_order(self, address: str) -> RequestHead:
         """Returns the head of an order."""
-        return build_order_request(address)
+        return RequestHead(
+            method=b"POST",
+            target=ORDER_PATH,
+            headers=[
+                (b"Host", address.encode()),
+                (b"Content-Type", b"application/json"),
+            ],
+        )
 
     def encode_order(
         self, layers: LayerRange, *, fence: int, expected: int
     ) -> bytes:
-        """Encodes the order to hold some layers."""
-        return encode_place_order(layers, fence=fence, expected=expected)
-
-
-def build_report_request(address: str) -> RequestHead:
-    """Returns the head of the question for a replica's state."""
-    return RequestHead(
-        method=b"GET",
-        target=REPORT_PATH,
-        headers=[(b"Host", address.encode())],
-    )
+        """Encodes the order to hold some layers.
 
-
-def build_order_request(address: str) -> RequestHead:
-    """Returns the head of an order to a replica."""
-    return RequestHead(
-        method=b"POST",
-        target=ORDER_PATH,
-        headers=[
-            (b"Host", address.encode()),
-            (b"Content-Type", b"application/json"),
-        ],
-    )
-
-
-def encode_place_order(
-    layers: LayerRange, *, fence: int, expected: int
-) -> bytes:
-    """Encodes the order to hold some layers.
-
-    Args:
-        layers: The layers.
-        fence: Fencing token of the sender.
-        expected: Orders that the replica has accepted so far.
-    """
-    return msgspec.json.encode(
-        {
-            "operation": "place",
-            "from": layers.first,
-            "to": layers.end,
-            "mode": "wait",
-            "fence": fence,
-            "expected": expected,
-        }
-    )
+        Args:
+            layers: The layers.
+            fence: Fencing token of the sender.
+            expected: Orders that the replica has accepted so far.
+        """
+        return msgspec.json.encode(
+            {
+                "operation": "place",
+                "from": layers.first,
+                "to": layers.end,
+                "mode": "wait",
+                "fence": fence,
+                "expected": expected,
+            }
+        )
--- a/rattanroute/systems/stagechoices.py
+++ b/rattanroute/systems/stagechoices.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import itertools
 import math
 import random as randoms
 
@@ -30,6 +31,10 @@
 JITTER = 0.05
 # Makes the search prefer fewer hops among equal chains.
 HOP_SECONDS = 0.001
+# Part of the pipe between data centres that chains may fill; the rest covers
+# answers that are longer than expected and bursts of transfers.
+PIPE_PART = 0.4
+PIPE_BURST_SECONDS = 2.0
 # Factor on the expected time of a target whose last attempts failed.
 SUSPECT_FACTOR = 3.0
 
@@ -54,6 +59,43 @@
         return self.prompt_tokens + self.answer_tokens
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PipeMeter:
+    """Bounds what this VM sends over the pipe between data centres.
+
+    The pipe passes one transfer after the other: once it is full, every
+    chain that crosses it stands still.
+
+    Attributes:
+        level: Bytes that may be sent now.
+        updated_at: Time of the level.
+    """
+
+    level: float = 0.0
+    updated_at: float = float("-inf")
+
+    def take(self, size: float, *, rate: float, vms: int, now: float) -> bool:
+        """Takes bytes from the share of this VM if they are left.
+
+        Args:
+            size: Bytes to send.
+            rate: Rate of the pipe, in bytes per second; 0 for no limit.
+            vms: VMs that share the pipe.
+            now: Time in seconds.
+        """
+        if not rate:
+            return True
+        share = PIPE_PART * rate / max(1, vms)
+        most = max(share * PIPE_BURST_SECONDS, size)
+        elapsed = min(now - self.updated_at, PIPE_BURST_SECONDS)
+        self.level = min(most, self.level + share * elapsed)
+        self.updated_at = now
+        if self.level < size:
+            return False
+        self.level -= size
+        return True
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StageChooser:
     """Chooses chains.
@@ -64,6 +106,8 @@
         loads: Open requests on engines.
         random: Source of the jitter.
         is_usable: Whether a target may get new work.
+        vms: Returns the number of VMs that share the targets.
+        pipe: Bounds the work that passes between data centres.
     """
 
     data_centre: str
@@ -71,6 +115,8 @@
     loads: EngineLoadTable
     random: randoms.Random
     is_usable: Callable[[Target, float], bool]
+    vms: Callable[[], int]
+    pipe: PipeMeter = dataclasses.field(default_factory=PipeMeter)
 
     def choose(
         self,
@@ -78,6 +124,7 @@
         demand: Demand,
         *,
         excluded: frozenset[str],
+        starts: frozenset[str] | None = None,
         now: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that runs each layer once, or nothing.
@@ -89,6 +136,7 @@
             service: Service with the model of its engines.
             demand: What the request needs.
             excluded: Targets that must not be used.
+            starts: Targets that may be the first of the chain; None for any.
             now: Time in seconds.
         """
         engine = service.engine
@@ -100,11 +148,13 @@
                 continue
             candidate = self.build_candidate(target, engine, demand)
             if candidate is not None:
+                if starts is not None and candidate.target_id not in starts:
+                    candidate = keep_from_start(candidate)
                 group = centres.setdefault(target.report.data_centre, [])
                 group.append(candidate)
         path = self.find_local(engine, centres, demand)
         if path is None:
-            path = self.find_mixed(engine, centres, demand)
+            path = self.find_mixed(engine, centres, demand, now)
         if path is None:
             return ()
         return tuple(
@@ -141,16 +191,31 @@
         engine: Engine,
         centres: dict[str, list[Candidate]],
         demand: Demand,
+        now: float,
     ) -> Path | None:
-        """Returns the fastest chain over all data centres."""
+        """Returns the fastest chain over all data centres.
+
+        Returns nothing when the pipe between them has no room.
+        """
         candidates = []
+        place = {}
         for centre, group in centres.items():
             delay = engine.delay_s(self.data_centre, centre)
             link_seconds = delay * demand.answer_tokens
             candidates += [
                 dataclasses.replace(x, link_seconds=link_seconds) for x in group
             ]
-        return find_chain(candidates, 0, engine.layers)
+            place.update((x.target_id, centre) for x in group)
+        path = find_chain(candidates, 0, engine.layers)
+        if path is None:
+            return None
+        hops = [place[x.target_id] for x, _, _ in path.steps()]
+        crossings = sum(a != b for a, b in itertools.pairwise(hops))
+        size = crossings * demand.tokens * engine.activation_bytes
+        rate = engine.pipe_bytes_per_s
+        if not self.pipe.take(size, rate=rate, vms=self.vms(), now=now):
+            return None
+        return path
 
     def build_candidate(
         self, target: Target, engine: Engine, demand: Demand
@@ -169,7 +234,7 @@
         seconds = estimate_layer_seconds(engine, accelerator, load, demand)
         if target.health is not TargetHealth.HEALTHY:
             seconds *= SUSPECT_FACTOR
-        seconds *= 1 + JITTER * self.random.random()
+        seconds *= target.pace * (1 + JITTER * self.random.random())
         return Candidate(
             target_id=report.target_id,
             address=report.address,
@@ -180,6 +245,11 @@
         )
 
 
+def keep_from_start(candidate: Candidate) -> Candidate:
+    """Returns a candidate that cannot be the first of a chain."""
+    return dataclasses.replace(candidate, first=max(1, candidate.first))
+
+
 def cache_capacity(
     engine: Engine, accelerator: Accelerator, layers: int
 ) -> float:
--- a/rattanroute/systems/stageplans.py
+++ b/rattanroute/systems/stageplans.py
@@ -82,30 +82,95 @@
     return 0
 
 
-def plan_stages(
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlanGroup:
+    """Targets that are to hold all layers together.
+
+    Attributes:
+        holders: The targets, fast ones first.
+        requests: Requests at once for which they are planned.
+    """
+
+    holders: list[StageHolder]
+    requests: int
+
+
+def group_holders(
     engine: Engine, holders: Iterable[StageHolder]
-) -> dict[str, LayerRange]:
-    """Returns the layers that each empty target should load."""
+) -> list[PlanGroup]:
+    """Returns the data centres that serve by themselves, and the rest."""
     known = [x for x in holders if x.accelerator in engine.accelerators]
     known.sort(key=lambda x: (rank_speed(engine, x), x.target_id))
     centres: dict[str, list[StageHolder]] = {}
     for holder in known:
         centres.setdefault(holder.data_centre, []).append(holder)
-    plan: dict[str, LayerRange] = {}
+    groups = []
     shared: list[StageHolder] = []
     for centre in sorted(centres):
-        group = centres[centre]
-        kinds = [engine.accelerators[x.accelerator] for x in group]
+        members = centres[centre]
+        kinds = [engine.accelerators[x.accelerator] for x in members]
         requests = choose_requests(engine, kinds)
         if requests:
-            plan.update(fill_gaps(engine, group, requests))
+            groups.append(PlanGroup(holders=members, requests=requests))
         else:
-            shared.extend(group)
+            shared.extend(members)
     if shared:
-        plan.update(fill_gaps(engine, shared, SHARED_REQUESTS))
+        groups.append(PlanGroup(holders=shared, requests=SHARED_REQUESTS))
+    return groups
+
+
+def plan_stages(
+    engine: Engine, holders: Iterable[StageHolder]
+) -> dict[str, LayerRange]:
+    """Returns the layers that each empty target should load."""
+    plan: dict[str, LayerRange] = {}
+    for group in group_holders(engine, holders):
+        plan.update(fill_gaps(engine, group.holders, group.requests))
     return plan
 
 
+def plan_moves(
+    engine: Engine, holders: Iterable[StageHolder]
+) -> dict[str, LayerRange]:
+    """Returns other layers for targets whose own ones are held twice.
+
+    They fill layers that no target of their data centre holds.
+    """
+    plan: dict[str, LayerRange] = {}
+    for group in group_holders(engine, holders):
+        plan.update(move_into_gaps(engine, group))
+    return plan
+
+
+def move_into_gaps(engine: Engine, group: PlanGroup) -> dict[str, LayerRange]:
+    """Returns the moves of one group."""
+    copies = count_copies(engine, group.holders)
+    plan: dict[str, LayerRange] = {}
+    for holder in reversed(group.holders):
+        if min(copies) > 0:
+            break
+        held = holder.layers
+        if held is None or min(copies[held.first : held.end]) < 2:
+            continue
+        accelerator = engine.accelerators[holder.accelerator]
+        width = measure_width(engine, accelerator, group.requests)
+        part = find_least_held(copies, width)
+        for layer in range(held.first, held.end):
+            copies[layer] -= 1
+        add_copy(copies, part)
+        plan[holder.target_id] = part
+    return plan
+
+
+def count_copies(engine: Engine, holders: list[StageHolder]) -> list[int]:
+    """Returns by how many targets each layer is held."""
+    copies = [0] * engine.layers
+    for holder in holders:
+        if holder.layers is not None:
+            add_copy(copies, holder.layers)
+    return copies
+
+
 def rank_speed(engine: Engine, holder: StageHolder) -> float:
     """Returns how slow the kind of a target is."""
     return engine.accelerators[holder.accelerator].step_factor
@@ -115,10 +180,7 @@
     engine: Engine, group: list[StageHolder], requests: int
 ) -> dict[str, LayerRange]:
     """Gives each empty target the layers that the fewest others hold."""
-    copies = [0] * engine.layers
-    for holder in group:
-        if holder.layers is not None:
-            add_copy(copies, holder.layers)
+    copies = count_copies(engine, group)
     plan = {}
     for holder in group:
         if holder.layers is not None:
--- a/rattanroute/tables/routes.py
+++ b/rattanroute/tables/routes.py
@@ -102,6 +102,9 @@
         typical_answer: Mean tokens of an answer.
         link_seconds: One-way delay by pair of data centres.
         accelerators: Kinds of accelerators by name.
+        activation_bytes: Bytes that a target passes on for each token.
+        pipe_bytes_per_s: Rate of the links between data centres, which all
+            chains share; 0 when not limited.
         stall_s: Time after which work that depends on a dead target ends.
     """
 
@@ -124,6 +127,8 @@
     accelerators: dict[str, Accelerator] = dataclasses.field(
         default_factory=dict
     )
+    activation_bytes: float = 0.0
+    pipe_bytes_per_s: float = 0.0
     stall_s: float = 2.0
 
     def delay_s(self, source: str, destination: str) -> float:
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -116,6 +116,9 @@
         ejected_at: Time of the last ejection.
         prefixes: Indexed part of the reported cached prefixes.
         keys: Pools that contain the target.
+        pace: Factor on the usual time of its steps, as an inspection found.
+        reachable: Whether it answered its inspections.
+        state_until: End of `pace` and `reachable`; 0 when they are unknown.
     """
 
     report: TargetReport
@@ -139,6 +142,9 @@
     ejected_at: float = 0.0
     prefixes: tuple[int, ...] = ()
     keys: tuple[PoolKey, ...] = ()
+    pace: float = 1.0
+    reachable: bool = True
+    state_until: float = 0.0
 
     @property
     def load(self) -> int:
@@ -369,3 +375,6 @@
     row.health = TargetHealth.HEALTHY
     row.slowness = 1.0
     row.samples = 0
+    row.pace = 1.0
+    row.reachable = True
+    row.state_until = 0.0
