--- a/rattanroute/gateway/stageorders.py
+++ b/rattanroute/gateway/stageorders.py
@@ -24,7 +24,7 @@
 SETTLING_PART = 0.25
 # Time for which a layer must be missing in a data centre before engines move:
 # one that restarts fills its own gap.
-GAP_SECONDS = 2.0
+GAP_SECONDS = 0.5
 # An order without effect after the expected time of loading and this margin
 # is given again.
 RETRY_MARGIN_SECONDS = 6.0
@@ -79,6 +79,8 @@
         self.has_left = has_left
         self.pending: dict[tuple[str, int], PendingOrder] = {}
         self.gap_since: dict[str, float] = {}
+        # Targets, by service, for which there was nothing to do.
+        self.complete: dict[str, list[StageHolder]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     def run(self) -> None:
@@ -99,12 +101,16 @@
         rows = [
             row
             for row in self.targets.serving(service.name)
-            if now - row.heard_at < STALE_SECONDS and not self.has_left(row)
+            if now - row.heard_at < STALE_SECONDS
+            and row.reachable
+            and not self.has_left(row)
         ]
         settling = sum(now - x.first_heard_at < SETTLE_SECONDS for x in rows)
         if settling > SETTLING_PART * len(rows):
             return
         holders = [self.build_holder(row) for row in rows]
+        if self.complete.get(service.name) == holders:
+            return
         plan = plan_stages(service.engine, holders)
         if not plan:
             plan = self.plan_lasting_moves(service, holders, now)
@@ -120,6 +126,7 @@
         moves = plan_moves(service.engine, holders)
         if not moves:
             self.gap_since.pop(service.name, None)
+            self.complete[service.name] = holders
             return {}
         since = self.gap_since.setdefault(service.name, now)
         if now - since < GAP_SECONDS:
--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -190,6 +190,8 @@
         surplus: Whether bytes arrived that no request asked for.
         until_close: Whether the body ends with the connection.
         started: Whether bytes of the current response arrived.
+        keep_alive: Whether the connection may be used again after the last
+            complete response.
     """
 
     def __init__(self) -> None:
@@ -206,6 +208,7 @@
         self.head_bytes = 0
         self.until_close = False
         self.in_body = False
+        self.keep_alive = False
         self.started = False
         self.is_interim = False
 
@@ -241,11 +244,6 @@
                 step="read response", message="the head is too long"
             )
 
-    @property
-    def keep_alive(self) -> bool:
-        """Whether the connection may be used again after this response."""
-        return not self.until_close and self.parser.should_keep_alive()
-
     def finish(self) -> bool:
         """Notes the end of the connection.
 
@@ -306,6 +304,7 @@
         if self.is_interim:
             return
         self.in_body = False
+        self.keep_alive = self.parser.should_keep_alive()
         receiver, self.receiver = self.receiver, None
         if receiver is not None:
             receiver.take_end()
--- a/rattanroute/systems/stagechoices.py
+++ b/rattanroute/systems/stagechoices.py
@@ -141,7 +141,7 @@
         """
         engine = service.engine
         centres: dict[str, list[Candidate]] = {}
-        for target in self.targets.ranged.get(service.name, {}).values():
+        for target in self.targets.serving(service.name):
             if target.report.target_id in excluded:
                 continue
             if not self.is_usable(target, now):
--- a/rattanroute/systems/stageplans.py
+++ b/rattanroute/systems/stageplans.py
@@ -3,10 +3,9 @@
 Passing work between data centres takes a shared pipe and a delay for each
 token, so that each data centre gets all layers where its memory allows it.
 There the width of a target's range follows from its memory and from the
-number of requests that a chain is to hold at once: the largest number at which
-the ranges still cover the model. Fast targets come first; the targets that are
-left hold layers a second time. Targets that hold layers keep them, and a gap
-is filled by the first empty target.
+number of requests that a chain is to hold at once. Fast targets come first;
+the targets that are left hold layers a second time. Targets that hold layers
+keep them, and a gap is filled by the first empty target.
 """
 
 from collections.abc import Iterable
@@ -21,6 +20,13 @@
 # Requests at once for which targets are planned that serve with those of
 # other data centres.
 SHARED_REQUESTS = 40
+# Weight of the time of a request against the requests a second: a shorter
+# request also loses less when a target fails.
+LATENCY_WEIGHT = 0.6
+# A token that arrives at a stage waits for half of the pass under way.
+PASS_WAIT = 1.5
+# Rounds after which the spread of requests over stages changes no more.
+SPREAD_ROUNDS = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,21 +71,82 @@
 
 
 def choose_requests(engine: Engine, kinds: list[Accelerator]) -> int:
-    """Returns the most requests at once with which targets cover the model.
+    """Returns the requests at once for which ranges are planned.
+
+    More requests need narrower ranges, and so more of the slow targets: the
+    number is taken that serves the most requests a second, weighed against
+    the time of each.
 
     Args:
         engine: Model of the engines.
-        kinds: The kind of each target of a data centre.
+        kinds: The kind of each target of a data centre, fast ones first.
 
     Returns:
         The requests, at most the slots of an engine; 0 when the targets do
         not cover the model with a useful number.
     """
-    for requests in range(engine.slots, MIN_REQUESTS - 1, -1):
-        widths = (measure_width(engine, kind, requests) for kind in kinds)
-        if sum(widths) >= engine.layers:
-            return requests
-    return 0
+    best, best_value = 0, 0.0
+    for requests in range(MIN_REQUESTS, engine.slots + 1):
+        stages = build_chain(engine, kinds, requests)
+        if not stages:
+            break
+        seconds = estimate_seconds(engine, stages, requests)
+        value = requests / seconds ** (1 + LATENCY_WEIGHT)
+        if value > best_value:
+            best, best_value = requests, value
+    return best
+
+
+def build_chain(
+    engine: Engine, kinds: list[Accelerator], requests: int
+) -> list[tuple[Accelerator, int]]:
+    """Returns the first targets that cover the model, with their layers."""
+    left = engine.layers
+    stages = []
+    for kind in kinds:
+        width = min(measure_width(engine, kind, requests), left)
+        if width:
+            stages.append((kind, width))
+            left -= width
+        if not left:
+            return stages
+    return []
+
+
+def estimate_seconds(
+    engine: Engine, stages: list[tuple[Accelerator, int]], requests: int
+) -> float:
+    """Returns the time of a typical request on a chain that is full.
+
+    The requests spread over the stages by the time that they spend at each.
+    """
+    context = engine.typical_prompt + engine.typical_answer / 2
+    per_request = engine.request_step_s + engine.context_step_s * context
+    times = [1.0] * len(stages)
+    for _ in range(SPREAD_ROUNDS):
+        total = sum(times)
+        times = [
+            measure_share(engine, width)
+            * kind.step_factor
+            * (
+                engine.step_s
+                + max(1.0, requests * seconds / total) * per_request
+            )
+            * PASS_WAIT
+            for (kind, width), seconds in zip(stages, times, strict=True)
+        ]
+    reading = sum(
+        measure_share(engine, width) * kind.read_factor
+        for kind, width in stages
+    )
+    return engine.typical_prompt * engine.read_s * reading + max(
+        1.0, engine.typical_answer
+    ) * sum(times)
+
+
+def measure_share(engine: Engine, width: int) -> float:
+    """Returns the part of the model that some layers are."""
+    return width / engine.layers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -195,12 +262,19 @@
 
 
 def find_least_held(copies: list[int], width: int) -> LayerRange:
-    """Returns the first layers of which there are the fewest copies."""
+    """Returns the first layers of which there are the fewest copies.
+
+    A range that is narrower than the target's memory allows is extended over
+    layers next to it that are held once more: a target that restarts takes
+    the whole range that it had, although slower ones filled in for a part.
+    """
     least = min(copies)
     first = copies.index(least)
     end = first
     while end < len(copies) and end - first < width and copies[end] == least:
         end += 1
+    while first > 0 and end - first < width and copies[first - 1] <= least + 1:
+        first -= 1
     return LayerRange(first=first, end=end)
 
 
--- /dev/null
+++ b/rattanroute/tests/gateway_hosts.py
@@ -0,0 +1,305 @@
+"""A gateway with targets on loopback connections, for tests."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+import unittest
+
+from rattanroute.gateway.handlers import GatewayHandler
+from rattanroute.gateway.outcomes import CallEnder
+from rattanroute.gateway.questions import TargetQuestions
+from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.services import ServiceForwarder
+from rattanroute.gateway.stalls import StallInspector
+from rattanroute.gateway.streams import StreamForwarder
+from rattanroute.http1.clients import ConnectionPool
+from rattanroute.http1.heads import find_header
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.servers import Exchange
+from rattanroute.http1.servers import HttpServer
+from rattanroute.platform.headers import PlatformHeaders
+from rattanroute.platform.replicas import PlatformOrders
+from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.systems.stagechoices import StageChooser
+from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.routes import BackendService
+from rattanroute.tables.routes import index_routes
+from rattanroute.tables.routes import Route
+from rattanroute.tables.routes import RouteKind
+from rattanroute.tables.routes import RoutingTable
+from rattanroute.tables.routes import Split
+from rattanroute.tables.routes import WorkspaceKey
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.gateway_support import build_service
+from rattanroute.tests.gateway_support import LAYERS
+from rattanroute.tests.gateway_support import SERVICE
+
+DESK = "desk"
+STAMP = (b"Rattanroute-Replica-Stamp", b"s")
+
+Script = Callable[["FakeTarget", Exchange], Awaitable[None]]
+
+
+class FakeTarget:
+    """A target whose answers a test writes.
+
+    Attributes:
+        script: Answers each request; the report of an engine is answered
+            apart from it.
+        seen: Requests that arrived.
+        gone: Requests whose connection was closed before the answer.
+    """
+
+    def __init__(self, *, target_id: str, script: Script) -> None:
+        self.target_id = target_id
+        self.script = script
+        self.seen: list[Exchange] = []
+        self.gone = asyncio.Event()
+        self.report = b"{}"
+
+    async def start(self) -> None:
+        """Opens the listener."""
+        self.server = HttpServer(handler=self.handle, limits=RequestLimits())
+        await self.server.start("127.0.0.1", 0)
+        port = self.server.listener.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answers a request."""
+        if exchange.request.head.path == b"/rattanroute/report":
+            exchange.send(ResponseHead(status=200), self.report)
+            return
+        exchange.on_gone = self.gone.set
+        self.seen.append(exchange)
+        await self.script(self, exchange)
+
+    def header(self, number: int, name: bytes) -> bytes | None:
+        """Returns a header of a request that arrived."""
+        return find_header(self.seen[number].request.head.headers, name)
+
+
+def build_head(
+    exchange: Exchange, status: int = 200, **options: bool
+) -> ResponseHead:
+    """Builds the head of a target's answer."""
+    request_id = find_header(
+        exchange.request.head.headers, b"rattanroute-request-id"
+    )
+    headers = [(b"Rattanroute-Request-Id", request_id)]
+    if options.get("stamped", True):
+        headers.append(STAMP)
+    if options.get("not_run", False):
+        headers.append((b"Rattanroute-Not-Executed", b"1"))
+    return ResponseHead(status=status, headers=headers)
+
+
+def build_events(first: int, end: int) -> bytes:
+    """Builds events with the numbers from `first` to before `end`."""
+    return b"".join(
+        b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(first, end)
+    )
+
+
+@dataclasses.dataclass(kw_only=True)
+class Answer:
+    """What a caller received.
+
+    Attributes:
+        status: Status; 0 when there was none.
+        headers: Headers by lower-case name.
+        body: Decoded body.
+        complete: Whether the body was marked as complete.
+    """
+
+    status: int = 0
+    headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    complete: bool = False
+
+
+def decode_answer(data: bytes) -> Answer:
+    """Decodes what a caller received on a connection."""
+    head, separator, rest = data.partition(b"\r\n\r\n")
+    if not separator:
+        return Answer()
+    lines = head.split(b"\r\n")
+    headers = dict(line.lower().split(b": ", 1) for line in lines[1:])
+    answer = Answer(status=int(lines[0].split()[1]), headers=headers)
+    if b"content-length" in headers:
+        answer.body = rest
+        answer.complete = len(rest) == int(headers[b"content-length"])
+        return answer
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if size == b"0":
+            answer.complete = True
+            break
+        answer.body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return answer
+
+
+class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test with a gateway and targets of its own."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the gateway."""
+        self.targets = TargetTable()
+        self.pool = ConnectionPool()
+        self.suspected: list[str] = []
+        self.table = build_table()
+        self.handler = self.build_handler()
+        self.server = HttpServer(
+            handler=self.handler.handle, limits=RequestLimits()
+        )
+        await self.server.start("127.0.0.1", 0)
+        self.port = self.server.listener.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self) -> None:
+        """Closes everything."""
+        await self.server.close()
+        self.pool.close()
+
+    def build_handler(self) -> GatewayHandler:
+        """Builds the path of a request."""
+        codec = PlatformHeaders()
+        selector = TargetSelector(
+            data_centre="dc-a",
+            targets=self.targets,
+            detections=DetectionSystem(targets=self.targets),
+            has_departed=lambda report: False,
+            suspect=lambda row: self.suspected.append(row.report.target_id),
+            random=random.Random(1),
+        )
+        shared = {
+            "codec": codec,
+            "pool": self.pool,
+            "selector": selector,
+            "budget": RepeatBudget(ratio=0.2, extra=100, window_s=10),
+            "ender": CallEnder(codec=codec, random=random.Random(1)),
+            "vms": lambda: 1,
+        }
+        questions = TargetQuestions(pool=self.pool, codec=PlatformOrders())
+        self.streams = StreamForwarder(
+            **shared,
+            chooser=StageChooser(
+                data_centre="dc-a",
+                targets=self.targets,
+                loads=EngineLoadTable(),
+                random=random.Random(1),
+                is_usable=selector.is_usable,
+                vms=lambda: 1,
+            ),
+            inspector=StallInspector(questions=questions, selector=selector),
+        )
+        settled = asyncio.Event()
+        settled.set()
+        return GatewayHandler(
+            codec=codec,
+            routing=lambda: self.table,
+            services=ServiceForwarder(**shared),
+            streams=self.streams,
+            random=random.Random(1),
+            settled=settled,
+        )
+
+    async def add_target(
+        self, target_id: str, script: Script, *, service: str = DESK
+    ) -> FakeTarget:
+        """Starts a target and announces it."""
+        target = FakeTarget(target_id=target_id, script=script)
+        await target.start()
+        self.addAsyncCleanup(target.server.close)
+        layers = LAYERS if service == SERVICE else 0
+        report = TargetReport(
+            target_id=target_id,
+            address=target.address,
+            data_centre=f"dc-{target_id}" if layers else "dc-a",
+            model=service,
+            last_layer=layers - 1,
+            total_layers=layers,
+            accelerator="big" if layers else "",
+        )
+        now = asyncio.get_running_loop().time()
+        self.targets.record(report=report, observer="v", heard_at=now)
+        return target
+
+    async def call(
+        self,
+        path: str,
+        *,
+        body: bytes = b"x",
+        key: str = "k1",
+        deadline_ms: int = 3000,
+        leave_after: float | None = None,
+        extra: str = "",
+    ) -> Answer:
+        """Sends a request and returns what comes back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"Rattanroute-Request-Id: r1\r\nAuthorization: Bearer {key}\r\n"
+            f"Rattanroute-Request-Deadline: {deadline_ms}\r\n{extra}"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        data = b""
+        try:
+            async with asyncio.timeout(leave_after):
+                data = await reader.read()
+        except (TimeoutError, ConnectionError):
+            pass
+        writer.close()
+        return decode_answer(data)
+
+
+def build_table() -> RoutingTable:
+    """Builds routes of each kind."""
+    kinds = {
+        "safe": RouteKind.REPEATABLE,
+        "once": RouteKind.AT_MOST_ONCE,
+        "stream": RouteKind.STREAM,
+        "single": RouteKind.STREAM,
+    }
+    routes = [
+        Route(
+            name=name,
+            host="a.example",
+            prefix=f"/{name}/".encode(),
+            kind=kind,
+            timeout_s=3.0,
+            goal_s=0.2,
+            splits=(
+                Split(
+                    service=SERVICE if kind is RouteKind.STREAM else DESK,
+                    weight=1.0,
+                ),
+            ),
+            max_attempts=1 if name == "once" else 2,
+            resumable=name == "stream",
+        )
+        for name, kind in kinds.items()
+    ]
+    wide = build_service()
+    engine = dataclasses.replace(
+        wide.engine,
+        accelerators={
+            "big": dataclasses.replace(
+                wide.engine.accelerators["big"], memory_bytes=900e9
+            )
+        },
+    )
+    return RoutingTable(
+        revision=1,
+        routes=index_routes(routes),
+        services={
+            SERVICE: dataclasses.replace(wide, engine=engine),
+            DESK: BackendService(name=DESK, max_connections=100),
+        },
+        keys={"k1": WorkspaceKey(workspace="w1")},
+    )
--- /dev/null
+++ b/rattanroute/tests/gateway_support.py
@@ -0,0 +1,125 @@
+"""Builders of test data for the gateway."""
+
+import random
+
+from rattanroute.systems.stagechoices import StageChooser
+from rattanroute.systems.stageplans import plan_stages
+from rattanroute.systems.stageplans import StageHolder
+from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.routes import Accelerator
+from rattanroute.tables.routes import BackendService
+from rattanroute.tables.routes import Engine
+from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+LAYERS = 80
+SERVICE = "llm"
+# Memory in bytes, factor on steps, factor on reading.
+KINDS = {
+    "big": (72e9, 2.4, 3.2),
+    "middle": (43.2e9, 5.6, 2.7),
+    "small": (21.6e9, 16.0, 8.2),
+}
+CENTRES = {
+    "dc-a": {"big": 1, "middle": 6, "small": 5},
+    "dc-b": {"big": 2, "middle": 2, "small": 5},
+    "dc-c": {"big": 1, "middle": 3, "small": 8},
+}
+
+
+def build_engine(**changes: object) -> Engine:
+    """Builds the model of engines of 80 layers on three kinds of cards."""
+    values: dict[str, object] = {
+        "layers": LAYERS,
+        "layer_bytes": 1.75e9,
+        "cache_token_bytes": 1.836e6,
+        "slots": 96,
+        "step_s": 1.02e-3,
+        "request_step_s": 1.428e-5,
+        "context_step_s": 1.912e-8,
+        "read_s": 1 / 105e3,
+        "load_s": 14.0,
+        "typical_prompt": 774.0,
+        "typical_answer": 203.0,
+        "activation_bytes": 91_800.0,
+        "pipe_bytes_per_s": 2.25e9,
+        "link_seconds": {
+            (a, b): 0.0005 for a in CENTRES for b in CENTRES if a != b
+        },
+        "accelerators": {
+            name: Accelerator(
+                name=name,
+                memory_bytes=memory,
+                step_factor=step,
+                read_factor=read,
+            )
+            for name, (memory, step, read) in KINDS.items()
+        },
+    }
+    values.update(changes)
+    return Engine(**values)
+
+
+def build_service(**changes: object) -> BackendService:
+    """Builds a service of engines."""
+    return BackendService(
+        name=SERVICE, max_connections=2000, engine=build_engine(**changes)
+    )
+
+
+def build_holders(
+    centres: dict[str, dict[str, int]] | None = None,
+) -> list[StageHolder]:
+    """Builds empty engines."""
+    return [
+        StageHolder(
+            target_id=f"{centre}-{kind}-{number}",
+            data_centre=centre,
+            accelerator=kind,
+        )
+        for centre, kinds in (centres or CENTRES).items()
+        for kind, count in kinds.items()
+        for number in range(count)
+    ]
+
+
+def build_targets(
+    centres: dict[str, dict[str, int]] | None = None,
+) -> TargetTable:
+    """Builds a table of engines that hold what the plan gives them."""
+    holders = build_holders(centres)
+    plan = plan_stages(build_engine(), holders)
+    targets = TargetTable()
+    for number, holder in enumerate(holders):
+        layers = plan[holder.target_id]
+        report = TargetReport(
+            target_id=holder.target_id,
+            address=f"10.0.0.{number}:80",
+            data_centre=holder.data_centre,
+            model=SERVICE,
+            first_layer=layers.first,
+            last_layer=layers.end - 1,
+            total_layers=LAYERS,
+            accelerator=holder.accelerator,
+        )
+        targets.record(report=report, observer="v", heard_at=0.0)
+    return targets
+
+
+def build_chooser(
+    targets: TargetTable, *, data_centre: str = "dc-a", vms: int = 1
+) -> StageChooser:
+    """Builds a chooser that takes each reachable target as usable."""
+
+    def is_usable(target: Target, now: float) -> bool:
+        return target.reachable and not target.report.leaving
+
+    return StageChooser(
+        data_centre=data_centre,
+        targets=targets,
+        loads=EngineLoadTable(),
+        random=random.Random(1),
+        is_usable=is_usable,
+        vms=lambda: vms,
+    )
--- /dev/null
+++ b/rattanroute/tests/test_departures.py
@@ -0,0 +1,67 @@
+"""Tests of the notices of targets that end."""
+
+import dataclasses
+import unittest
+
+from rattanroute.systems.departures import DepartureSystem
+from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.support import build_report
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MemberStub:
+    """A live VM."""
+
+    vm_id: str
+
+
+def build_system(vm_id: str) -> DepartureSystem:
+    """Builds the system of one of two VMs, with one target."""
+    targets = TargetTable()
+    report = build_report("t1", incarnation=5, sequence=1)
+    targets.record(report=report, observer="v", heard_at=0.0)
+    return DepartureSystem(
+        vm_id=vm_id,
+        targets=targets,
+        members=lambda: [MemberStub(vm_id="a"), MemberStub(vm_id="b")],
+    )
+
+
+class DepartureTest(unittest.TestCase):
+    """Guards against work for a target after its notice was acknowledged."""
+
+    def setUp(self) -> None:
+        self.first = build_system("a")
+        self.second = build_system("b")
+
+    def test_notice_reaches_the_other_vm_at_once(self) -> None:
+        actions = self.first.announce(
+            target_id="t1", until_incarnation=5, now=1.0
+        )
+        (action,) = actions
+        self.assertEqual(action.peer, "b")
+        self.second.receive(peer="a", message=action.message, now=1.0)
+        self.assertTrue(self.second.targets.get("t1").report.leaving)
+
+    def test_lost_notice_is_repeated(self) -> None:
+        self.first.announce(target_id="t1", until_incarnation=5, now=1.0)
+        (action,) = self.first.tick(now=1.5)
+        self.second.receive(peer="a", message=action.message, now=1.5)
+        self.assertTrue(self.second.targets.get("t1").report.leaving)
+
+    def test_delayed_report_does_not_bring_the_target_back(self) -> None:
+        self.first.announce(target_id="t1", until_incarnation=5, now=1.0)
+        late = build_report("t1", incarnation=5, sequence=9)
+        self.assertTrue(self.first.covers(late))
+        self.first.targets.record(report=late, observer="v", heard_at=2.0)
+        self.first.tick(now=2.0)
+        self.assertTrue(self.first.targets.get("t1").report.leaving)
+
+    def test_notice_that_comes_before_the_first_report_holds(self) -> None:
+        self.first.announce(target_id="new", until_incarnation=8, now=1.0)
+        self.assertTrue(self.first.covers(build_report("new", incarnation=8)))
+
+    def test_restarted_target_is_welcome(self) -> None:
+        self.first.announce(target_id="t1", until_incarnation=5, now=1.0)
+        again = build_report("t1", incarnation=6)
+        self.assertFalse(self.first.covers(again))
--- /dev/null
+++ b/rattanroute/tests/test_gateway_services.py
@@ -0,0 +1,174 @@
+"""Tests of calls of plain services through the gateway."""
+
+import asyncio
+
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.servers import Exchange
+from rattanroute.tests.gateway_hosts import build_head
+from rattanroute.tests.gateway_hosts import FakeTarget
+from rattanroute.tests.gateway_hosts import GatewayTestCase
+
+
+async def answer(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers with success."""
+    exchange.send(build_head(exchange), b"body of " + target.target_id.encode())
+
+
+async def shed(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request without running it."""
+    head = build_head(exchange, 503, stamped=False, not_run=True)
+    exchange.send(head)
+
+
+async def claim_unavailable(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers 503 without the statement that it did not run."""
+    exchange.send(build_head(exchange, 503))
+
+
+async def hang_up(target: FakeTarget, exchange: Exchange) -> None:
+    """Closes the connection without an answer."""
+    exchange.abort()
+
+
+async def cut(target: FakeTarget, exchange: Exchange) -> None:
+    """Breaks the body off."""
+    exchange.connection.write(
+        b"HTTP/1.1 200 OK\r\nRattanroute-Request-Id: r1\r\n"
+        b"Rattanroute-Replica-Stamp: s\r\nContent-Length: 9\r\n\r\npart"
+    )
+    exchange.abort()
+
+
+async def fail(target: FakeTarget, exchange: Exchange) -> None:
+    """Fails the request after it ran."""
+    exchange.send(build_head(exchange, 500), b"failure")
+
+
+async def answer_another(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers another request."""
+    headers = [
+        (b"Rattanroute-Request-Id", b"other"),
+        (b"Rattanroute-Replica-Stamp", b"s"),
+    ]
+    exchange.send(ResponseHead(status=200, headers=headers), b"wrong")
+
+
+async def stay_silent(target: FakeTarget, exchange: Exchange) -> None:
+    """Never answers."""
+    await asyncio.sleep(30)
+
+
+class AtMostOnceTest(GatewayTestCase):
+    """Guards against records that are written twice or denied falsely."""
+
+    async def test_answer_is_returned_unchanged(self) -> None:
+        target = await self.add_target("t1", answer)
+        answered = await self.call("/once/a%2Fb?q=1", body=b"\x00\xff")
+        self.assertEqual(answered.status, 200)
+        self.assertEqual(answered.body, b"body of t1")
+        self.assertIn(b"rattanroute-replica-stamp", answered.headers)
+        request = target.seen[0].request
+        self.assertEqual(request.head.target, b"/once/a%2Fb?q=1")
+        self.assertEqual(request.body, b"\x00\xff")
+        self.assertEqual(target.header(0, b"rattanroute-tenant"), b"w1")
+        self.assertIsNone(target.header(0, b"authorization"))
+
+    async def test_rejected_request_goes_to_another_target(self) -> None:
+        await self.add_target("t1", shed)
+        await self.add_target("t2", shed)
+        await self.add_target("t3", answer)
+        for _ in range(5):
+            self.assertEqual((await self.call("/once/")).status, 200)
+
+    async def test_request_that_nobody_ran_is_told_to_come_back(self) -> None:
+        await self.add_target("t1", shed)
+        answered = await self.call("/once/")
+        self.assertEqual(answered.status, 503)
+        self.assertGreater(float(answered.headers[b"retry-after"]), 0)
+
+    async def test_request_that_may_have_run_is_not_sent_again(self) -> None:
+        for script in (hang_up, cut, answer_another, claim_unavailable):
+            with self.subTest(script=script.__name__):
+                await self.asyncSetUp()
+                first = await self.add_target("t1", script)
+                second = await self.add_target("t2", script)
+                answered = await self.call("/once/")
+                self.assertEqual(answered.status, 502)
+                self.assertEqual(len(first.seen) + len(second.seen), 1)
+                await self.asyncTearDown()
+        await self.asyncSetUp()
+
+    async def test_failure_of_the_target_is_returned(self) -> None:
+        await self.add_target("t1", fail)
+        answered = await self.call("/once/")
+        self.assertEqual((answered.status, answered.body), (500, b"failure"))
+
+    async def test_silent_target_ends_at_the_deadline(self) -> None:
+        await self.add_target("t1", stay_silent)
+        started = asyncio.get_running_loop().time()
+        answered = await self.call("/once/", deadline_ms=300)
+        self.assertEqual(answered.status, 504)
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.8)
+
+    async def test_target_that_refuses_connections_is_no_loss(self) -> None:
+        dead = await self.add_target("t1", answer)
+        await dead.server.close()
+        await self.add_target("t2", answer)
+        for _ in range(5):
+            self.assertEqual((await self.call("/once/")).status, 200)
+
+
+class RepeatableTest(GatewayTestCase):
+    """Guards against lookups that fail although a target could answer."""
+
+    async def test_lookup_is_repeated_elsewhere(self) -> None:
+        for script in (hang_up, cut, fail, shed, answer_another):
+            with self.subTest(script=script.__name__):
+                await self.asyncSetUp()
+                await self.add_target("t1", script)
+                await self.add_target("t2", answer)
+                for _ in range(4):
+                    self.assertEqual((await self.call("/safe/")).status, 200)
+                await self.asyncTearDown()
+        await self.asyncSetUp()
+
+    async def test_lookup_runs_on_two_targets_at_most(self) -> None:
+        targets = [
+            await self.add_target(f"t{number}", fail) for number in range(4)
+        ]
+        answered = await self.call("/safe/")
+        self.assertEqual(answered.status, 500)
+        self.assertEqual(sum(len(target.seen) for target in targets), 2)
+
+    async def test_silent_target_leaves_time_for_another(self) -> None:
+        await self.add_target("t1", stay_silent)
+        await self.add_target("t2", answer)
+        for _ in range(3):
+            answered = await self.call("/safe/", deadline_ms=1500)
+            self.assertEqual(answered.status, 200)
+
+    async def test_caller_that_leaves_ends_the_attempt(self) -> None:
+        target = await self.add_target("t1", stay_silent)
+        await self.call("/safe/", leave_after=0.1)
+        async with asyncio.timeout(0.5):
+            await target.gone.wait()
+
+
+class RouteTest(GatewayTestCase):
+    """Guards against requests that go where they may not."""
+
+    async def test_unknown_route_key_and_missing_manifest(self) -> None:
+        target = await self.add_target("t1", answer)
+        self.assertEqual((await self.call("/none/")).status, 404)
+        self.assertEqual((await self.call("/once/", key="bad")).status, 401)
+        self.table = None
+        self.assertEqual((await self.call("/once/")).status, 503)
+        self.assertEqual(target.seen, [])
+
+    async def test_target_that_leaves_gets_no_request(self) -> None:
+        leaving = await self.add_target("t1", answer)
+        self.targets.get("t1").report.leaving = True
+        await self.add_target("t2", answer)
+        for _ in range(5):
+            self.assertEqual((await self.call("/once/")).status, 200)
+        self.assertEqual(leaving.seen, [])
--- /dev/null
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -0,0 +1,165 @@
+"""Tests of streams of engines through the gateway."""
+
+import asyncio
+
+from rattanroute.gateway.events import EventSplitter
+from rattanroute.http1.servers import Exchange
+from rattanroute.tests.gateway_hosts import build_events
+from rattanroute.tests.gateway_hosts import build_head
+from rattanroute.tests.gateway_hosts import FakeTarget
+from rattanroute.tests.gateway_hosts import GatewayTestCase
+from rattanroute.tests.gateway_support import LAYERS
+from rattanroute.tests.gateway_support import SERVICE
+
+EVENTS = 10
+WHOLE = build_events(1, EVENTS + 1)
+
+
+def find_start(target: FakeTarget) -> int:
+    """Returns the number of the first event that a request asks for."""
+    last = target.header(-1, b"last-event-id")
+    return int(last) + 1 if last else 1
+
+
+async def stream(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers with all events that the request asks for."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(find_start(target), EVENTS + 1))
+    exchange.end()
+
+
+async def stream_part(target: FakeTarget, exchange: Exchange) -> None:
+    """Breaks off in the middle of the fourth event after the start."""
+    first = find_start(target)
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(first, first + 3) + b"id: 99\ndata: br")
+    await asyncio.sleep(0.02)
+    exchange.abort()
+
+
+async def stand_still(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends three events and then nothing."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(1, 4))
+    await asyncio.sleep(30)
+
+
+async def shed(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request without running it."""
+    exchange.send(build_head(exchange, 503, stamped=False, not_run=True))
+
+
+class StreamTest(GatewayTestCase):
+    """Guards against events that are missing, doubled, joined or cut."""
+
+    async def add_engine(self, target_id: str, script: object) -> FakeTarget:
+        """Starts an engine that holds all layers."""
+        return await self.add_target(target_id, script, service=SERVICE)
+
+    async def test_whole_stream(self) -> None:
+        engine = await self.add_engine("t1", stream)
+        answered = await self.call("/stream/")
+        self.assertEqual(answered.status, 200)
+        self.assertEqual(answered.body, WHOLE)
+        self.assertTrue(answered.complete)
+        self.assertEqual(
+            engine.header(0, b"rattanroute-hop-count"),
+            f"{engine.address}=0-{LAYERS}".encode(),
+        )
+        self.assertEqual(self.streams.chooser.loads.own(), ())
+
+    async def test_broken_stream_goes_on_elsewhere(self) -> None:
+        first = await self.add_engine("t1", stream_part)
+        second = await self.add_engine("t2", stream_part)
+        first.script, second.script = stream_part, stream
+        for _ in range(4):
+            answered = await self.call("/stream/")
+            self.assertEqual(answered.body, WHOLE)
+            self.assertTrue(answered.complete)
+
+    async def test_stream_that_cannot_go_on_does_not_look_complete(
+        self,
+    ) -> None:
+        await self.add_engine("t1", stream_part)
+        answered = await self.call("/stream/")
+        self.assertEqual(answered.body, build_events(1, 4))
+        self.assertFalse(answered.complete)
+
+    async def test_stream_that_may_not_be_resumed_is_broken_off(self) -> None:
+        first = await self.add_engine("t1", stream_part)
+        second = await self.add_engine("t2", stream_part)
+        answered = await self.call("/single/")
+        self.assertFalse(answered.complete)
+        self.assertEqual(len(first.seen) + len(second.seen), 1)
+
+    async def test_callers_own_position_is_passed_on(self) -> None:
+        engine = await self.add_engine("t1", stream)
+        answered = await self.call("/stream/", extra="Last-Event-Id: 4\r\n")
+        self.assertEqual(answered.body, build_events(5, EVENTS + 1))
+        self.assertEqual(engine.header(0, b"last-event-id"), b"4")
+
+    async def test_stream_runs_on_two_first_targets_at_most(self) -> None:
+        engines = [
+            await self.add_engine(f"t{number}", stream_part)
+            for number in range(4)
+        ]
+        answered = await self.call("/stream/")
+        self.assertFalse(answered.complete)
+        self.assertLessEqual(sum(bool(x.seen) for x in engines), 2)
+
+    async def test_rejected_stream_goes_to_another_chain(self) -> None:
+        await self.add_engine("t1", shed)
+        await self.add_engine("t2", stream)
+        for _ in range(4):
+            self.assertEqual((await self.call("/stream/")).body, WHOLE)
+
+    async def test_stream_without_a_chain_is_refused_at_once(self) -> None:
+        started = asyncio.get_running_loop().time()
+        answered = await self.call("/stream/", deadline_ms=20000)
+        self.assertEqual(answered.status, 503)
+        self.assertIn(b"retry-after", answered.headers)
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
+
+    async def test_stalled_stream_moves_when_the_engine_names_a_target(
+        self,
+    ) -> None:
+        first = await self.add_engine("t1", stand_still)
+        first.report = (
+            b'{"stalled":[{"id":"r1","address":"%b"}]}' % first.address.encode()
+        )
+        self.targets.get("t1").report.data_centre = "dc-a"
+        await self.add_engine("t2", stream)
+        answered = await self.call("/stream/", deadline_ms=20000)
+        self.assertEqual(answered.body, WHOLE)
+        self.assertTrue(answered.complete)
+
+    async def test_open_stream_leaves_a_target_that_is_gone(self) -> None:
+        await self.add_engine("t1", stand_still)
+        task = asyncio.create_task(self.call("/stream/", deadline_ms=20000))
+        await asyncio.sleep(0.1)
+        await self.add_engine("t2", stream)
+        self.targets.get("t1").reachable = False
+        self.streams.leave_target("t1")
+        answered = await task
+        self.assertEqual(answered.body, WHOLE)
+        self.assertTrue(answered.complete)
+
+    async def test_caller_that_leaves_ends_the_stream(self) -> None:
+        engine = await self.add_engine("t1", stand_still)
+        await self.call("/stream/", leave_after=0.1, deadline_ms=20000)
+        async with asyncio.timeout(0.5):
+            await engine.gone.wait()
+        self.assertEqual(self.streams.chooser.loads.own(), ())
+
+
+class EventSplitterTest(GatewayTestCase):
+    """Guards against events that pass in pieces."""
+
+    def test_events_in_single_bytes(self) -> None:
+        splitter = EventSplitter()
+        events = []
+        for number in range(len(WHOLE)):
+            events += splitter.feed(WHOLE[number : number + 1])
+        self.assertEqual(b"".join(x.data for x in events), WHOLE)
+        self.assertEqual(events[3].event_id, b"4")
+        self.assertEqual(splitter.rest, b"")
--- /dev/null
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -0,0 +1,158 @@
+"""Tests of the parsers of HTTP/1.1."""
+
+import unittest
+
+from rattanroute.http1.heads import drop_connection_headers
+from rattanroute.http1.heads import encode_request
+from rattanroute.http1.heads import RequestHead
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.parsers import ProtocolError
+from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.parsers import RequestParser
+from rattanroute.http1.parsers import ResponseParser
+
+
+class RequestParserTest(unittest.TestCase):
+    """Guards against requests that change or smuggle others in."""
+
+    def setUp(self) -> None:
+        self.parser = RequestParser(
+            limits=RequestLimits(max_head_bytes=400, max_body_bytes=20)
+        )
+
+    def test_target_and_body_are_kept_byte_for_byte(self) -> None:
+        self.parser.feed(
+            b"POST /a%2Fb//c?q=%20x&y HTTP/1.1\r\nHost: h\r\n"
+            b"X-Odd:  v \r\nContent-Length: 3\r\n\r\n\x00\xffz"
+        )
+        (request,) = self.parser.requests
+        self.assertEqual(request.head.target, b"/a%2Fb//c?q=%20x&y")
+        self.assertEqual(request.head.path, b"/a%2Fb//c")
+        self.assertEqual(request.body, b"\x00\xffz")
+
+    def test_request_in_single_bytes_and_chunks(self) -> None:
+        data = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        for number in range(len(data)):
+            self.parser.feed(data[number : number + 1])
+        (request,) = self.parser.requests
+        self.assertEqual(request.body, b"abcde")
+
+    def test_pipelined_requests_are_told_apart(self) -> None:
+        self.parser.feed(
+            b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+            b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        )
+        first, second = self.parser.requests
+        self.assertEqual(first.head.target, b"/1")
+        self.assertTrue(first.head.keep_alive)
+        self.assertFalse(second.head.keep_alive)
+
+    def test_ambiguous_or_broken_requests_are_refused(self) -> None:
+        for data in (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nab",
+            b"nonsense\r\n\r\n",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ):
+            with self.subTest(data=data), self.assertRaises(ProtocolError):
+                RequestParser(limits=RequestLimits()).feed(data)
+
+    def check_status(self, status: int, *parts: bytes) -> None:
+        """Checks that bytes are refused with a status."""
+        with self.assertRaises(ProtocolError) as caught:
+            for part in parts:
+                self.parser.feed(part)
+        self.assertEqual(caught.exception.status, status)
+
+    def test_long_head_is_refused(self) -> None:
+        head = b"GET / HTTP/1.1\r\nX: " + b"a" * 500
+        self.check_status(431, head, b"a")
+
+    def test_long_body_is_refused(self) -> None:
+        head = b"POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\n"
+        self.check_status(413, head, b"a" * 30)
+
+
+class Receiver:
+    """Collects what a response parser passes on."""
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.ended = False
+
+    def take_head(self, head: ResponseHead) -> None:
+        """Keeps the head."""
+        self.head = head
+
+    def take_body(self, data: bytes) -> None:
+        """Keeps a part of the body."""
+        self.body += data
+
+    def take_end(self) -> None:
+        """Notes the end."""
+        self.ended = True
+
+
+class ResponseParserTest(unittest.TestCase):
+    """Guards against answers that are cut, surplus or not complete."""
+
+    def setUp(self) -> None:
+        self.parser = ResponseParser()
+        self.receiver = Receiver()
+        self.parser.expect(self.receiver, b"POST")
+
+    def test_interim_answer_is_passed_over(self) -> None:
+        self.parser.feed(
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        )
+        self.assertEqual(self.receiver.head.status, 200)
+        self.assertEqual(self.receiver.body, b"ok")
+        self.assertTrue(self.receiver.ended)
+        self.assertTrue(self.parser.keep_alive)
+
+    def test_second_answer_makes_the_connection_unusable(self) -> None:
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.parser.feed(answer + answer)
+        self.assertEqual(self.receiver.body, b"ok")
+        self.assertTrue(self.parser.surplus)
+
+    def test_answer_without_length_ends_with_the_connection(self) -> None:
+        self.parser.feed(b"HTTP/1.1 200 OK\r\n\r\npart")
+        self.assertFalse(self.receiver.ended)
+        self.assertTrue(self.parser.finish())
+        self.assertTrue(self.receiver.ended)
+        self.assertFalse(self.parser.keep_alive)
+
+    def test_cut_answer_is_not_complete(self) -> None:
+        self.parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+        self.assertFalse(self.parser.finish())
+        self.assertFalse(self.receiver.ended)
+
+    def test_bytes_that_are_no_answer_are_refused(self) -> None:
+        with self.assertRaises(ProtocolError):
+            self.parser.feed(b"\x16\x03\x01 nonsense\r\n\r\n")
+
+
+class HeadTest(unittest.TestCase):
+    """Guards against headers that belong to one connection only."""
+
+    def test_connection_headers_are_dropped(self) -> None:
+        headers = [
+            (b"Connection", b"close, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Keep-Alive", b"timeout=4"),
+            (b"X-Kept", b"2"),
+        ]
+        self.assertEqual(drop_connection_headers(headers), [(b"X-Kept", b"2")])
+
+    def test_body_gets_its_length(self) -> None:
+        head = RequestHead(method=b"POST", target=b"/", headers=[])
+        self.assertIn(b"Content-Length: 3\r\n", encode_request(head, b"abc"))
--- /dev/null
+++ b/rattanroute/tests/test_platform_headers.py
@@ -0,0 +1,143 @@
+"""Tests of the platform's headers."""
+
+import unittest
+
+from rattanroute.gateway.terms import ChainHop
+from rattanroute.gateway.terms import Upstream
+from rattanroute.http1.heads import find_header
+from rattanroute.http1.heads import RequestHead
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.platform.headers import PlatformHeaders
+
+HEAD = RequestHead(
+    method=b"POST",
+    target=b"/a/2f",
+    headers=[
+        (b"Host", b"A.example:80"),
+        (b"rattanroute-request-id", b"r1"),
+        (b"Rattanroute-Token-Count", b"1460,80"),
+        (b"Rattanroute-Model", b"m"),
+        (b"Rattanroute-Request-Deadline", b"20002"),
+        (b"Rattanroute-Tenant", b"forged"),
+        (b"Rattanroute-Hop-Count", b"forged"),
+        (b"Rattanroute-Expect-Replica", b"forged"),
+        (b"Authorization", b"Bearer secret"),
+        (b"Last-Event-Id", b"12"),
+        (b"X-Other", b"kept"),
+        (b"Connection", b"keep-alive"),
+    ],
+)
+
+
+class RequestHeaderTest(unittest.TestCase):
+    """Guards against keys, forged names or other headers at a target."""
+
+    def setUp(self) -> None:
+        self.codec = PlatformHeaders()
+
+    def build(self, **changes: object) -> RequestHead:
+        """Builds the head to a target."""
+        values = {"target_id": "i-1", "time_left_s": 1.5, "workspace": "t1"}
+        return self.codec.build_request(HEAD, Upstream(**{**values, **changes}))
+
+    def list_values(self, head: RequestHead, name: bytes) -> list[bytes]:
+        """Returns all values of a header."""
+        return [v for k, v in head.headers if k.lower() == name.lower()]
+
+    def test_terms(self) -> None:
+        terms = self.codec.read_request(HEAD)
+        self.assertEqual(terms.request_id, "r1")
+        self.assertEqual(terms.host, "a.example")
+        self.assertEqual(terms.time_left_s, 20.002)
+        self.assertEqual(terms.key, "secret")
+        self.assertEqual(terms.prompt_tokens, 1460)
+        self.assertEqual(terms.max_answer_tokens, 80)
+        self.assertEqual(terms.last_event_id, b"12")
+
+    def test_malformed_numbers_are_left_out(self) -> None:
+        head = RequestHead(
+            method=b"GET",
+            target=b"/",
+            headers=[
+                (b"Rattanroute-Request-Deadline", b"soon"),
+                (b"Rattanroute-Token-Count", b"x"),
+            ],
+        )
+        terms = self.codec.read_request(head)
+        self.assertIsNone(terms.time_left_s)
+        self.assertEqual(terms.prompt_tokens, 0)
+
+    def test_names_of_the_router_are_set_once(self) -> None:
+        chain = (
+            ChainHop(
+                target_id="i-1",
+                address="10.1.64.9:8080",
+                first_layer=0,
+                end_layer=20,
+            ),
+            ChainHop(
+                target_id="i-2",
+                address="10.2.64.3:8080",
+                first_layer=20,
+                end_layer=80,
+            ),
+        )
+        head = self.build(chain=chain)
+        self.assertEqual(
+            self.list_values(head, b"Rattanroute-Hop-Count"),
+            [b"10.1.64.9:8080=0-20,10.2.64.3:8080=20-80"],
+        )
+        self.assertEqual(self.list_values(head, b"Rattanroute-Tenant"), [b"t1"])
+        self.assertEqual(
+            self.list_values(head, b"Rattanroute-Expect-Replica"), [b"i-1"]
+        )
+        self.assertEqual(
+            self.list_values(head, b"Rattanroute-Request-Deadline"), [b"1500"]
+        )
+
+    def test_key_stays_here_and_the_rest_is_unchanged(self) -> None:
+        head = self.build()
+        self.assertEqual(self.list_values(head, b"Authorization"), [])
+        self.assertEqual(self.list_values(head, b"Rattanroute-Hop-Count"), [])
+        self.assertEqual(self.list_values(head, b"X-Other"), [b"kept"])
+        self.assertEqual(self.list_values(head, b"Rattanroute-Model"), [b"m"])
+        self.assertEqual(self.list_values(head, b"Last-Event-Id"), [b"12"])
+        self.assertEqual(head.target, HEAD.target)
+
+    def test_resumed_stream_has_one_position(self) -> None:
+        head = self.build(last_event_id=b"31")
+        self.assertEqual(self.list_values(head, b"Last-Event-Id"), [b"31"])
+
+    def test_forged_workspace_does_not_pass_on_a_public_route(self) -> None:
+        head = self.build(workspace="")
+        self.assertEqual(self.list_values(head, b"Rattanroute-Tenant"), [])
+
+
+class AnswerHeaderTest(unittest.TestCase):
+    """Guards against answers whose identity is misread."""
+
+    def test_terms(self) -> None:
+        codec = PlatformHeaders()
+        head = ResponseHead(
+            status=503,
+            headers=[
+                (b"Rattanroute-Not-Executed", b"1"),
+                (b"At-Server", b"10.2.64.3:8080"),
+                (b"Rattanroute-Request-Id", b"r1"),
+                (b"Content-Length", b"3"),
+                (b"Keep-Alive", b"timeout=5"),
+            ],
+        )
+        terms = codec.read_answer(head)
+        self.assertTrue(terms.not_run)
+        self.assertFalse(terms.stamped)
+        self.assertEqual(terms.faulty_address, "10.2.64.3:8080")
+        kept = codec.build_answer(head).headers
+        self.assertIsNone(find_header(kept, b"content-length"))
+        self.assertIsNone(find_header(kept, b"keep-alive"))
+
+    def test_refusal_names_the_time_to_come_back(self) -> None:
+        head = PlatformHeaders().build_refusal(
+            status=503, request_id="r1", retry_after_s=0.75
+        )
+        self.assertEqual(find_header(head.headers, b"retry-after"), b"0.75")
--- /dev/null
+++ b/rattanroute/tests/test_platform_manifests.py
@@ -0,0 +1,226 @@
+"""Tests of the platform's configuration and liveness reports."""
+
+import json
+import unittest
+
+from rattanroute.platform.manifests import decode_manifest
+from rattanroute.platform.manifests import InvalidManifestError
+from rattanroute.platform.replicas import BeatError
+from rattanroute.platform.replicas import decode_beat
+from rattanroute.platform.replicas import PlatformOrders
+from rattanroute.systems.stageplans import LayerRange
+from rattanroute.tables.routes import RouteKind
+
+ZONES = frozenset({"north", "south"})
+
+
+def build_document() -> dict[str, object]:
+    """Builds a configuration with a route of each kind."""
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "notes",
+                "host": "A.example",
+                "pathPrefix": "/notes/",
+                "kind": "streaming",
+                "timeoutMs": 20000,
+                "goalMs": 500,
+                "priority": 1,
+                "backends": [
+                    {"service": "llm", "weight": 90},
+                    {"service": "desk", "weight": 10},
+                ],
+                "maxAttempts": 2,
+                "resumable": True,
+                "gapTargetMs": 200,
+            },
+            {
+                "name": "orders",
+                "host": "a.example",
+                "pathPrefix": "/notes/orders/",
+                "kind": "unsafe",
+                "timeoutMs": 800,
+                "service": "desk",
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "maxConns": 2000,
+                "engine": {
+                    "slots": 96,
+                    "kvTokenBytes": 1836000,
+                    "step_ms": 1.02,
+                    "read_per_s": 105000.0,
+                    "layers": 80,
+                    "layerMb": 1750.0,
+                    "pipeMbps": 18000.0,
+                    "delays": [
+                        {"from": "north", "to": "south", "delay_ms": 0.5}
+                    ],
+                    "kinds": [
+                        {
+                            "name": "a100",
+                            "sizeMb": 72000.0,
+                            "pace": 2.4,
+                            "readX": 3.2,
+                        }
+                    ],
+                },
+            },
+            {"name": "desk", "maxConns": 105},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+        "tenants": [
+            {"name": "t1", "apiKeys": ["k1", "k2"]},
+            {"name": "t2", "apiKeys": ["k3"]},
+        ],
+    }
+
+
+class ManifestTest(unittest.TestCase):
+    """Guards against a configuration that is read wrongly."""
+
+    def decode(self, document: dict[str, object]) -> object:
+        """Decodes a document."""
+        return decode_manifest(json.dumps(document).encode())
+
+    def test_fields_become_routes_services_and_keys(self) -> None:
+        table = self.decode(build_document())
+        self.assertEqual(table.revision, 7)
+        route = table.find_route("a.example", b"/notes/orders/2f")
+        self.assertEqual(route.name, "orders")
+        self.assertIs(route.kind, RouteKind.AT_MOST_ONCE)
+        route = table.find_route("a.example", b"/notes/x")
+        self.assertEqual(route.goal_s, 0.5)
+        self.assertTrue(route.repeatable)
+        self.assertEqual(table.find_route("b.example", b"/notes/x"), None)
+        self.assertEqual(table.keys["k2"].workspace, "t1")
+        engine = table.services["llm"].engine
+        self.assertEqual(engine.delay_s("south", "north"), 0.0005)
+        self.assertEqual(engine.pipe_bytes_per_s, 2.25e9)
+        self.assertEqual(engine.accelerators["a100"].memory_bytes, 72e9)
+        self.assertEqual(table.limits.idle_s, 15.0)
+
+    def change_route(self, **fields: object) -> dict[str, object]:
+        """Returns a document whose second route is changed."""
+        document = build_document()
+        document["routes"][1].update(fields)
+        return document
+
+    def test_each_reason_to_refuse(self) -> None:
+        shared = build_document()
+        shared["tenants"][1]["apiKeys"] = ["k1"]
+        weights = build_document()
+        for backend in weights["routes"][0]["backends"]:
+            backend["weight"] = 0
+        wrong = {
+            "unknown service": self.change_route(service="none"),
+            "no service": self.change_route(service=None),
+            "same place": self.change_route(pathPrefix="/notes/"),
+            "no weight": weights,
+            "no time-out": self.change_route(timeoutMs=0),
+            "unknown kind": self.change_route(kind="odd"),
+            "prefix without slash": self.change_route(pathPrefix="/notes"),
+            "shared key": shared,
+            "no version": {
+                k: v for k, v in build_document().items() if k != "version"
+            },
+            "version of another type": {**build_document(), "version": "7"},
+        }
+        for name, document in wrong.items():
+            with (
+                self.subTest(name=name),
+                self.assertRaises(InvalidManifestError),
+            ):
+                self.decode(document)
+
+    def test_document_that_is_cut_short_is_refused(self) -> None:
+        data = json.dumps(build_document()).encode()
+        for size in (0, 1, len(data) // 2, len(data) - 1):
+            with self.assertRaises(InvalidManifestError):
+                decode_manifest(data[:size])
+
+    def test_without_tenants_no_key_is_asked_for(self) -> None:
+        document = build_document()
+        del document["tenants"]
+        self.assertIsNone(self.decode(document).keys)
+
+
+class BeatTest(unittest.TestCase):
+    """Guards against reports of other writers and misread fields."""
+
+    def decode(self, **changes: object) -> object:
+        """Decodes a report with some fields changed."""
+        table = decode_manifest(json.dumps(build_document()).encode())
+        beat = {
+            "service": "llm",
+            "address": "10.128.0.9:8080",
+            "zone": "north",
+            "slots": 96,
+            "state": "ready",
+            "sequence": 4,
+            "born": 1_700_000_000_000,
+            "kind": "a100",
+            "layers": {"from": 20, "to": 31, "version": 1},
+            "unheard": [1],
+        }
+        beat.update(changes)
+        return decode_beat(
+            "i-1",
+            json.dumps(beat).encode(),
+            services=table.services,
+            zones=ZONES,
+        )
+
+    def test_fields(self) -> None:
+        report = self.decode()
+        self.assertEqual((report.first_layer, report.last_layer), (20, 30))
+        self.assertEqual(report.total_layers, 80)
+        self.assertEqual(report.incarnation, 1_700_000_000_000)
+        self.assertFalse(report.leaving)
+        self.assertTrue(self.decode(state="draining").leaving)
+
+    def test_empty_replica_holds_no_layer(self) -> None:
+        for layers in (None, [], {"from": 0, "to": 0}):
+            report = self.decode(layers=layers)
+            self.assertLess(report.last_layer, report.first_layer)
+
+    def test_reports_that_name_no_replica_are_refused(self) -> None:
+        for changes in (
+            {"service": "none"},
+            {"state": "odd"},
+            {"zone": "west"},
+            {"address": "nowhere"},
+            {"sequence": "4"},
+            {"address": 5},
+        ):
+            with self.subTest(changes=changes), self.assertRaises(BeatError):
+                self.decode(**changes)
+        with self.assertRaises(BeatError):
+            decode_beat("i-1", b"\xff{", services={}, zones=ZONES)
+
+    def test_state_and_order(self) -> None:
+        orders = PlatformOrders()
+        state = orders.decode_state(
+            "a",
+            b'{"sequence":2,"busy":true,"pace":1.5,'
+            b'"stalled":[{"id":"r","address":"10.0.0.1:80"}]}',
+        )
+        self.assertEqual((state.orders, state.busy, state.pace), (2, True, 1.5))
+        self.assertEqual(state.stalled[0].request_id, "r")
+        body = orders.encode_order(
+            LayerRange(first=20, end=31), fence=3, expected=2
+        )
+        self.assertEqual(
+            json.loads(body),
+            {
+                "operation": "place",
+                "from": 20,
+                "to": 31,
+                "mode": "wait",
+                "fence": 3,
+                "expected": 2,
+            },
+        )
--- /dev/null
+++ b/rattanroute/tests/test_stagechoices.py
@@ -0,0 +1,160 @@
+"""Tests of the choice of chains, by the pattern of load that they answer."""
+
+import itertools
+import unittest
+
+from rattanroute.gateway.terms import ChainHop
+from rattanroute.systems.stagechoices import Demand
+from rattanroute.systems.stagechoices import PipeMeter
+from rattanroute.tests.gateway_support import build_chooser
+from rattanroute.tests.gateway_support import build_service
+from rattanroute.tests.gateway_support import build_targets
+from rattanroute.tests.gateway_support import CENTRES
+from rattanroute.tests.gateway_support import LAYERS
+from rattanroute.tests.gateway_support import SERVICE
+
+DEMAND = Demand(service=SERVICE, prompt_tokens=774, answer_tokens=203)
+
+
+class ChainTest(unittest.TestCase):
+    """Guards against chains that skip, repeat or reorder layers."""
+
+    def setUp(self) -> None:
+        self.targets = build_targets()
+        self.chooser = build_chooser(self.targets)
+        self.service = build_service()
+
+    def choose(self, **changes: object) -> tuple[ChainHop, ...]:
+        """Chooses a chain for a typical request."""
+        values = {"excluded": frozenset(), "now": 0.0, **changes}
+        return self.chooser.choose(self.service, DEMAND, **values)
+
+    def add_load(self, chain: tuple[ChainHop, ...]) -> None:
+        """Counts a request on its chain."""
+        for hop in chain:
+            units = DEMAND.tokens * (hop.end_layer - hop.first_layer)
+            self.chooser.loads.add(hop.target_id, requests=1, cache_units=units)
+
+    def centres_of(self, chain: tuple[ChainHop, ...]) -> set[str]:
+        """Returns the data centres of a chain."""
+        return {
+            self.targets.get(hop.target_id).report.data_centre for hop in chain
+        }
+
+    def check(self, chain: tuple[ChainHop, ...]) -> None:
+        """Checks that each layer runs once and in order."""
+        layer = 0
+        for hop in chain:
+            self.assertEqual(hop.first_layer, layer)
+            self.assertGreater(hop.end_layer, layer)
+            report = self.targets.get(hop.target_id).report
+            self.assertGreaterEqual(hop.first_layer, report.first_layer)
+            self.assertLessEqual(hop.end_layer, report.last_layer + 1)
+            layer = hop.end_layer
+        self.assertEqual(layer, LAYERS)
+        self.assertEqual(len({x.target_id for x in chain}), len(chain))
+
+    def test_chain_runs_each_layer_once_within_one_data_centre(self) -> None:
+        chain = self.choose()
+        self.check(chain)
+        self.assertEqual(len(self.centres_of(chain)), 1)
+
+    def test_burst_spreads_over_the_data_centres_before_refusals(self) -> None:
+        centres: set[str] = set()
+        served = 0
+        while served < 400:
+            chain = self.choose()
+            if not chain:
+                break
+            self.check(chain)
+            self.add_load(chain)
+            centres |= self.centres_of(chain)
+            served += 1
+        self.assertEqual(centres, set(CENTRES))
+        self.assertGreater(served, 120)
+        self.assertLess(served, 400)
+
+    def test_large_prompts_never_exceed_the_memory(self) -> None:
+        huge = Demand(service=SERVICE, prompt_tokens=400_000, answer_tokens=100)
+        chain = self.chooser.choose(
+            self.service, huge, excluded=frozenset(), now=0.0
+        )
+        self.assertEqual(chain, ())
+
+    def test_slow_engine_is_left_for_another_data_centre(self) -> None:
+        (centre,) = self.centres_of(self.choose())
+        for target in self.targets:
+            if target.report.data_centre == centre:
+                target.pace = 8.0
+        self.assertNotEqual(self.centres_of(self.choose()), {centre})
+
+    def test_dead_engine_is_not_used(self) -> None:
+        dead = self.choose()[1].target_id
+        self.targets.get(dead).reachable = False
+        chain = self.choose()
+        self.check(chain)
+        self.assertNotIn(dead, {hop.target_id for hop in chain})
+
+    def test_second_run_may_be_bound_to_the_first_target(self) -> None:
+        first = self.choose()
+        self.targets.get(first[1].target_id).reachable = False
+        starts = frozenset({first[0].target_id})
+        chain = self.choose(starts=starts)
+        self.check(chain)
+        self.assertIn(chain[0].target_id, starts)
+
+
+class LostLayersTest(ChainTest):
+    """Answers data centres that each lack some layers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for centre, first in (("dc-a", 0), ("dc-b", 30), ("dc-c", 60)):
+            for target in self.targets:
+                report = target.report
+                held = report.first_layer <= first <= report.last_layer
+                if report.data_centre == centre and held:
+                    target.reachable = False
+
+    def test_chain_runs_each_layer_once_within_one_data_centre(self) -> None:
+        chain = self.choose()
+        self.check(chain)
+        self.assertGreater(len(self.centres_of(chain)), 1)
+
+    def test_burst_spreads_over_the_data_centres_before_refusals(self) -> None:
+        second = 0.0
+        sent = 0.0
+        rate = self.service.engine.pipe_bytes_per_s
+        for _ in range(4000):
+            second += 0.01
+            chain = self.choose(now=second)
+            if chain:
+                self.check(chain)
+                centres = [
+                    self.targets.get(x.target_id).report.data_centre
+                    for x in chain
+                ]
+                crossings = sum(a != b for a, b in itertools.pairwise(centres))
+                sent += crossings * DEMAND.tokens * 91_800
+        self.assertLess(sent, rate * second)
+        self.assertGreater(sent, 0)
+
+    def test_slow_engine_is_left_for_another_data_centre(self) -> None:
+        self.check(self.choose())
+
+
+class PipeMeterTest(unittest.TestCase):
+    """Guards against VMs that fill the pipe between data centres."""
+
+    def test_share_of_a_vm(self) -> None:
+        meter = PipeMeter()
+        taken = sum(
+            meter.take(10.0, rate=1000.0, vms=4, now=0.01 * step)
+            for step in range(1000)
+        )
+        self.assertLessEqual(taken * 10.0, 1000.0 / 4 * 10)
+        self.assertGreater(taken, 0)
+
+    def test_no_limit(self) -> None:
+        meter = PipeMeter()
+        self.assertTrue(meter.take(1e12, rate=0.0, vms=4, now=0.0))
--- /dev/null
+++ b/rattanroute/tests/test_stageplans.py
@@ -0,0 +1,117 @@
+"""Tests of the plan of layers on engines."""
+
+import dataclasses
+import unittest
+
+from rattanroute.systems.stagechoices import cache_capacity
+from rattanroute.systems.stageplans import count_copies
+from rattanroute.systems.stageplans import LayerRange
+from rattanroute.systems.stageplans import plan_moves
+from rattanroute.systems.stageplans import plan_stages
+from rattanroute.systems.stageplans import StageHolder
+from rattanroute.tests.gateway_support import build_engine
+from rattanroute.tests.gateway_support import build_holders
+from rattanroute.tests.gateway_support import CENTRES
+
+
+def apply_plan(
+    holders: list[StageHolder], plan: dict[str, LayerRange]
+) -> list[StageHolder]:
+    """Returns the holders after they carried out a plan."""
+    return [
+        dataclasses.replace(x, layers=plan.get(x.target_id, x.layers))
+        for x in holders
+    ]
+
+
+def list_centre(holders: list[StageHolder], centre: str) -> list[StageHolder]:
+    """Returns the holders of a data centre."""
+    return [x for x in holders if x.data_centre == centre]
+
+
+class StagePlanTest(unittest.TestCase):
+    """Guards against layers that nobody holds or that do not fit."""
+
+    def setUp(self) -> None:
+        self.engine = build_engine()
+        self.empty = build_holders()
+        self.plan = plan_stages(self.engine, self.empty)
+        self.holders = apply_plan(self.empty, self.plan)
+
+    def test_each_data_centre_holds_all_layers(self) -> None:
+        for centre in CENTRES:
+            copies = count_copies(
+                self.engine, list_centre(self.holders, centre)
+            )
+            self.assertGreaterEqual(min(copies), 1, centre)
+
+    def test_layers_leave_memory_for_requests(self) -> None:
+        for holder in self.holders:
+            kind = self.engine.accelerators[holder.accelerator]
+            width = holder.layers.end - holder.layers.first
+            self.assertGreater(width, 0)
+            self.assertLess(width * self.engine.layer_bytes, kind.memory_bytes)
+            tokens = cache_capacity(self.engine, kind, width) / width
+            self.assertGreater(tokens, 8 * 977)
+
+    def test_holders_are_not_told_to_load_again(self) -> None:
+        self.assertEqual(plan_stages(self.engine, self.holders), {})
+        self.assertEqual(plan_moves(self.engine, self.holders), {})
+
+    def test_plan_does_not_depend_on_the_order_of_reports(self) -> None:
+        self.assertEqual(
+            plan_stages(self.engine, reversed(self.empty)), self.plan
+        )
+
+    def test_restarted_engine_fills_its_gap(self) -> None:
+        lost = "dc-b-big-1"
+        holders = [
+            dataclasses.replace(x, layers=None, target_id="new")
+            if x.target_id == lost
+            else x
+            for x in self.holders
+        ]
+        self.assertEqual(
+            plan_stages(self.engine, holders), {"new": self.plan[lost]}
+        )
+
+    def test_engine_of_unknown_kind_is_left_alone(self) -> None:
+        stranger = StageHolder(
+            target_id="x", data_centre="dc-a", accelerator="unheard of"
+        )
+        self.assertNotIn("x", plan_stages(self.engine, [*self.empty, stranger]))
+
+    def test_small_data_centres_serve_together(self) -> None:
+        holders = build_holders(
+            {"dc-a": {"middle": 2}, "dc-b": {"middle": 3}, "dc-c": {"big": 1}}
+        )
+        plan = plan_stages(self.engine, holders)
+        copies = count_copies(self.engine, apply_plan(holders, plan))
+        self.assertGreaterEqual(min(copies), 1)
+
+
+class LostEngineTest(unittest.TestCase):
+    """Answers the loss of an engine for good."""
+
+    def setUp(self) -> None:
+        self.engine = build_engine()
+        empty = build_holders()
+        self.holders = apply_plan(empty, plan_stages(self.engine, empty))
+
+    def test_engines_held_twice_move_into_the_gap(self) -> None:
+        lost = {"dc-a-middle-2", "dc-b-middle-1", "dc-c-middle-0"}
+        left = [x for x in self.holders if x.target_id not in lost]
+        moves = plan_moves(self.engine, left)
+        after = apply_plan(left, moves)
+        for centre in CENTRES:
+            copies = count_copies(self.engine, list_centre(after, centre))
+            self.assertGreaterEqual(min(copies), 1, centre)
+
+    def test_only_engines_held_twice_move(self) -> None:
+        left = [x for x in self.holders if x.target_id != "dc-a-middle-2"]
+        before = count_copies(self.engine, list_centre(left, "dc-a"))
+        moves = plan_moves(self.engine, left)
+        for holder in left:
+            if holder.target_id in moves:
+                part = holder.layers
+                self.assertGreaterEqual(min(before[part.first : part.end]), 2)
