End a stopping front only when no connection is left

Change: connections without a request are closed together with the listener, and the process waits until no connection is left.

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -230,7 +230,6 @@
         self.active_at = self.loop.time()
         if self.server.draining or not exchange.request.head.keep_alive:
             self.close()
-            self.server.note_idle()
             return
         if self.paused:
             self.paused = False
@@ -260,7 +259,6 @@
         """Closes the connection; a partial answer stays partial."""
         self.exchange = None
         self.close()
-        self.server.note_idle()
 
     def sweep(self, now: float) -> None:
         """Closes the connection when it has been idle or slow too long."""
@@ -295,6 +293,7 @@
         self.draining = False
         self.closing_idle = False
         self.empty = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -324,20 +323,25 @@
         return sum(x.exchange is not None for x in self.connections)
 
     def note_idle(self) -> None:
-        """Notes when the last request has been answered."""
-        if self.draining and not self.busy:
+        """Notes when the last connection of a draining server has ended."""
+        if self.closing_idle and not self.connections:
             self.empty.set()
 
     def start_draining(self) -> None:
         """Closes each connection after its next answer."""
         self.draining = True
-        self.note_idle()
 
     def stop_accepting(self) -> None:
-        """Closes the listener and the connections without a request."""
+        """Closes the listener and the connections without a request.
+
+        `empty` is set once all other connections have ended.
+        """
         self.closing_idle = True
         if self.listener is not None:
             self.listener.close()
+        for connection in list(self.connections):
+            connection.sweep(self.loop.time())
+        self.note_idle()
 
     async def close(self) -> None:
         """Closes everything."""
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -358,12 +358,9 @@
         log.info("planned stop", open_requests=self.front.busy)
         await asyncio.sleep(LEAVE_ROTATION_SECONDS)
         self.front.stop_accepting()
-        self.front.note_idle()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end):
-                while self.front.busy:
-                    self.front.empty.clear()
-                    await self.front.empty.wait()
+                await self.front.empty.wait()
         log.info("requests ended", open_requests=self.front.busy)
         await self.close()
 
