Let refused callers return later and spread; bound the log

Change: Retry-After is 10 to 30% of the time left, drawn for each caller.

The log of the platform's programs goes to standard output through a sink that never waits and bounds the lines of a second; dropped lines are counted.

--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -8,11 +8,13 @@
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.logs import get_logger
 
-# A caller that comes back after this time finds the load that it met reduced
-# by about one answer of each open request; the spread keeps those who were
-# refused together from returning together.
-MIN_RETRY_SECONDS = 0.4
-MAX_RETRY_SECONDS = 1.6
+# Parts of the time left after which a caller comes back. Callers have few tries
+# and honour at most a third of the time that they have left; the later they
+# return, the more of a burst or of a repair is over. The spread keeps those
+# who were refused together from returning together.
+MIN_RETRY_PART = 0.1
+MAX_RETRY_PART = 0.3
+MIN_RETRY_SECONDS = 0.1
 
 log = get_logger(__name__)
 
@@ -71,9 +73,7 @@
         retry_after_s = None
         if not call.may_have_run:
             status = 503
-            retry_after_s = self.random.uniform(
-                MIN_RETRY_SECONDS, MAX_RETRY_SECONDS
-            )
+            retry_after_s = self.choose_return(call)
         else:
             status = 504 if timed_out else 502
         exchange.send(
@@ -85,6 +85,12 @@
         )
         self.log(call, status, reason)
 
+    def choose_return(self, call: Call) -> float:
+        """Returns after how many seconds a refused caller should come back."""
+        left = call.time_left(call.exchange.connection.loop.time())
+        part = self.random.uniform(MIN_RETRY_PART, MAX_RETRY_PART)
+        return max(MIN_RETRY_SECONDS, part * left)
+
     def log(self, call: Call, status: int, reason: str) -> None:
         """Writes the line of a call that ended."""
         now = call.exchange.connection.loop.time()
--- a/rattanroute/logs.py
+++ b/rattanroute/logs.py
@@ -1,12 +1,14 @@
 """Logs: one line of key=value pairs for each event."""
 
+from collections.abc import Callable
 import json
 import logging
+import os
 import pathlib
 import sys
+import time
 import traceback
 import types
-from typing import TextIO
 from typing import TYPE_CHECKING
 
 import loguru
@@ -15,6 +17,10 @@
     from loguru import Logger
     from loguru import Record
 
+# Far above the lines of a busy VM, which logs each request once.
+MAX_LINES_PER_SECOND = 1_000
+# Bytes that wait for a slow reader.
+MAX_REST_BYTES = 262_144
 HIDDEN_KEYS = frozenset({"authorization", "token", "key"})
 
 
@@ -68,20 +74,77 @@
         )
 
 
+class BoundedSink:
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Lines that do not fit, or that exceed the rate, are dropped and counted; a
+    later line tells how many.
+
+    Args:
+        descriptor: Where the lines go; it is set not to block.
+        clock: Monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self, *, descriptor: int, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.descriptor = descriptor
+        self.clock = clock
+        self.second = 0
+        self.lines = 0
+        self.dropped = 0
+        self.rest = b""
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Writes a line or drops it."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.lines = 0
+        self.lines += 1
+        if self.lines > MAX_LINES_PER_SECOND or len(self.rest) > MAX_REST_BYTES:
+            self.dropped += 1
+            return
+        data = self.rest + line.encode(errors="backslashreplace")
+        if self.dropped:
+            notice = f'level=warning event="lines dropped" count={self.dropped}'
+            data += notice.encode() + b"\n"
+            self.dropped = 0
+        self.rest = data[self.send(data) :]
+
+    def send(self, data: bytes) -> int:
+        """Returns how many bytes the reader took."""
+        try:
+            return os.write(self.descriptor, data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Nobody reads any more; the process goes on without a log.
+            return len(data)
+
+    def flush(self) -> None:
+        """Writes what is left, as far as the reader takes it."""
+        self.rest = self.rest[self.send(self.rest) :]
+
+
 def configure_logs(
-    *, level: str, vm_id: str, stream: TextIO = sys.stderr
+    *, level: str, vm_id: str, sink: BoundedSink | None = None
 ) -> None:
-    """Sends all logs to a stream.
+    """Sends all logs to a sink.
 
     Args:
         level: Least severe level that is logged.
         vm_id: Identifier of this VM, part of each line.
-        stream: Where the lines go.
+        sink: Where the lines go; standard error without one.
     """
     loguru.logger.remove()
     loguru.logger.configure(extra={"vm": vm_id})
     loguru.logger.add(
-        stream, level=level, format=format_record, backtrace=False
+        sink or sys.stderr,
+        level=level,
+        format=format_record,
+        backtrace=False,
     )
     logging.basicConfig(
         handlers=[StandardLoggingHandler()], level=logging.WARNING, force=True
--- a/rattanroute/platform/__main__.py
+++ b/rattanroute/platform/__main__.py
@@ -11,6 +11,7 @@
 
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
+from rattanroute.logs import BoundedSink
 from rattanroute.logs import configure_logs
 from rattanroute.logs import get_logger
 from rattanroute.platform.daemons import PlatformDaemon
@@ -46,7 +47,8 @@
         if check:
             click.echo(f"{path}: settings are correct")
             return
-        configure_logs(level="INFO", vm_id=boot.node, stream=sys.stdout)
+        sink = BoundedSink(descriptor=sys.stdout.fileno())
+        configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         uvloop.run(run(ROLES[role](path=path, boot=boot)))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -120,6 +120,15 @@
         self.assertIn(b"retry-after", answered.headers)
         self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
 
+    async def test_refused_crowd_returns_spread_over_its_time(self) -> None:
+        returns = []
+        for _ in range(20):
+            answered = await self.call("/stream/", deadline_ms=20000)
+            returns.append(float(answered.headers[b"retry-after"]))
+        # The route's time-out is 3 s; a third of it is honoured.
+        self.assertLessEqual(max(returns), 1.0)
+        self.assertGreater(max(returns) - min(returns), 0.3)
+
     async def test_stalled_stream_moves_when_the_engine_names_a_target(
         self,
     ) -> None:
--- a/rattanroute/tests/test_logs.py
+++ b/rattanroute/tests/test_logs.py
@@ -1,14 +1,18 @@
 """Tests of the form of log lines."""
 
 import json
+import os
 import re
 import unittest
 
 import loguru
 
+from rattanroute.logs import BoundedSink
 from rattanroute.logs import format_record
 from rattanroute.logs import format_value
 from rattanroute.logs import get_logger
+from rattanroute.logs import MAX_LINES_PER_SECOND
+from rattanroute.logs import MAX_REST_BYTES
 
 PAIR = r'[a-z_]+=(?:"(?:[^"\\]|\\.)*"|[^\s"=\\]+)'
 LINE = re.compile(rf"{PAIR}(?: {PAIR})*\n")
@@ -87,3 +91,40 @@
         self.assertEqual(format_value(1 / 3), "0.333333")
         self.assertEqual(format_value(7), "7")
         self.assertEqual(format_value("plain"), "plain")
+
+
+class BoundedSinkTest(unittest.TestCase):
+    """Guards against a process that waits for the reader of its log."""
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.now = 0.0
+        self.sink = BoundedSink(descriptor=self.writer, clock=lambda: self.now)
+
+    def write(self, count: int) -> None:
+        """Writes lines within one second."""
+        for number in range(count):
+            self.sink.write(f"event=line number={number}\n")
+
+    def test_lines_beyond_the_rate_are_dropped_and_counted(self) -> None:
+        self.write(MAX_LINES_PER_SECOND + 7)
+        self.now = 1.0
+        self.write(1)
+        data = os.read(self.reader, 1_000_000)
+        self.assertEqual(data.count(b"event=line"), MAX_LINES_PER_SECOND + 1)
+        self.assertIn(b"count=7\n", data)
+
+    def test_reader_that_stands_still_blocks_nothing(self) -> None:
+        for second in range(30):
+            self.now = float(second)
+            self.write(MAX_LINES_PER_SECOND)
+        self.assertLess(len(self.sink.rest), 2 * MAX_REST_BYTES)
+        self.assertGreater(self.sink.dropped, 0)
+
+    def test_reader_that_is_gone_is_no_error(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        BoundedSink(descriptor=writer).write("event=line\n")
