--- a/rattanroute/clients/peers.py
+++ b/rattanroute/clients/peers.py
@@ -12,12 +12,12 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from rattanroute import codecs
+from rattanroute.addresses import parse_address
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.proto.peers_grpc import PeersStub
 from rattanroute.proto.peers_pb2 import Frame
 from rattanroute.proto.peers_pb2 import Item
-from rattanroute.settings import parse_address
 from rattanroute.tasks import run_together
 
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
--- a/rattanroute/configurationgates.py
+++ b/rattanroute/configurationgates.py
@@ -13,10 +13,10 @@
 from rattanroute.consensus.nodes import Timing
 from rattanroute.consensus.proposals import Outcome
 from rattanroute.consensus.proposals import ProposalError
+from rattanroute.controlsettings import LogSettings
 from rattanroute.errors import NotProposedError
 from rattanroute.errors import RouterError
 from rattanroute.forwards import LogForwarder
-from rattanroute.settings import DaemonSettings
 from rattanroute.subsystems import Subsystem
 from rattanroute.systems.configurations import ConfigurationStateMachine
 from rattanroute.systems.distributions import DistributionSystem
@@ -106,7 +106,7 @@
     def __init__(
         self,
         *,
-        settings: DaemonSettings,
+        settings: LogSettings,
         membership: MembershipSystem,
         send: Callable[[str, object], bool],
         execute: Callable[[list[Action]], None],
--- a/rattanroute/controlplanes.py
+++ b/rattanroute/controlplanes.py
@@ -9,16 +9,16 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
+from rattanroute.addresses import parse_address
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.configurationgates import ConfigurationGate
 from rattanroute.configurationgates import REFRESH_SECONDS
+from rattanroute.controlsettings import ControlSettings
 from rattanroute.errors import RouterError
 from rattanroute.hosts import SubsystemHost
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.servers.peers import PeersServer
-from rattanroute.settings import DaemonSettings
-from rattanroute.settings import parse_address
 from rattanroute.subsystems import Subsystem
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.tables.members import MemberState
@@ -43,7 +43,7 @@
     def __init__(
         self,
         *,
-        settings: DaemonSettings,
+        settings: ControlSettings,
         metrics: MetricsRegistry,
         random: randoms.Random,
     ) -> None:
@@ -59,7 +59,7 @@
             voter=settings.storage.voter,
             incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
             random=random,
-            seeds=settings.peers.seeds,
+            seeds=settings.seeds,
         )
         self.configurations = ConfigurationGate(
             settings=settings,
@@ -109,9 +109,8 @@
         self.links = PeerLinks(
             vm_id=self.settings.vm_id,
             own_address=self.settings.peer_address,
-            batch_seconds=self.settings.peers.batch_ms
-            / MILLISECONDS_PER_SECOND,
-            address_map=self.settings.peers.address_map,
+            batch_seconds=self.settings.batch_s,
+            address_map={},
             metadata=dict,
             tls=lambda: None,
             metrics=self.metrics,
@@ -126,14 +125,14 @@
             metrics=self.metrics,
         )
         self.server = Server([peers])
-        address = self.settings.listen.peers
+        address = self.settings.peer_address
         try:
             await self.server.start(*parse_address(address))
         except OSError as error:
             raise RouterError(
                 step="listen", peer=address, message=str(error)
             ) from error
-        for seed in self.settings.peers.seeds:
+        for seed in self.settings.seeds:
             if seed != self.settings.peer_address:
                 self.links.open(seed)
         self.repeat(TICK_SECONDS, self.host.tick)
@@ -164,7 +163,7 @@
         self.metrics.configuration_version.set(
             {}, self.configurations.replica.version
         )
-        await self.links.close_idle(keep=frozenset(self.settings.peers.seeds))
+        await self.links.close_idle(keep=frozenset(self.settings.seeds))
 
     def set_status(self, *, ready: bool, draining: bool) -> None:
         """Tells the other VMs whether this one serves requests."""
--- /dev/null
+++ b/rattanroute/controlsettings.py
@@ -0,0 +1,65 @@
+"""What the control plane needs of the settings of a VM."""
+
+import dataclasses
+import pathlib
+from typing import Protocol
+
+
+class LogFolder(Protocol):
+    """Settings of the configuration log on a VM with a disk."""
+
+    folder: pathlib.Path | None
+    voter: bool
+    bootstrap_voters: tuple[str, ...]
+    election_s: float
+    voter_target: int
+
+
+class LogSettings(Protocol):
+    """Settings of a VM that follows the configuration log."""
+
+    vm_id: str
+    data_centre: str
+    storage: LogFolder
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StorageOptions:
+    """The data folder of a VM.
+
+    Attributes:
+        folder: Data folder; None without a disk.
+        voter: Whether the VM takes part in the configuration log.
+        bootstrap_voters: First voters; read while the folder is empty.
+        election_s: Shortest time without a leader before an election.
+        voter_target: Voters that the log keeps by itself.
+    """
+
+    folder: pathlib.Path | None = None
+    voter: bool = False
+    bootstrap_voters: tuple[str, ...] = ()
+    election_s: float = 2.0
+    voter_target: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ControlSettings:
+    """The settings of a control plane.
+
+    Attributes:
+        vm_id: Unique identifier of the VM.
+        data_centre: Its data centre.
+        region: Region of the data centre.
+        peer_address: Address on which peers are heard, as `IP:port`.
+        seeds: Peer addresses of a few VMs to join through.
+        batch_s: Longest wait before a batch of messages is sent, in seconds.
+        storage: The data folder.
+    """
+
+    vm_id: str
+    data_centre: str
+    region: str
+    peer_address: str
+    seeds: tuple[str, ...] = ()
+    batch_s: float = 0.005
+    storage: StorageOptions = StorageOptions()
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -11,6 +11,7 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
+from rattanroute.addresses import parse_address
 from rattanroute.attemptruns import AttemptUsage
 from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
@@ -41,7 +42,6 @@
 from rattanroute.servers.targets import TargetsServer
 from rattanroute.servers.targets import UsageStatement
 from rattanroute.settings import DaemonSettings
-from rattanroute.settings import parse_address
 from rattanroute.sources import DaemonSource
 from rattanroute.subsystems import Subsystem
 from rattanroute.systems.memberships import MembershipSystem
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -8,6 +8,7 @@
 import random as randoms
 from typing import Protocol
 
+from rattanroute.addresses import parse_address
 from rattanroute.controlplanes import ControlPlane
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
@@ -37,7 +38,6 @@
 from rattanroute.platform.settings import Boot
 from rattanroute.platform.settings import build_settings
 from rattanroute.platform.settings import load_boot
-from rattanroute.settings import parse_address
 from rattanroute.systems.budgets import RepeatBudget
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.detections import DetectionSystem
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -4,12 +4,10 @@
 
 import msgspec
 
+from rattanroute.addresses import parse_address
+from rattanroute.controlsettings import ControlSettings
+from rattanroute.controlsettings import StorageOptions
 from rattanroute.errors import SettingsError
-from rattanroute.settings import DaemonSettings
-from rattanroute.settings import ListenSettings
-from rattanroute.settings import parse_address
-from rattanroute.settings import PeersSettings
-from rattanroute.settings import StorageSettings
 
 PATH_VARIABLE = "RATTANROUTE_BOOT"
 # The core must lead again within `contactMs` after a restart, of which the
@@ -117,7 +115,7 @@
     return boot.listen.front, boot.listen.ready, boot.listen.control
 
 
-def build_settings(boot: Boot) -> DaemonSettings:
+def build_settings(boot: Boot) -> ControlSettings:
     """Returns the settings of the control plane."""
     hosts = [parse_address(seed)[0] for seed in boot.seeds]
     voters = tuple(hosts)
@@ -125,16 +123,13 @@
         # An empty folder joins a log that exists; it founds no new one.
         voters = tuple(host for host in hosts if host != boot.ip)
     folder = pathlib.Path(boot.data_dir) if boot.data_dir else None
-    return DaemonSettings(
+    return ControlSettings(
         vm_id=boot.ip,
         data_centre=boot.zone,
         region=boot.region,
-        data_centres=tuple(sorted(boot.zones)),
-        listen=ListenSettings(peers=f"{boot.ip}:{boot.peer_port}"),
-        peers=PeersSettings(
-            seeds=tuple(f"{host}:{boot.peer_port}" for host in hosts)
-        ),
-        storage=StorageSettings(
+        peer_address=f"{boot.ip}:{boot.peer_port}",
+        seeds=tuple(f"{host}:{boot.peer_port}" for host in hosts),
+        storage=StorageOptions(
             folder=folder,
             voter=folder is not None,
             bootstrap_voters=voters,
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -9,6 +9,7 @@
 import pydantic
 import yaml
 
+from rattanroute.addresses import parse_address
 from rattanroute.errors import SettingsError
 
 
@@ -312,18 +313,6 @@
         return self.peers.advertise or self.listen.peers
 
 
-def parse_address(value: str) -> tuple[str, int]:
-    """Splits `IP:port`.
-
-    Raises:
-        ValueError: If the value has another form.
-    """
-    host, separator, port = value.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{value!r} is not of the form IP:port")
-    return host.strip("[]"), int(port)
-
-
 def describe_problem(problem: dict[str, Any]) -> str:
     """Returns one line with the path, the value and what would be right."""
     path = ".".join(str(part) for part in problem["loc"]) or "settings"
--- a/rattanroute/standins/hosts.py
+++ b/rattanroute/standins/hosts.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 import msgspec
 
-from rattanroute.settings import parse_address
+from rattanroute.addresses import parse_address
 from rattanroute.standins.announcers import Announcer
 from rattanroute.standins.configurations import FaultSettings
 from rattanroute.standins.configurations import load_configuration
--- a/rattanroute/tools/cli.py
+++ b/rattanroute/tools/cli.py
@@ -8,12 +8,12 @@
 
 import click
 
+from rattanroute.addresses import parse_address
 from rattanroute.errors import SettingsError
 from rattanroute.proto import operators_pb2 as pb
 from rattanroute.security import build_client_context
 from rattanroute.security import TlsFiles
 from rattanroute.security import TokenFile
-from rattanroute.settings import parse_address
 from rattanroute.tables.changes import ANY_VERSION
 from rattanroute.tools import cli_output
 from rattanroute.tools.cli_client import CliError
--- a/rattanroute/tools/cli_client.py
+++ b/rattanroute/tools/cli_client.py
@@ -14,9 +14,9 @@
 from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
 
+from rattanroute.addresses import parse_address
 from rattanroute.proto import operators_pb2 as pb
 from rattanroute.proto.operators_grpc import OperatorsStub
-from rattanroute.settings import parse_address
 
 CALL_SECONDS = 8.0
 # A broken connection shows as one of these.
