Tell a VM that has just started all targets at once

Change: a VM sends the reports that it heard itself to members with a new incarnation at once. The test of a restarted VM failed before (no such message existed).

--- a/rattanroute/systems/reports.py
+++ b/rattanroute/systems/reports.py
@@ -36,6 +36,7 @@
 
     vm_id: str
     data_centre: str
+    incarnation: int
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -102,6 +103,9 @@
             Group(is_local=True, interval=LOCAL_INTERVAL_SECONDS),
             Group(is_local=False, interval=REMOTE_INTERVAL_SECONDS),
         )
+        # Incarnations of the VMs that know all that this VM heard; those that
+        # were there before it get its reports in batches.
+        self.told: dict[str, int] | None = None
 
     def announce(self, *, report: TargetReport, now: float) -> list[Action]:
         """Stores a report that a target gave to this VM.
@@ -158,7 +162,7 @@
 
     def tick(self, *, now: float) -> list[Action]:
         """Sends the batches that are due and forgets old targets."""
-        actions: list[Action] = []
+        actions = self.tell_newcomers(now)
         for group in self.groups:
             if now >= group.due:
                 group.due = now + group.interval
@@ -166,6 +170,37 @@
                 self.forget(now)
         return actions
 
+    def tell_newcomers(self, now: float) -> list[Action]:
+        """Sends what this VM heard itself to VMs that have just started.
+
+        They would otherwise wait for the next report of each target.
+        """
+        members = {
+            member.vm_id: member.incarnation
+            for member in self.members()
+            if member.vm_id != self.vm_id
+        }
+        told, self.told = self.told, members
+        if told is None:
+            return []
+        newcomers = [
+            vm_id
+            for vm_id, incarnation in members.items()
+            if told.get(vm_id) != incarnation
+        ]
+        if not newcomers:
+            return []
+        heard = [
+            HeardReport(report=row.report, heard_at=row.heard_at)
+            for row in self.targets
+            if row.observer == self.vm_id
+            and now - row.heard_at < WHOLE_REPORT_SECONDS
+        ]
+        if not heard:
+            return []
+        message = build_message(heard, now)
+        return [SendMessage(peer=x, message=message) for x in newcomers]
+
     def flush(self, group: Group, now: float) -> list[Action]:
         """Returns a group's batch as messages and empties it."""
         if not group.batch:
--- a/rattanroute/tests/test_reports.py
+++ b/rattanroute/tests/test_reports.py
@@ -22,6 +22,7 @@
 
     vm_id: str
     data_centre: str
+    incarnation: int = 1
 
 
 MEMBERS = [
@@ -185,3 +186,28 @@
         message = TargetLoads(loads=(unknown,))
         self.system.receive(peer="vm-2", message=message, now=3.0)
         self.assertIsNone(self.targets.get("t9"))
+
+
+class NewcomerTest(unittest.TestCase):
+    """Guards against VMs that start and refuse work for want of targets."""
+
+    def test_restarted_vm_hears_of_all_targets_at_once(self) -> None:
+        members = [dataclasses.replace(member) for member in MEMBERS]
+        targets = TargetTable()
+        system = TargetReportSystem(
+            vm_id="vm-1",
+            data_centre="dc-a",
+            targets=targets,
+            members=lambda: members,
+        )
+        system.tick(now=0.0)
+        for number in range(5):
+            report = build_report(f"t{number}")
+            system.announce(report=report, now=1.0)
+        for second in (1.0, 1.25, 1.75, 2.0):
+            system.tick(now=second)
+        members[2].incarnation = 2
+        (action,) = system.tick(now=2.01)
+        self.assertEqual(action.peer, "vm-3")
+        self.assertEqual(len(action.message.reports), 5)
+        self.assertEqual(system.tick(now=2.02), [])
