Count a front as started once its targets hold all layers

Change: a front is ready, and lets waiting requests go on, once the known engines hold all layers together; it waits up to 1.5 s.

--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -19,7 +19,7 @@
 
 UNREADY_RETRY_SECONDS = 0.5
 # Longer than the targets of a running system take to become known.
-START_WAIT_SECONDS = 0.5
+START_WAIT_SECONDS = 1.5
 START_WAIT_PART = 0.25
 
 log = get_logger(__name__)
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -44,6 +44,7 @@
 from rattanroute.systems.engineloads import EngineLoadSystem
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
+from rattanroute.systems.stagechoices import is_served
 from rattanroute.systems.stagechoices import StageChooser
 from rattanroute.tables.engineloads import EngineLoadTable
 from rattanroute.tables.targets import Target
@@ -337,8 +338,8 @@
         if now - self.configured_at >= TARGETS_WAIT_SECONDS:
             return True
         return all(
-            next(iter(self.targets.serving(name)), None) is not None
-            for name in table.services
+            is_served(service, self.targets)
+            for service in table.services.values()
         )
 
     async def show_ready(self, exchange: Exchange) -> None:
--- a/rattanroute/systems/stagechoices.py
+++ b/rattanroute/systems/stagechoices.py
@@ -245,6 +245,20 @@
         )
 
 
+def is_served(service: BackendService, targets: TargetTable) -> bool:
+    """Whether the known targets of a service could answer a request.
+
+    Those of engines must hold all layers together.
+    """
+    rows = [x for x in targets.serving(service.name) if not x.report.leaving]
+    if service.engine is None:
+        return bool(rows)
+    held = set()
+    for row in rows:
+        held.update(range(row.report.first_layer, row.report.last_layer + 1))
+    return len(held) >= service.engine.layers
+
+
 def keep_from_start(candidate: Candidate) -> Candidate:
     """Returns a candidate that cannot be the first of a chain."""
     return dataclasses.replace(candidate, first=max(1, candidate.first))
--- a/rattanroute/tests/test_stagechoices.py
+++ b/rattanroute/tests/test_stagechoices.py
@@ -5,13 +5,17 @@
 
 from rattanroute.gateway.terms import ChainHop
 from rattanroute.systems.stagechoices import Demand
+from rattanroute.systems.stagechoices import is_served
 from rattanroute.systems.stagechoices import PipeMeter
+from rattanroute.tables.routes import BackendService
+from rattanroute.tables.targets import TargetTable
 from rattanroute.tests.gateway_support import build_chooser
 from rattanroute.tests.gateway_support import build_service
 from rattanroute.tests.gateway_support import build_targets
 from rattanroute.tests.gateway_support import CENTRES
 from rattanroute.tests.gateway_support import LAYERS
 from rattanroute.tests.gateway_support import SERVICE
+from rattanroute.tests.support import build_report
 
 DEMAND = Demand(service=SERVICE, prompt_tokens=774, answer_tokens=203)
 
@@ -143,6 +147,29 @@
         self.check(self.choose())
 
 
+class KnownTargetsTest(unittest.TestCase):
+    """Guards against a front that takes callers before it can serve them."""
+
+    def test_all_layers_must_be_known(self) -> None:
+        targets = build_targets()
+        service = build_service()
+        self.assertTrue(is_served(service, targets))
+        for target in list(targets):
+            if target.report.first_layer == 0:
+                targets.remove(target.report.target_id)
+        self.assertFalse(is_served(service, targets))
+
+    def test_plain_service_needs_a_target_that_stays(self) -> None:
+        service = BackendService(name="desk", max_connections=1)
+        targets = TargetTable()
+        self.assertFalse(is_served(service, targets))
+        report = build_report("t1", model="desk", total_layers=0)
+        targets.record(report=report, observer="v", heard_at=0.0)
+        self.assertTrue(is_served(service, targets))
+        targets.get("t1").report.leaving = True
+        self.assertFalse(is_served(service, targets))
+
+
 class PipeMeterTest(unittest.TestCase):
     """Guards against VMs that fill the pipe between data centres."""
 
