--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -1,7 +1,6 @@
 """Forwards requests to plain services and returns whole answers."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
 import dataclasses
 
@@ -13,6 +12,7 @@
 from rattanroute.gateway.outcomes import Outcome
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.sendbudgets import SendBudget
 from rattanroute.gateway.terms import AnswerTerms
 from rattanroute.gateway.terms import HeaderCodec
 from rattanroute.gateway.terms import Upstream
@@ -20,7 +20,6 @@
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
-from rattanroute.systems.budgets import RepeatBudget
 from rattanroute.tables.targets import Target
 
 # A connection within a region takes a few milliseconds.
@@ -48,15 +47,13 @@
         selector: Choice of targets.
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
-        vms: Returns the number of VMs that share the budget.
     """
 
     codec: HeaderCodec
     pool: ConnectionPool
     selector: TargetSelector
-    budget: RepeatBudget
+    budget: SendBudget
     ender: CallEnder
-    vms: Callable[[], int]
 
     async def forward(self, call: Call) -> None:
         """Sends a call to targets and answers the caller."""
@@ -70,7 +67,7 @@
             target = self.selector.choose(
                 call.service.name, excluded=excluded, now=loop.time()
             )
-            if target is None or not self.take_budget(call, loop.time()):
+            if target is None or not self.budget.take(call, loop.time()):
                 break
             excluded.add(target.report.target_id)
             outcome = await self.attempt(call, target)
@@ -100,15 +97,6 @@
             return False
         return call.route.repeatable or not call.may_have_run
 
-    def take_budget(self, call: Call, now: float) -> bool:
-        """Counts an attempt against the budget of the service."""
-        if call.sends == 0:
-            self.budget.note_first(call.service.name, now)
-            return True
-        return self.budget.take_repeat(
-            call.service.name, vms=self.vms(), now=now
-        )
-
     async def attempt(self, call: Call, target: Target) -> Outcome:
         """Sends a call to a target and judges the answer."""
         targets = self.selector.targets
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -18,6 +18,7 @@
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.sendbudgets import SendBudget
 from rattanroute.gateway.services import ServiceForwarder
 from rattanroute.gateway.stageorders import StageOrderer
 from rattanroute.gateway.stalls import StallInspector
@@ -234,10 +235,13 @@
             suspect=self.suspect,
             random=self.random,
         )
-        budget = RepeatBudget(
-            ratio=bounds.retry_budget_ratio,
-            extra=bounds.budget_extra,
-            window_s=bounds.budget_window_s,
+        budget = SendBudget(
+            repeats=RepeatBudget(
+                ratio=bounds.retry_budget_ratio,
+                extra=bounds.budget_extra,
+                window_s=bounds.budget_window_s,
+            ),
+            vms=self.control.count_servers,
         )
         ender = CallEnder(codec=codec, random=self.random)
         services = ServiceForwarder(
@@ -246,7 +250,6 @@
             selector=selector,
             budget=budget,
             ender=ender,
-            vms=self.control.count_servers,
         )
         self.streams = streams = StreamForwarder(
             codec=codec,
@@ -265,7 +268,6 @@
             inspector=StallInspector(
                 questions=self.questions, selector=selector
             ),
-            vms=self.control.count_servers,
         )
         return GatewayHandler(
             codec=codec,
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -11,6 +11,7 @@
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.sendbudgets import SendBudget
 from rattanroute.gateway.services import ServiceForwarder
 from rattanroute.gateway.stalls import StallInspector
 from rattanroute.gateway.streams import StreamForwarder
@@ -180,9 +181,11 @@
             "codec": codec,
             "pool": self.pool,
             "selector": selector,
-            "budget": RepeatBudget(ratio=0.2, extra=100, window_s=10),
+            "budget": SendBudget(
+                repeats=RepeatBudget(ratio=0.2, extra=100, window_s=10),
+                vms=lambda: 1,
+            ),
             "ender": CallEnder(codec=codec, random=random.Random(1)),
-            "vms": lambda: 1,
         }
         questions = TargetQuestions(pool=self.pool, codec=PlatformOrders())
         self.streams = StreamForwarder(
