--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -26,8 +26,8 @@
     Attributes:
         data_centre: Data centre of this VM.
         targets: All targets.
-    detections: Verdicts on targets.
-    has_departed: Whether a report comes from a target that said it ends.
+        detections: Verdicts on targets.
+        has_departed: Whether a report comes from a target that said it ends.
         suspect: Asks for an inspection of a target.
         random: Source of the jitter.
     """
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -30,7 +30,7 @@
     Attributes:
         call: The call.
         last_event_id: Identifier of the last event that was passed on.
-    head: Head of the first answer; later ones are not shown.
+        head: Head of the first answer; later ones are not shown.
         event_at: Time of the latest event.
     """
 
--- a/rattanroute/systems/validations.py
+++ b/rattanroute/systems/validations.py
@@ -51,8 +51,8 @@
     Attributes:
         configuration: The configuration in force.
         change: The change.
-    staged: Entities after the change by kind and name; None is deleted.
-    staged_owners: Workspaces in the change by the hash of a key.
+        staged: Entities after the change by kind and name; None is deleted.
+        staged_owners: Workspaces in the change by the hash of a key.
         problems: Problems found so far.
     """
 
