Leave a connection alone that a whole answer gave back

Cause (found by reading): a whole answer gives its connection back to the pool before the task of its call goes on. When another call took it in between, the first task saw a response being awaited and closed the connection under it.

Change: only a connection that still carries the own attempt is closed. The test failed before.

--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -173,7 +173,9 @@
             outcome = await self.follow(call, chain, sink, excluded)
         finally:
             self.following.discard((chain, sink))
-            if connection.parser.receiver is not None:
+            # A whole answer has given the connection back; another call may
+            # use it already.
+            if connection.sink is sink:
                 connection.cancel()
         self.note_health(call, chain, sink, outcome, excluded)
         return outcome
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from rattanroute.gateway.events import EventSplitter
+from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.servers import Exchange
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
@@ -120,6 +121,24 @@
         self.assertIn(b"retry-after", answered.headers)
         self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
 
+    async def test_connection_that_was_given_back_is_left_alone(self) -> None:
+        await self.add_engine("t1", stream)
+        taken = []
+
+        def take_at_once(connection: ClientConnection) -> None:
+            put(connection)
+            again = self.pool.take_idle(connection.address)
+            again.sink = object()
+            again.parser.receiver = again
+            taken.append(again)
+
+        put, self.pool.put = self.pool.put, take_at_once
+        answered = await self.call("/stream/")
+        self.assertTrue(answered.complete)
+        await asyncio.sleep(0.05)
+        self.assertFalse(taken[0].transport.is_closing())
+        taken[0].cancel()
+
     async def test_refused_crowd_returns_spread_over_its_time(self) -> None:
         returns = []
         for _ in range(20):
