Add a fault soak of the platform's programs

Change: tools/soak.py starts 9 machines, 9 stand-in replicas and a proxy, and carries out the faults of a seed: frozen, killed, stopped and reloaded processes, rolling stops, lost disks, refused writes, delayed, reset and cut links, all machines killed at the end. Fifteen checks look at what callers, operators and replicas saw. Processes of LocalCluster moved to tools/processes.py, which both use. Own setting peerRoutes for links behind the proxy.

--- a/rattanroute/controlplanes.py
+++ b/rattanroute/controlplanes.py
@@ -110,7 +110,7 @@
             vm_id=self.settings.vm_id,
             own_address=self.settings.peer_address,
             batch_seconds=self.settings.batch_s,
-            address_map={},
+            address_map=self.settings.address_map,
             metadata=dict,
             tls=lambda: None,
             metrics=self.metrics,
--- a/rattanroute/controlsettings.py
+++ b/rattanroute/controlsettings.py
@@ -53,6 +53,7 @@
         peer_address: Address on which peers are heard, as `IP:port`.
         seeds: Peer addresses of a few VMs to join through.
         batch_s: Longest wait before a batch of messages is sent, in seconds.
+        address_map: Address to dial in place of a peer's own one.
         storage: The data folder.
     """
 
@@ -62,4 +63,5 @@
     peer_address: str
     seeds: tuple[str, ...] = ()
     batch_s: float = 0.005
+    address_map: dict[str, str] = dataclasses.field(default_factory=dict)
     storage: StorageOptions = StorageOptions()
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -64,6 +64,8 @@
         seeds: Control addresses of some machines; those of the other ports
             follow, as ports are the same on all machines.
         bootstrap: Whether the whole system starts for the first time.
+        peer_routes: Address to dial in place of a peer's own one. A setting
+            of our own for tests behind a proxy; the platform does not send it.
     """
 
     node: str
@@ -78,6 +80,7 @@
     data_dir: str | None = None
     bounds: Bounds = Bounds()
     fault_tolerance: Tolerance = Tolerance()
+    peer_routes: dict[str, str] = {}
 
     @property
     def peer_port(self) -> int:
@@ -129,6 +132,7 @@
         region=boot.region,
         peer_address=f"{boot.ip}:{boot.peer_port}",
         seeds=tuple(f"{host}:{boot.peer_port}" for host in hosts),
+        address_map=boot.peer_routes,
         storage=StorageOptions(
             folder=folder,
             voter=folder is not None,
--- /dev/null
+++ b/rattanroute/tests/soak_support.py
@@ -0,0 +1,105 @@
+"""Builders of what a soak saw, and the seeds that once failed."""
+
+import dataclasses
+
+from rattanroute.platform.standins import Record
+from rattanroute.platform.trials import CallKind
+from rattanroute.platform.trials import Machine
+from rattanroute.tools.soak_records import Attempt
+from rattanroute.tools.soak_records import Ending
+from rattanroute.tools.soak_records import Probe
+from rattanroute.tools.soak_records import SoakLog
+
+FRONT = "zone-a-front-1"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FailedSeed:
+    """A seed of the soak that failed once.
+
+    Attributes:
+        seed: The seed.
+        seconds: Duration of its traffic.
+        cause: Why it failed.
+    """
+
+    seed: int
+    seconds: float
+    cause: str
+
+
+FAILED_SEEDS = (
+    FailedSeed(
+        seed=1,
+        seconds=8.0,
+        cause=(
+            "The check of changes counted routes as missing that a newer "
+            "version, not yet acknowledged, had dropped."
+        ),
+    ),
+)
+
+
+def build_machines() -> list[Machine]:
+    """Builds the machines of two zones."""
+    return [
+        Machine(
+            name=f"{zone}-{name}",
+            zone=zone,
+            address=f"127.9.{number}.{host}",
+            core=name == "core",
+        )
+        for number, zone in enumerate(("zone-a", "zone-b"), start=1)
+        for host, name in enumerate(("core", "front-1", "front-2"), start=1)
+    ]
+
+
+def build_attempt(**changes: object) -> Attempt:
+    """Builds an attempt that was answered well."""
+    values: dict[str, object] = {
+        "request_id": "r1",
+        "kind": CallKind.ONCE,
+        "front": FRONT,
+        "sent_at": 10.0,
+        "ended_at": 10.1,
+        "ending": Ending.COMPLETE,
+        "status": 200,
+    }
+    values.update(changes)
+    return Attempt(**values)
+
+
+def build_record(event: str, **changes: object) -> Record:
+    """Builds a record of a replica."""
+    values: dict[str, object] = {
+        "at": 10.05,
+        "event": event,
+        "request_id": "r1",
+        "replica_id": "desk-1",
+        "service": "desk",
+    }
+    values.update(changes)
+    return Record(**values)
+
+
+def build_probe(**changes: object) -> Probe:
+    """Builds a probe that found its version."""
+    values: dict[str, object] = {
+        "front": FRONT,
+        "lifetime": 1,
+        "version": 1,
+        "sent_at": 10.0,
+        "ended_at": 10.1,
+        "known": True,
+    }
+    values.update(changes)
+    return Probe(**values)
+
+
+def build_log(**changes: object) -> SoakLog:
+    """Builds a log of one front; requests go on after the last fault."""
+    log = SoakLog(fronts=[FRONT], settled_at=-20.0)
+    log.attempts.append(build_attempt())
+    for name, value in changes.items():
+        setattr(log, name, value)
+    return log
--- /dev/null
+++ b/rattanroute/tests/test_soak_plans.py
@@ -0,0 +1,59 @@
+"""Tests of the plans of soaks."""
+
+import itertools
+import unittest
+
+from rattanroute.tests.soak_support import build_machines
+from rattanroute.tools.soak_plans import Action
+from rattanroute.tools.soak_plans import CATCH_UP_SECONDS
+from rattanroute.tools.soak_plans import plan_soak
+from rattanroute.tools.soak_plans import SoakPlan
+
+SECONDS = 20.0
+SEEDS = range(200)
+
+
+def build_plan(seed: int) -> SoakPlan:
+    """Builds the plan of a seed."""
+    return plan_soak(
+        seed,
+        machines=build_machines(),
+        replicas=["zone-a-desk-0", "zone-b-engine-1"],
+        seconds=SECONDS,
+    )
+
+
+class SoakPlanTest(unittest.TestCase):
+    """Guards against plans that cannot be repeated or that ask too much."""
+
+    def test_same_seed_gives_same_plan(self) -> None:
+        """Guards against a seed that cannot be run again."""
+        self.assertEqual(build_plan(7), build_plan(7))
+        self.assertNotEqual(build_plan(7), build_plan(8))
+
+    def test_one_core_machine_at_a_time(self) -> None:
+        """Guards against more losses of the core than are to be borne."""
+        core = {x.name for x in build_machines() if x.core}
+        for seed in SEEDS:
+            faults = [
+                x
+                for x in build_plan(seed).faults
+                if not core.isdisjoint(x.subjects)
+            ]
+            for first, second in itertools.pairwise(faults):
+                free = first.end + CATCH_UP_SECONDS
+                self.assertGreaterEqual(second.at, free, seed)
+
+    def test_all_actions_come(self) -> None:
+        """Guards against an action that is never drawn, and long tails."""
+        actions = set()
+        overlapping = 0
+        for seed in SEEDS:
+            faults = build_plan(seed).faults
+            actions.update(x.action for x in faults)
+            overlapping += any(
+                b.at < a.end for a, b in itertools.pairwise(faults)
+            )
+            self.assertTrue(all(0 < x.at < SECONDS for x in faults))
+        self.assertEqual(actions, set(Action))
+        self.assertGreater(overlapping, len(SEEDS) / 2)
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -2,47 +2,38 @@
 
 import asyncio
 import contextlib
-import os
-import pathlib
-import shutil
-import signal
 import sys
-import tempfile
 import time
 from typing import Self
 
 import aiohttp
-import msgspec
 import yaml
 
 from rattanroute.tools.cluster_hosts import CALLERS_PORT
 from rattanroute.tools.cluster_hosts import merge_settings
 from rattanroute.tools.cluster_hosts import OPERATORS_TOKEN
-from rattanroute.tools.cluster_hosts import reserve_network
 from rattanroute.tools.cluster_hosts import StandIn
 from rattanroute.tools.cluster_hosts import TARGET_PORT
 from rattanroute.tools.cluster_hosts import TARGETS_PORT
 from rattanroute.tools.cluster_hosts import ToolResult
 from rattanroute.tools.cluster_hosts import Vm
+from rattanroute.tools.processes import POLL_SECONDS
+from rattanroute.tools.processes import ProcessGroup
+from rattanroute.tools.processes import START_TIMEOUT_SECONDS
 from rattanroute.tools.proxies import Fault
 from rattanroute.tools.proxies import FaultKind
 from rattanroute.tools.proxies import Route
 
-PROXY_CONTROL_PORT = 8090
 TARGET_PROXY_PORT = 9100
-FIRST_PEER_ROUTE_PORT = 20000
 FIRST_TARGET_HOST = 100
-START_TIMEOUT_SECONDS = 20.0
-STOP_TIMEOUT_SECONDS = 20.0
-POLL_SECONDS = 0.05
 # Claim holders must start before their sets are in force.
 FOUNDING_SECONDS = 6.0
 FOUNDING_MARGIN_SECONDS = 1.2
 LOG_TAIL_CHARACTERS = 2000
 
 
-class LocalCluster:
-    """Starts, stops and disturbs processes on loopback addresses.
+class LocalCluster(ProcessGroup):
+    """Starts, stops and disturbs a cluster on loopback addresses.
 
     Each VM and target has a loopback address of its own, so that ports are
     fixed and the proxy can tell data centres apart by source address.
@@ -65,19 +56,14 @@
         proxied: bool = False,
         settings: dict[str, object] | None = None,
     ) -> None:
+        super().__init__()
         self.proxied = proxied
         self.extra_settings = settings or {}
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattanroute-"))
-        self.lock, self.network = reserve_network()
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.vms: dict[str, Vm] = {}
         self.targets: dict[str, StandIn] = {}
         self.data_centres = list(data_centres)
         self.claim_holders: dict[str, list[str]] = {}
-        self.routes: list[Route] = []
-        self.faults: list[Fault] = []
         self.created_ms = int((time.time() + FOUNDING_SECONDS) * 1000)
-        self.routes_open = False
         for data_centre, count in data_centres.items():
             names = [f"{data_centre}-{i + 1}" for i in range(count)]
             for i, name in enumerate(names):
@@ -91,7 +77,10 @@
             self.claim_holders[data_centre] = names[
                 : holders - (holders + 1) % 2
             ]
-        self.address_maps = self.plan_peer_routes() if proxied else {}
+        self.address_maps: dict[str, dict[str, str]] = {}
+        if proxied:
+            addresses = {x.name: x.peers_address for x in self.vms.values()}
+            self.address_maps = self.plan_peer_routes(addresses)
 
     async def __aenter__(self) -> Self:
         self.client = aiohttp.ClientSession()
@@ -114,27 +103,6 @@
         """Returns the prefix of the addresses of a data centre."""
         return f"{self.network}.{self.data_centres.index(data_centre) + 1}."
 
-    def plan_peer_routes(self) -> dict[str, dict[str, str]]:
-        """Plans a route for each ordered pair of VMs of two data centres.
-
-        Returns:
-            The address map of each VM.
-        """
-        maps: dict[str, dict[str, str]] = {name: {} for name in self.vms}
-        port = FIRST_PEER_ROUTE_PORT
-        for source in self.vms.values():
-            for peer in self.vms.values():
-                if source.name == peer.name:
-                    continue
-                listen = f"{self.network}.0.1:{port}"
-                port += 1
-                name = f"peer:{source.name}:{peer.name}"
-                self.routes.append(
-                    Route(name=name, listen=listen, upstream=peer.peers_address)
-                )
-                maps[source.name][peer.peers_address] = listen
-        return maps
-
     async def start(self) -> None:
         """Starts the proxy and all VMs and waits until they answer."""
         if self.proxied:
@@ -144,43 +112,6 @@
         for name in self.vms:
             await self.wait_healthy(name)
 
-    async def start_proxy(self) -> None:
-        """Starts the proxy and opens its routes."""
-        control = f"{self.network}.0.1:{PROXY_CONTROL_PORT}"
-        await self.spawn("proxy", "rattanroute.tools.proxies", control)
-        deadline = time.monotonic() + START_TIMEOUT_SECONDS
-        while True:
-            try:
-                await self.send_routes()
-                return
-            except aiohttp.ClientError:
-                if time.monotonic() > deadline:
-                    raise
-                await asyncio.sleep(POLL_SECONDS)
-
-    async def send_routes(self) -> None:
-        """Sends the routes to the proxy."""
-        await self.put_control("routes", self.routes)
-        self.routes_open = True
-
-    async def close_route(self, name: str) -> None:
-        """Closes a route's port, so that connections to it are refused."""
-        self.routes = [route for route in self.routes if route.name != name]
-        await self.send_routes()
-
-    async def put_control(self, path: str, items: list[object]) -> None:
-        """Replaces a list of the proxy."""
-        url = f"http://{self.network}.0.1:{PROXY_CONTROL_PORT}/{path}"
-        async with self.client.put(
-            url, data=msgspec.json.encode(items)
-        ) as response:
-            response.raise_for_status()
-
-    async def set_faults(self, *faults: Fault) -> None:
-        """Replaces all faults of the proxy."""
-        self.faults = list(faults)
-        await self.put_control("faults", self.faults)
-
     def cut_data_centre(self, data_centre: str) -> list[Fault]:
         """Returns faults that separate a data centre from the others."""
         inside = [
@@ -318,19 +249,6 @@
         path.write_text(yaml.safe_dump(target.configuration), encoding="utf-8")
         await self.spawn(name, target.module, "--config", str(path))
 
-    async def spawn(self, name: str, module: str, *arguments: str) -> None:
-        """Starts a Python module as a process; its output goes to a file."""
-        with (self.folder / f"{name}.log").open("ab") as output:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                module,
-                *arguments,
-                stdout=output,
-                stderr=output,
-                stdin=asyncio.subprocess.DEVNULL,
-            )
-
     async def run_tool(
         self, *arguments: str, addresses: tuple[str, ...] = ()
     ) -> ToolResult:
@@ -396,44 +314,3 @@
                         return
             await asyncio.sleep(POLL_SECONDS)
         raise TimeoutError(f"{url} did not answer with status 200")
-
-    def signal(self, name: str, number: signal.Signals) -> None:
-        """Sends a signal to a process."""
-        with contextlib.suppress(ProcessLookupError):
-            self.processes[name].send_signal(number)
-
-    def freeze(self, name: str) -> None:
-        """Stops a process without its noticing."""
-        self.signal(name, signal.SIGSTOP)
-
-    def thaw(self, name: str) -> None:
-        """Lets a frozen process go on."""
-        self.signal(name, signal.SIGCONT)
-
-    async def kill(self, name: str) -> None:
-        """Kills a process at once."""
-        self.signal(name, signal.SIGKILL)
-        await self.processes[name].wait()
-
-    async def stop(self, name: str) -> int:
-        """Stops a process as planned and returns its exit code."""
-        self.signal(name, signal.SIGTERM)
-        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
-            return await self.processes[name].wait()
-
-    def read_log(self, name: str) -> str:
-        """Returns the output of a process."""
-        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
-
-    async def close(self) -> None:
-        """Kills all processes and removes the folder."""
-        for name, process in self.processes.items():
-            if process.returncode is None:
-                self.signal(name, signal.SIGKILL)
-        for process in self.processes.values():
-            await process.wait()
-        await self.client.close()
-        self.lock.close()
-        kept = os.environ.get("RATTANROUTE_KEEP_FOLDER")
-        if not kept:
-            shutil.rmtree(self.folder, ignore_errors=True)
