Read no other target to judge the health of one

Cause: each check whether a target's report is current searched all targets for the newest report, so that one choice among 90 targets read 8,100 rows; a front did so ten times a second for its log line of usable targets.

Change: the table keeps the time of the newest report.

Test first: test_health_of_a_target_reads_no_other failed with one read for each target and passes now.

--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -45,11 +45,8 @@
         When no reports arrive at all, this VM is cut off and goes on with
         what it knows.
         """
-        return self.newest_report() - target.heard_at <= STALE_SECONDS
-
-    def newest_report(self) -> float:
-        """Returns the time of the newest report of any target."""
-        return max((x.heard_at for x in self.targets), default=0.0)
+        age = self.targets.newest_heard_at - target.heard_at
+        return age <= STALE_SECONDS
 
     def is_usable(self, target: Target, now: float) -> bool:
         """Whether a target may get new work."""
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -178,6 +178,7 @@
         ranged: Targets that hold part of the layers, by model.
         kind_speeds: Mean tokens per second of one running request, by model
             and accelerator kind.
+        newest_heard_at: Time of the newest report of any target.
     """
 
     rows: dict[str, Target] = dataclasses.field(default_factory=dict)
@@ -188,6 +189,7 @@
     kind_speeds: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    newest_heard_at: float = 0.0
 
     def record(
         self, *, report: TargetReport, observer: str, heard_at: float
@@ -202,6 +204,7 @@
         Returns:
             Whether the report was newer than the stored one.
         """
+        self.newest_heard_at = max(self.newest_heard_at, heard_at)
         row = self.rows.get(report.target_id)
         if row is None:
             row = self.rows[report.target_id] = Target(
--- /dev/null
+++ b/rattanroute/tests/test_selectors.py
@@ -0,0 +1,76 @@
+"""Tests of the health of targets and the choice among them."""
+
+import random
+import unittest
+
+from rattanroute.gateway.selectors import STALE_SECONDS
+from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+
+def build_selector(targets: TargetTable) -> TargetSelector:
+    """Builds a selector of a VM in `dc-a`."""
+    return TargetSelector(
+        data_centre="dc-a",
+        targets=targets,
+        detections=DetectionSystem(targets=targets),
+        has_departed=lambda report: False,
+        suspect=lambda row: None,
+        random=random.Random(1),
+    )
+
+
+def record(targets: TargetTable, target_id: str, heard_at: float) -> None:
+    """Records a report of a plain service."""
+    report = TargetReport(
+        target_id=target_id,
+        sequence=int(heard_at),
+        address="10.0.0.1:80",
+        data_centre="dc-a",
+        model="desk",
+    )
+    targets.record(report=report, observer="v", heard_at=heard_at)
+
+
+class TargetSelectorTest(unittest.TestCase):
+    """Guards against work for silent targets, and against costly choices."""
+
+    def test_target_whose_reports_stopped(self) -> None:
+        """Guards against requests to a target that others outlived."""
+        targets = TargetTable()
+        record(targets, "old", 1.0)
+        record(targets, "new", 2.0 + STALE_SECONDS)
+        selector = build_selector(targets)
+        self.assertFalse(selector.is_usable(targets.get("old"), 9.0))
+        self.assertTrue(selector.is_usable(targets.get("new"), 9.0))
+
+    def test_no_reports_at_all(self) -> None:
+        """Guards against a VM without targets when it is cut off."""
+        targets = TargetTable()
+        record(targets, "a", 1.0)
+        record(targets, "b", 2.0)
+        selector = build_selector(targets)
+        self.assertTrue(selector.is_usable(targets.get("a"), 500.0))
+
+    def test_health_of_a_target_reads_no_other(self) -> None:
+        """Guards against a choice whose cost grows with the square."""
+
+        class CountingTable(TargetTable):
+            """Counts how often all targets are read."""
+
+            reads = 0
+
+            def __iter__(self) -> object:
+                """Returns all targets."""
+                CountingTable.reads += 1
+                return iter(self.rows.values())
+
+        targets = CountingTable()
+        for number in range(400):
+            record(targets, f"t{number}", 1.0)
+        selector = build_selector(targets)
+        usable = [selector.is_usable(x, 1.0) for x in targets]
+        self.assertTrue(all(usable))
+        self.assertEqual(CountingTable.reads, 1)
