Give the VMs of a test cluster time to start before claims are in force

Change: a cluster whose VMs were not all up in time starts again with twice the time. test_start_that_takes_longer_than_the_founding has a founding time of 0.1 s.

test_frozen_entry_vm_and_poor_links compared each refusal as not run with the runs at the end of the test. A call is granted its claim, finds no target, is refused as not run and gives the claim back; a later call with the key may then run, which test_key_that_was_refused_without_a_target shows with stopped targets. The check now asks that the key had not run when the refusal came, and that no run carries the identifier of a refused call, which it did not ask before.

--- a/rattanroute/tests/integration/test_claims.py
+++ b/rattanroute/tests/integration/test_claims.py
@@ -3,11 +3,15 @@
 import asyncio
 import collections
 from collections.abc import Iterable
+import datetime
 import itertools
+import re
 import time
+import unittest
 
 from rattanroute.tests.integration.support import CallerAnswer
 from rattanroute.tests.integration.support import ClusterTestCase
+from rattanroute.tools.clusters import LocalCluster
 from rattanroute.tools.proxies import Direction
 from rattanroute.tools.proxies import Fault
 from rattanroute.tools.proxies import FaultKind
@@ -21,6 +25,24 @@
 REFUSAL_SECONDS = 5.0
 
 
+class SlowStartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a test cluster that can grant no claim."""
+
+    async def test_start_that_takes_longer_than_the_founding(self) -> None:
+        """Guards against holders that all start after their set.
+
+        They count as holders that lost their memory and never grant, which
+        failed tests of claims beside other load.
+        """
+        cluster = LocalCluster(data_centres={"dc-a": 1}, founding_s=0.1)
+        async with cluster:
+            started = re.findall(
+                r"time=(\S+) .*daemon started", cluster.read_log("dc-a-1")
+            )
+            at = datetime.datetime.fromisoformat(started[-1])
+            self.assertLess(at.timestamp() * 1000, cluster.created_ms)
+
+
 class AtMostOnceTest(ClusterTestCase):
     """A record or an order runs at most once."""
 
@@ -250,23 +272,75 @@
         self.cluster.freeze("dc-a-2")
         answers: dict[str, list[CallerAnswer]] = {key: [] for key in keys}
         for vm in ("dc-a-1", "dc-b-2", "dc-a-3"):
-            found = await asyncio.gather(*(self.write(vm, k) for k in keys))
-            for key, answer in zip(keys, found, strict=True):
-                answers[key].append(answer)
+            await self.write_all(vm, keys, answers)
         await self.assert_at_most_once()
         self.cluster.thaw("dc-a-2")
         for key, task in zip(keys, tasks, strict=True):
             answers[key].append(await task)
         await self.cluster.set_faults()
         for vm in self.cluster.vms:
-            found = await asyncio.gather(*(self.write(vm, k) for k in keys))
-            for key, answer in zip(keys, found, strict=True):
-                answers[key].append(answer)
+            await self.write_all(vm, keys, answers)
         runs = await self.assert_at_most_once()
         for key, known in answers.items():
             done = [answer.body for answer in known if answer.status == 200]
             self.assertEqual(done, done[:1] * len(done))
             self.assertLessEqual(bool(done), runs[key])
-            for answer in known:
-                if answer.error and answer.error["execution"] == "not_run":
-                    self.assertEqual(runs[key], 0, answer.error)
+        await self.assert_refusals_true(answers)
+
+    async def write_all(
+        self,
+        vm: str,
+        keys: list[str],
+        answers: dict[str, list[CallerAnswer]],
+    ) -> None:
+        """Sends the record of each key to a VM.
+
+        A refusal as not run must be true when it is given; a later call with
+        the key may run.
+        """
+        before = await self.count_runs()
+        found = await asyncio.gather(*(self.write(vm, key) for key in keys))
+        for key, answer in zip(keys, found, strict=True):
+            answers[key].append(answer)
+            if says_not_run(answer):
+                self.assertEqual(before[key], 0, (vm, key, answer.error))
+
+    async def assert_refusals_true(
+        self, answers: dict[str, list[CallerAnswer]]
+    ) -> None:
+        """Checks that no call ran that was refused as not run."""
+        ran = set()
+        for name in SERVICES:
+            for entry in (await self.executions(name))["executions"]:
+                ran.add(entry[0])
+        for answer in itertools.chain(*answers.values()):
+            if says_not_run(answer):
+                self.assertNotIn(answer.request_id, ran, answer.error)
+
+    async def test_key_that_was_refused_without_a_target(self) -> None:
+        """Guards against a key that stays taken by a call that did not run.
+
+        The refusal is true when it is given, and a later call may run.
+        """
+        for name in SERVICES:
+            await self.cluster.stop(name)
+        answers: dict[str, list[CallerAnswer]] = {}
+
+        async def is_refused() -> bool:
+            key = f"dc-a/no-target-{len(answers)}"
+            answers[key] = [await self.write("dc-a-1", key)]
+            return says_not_run(answers[key][-1])
+
+        await self.wait_for(is_refused, seconds=RECOVERY_SECONDS)
+        for name in SERVICES:
+            await self.cluster.start_target(name)
+        key = f"dc-a/no-target-{len(answers) - 1}"
+        await self.wait_written("dc-a-2", key)
+        runs = await self.assert_at_most_once()
+        self.assertEqual(runs[key], 1)
+        await self.assert_refusals_true(answers)
+
+
+def says_not_run(answer: CallerAnswer) -> bool:
+    """Whether an answer promises that the call did not run."""
+    return bool(answer.error) and answer.error["execution"] == "not_run"
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import sys
 import time
 from typing import Self
@@ -45,6 +46,8 @@
         proxied: Whether connections between data centres and to targets pass
             through the fault-injecting proxy.
         settings: Changes to the settings of each daemon.
+        founding_s: Time that the VMs get to start before the sets of claim
+            holders are in force.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         claim_holders: int = 3,
         proxied: bool = False,
         settings: dict[str, object] | None = None,
+        founding_s: float = FOUNDING_SECONDS,
     ) -> None:
         super().__init__()
         self.proxied = proxied
@@ -63,7 +67,8 @@
         self.targets: dict[str, StandIn] = {}
         self.data_centres = list(data_centres)
         self.claim_holders: dict[str, list[str]] = {}
-        self.created_ms = int((time.time() + FOUNDING_SECONDS) * 1000)
+        self.founding_s = founding_s
+        self.created_ms = 0
         for data_centre, count in data_centres.items():
             names = [f"{data_centre}-{i + 1}" for i in range(count)]
             for i, name in enumerate(names):
@@ -104,13 +109,28 @@
         return f"{self.network}.{self.data_centres.index(data_centre) + 1}."
 
     async def start(self) -> None:
-        """Starts the proxy and all VMs and waits until they answer."""
+        """Starts the proxy and all VMs and waits until they answer.
+
+        A claim holder that starts after its set is in force counts as one
+        that lost its memory, and a set of such holders grants nothing. When
+        the start took too long, all VMs start again with more time.
+        """
         if self.proxied:
             await self.start_proxy()
+        while not await self.found_cluster():
+            for name in self.vms:
+                await self.kill(name)
+                shutil.rmtree(self.folder / name, ignore_errors=True)
+            self.founding_s *= 2
+
+    async def found_cluster(self) -> bool:
+        """Starts all VMs; returns whether the sets were not yet in force."""
+        self.created_ms = int((time.time() + self.founding_s) * 1000)
         for name in self.vms:
             await self.start_vm(name)
         for name in self.vms:
             await self.wait_healthy(name)
+        return time.time() * 1000 < self.created_ms
 
     def cut_data_centre(self, data_centre: str) -> list[Fault]:
         """Returns faults that separate a data centre from the others."""
