Bound the links of a VM that is no voter by voters and neighbours

Random partners of membership open a link between every pair of VMs in the end.

Change: with ControlSettings.neighbours a VM that is no voter probes and gossips with the voters and its next neighbours on a ring of its data centre; voters talk to all. The platform's programs use 2 neighbours; rattanrouted goes on with all members.

Tests: 160 members have at most 12 links each (test_links_do_not_grow_with_ the_size); deaths are found within 15 s, a healed cut within 4 s, a restart of all voters within 10 s of simulated time.

--- a/rattanroute/controlplanes.py
+++ b/rattanroute/controlplanes.py
@@ -60,6 +60,7 @@
             incarnation=int(time.time() * MILLISECONDS_PER_SECOND),
             random=random,
             seeds=settings.seeds,
+            neighbours=settings.neighbours,
         )
         self.configurations = ConfigurationGate(
             settings=settings,
--- a/rattanroute/controlsettings.py
+++ b/rattanroute/controlsettings.py
@@ -54,6 +54,8 @@
         seeds: Peer addresses of a few VMs to join through.
         batch_s: Longest wait before a batch of messages is sent, in seconds.
         address_map: Address to dial in place of a peer's own one.
+        neighbours: Members of the data centre that a VM which is no voter
+            talks to by itself, beside the voters; 0 for all members.
         storage: The data folder.
     """
 
@@ -63,5 +65,6 @@
     peer_address: str
     seeds: tuple[str, ...] = ()
     batch_s: float = 0.005
+    neighbours: int = 0
     address_map: dict[str, str] = dataclasses.field(default_factory=dict)
     storage: StorageOptions = StorageOptions()
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -14,6 +14,8 @@
 # start of a process takes a second. It covers two retransmissions of a lost
 # packet and a pause of the process.
 ELECTION_SECONDS = 0.8
+# Members of its zone that probe a front beside the core machines.
+NEIGHBOURS = 2
 
 
 class Listen(msgspec.Struct, frozen=True, kw_only=True):
@@ -133,6 +135,7 @@
         peer_address=f"{boot.ip}:{boot.peer_port}",
         seeds=tuple(f"{host}:{boot.peer_port}" for host in hosts),
         address_map=boot.peer_routes,
+        neighbours=NEIGHBOURS,
         storage=StorageOptions(
             folder=folder,
             voter=folder is not None,
--- a/rattanroute/systems/memberships.py
+++ b/rattanroute/systems/memberships.py
@@ -39,6 +39,7 @@
 from rattanroute.systems.gossips import Payload
 from rattanroute.systems.gossips import PIGGYBACK_BYTES
 from rattanroute.systems.member_views import MemberView
+from rattanroute.systems.partners import PartnerChoice
 from rattanroute.systems.probes import PingOrder
 from rattanroute.systems.probes import Prober
 from rattanroute.systems.probes import ProbeResult
@@ -93,6 +94,7 @@
         incarnation: int,
         random: Random,
         seeds: tuple[str, ...] = (),
+        neighbours: int = 0,
     ) -> None:
         """Initialises the view with this VM as the only member.
 
@@ -106,6 +108,8 @@
                 must have a greater one than all statements of the last run.
             random: Source of all random choices.
             seeds: Peer addresses of the seeds.
+            neighbours: Partners on the ring, beside the voters; 0 when all
+                members are partners.
         """
         me = Member(
             vm_id=vm_id,
@@ -117,7 +121,19 @@
         )
         self.vm_id = vm_id
         self.table = MemberTable()
-        self.prober = Prober(vm_id=vm_id, table=self.table, random=random)
+        self.partners = PartnerChoice(
+            vm_id=vm_id,
+            data_centre=data_centre,
+            voter=voter,
+            table=self.table,
+            neighbours=neighbours,
+        )
+        self.prober = Prober(
+            vm_id=vm_id,
+            table=self.table,
+            partners=self.partners,
+            random=random,
+        )
         self.view = MemberView(me=me, table=self.table, prober=self.prober)
         self.sync = MemberSync(table=self.table, random=random)
         self.joined = all(seed == address for seed in seeds)
@@ -344,7 +360,7 @@
             payload = self.take_payload(GOSSIP_MESSAGE_BYTES, now)
             actions += send_payload(self.prober.choose_peers(1), payload)
         if self.view.near_queue.level_of:
-            near = self.table.near(self.me.data_centre)
+            near = self.partners.near()
             payload = self.view.near_queue.take(
                 max_bytes=GOSSIP_MESSAGE_BYTES, members=len(near), now=now
             )
--- a/rattanroute/systems/probes.py
+++ b/rattanroute/systems/probes.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from rattanroute.systems.gossips import TokenBucket
+from rattanroute.systems.partners import PartnerChoice
 from rattanroute.tables.members import MemberState
 from rattanroute.tables.members import MemberTable
 
@@ -78,6 +79,7 @@
     """Probes under way and the order of the next ones.
 
     Attributes:
+        partners: Members that this VM probes by itself.
         probes: Probes that wait for an answer, by member.
         failures: Failed probes in succession, by member.
         urgent: Members to probe ahead of their turn.
@@ -86,11 +88,17 @@
     """
 
     def __init__(
-        self, *, vm_id: str, table: MemberTable, random: Random
+        self,
+        *,
+        vm_id: str,
+        table: MemberTable,
+        partners: PartnerChoice,
+        random: Random,
     ) -> None:
         """Initialises without probes."""
         self.vm_id = vm_id
         self.table = table
+        self.partners = partners
         self.random = random
         self.sequence = 0
         self.probes: dict[str, Probe] = {}
@@ -175,14 +183,16 @@
                 ):
                     return subject
             self.ring = [
-                vm_id for vm_id in self.table.present_ids if vm_id != self.vm_id
+                vm_id
+                for vm_id in self.partners.present()
+                if vm_id != self.vm_id
             ]
             self.random.shuffle(self.ring)
         return None
 
     def choose_peers(self, count: int, excluded: str = "") -> tuple[str, ...]:
-        """Returns distinct random present members other than this VM."""
-        return self.sample(self.table.present_ids, count, excluded)
+        """Returns distinct random present partners other than this VM."""
+        return self.sample(self.partners.present(), count, excluded)
 
     def sample(
         self, present: list[str], count: int, excluded: str
@@ -236,7 +246,10 @@
         )
         if not self.reconnect_tokens.take(amount=1, now=now):
             return ""
-        subject = self.random.choice(list(absent))
+        known = [x for x in absent if self.partners.may_reconnect(x)]
+        if not known:
+            return ""
+        subject = self.random.choice(known)
         left = self.table.rows[subject].state == MemberState.LEFT
         return "" if left else subject
 
--- a/rattanroute/tests/test_memberships.py
+++ b/rattanroute/tests/test_memberships.py
@@ -34,8 +34,18 @@
 class MemberWorld:
     """Members m0, m1 ...; m0 is the seed of all."""
 
-    def __init__(self, count: int, seed: int = 1, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        loss: float = 0.0,
+        voters: int = 0,
+        neighbours: int = 0,
+    ) -> None:
         """Starts all members and lets them connect to the seed."""
+        self.voters = voters
+        self.neighbours = neighbours
+        self.pairs: dict[str, set[str]] = collections.defaultdict(set)
         self.random = Random(seed)
         self.network = MemoryNetwork(
             random=self.random, deliver=self.deliver, loss=loss
@@ -56,10 +66,11 @@
             address=f"127.0.0.1:{number}",
             data_centre=f"dc-{number % DATA_CENTRES}",
             region="r",
-            voter=False,
+            voter=number < self.voters,
             incarnation=WALL_MS + int(self.network.now * 1000),
             random=Random(number),
             seeds=("127.0.0.1:0",),
+            neighbours=self.neighbours,
         )
         if name != "m0":
             actions = self.systems[name].host_connected(
@@ -69,6 +80,8 @@
 
     def deliver(self, sender: str, receiver: str, message: object) -> None:
         """Hands a message to a member that is up."""
+        self.pairs[sender].add(receiver)
+        self.pairs[receiver].add(sender)
         system = self.systems.get(receiver)
         if system is not None:
             actions = system.receive(
@@ -412,6 +425,72 @@
         self.assertLess(taken, 12_000)
 
 
+class PartnerTest(unittest.TestCase):
+    """Guards against a link between every pair of VMs."""
+
+    voters = 8
+    neighbours = 2
+
+    def build(self, count: int) -> MemberWorld:
+        """Builds members that talk to voters and neighbours only."""
+        world = MemberWorld(
+            count, voters=self.voters, neighbours=self.neighbours
+        )
+        world.settle(30.0)
+        return world
+
+    def count_links(self, world: MemberWorld) -> int:
+        """Returns the most links of a member that is no voter."""
+        world.run(20.0)
+        world.pairs.clear()
+        world.run(60.0)
+        return max(len(world.pairs[x]) for x in world.names[self.voters :])
+
+    def test_links_do_not_grow_with_the_size(self) -> None:
+        """Guards against cost that grows with the square of the VMs."""
+        few = self.count_links(self.build(40))
+        many = self.count_links(self.build(160))
+        self.assertLessEqual(few, self.voters + 2 * self.neighbours)
+        self.assertLessEqual(many, self.voters + 2 * self.neighbours)
+
+    def test_dead_member_is_found(self) -> None:
+        """Guards against deaths that nobody notices."""
+        world = self.build(60)
+        del world.systems["m20"]
+        self.assertLess(world.settle(40.0), 15.0)
+
+    def test_voter_that_dies_is_found(self) -> None:
+        """Guards against VMs that go on asking a voter that is gone."""
+        world = self.build(60)
+        del world.systems["m3"]
+        self.assertLess(world.settle(40.0), 15.0)
+
+    def test_healed_data_centre_rejoins(self) -> None:
+        """Guards against a data centre that stays apart after a cut."""
+        world = self.build(60)
+        side = set(world.names[1::DATA_CENTRES])
+        world.cut_off(side)
+        world.run(60.0)
+        self.assertEqual(world.view("m0"), set(world.names) - side)
+        world.network.cuts.clear()
+        self.assertLessEqual(world.settle(20.0), 4.0)
+
+    def test_restart_of_all_voters(self) -> None:
+        """Guards against VMs that never find the voters again."""
+        world = self.build(40)
+        for number in range(self.voters):
+            del world.systems[f"m{number}"]
+        world.run(5.0)
+        for number in range(self.voters):
+            world.start(f"m{number}")
+        for name in world.names[self.voters :]:
+            actions = world.systems[name].host_connected(
+                peer="m0", now=world.network.now
+            )
+            world.execute(name, actions)
+        self.assertLessEqual(world.settle(20.0), 10.0)
+
+
 class MemberTableTest(unittest.TestCase):
     """Guards against digests that differ for equal tables."""
 
