Let streams wait a short time for room before they are refused

Change: a stream without room waits up to a second (systems/waitingrooms.py). Those that still meet their goal go first, by priority (the tenant's, else the route's) and arrival; the others take what is left, so a lasting overload does not make every stream late. Nobody waits when layers are at no usable target.

Tests of the load: burst, overload, lost engines (test_waitingrooms), a call that waits, leaves, or ends in a refusal (test_gateway_streams).

What is late now is to be traced next.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -18,11 +18,13 @@
         route: Its route.
         service: The service that answers it.
         workspace: Workspace of the caller; empty on a public route.
+        priority: Rank among the calls that wait; 0 goes first.
         deadline: Time at which the answer is due, in seconds of the loop.
         revision: Manifest by which it was routed.
         sends: Sends to targets.
         may_have_run: Whether a target may have run it.
         ran_on: Targets that may have run it.
+        waited_s: Seconds spent waiting for room.
         first_event_s: Seconds until the first event of a stream.
         longest_gap_s: Longest pause between two events.
         targets: Identifiers of the targets it was sent to.
@@ -34,11 +36,13 @@
     route: Route
     service: BackendService
     workspace: str
+    priority: int
     deadline: float
     revision: int
     sends: int = 0
     may_have_run: bool = False
     ran_on: set[str] = dataclasses.field(default_factory=set)
+    waited_s: float = 0.0
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
     targets: list[str] = dataclasses.field(default_factory=list)
--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -16,11 +16,13 @@
 from rattanroute.tables.routes import RouteKind
 from rattanroute.tables.routes import RoutingTable
 from rattanroute.tables.routes import Split
+from rattanroute.tables.routes import WorkspaceKey
 
 UNREADY_RETRY_SECONDS = 0.5
 # Longer than the targets of a running system take to become known.
 START_WAIT_SECONDS = 1.5
 START_WAIT_PART = 0.25
+NO_OWNER = WorkspaceKey(workspace="")
 
 log = get_logger(__name__)
 
@@ -67,11 +69,11 @@
         if route is None:
             self.refuse(exchange, terms, 404, "no route", table.revision)
             return
-        workspace = find_workspace(table, route, terms.key)
-        if workspace is None:
+        owner = find_owner(table, route, terms.key)
+        if owner is None:
             self.refuse(exchange, terms, 401, "unknown key", table.revision)
             return
-        call = self.build_call(exchange, terms, table, route, workspace)
+        call = self.build_call(exchange, terms, table, route, owner)
         if route.kind is RouteKind.STREAM and call.service.engine is not None:
             await self.streams.forward(call)
         else:
@@ -96,10 +98,13 @@
         terms: RequestTerms,
         table: RoutingTable,
         route: Route,
-        workspace: str,
+        owner: WorkspaceKey,
     ) -> Call:
         """Returns the call with its service and deadline."""
         left = route.timeout_s
+        priority = route.priority
+        if owner.priority is not None:
+            priority = owner.priority
         if terms.time_left_s is not None:
             left = min(left, terms.time_left_s)
         return Call(
@@ -107,7 +112,8 @@
             terms=terms,
             route=route,
             service=table.services[self.choose_split(route.splits)],
-            workspace=workspace,
+            workspace=owner.workspace,
+            priority=priority,
             deadline=exchange.received_at + left,
             revision=table.revision,
         )
@@ -146,11 +152,13 @@
         )
 
 
-def find_workspace(table: RoutingTable, route: Route, key: str) -> str | None:
-    """Returns the workspace of a key; None when the key is refused."""
+def find_owner(
+    table: RoutingTable, route: Route, key: str
+) -> WorkspaceKey | None:
+    """Returns the owner of a key; None when the key is refused."""
     if table.keys is None:
-        return ""
+        return NO_OWNER
     owner = table.keys.get(key) if key else None
-    if owner is not None:
-        return owner.workspace
-    return "" if route.public else None
+    if owner is None and route.public:
+        return NO_OWNER
+    return owner
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -105,6 +105,7 @@
             sends=call.sends,
             targets=",".join(call.targets),
             failures=";".join(call.failures),
+            waited=call.waited_s,
             first_event=call.first_event_s,
             longest_gap=call.longest_gap_s,
             seconds=now - call.exchange.received_at,
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -18,11 +18,13 @@
 from rattanroute.gateway.terms import ChainHop
 from rattanroute.gateway.terms import HeaderCodec
 from rattanroute.gateway.terms import Upstream
+from rattanroute.gateway.waiting import ChainQueue
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.systems.stagechoices import Demand
 from rattanroute.systems.stagechoices import StageChooser
+from rattanroute.systems.waitingrooms import MAX_WAIT_SECONDS
 
 # A connection within a region takes a few milliseconds.
 CONNECT_SECONDS = 0.25
@@ -50,6 +52,7 @@
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
         inspector: Finds the target at which a stream stalls.
+        queue: Calls that wait for room.
         following: Chains and sinks of the attempts that are open.
     """
 
@@ -60,6 +63,7 @@
     budget: SendBudget
     ender: CallEnder
     inspector: StallInspector
+    queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
     following: set[tuple[tuple[ChainHop, ...], StreamSink]] = dataclasses.field(
         default_factory=set
     )
@@ -78,20 +82,8 @@
         excluded: set[str] = set()
         reason = "no chain has room"
         while self.may_send(call, loop.time()):
-            now = loop.time()
-            self.selector.detections.wake(now)
-            demand = build_demand(call)
-            starts = None
-            if len(call.ran_on) >= call.route.max_attempts:
-                starts = frozenset(call.ran_on)
-            chain = self.chooser.choose(
-                call.service,
-                demand,
-                excluded=frozenset(excluded),
-                starts=starts,
-                now=now,
-            )
-            if not chain or not self.budget.take(call, now):
+            chain = await self.find_chain(call, state, excluded)
+            if not chain or not self.budget.take(call, loop.time()):
                 break
             outcome = await self.attempt(call, state, chain, excluded)
             if outcome is None:
@@ -105,6 +97,48 @@
         timed_out = call.time_left(loop.time()) <= 0
         self.ender.refuse(call, reason, timed_out=timed_out)
 
+    async def find_chain(
+        self, call: Call, state: StreamState, excluded: set[str]
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain with room, after a short wait if need be.
+
+        Nobody waits when some layers are at no target that can be used.
+        """
+        now = asyncio.get_running_loop().time()
+
+        def choose() -> tuple[ChainHop, ...]:
+            return self.choose_chain(call, excluded)
+
+        service = call.service
+        if not self.queue.room.expects_room(service.name):
+            chain = choose()
+            if chain:
+                return chain
+        if not self.chooser.is_covered(service, excluded=excluded, now=now):
+            return ()
+        since = max(state.event_at, call.exchange.received_at)
+        most_s = min(call.time_left(now), since + MAX_WAIT_SECONDS - now)
+        chain = await self.queue.wait(call, choose, most_s=most_s)
+        call.waited_s += asyncio.get_running_loop().time() - now
+        return chain
+
+    def choose_chain(
+        self, call: Call, excluded: set[str]
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain that has room now, or nothing."""
+        now = asyncio.get_running_loop().time()
+        self.selector.detections.wake(now)
+        starts = None
+        if len(call.ran_on) >= call.route.max_attempts:
+            starts = frozenset(call.ran_on)
+        return self.chooser.choose(
+            call.service,
+            build_demand(call),
+            excluded=frozenset(excluded),
+            starts=starts,
+            now=now,
+        )
+
     def may_send(self, call: Call, now: float) -> bool:
         """Whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
--- /dev/null
+++ b/rattanroute/gateway/waiting.py
@@ -0,0 +1,108 @@
+"""Lets calls wait until a chain has room for them."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.terms import ChainHop
+from rattanroute.systems.waitingrooms import Waiter
+from rattanroute.systems.waitingrooms import WaitingRoom
+
+# Steps of an engine take one to ten milliseconds; loads of other VMs come
+# four times a second.
+RETRY_SECONDS = 0.02
+
+Chain = tuple[ChainHop, ...]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingChoice:
+    """A call that waits, with what chooses its chain."""
+
+    choose: Callable[[], Chain]
+    chosen: asyncio.Future[Chain]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ChainQueue:
+    """Offers room to the calls that wait, in the order of the room.
+
+    Attributes:
+        room: Who waits, and in which order.
+        pending: What is to be done for each of them.
+        pump: Task that looks for room while any call waits.
+    """
+
+    room: WaitingRoom = dataclasses.field(default_factory=WaitingRoom)
+    pending: dict[Waiter, PendingChoice] = dataclasses.field(
+        default_factory=dict
+    )
+    pump: asyncio.Task[None] | None = None
+
+    async def wait(
+        self, call: Call, choose: Callable[[], Chain], *, most_s: float
+    ) -> Chain:
+        """Returns a chain as soon as one has room, or nothing.
+
+        Args:
+            call: The call.
+            choose: Returns a chain with room, or nothing.
+            most_s: Longest wait.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = self.room.enter(
+            service=call.service.name,
+            priority=call.priority,
+            arrived_at=call.exchange.received_at,
+            goal_s=call.route.goal_s,
+            most_s=most_s,
+            now=loop.time(),
+        )
+        if waiter is None:
+            return ()
+        pending = PendingChoice(choose=choose, chosen=loop.create_future())
+        self.pending[waiter] = pending
+        if self.pump is None or self.pump.done():
+            self.pump = loop.create_task(self.offer_room())
+        try:
+            return await pending.chosen
+        finally:
+            self.room.leave(waiter)
+            self.pending.pop(waiter, None)
+
+    async def offer_room(self) -> None:
+        """Looks for room until no call waits."""
+        loop = asyncio.get_running_loop()
+        while self.pending:
+            await asyncio.sleep(RETRY_SECONDS)
+            for waiter in self.room.take_expired(loop.time()):
+                self.resolve(waiter, ())
+            while self.serve_first(loop.time()):
+                # The call counts its load before the next one chooses.
+                await asyncio.sleep(0)
+
+    def serve_first(self, now: float) -> bool:
+        """Gives a chain to the first call of a service that gets one.
+
+        Calls behind one that gets none wait with it, so that small requests
+        do not keep large ones out.
+        """
+        without_room: set[str] = set()
+        for waiter in self.room.order(now):
+            pending = self.pending.get(waiter)
+            if pending is None or waiter.service in without_room:
+                continue
+            chain = pending.choose()
+            if chain:
+                self.resolve(waiter, chain)
+                return True
+            without_room.add(waiter.service)
+        return False
+
+    def resolve(self, waiter: Waiter, chain: Chain) -> None:
+        """Wakes a call with its chain, or with nothing."""
+        self.room.leave(waiter)
+        pending = self.pending.pop(waiter, None)
+        if pending is not None and not pending.chosen.done():
+            pending.chosen.set_result(chain)
--- a/rattanroute/systems/stagechoices.py
+++ b/rattanroute/systems/stagechoices.py
@@ -167,6 +167,22 @@
             for candidate, first, end in path.steps()
         )
 
+    def is_covered(
+        self, service: BackendService, *, excluded: set[str], now: float
+    ) -> bool:
+        """Whether usable targets hold all layers, with room or without."""
+        ranges = sorted(
+            (x.report.first_layer, x.report.last_layer + 1)
+            for x in self.targets.serving(service.name)
+            if x.report.target_id not in excluded and self.is_usable(x, now)
+        )
+        end = 0
+        for first, after in ranges:
+            if first > end:
+                break
+            end = max(end, after)
+        return end >= service.engine.layers
+
     def find_local(
         self,
         engine: Engine,
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -5,6 +5,7 @@
 from rattanroute.gateway.events import EventSplitter
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.servers import Exchange
+from rattanroute.systems.waitingrooms import MAX_WAIT_SECONDS
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
@@ -121,6 +122,54 @@
         self.assertIn(b"retry-after", answered.headers)
         self.assertLess(asyncio.get_running_loop().time() - started, 0.5)
 
+    def fill(self, target_id: str, sign: int = 1) -> None:
+        """Makes an engine look full, or empty again."""
+        loads = self.streams.chooser.loads
+        loads.add(target_id, requests=sign * 1000, cache_units=0)
+
+    async def test_stream_waits_for_room_after_a_burst(self) -> None:
+        """Guards against a refusal where room comes a moment later."""
+        await self.add_engine("e1", stream)
+        self.fill("e1")
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.2, self.fill, "e1", -1)
+        answer = await self.call("/stream/x")
+        self.assertEqual((answer.status, answer.body), (200, WHOLE))
+
+    async def test_wait_for_room_ends_in_a_true_refusal(self) -> None:
+        """Guards against a request that is held until its deadline."""
+        target = await self.add_engine("e1", stream)
+        self.fill("e1")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.call("/stream/x", deadline_ms=10_000)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+        self.assertLess(loop.time() - started, 2 * MAX_WAIT_SECONDS)
+        self.assertEqual(target.seen, [])
+
+    async def test_caller_that_leaves_does_not_wait_on(self) -> None:
+        """Guards against room for callers that are gone."""
+        target = await self.add_engine("e1", stream)
+        self.fill("e1")
+        await self.call("/stream/x", leave_after=0.1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.streams.queue.pending, {})
+        self.fill("e1", -1)
+        await asyncio.sleep(0.1)
+        self.assertEqual(target.seen, [])
+
+    async def test_missing_layers_are_refused_at_once(self) -> None:
+        """Guards against waiting for what cannot be served."""
+        target = await self.add_engine("e1", stream)
+        row = self.targets.get(target.target_id)
+        row.report.last_layer = LAYERS - 2
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.call("/stream/x")
+        self.assertEqual(answer.status, 503)
+        self.assertLess(loop.time() - started, MAX_WAIT_SECONDS / 2)
+
     async def test_connection_that_was_given_back_is_left_alone(self) -> None:
         await self.add_engine("t1", stream)
         taken = []
--- /dev/null
+++ b/rattanroute/tests/test_waitingrooms.py
@@ -0,0 +1,159 @@
+"""Tests of who waits for room, under the loads that make requests wait."""
+
+import dataclasses
+import unittest
+
+from rattanroute.systems.waitingrooms import MAX_WAIT_SECONDS
+from rattanroute.systems.waitingrooms import MAX_WAITERS
+from rattanroute.systems.waitingrooms import START_SECONDS
+from rattanroute.systems.waitingrooms import Waiter
+from rattanroute.systems.waitingrooms import WaitingRoom
+
+GOAL_SECONDS = 0.5
+STEP_SECONDS = 0.01
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What became of the requests of a simulated load.
+
+    Attributes:
+        good: Started in time for their goal.
+        late: Started later.
+        refused: Not started.
+    """
+
+    good: int = 0
+    late: int = 0
+    refused: int = 0
+
+
+def enter(
+    room: WaitingRoom, now: float, *, priority: int = 0, service: str = "llm"
+) -> Waiter | None:
+    """Lets a request wait that arrives now."""
+    return room.enter(
+        service=service,
+        priority=priority,
+        arrived_at=now,
+        goal_s=GOAL_SECONDS,
+        most_s=20.0,
+        now=now,
+    )
+
+
+def play(
+    arrivals: list[float], *, starts_per_s: float, waits: bool = True
+) -> Outcome:
+    """Plays arrivals against engines that start requests at a rate.
+
+    Without waiting, a request is refused that finds no room.
+    """
+    room = WaitingRoom()
+    outcome = Outcome()
+    left = sorted(arrivals)
+    now = 0.0
+    next_start = 0.0
+    while left or room.waiters:
+        while left and left[0] <= now:
+            outcome.refused += enter(room, left.pop(0)) is None
+        outcome.refused += len(room.take_expired(now))
+        while room.waiters and next_start <= now:
+            first = room.order(now)[0]
+            room.leave(first)
+            if now <= first.good_until:
+                outcome.good += 1
+            else:
+                outcome.late += 1
+            next_start = max(next_start, now) + 1 / starts_per_s
+        if not waits:
+            outcome.refused += len(room.waiters)
+            room.waiters.clear()
+        now += STEP_SECONDS
+    return outcome
+
+
+class WaitingRoomLoadTest(unittest.TestCase):
+    """Guards against refusals and late answers under short and long loads."""
+
+    def test_burst_is_served_in_time(self) -> None:
+        """Burst: guards against refusals where room comes at once.
+
+        Eight requests arrive together; the engines start 30 a second.
+        """
+        outcome = play([1.0] * 8, starts_per_s=30.0)
+        self.assertEqual(outcome, Outcome(good=8))
+
+    def test_lasting_overload_does_not_make_all_late(self) -> None:
+        """Overload: guards against a queue that makes every answer late.
+
+        Three requests arrive for every two that can start.
+        """
+        arrivals = [i / 30 for i in range(300)]
+        waiting = play(arrivals, starts_per_s=20.0)
+        refusing = play(arrivals, starts_per_s=20.0, waits=False)
+        self.assertGreater(waiting.good, refusing.good)
+        self.assertLess(waiting.refused, refusing.refused)
+
+    def test_engines_that_are_gone_for_a_moment(self) -> None:
+        """Lost zone: guards against refusals while others take over."""
+        room = WaitingRoom()
+        for number in range(10):
+            enter(room, number * 0.05)
+        self.assertEqual(room.take_expired(0.8), [])
+        self.assertEqual(len(room.order(0.8)), 10)
+
+
+class WaitingRoomTest(unittest.TestCase):
+    """Guards against waits without end and unfair orders."""
+
+    def test_wait_is_bounded(self) -> None:
+        """Guards against a request that is held until its deadline."""
+        room = WaitingRoom()
+        waiter = enter(room, 5.0)
+        self.assertEqual(room.take_expired(5.0 + MAX_WAIT_SECONDS / 2), [])
+        expired = room.take_expired(5.0 + MAX_WAIT_SECONDS)
+        self.assertEqual(expired, [waiter])
+        self.assertFalse(room.expects_room("llm"))
+
+    def test_number_is_bounded(self) -> None:
+        """Guards against a queue that is longer than can be served."""
+        room = WaitingRoom()
+        for _ in range(MAX_WAITERS):
+            self.assertIsNotNone(enter(room, 1.0))
+        self.assertIsNone(enter(room, 1.0))
+
+    def test_no_time_left(self) -> None:
+        """Guards against waiting with a request that is already lost."""
+        room = WaitingRoom()
+        waiter = room.enter(
+            service="llm",
+            priority=0,
+            arrived_at=0.0,
+            goal_s=GOAL_SECONDS,
+            most_s=0.0,
+            now=3.0,
+        )
+        self.assertIsNone(waiter)
+
+    def test_urgent_request_goes_first(self) -> None:
+        """Guards against a less urgent request that is served more often."""
+        room = WaitingRoom()
+        later = enter(room, 1.0, priority=2)
+        urgent = enter(room, 1.1, priority=0)
+        self.assertEqual(room.order(1.2), [urgent, later])
+
+    def test_request_that_can_meet_its_goal_goes_first(self) -> None:
+        """Guards against good answers that are lost to late ones."""
+        room = WaitingRoom()
+        old = enter(room, 1.0)
+        young = enter(room, 1.4)
+        missed = 1.0 + GOAL_SECONDS - START_SECONDS + 0.01
+        self.assertEqual(room.order(missed), [young, old])
+
+    def test_new_request_waits_behind_those_of_its_service(self) -> None:
+        """Guards against a new request that takes the room of a waiting one."""
+        room = WaitingRoom()
+        enter(room, 1.0)
+        self.assertTrue(room.expects_room("llm"))
+        self.assertFalse(room.expects_room("other"))
