Ask an engine again that was full a moment ago

Change: a call avoids a target that was full for 0.15 s, one that failed for good. The test failed before with a refusal.

--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -59,7 +59,7 @@
 from rattanroute.messages.consensus import ProposeResponse
 from rattanroute.messages.consensus import ReadRequest
 from rattanroute.messages.consensus import ReadResponse
-from rattanroute.records import FileAccess
+from rattanroute.storage.records import FileAccess
 
 JOIN_SECONDS = 1.0
 STORAGE_RETRY_SECONDS = 1.0
--- a/rattanroute/consensus/storages.py
+++ b/rattanroute/consensus/storages.py
@@ -22,16 +22,16 @@
 
 import msgspec
 
-from rattanroute import records
 from rattanroute.consensus.entries import Entry
 from rattanroute.consensus.entries import HardState
 from rattanroute.consensus.entries import Snapshot
 from rattanroute.consensus.logs import EntryLog
 from rattanroute.consensus.logs import measure_entry
 from rattanroute.errors import StorageError
-from rattanroute.records import FileAccess
-from rattanroute.records import RecordFile
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage import records
+from rattanroute.storage.records import FileAccess
+from rattanroute.storage.records import RecordFile
+from rattanroute.storage.records import SystemFileAccess
 
 # A restart replays at most about this much beyond the snapshot: some tens of
 # milliseconds, and a small part of the memory budget of 256 MB.
--- a/rattanroute/claimgates.py
+++ b/rattanroute/control/claim_hosts.py
@@ -8,10 +8,10 @@
 from rattanroute.actions import AnswerStored
 from rattanroute.actions import Claimed
 from rattanroute.actions import PersistClaims
-from rattanroute.claims import ClaimFile
-from rattanroute.journals import Journal
-from rattanroute.records import SystemFileAccess
 from rattanroute.settings import DaemonSettings
+from rattanroute.storage.claim_files import ClaimFile
+from rattanroute.storage.journals import Journal
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems.claims import ClaimSystem
 from rattanroute.tables.requests import Request
 
@@ -19,7 +19,7 @@
 HANDOVER_POLL_SECONDS = 0.05
 
 
-class ClaimGate:
+class ClaimHost:
     """Claims idempotency keys for the requests of this VM.
 
     Args:
--- a/rattanroute/ledgergates.py
+++ b/rattanroute/control/ledger_hosts.py
@@ -6,15 +6,15 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import PersistUsages
-from rattanroute.attemptruns import AttemptUsage
-from rattanroute.journals import Journal
-from rattanroute.ledgers import LedgerFile
-from rattanroute.records import SystemFileAccess
+from rattanroute.requests.attempts import AttemptUsage
 from rattanroute.servers.operator_sources import AccountTotal
 from rattanroute.servers.operator_sources import ShareUse
 from rattanroute.servers.operator_sources import UnsettledTotal
 from rattanroute.servers.targets import UsageStatement as UsageBody
 from rattanroute.settings import DaemonSettings
+from rattanroute.storage.journals import Journal
+from rattanroute.storage.ledger_files import LedgerFile
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems.ledgers import LedgerSystem
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.tables.configurations import Configuration
@@ -28,7 +28,7 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-class LedgerGate:
+class LedgerHost:
     """Records the usage of this VM's attempts.
 
     Args:
--- a/rattanroute/placementgates.py
+++ b/rattanroute/control/placement_hosts.py
@@ -12,7 +12,7 @@
 from rattanroute.actions import SendMessage
 from rattanroute.clients.orders import OrderClient
 from rattanroute.consensus.hosts import ConsensusHost
-from rattanroute.leases import LeaderLease
+from rattanroute.control.leases import LeaderLease
 from rattanroute.logs import get_logger
 from rattanroute.messages.orders import Demand
 from rattanroute.messages.orders import DemandReport
@@ -109,7 +109,7 @@
         self.tokens.clear()
 
 
-class PlacementGate:
+class PlacementHost:
     """Gives orders to targets while this voter leads the log.
 
     Args:
--- a/rattanroute/controlplanes.py
+++ b/rattanroute/control/planes.py
@@ -11,9 +11,9 @@
 from rattanroute.actions import MemberChanged
 from rattanroute.addresses import parse_address
 from rattanroute.clients.peers import PeerLinks
-from rattanroute.configurationgates import ConfigurationGate
-from rattanroute.configurationgates import REFRESH_SECONDS
-from rattanroute.controlsettings import ControlSettings
+from rattanroute.control.configuration_hosts import ConfigurationHost
+from rattanroute.control.configuration_hosts import REFRESH_SECONDS
+from rattanroute.control.settings import ControlSettings
 from rattanroute.errors import RouterError
 from rattanroute.hosts import SubsystemHost
 from rattanroute.logs import get_logger
@@ -62,7 +62,7 @@
             seeds=settings.seeds,
             neighbours=settings.neighbours,
         )
-        self.configurations = ConfigurationGate(
+        self.configurations = ConfigurationHost(
             settings=settings,
             membership=self.membership,
             send=self.send,
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -12,22 +12,22 @@
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
 from rattanroute.addresses import parse_address
-from rattanroute.attemptruns import AttemptUsage
-from rattanroute.claimgates import ClaimGate
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.failures import build_session
 from rattanroute.clients.peers import PeerLinks
 from rattanroute.clients.services import ServiceClient
 from rattanroute.clients.stages import PipelineClient
-from rattanroute.configurationgates import ConfigurationGate
-from rattanroute.configurationgates import REFRESH_SECONDS
+from rattanroute.control.claim_hosts import ClaimHost
+from rattanroute.control.configuration_hosts import ConfigurationHost
+from rattanroute.control.configuration_hosts import REFRESH_SECONDS
+from rattanroute.control.ledger_hosts import LedgerHost
+from rattanroute.control.placement_hosts import PlacementHost
 from rattanroute.errors import RouterError
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
-from rattanroute.ledgergates import LedgerGate
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
-from rattanroute.placementgates import PlacementGate
+from rattanroute.requests.attempts import AttemptUsage
 from rattanroute.routers import RequestRouter
 from rattanroute.security import protect_server
 from rattanroute.security import TokenFiles
@@ -95,16 +95,16 @@
             targets=self.targets,
             members=self.membership.alive,
         )
-        self.claims = ClaimGate(
+        self.claims = ClaimHost(
             settings=settings, execute=self.subsystems.execute
         )
-        self.ledger = LedgerGate(
+        self.ledger = LedgerHost(
             settings=settings,
             membership=self.membership,
             configuration=lambda: self.configuration,
             execute=self.subsystems.execute,
         )
-        self.configurations = ConfigurationGate(
+        self.configurations = ConfigurationHost(
             settings=settings,
             membership=self.membership,
             send=self.send,
@@ -142,11 +142,11 @@
             seeds=settings.peers.seeds,
         )
 
-    def build_placement(self) -> PlacementGate | None:
+    def build_placement(self) -> PlacementHost | None:
         """Builds placement on a voter; other VMs give no orders."""
         if self.configurations.consensus is None:
             return None
-        return PlacementGate(
+        return PlacementHost(
             consensus=self.configurations.consensus,
             targets=self.targets,
             configuration=lambda: self.configuration,
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -35,11 +35,31 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is broken off.
 DEADLINE_MARGIN_SECONDS = 0.1
+# A target that was full is asked again after a few passes of its engine.
+FULL_REST_SECONDS = 0.15
 # Part of the stall time of engines after which a target's "not run" means
 # that a member of its chain is dead rather than full.
 STALL_PART = 0.8
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class AvoidedTargets:
+    """Targets that a call does not use again.
+
+    Attributes:
+        broken: Targets that failed the call.
+        full: Targets that had no room for it, with the end of their rest.
+    """
+
+    broken: set[str] = dataclasses.field(default_factory=set)
+    full: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def now(self, now: float) -> frozenset[str]:
+        """Returns the targets that are not used at a time."""
+        resting = (x for x, until in self.full.items() if now < until)
+        return frozenset(self.broken.union(resting))
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StreamForwarder:
     """Sends calls over chains of engines until a stream is whole.
@@ -79,13 +99,13 @@
         call.exchange.on_gone = asyncio.current_task().cancel
         loop = asyncio.get_running_loop()
         state = StreamState(call=call)
-        excluded: set[str] = set()
+        avoided = AvoidedTargets()
         reason = "no chain has room"
         while self.may_send(call, loop.time()):
-            chain = await self.find_chain(call, state, excluded)
+            chain = await self.find_chain(call, state, avoided)
             if not chain or not self.budget.take(call, loop.time()):
                 break
-            outcome = await self.attempt(call, state, chain, excluded)
+            outcome = await self.attempt(call, state, chain, avoided)
             if outcome is None:
                 self.ender.log(call, OK, "answered")
                 return
@@ -98,7 +118,7 @@
         self.ender.refuse(call, reason, timed_out=timed_out)
 
     async def find_chain(
-        self, call: Call, state: StreamState, excluded: set[str]
+        self, call: Call, state: StreamState, avoided: AvoidedTargets
     ) -> tuple[ChainHop, ...]:
         """Returns a chain with room, after a short wait if need be.
 
@@ -107,14 +127,16 @@
         now = asyncio.get_running_loop().time()
 
         def choose() -> tuple[ChainHop, ...]:
-            return self.choose_chain(call, excluded)
+            return self.choose_chain(call, avoided)
 
         service = call.service
         if not self.queue.room.expects_room(service.name):
             chain = choose()
             if chain:
                 return chain
-        if not self.chooser.is_covered(service, excluded=excluded, now=now):
+        if not self.chooser.is_covered(
+            service, excluded=avoided.broken, now=now
+        ):
             return ()
         since = max(state.event_at, call.exchange.received_at)
         most_s = min(call.time_left(now), since + MAX_WAIT_SECONDS - now)
@@ -123,7 +145,7 @@
         return chain
 
     def choose_chain(
-        self, call: Call, excluded: set[str]
+        self, call: Call, avoided: AvoidedTargets
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that has room now, or nothing."""
         now = asyncio.get_running_loop().time()
@@ -134,7 +156,7 @@
         return self.chooser.choose(
             call.service,
             build_demand(call),
-            excluded=frozenset(excluded),
+            excluded=avoided.now(now),
             starts=starts,
             now=now,
         )
@@ -150,7 +172,7 @@
         call: Call,
         state: StreamState,
         chain: tuple[ChainHop, ...],
-        excluded: set[str],
+        avoided: AvoidedTargets,
     ) -> Outcome | None:
         """Sends a call over a chain, counting its load meanwhile."""
         loop = asyncio.get_running_loop()
@@ -159,7 +181,7 @@
         tokens = build_demand(call).tokens
         self.count_load(chain, tokens, 1, loop.time())
         try:
-            return await self.exchange(call, state, chain, excluded)
+            return await self.exchange(call, state, chain, avoided)
         finally:
             self.count_load(chain, tokens, -1, loop.time())
 
@@ -183,7 +205,7 @@
         call: Call,
         state: StreamState,
         chain: tuple[ChainHop, ...],
-        excluded: set[str],
+        avoided: AvoidedTargets,
     ) -> Outcome | None:
         """Sends a call to the first target and follows the stream."""
         loop = asyncio.get_running_loop()
@@ -197,21 +219,21 @@
             self.selector.note_failure(
                 first.target_id, now=loop.time(), crashed=True
             )
-            excluded.add(first.target_id)
+            avoided.broken.add(first.target_id)
             return NotRun(reason=str(error))
         sink = StreamSink(state=state, codec=self.codec, connection=connection)
         call.exchange.on_writable = connection.resume
         try:
             self.following.add((chain, sink))
             self.send(call, state, chain, connection, sink)
-            outcome = await self.follow(call, chain, sink, excluded)
+            outcome = await self.follow(call, chain, sink, avoided)
         finally:
             self.following.discard((chain, sink))
             # A whole answer has given the connection back; another call may
             # use it already.
             if connection.sink is sink:
                 connection.cancel()
-        self.note_health(call, chain, sink, outcome, excluded)
+        self.note_health(call, chain, sink, outcome, avoided)
         return outcome
 
     def send(
@@ -241,7 +263,7 @@
         call: Call,
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
-        excluded: set[str],
+        avoided: AvoidedTargets,
     ) -> Outcome | None:
         """Waits for the end of an attempt and looks into pauses."""
         loop = asyncio.get_running_loop()
@@ -257,7 +279,7 @@
                 checked_at = now
                 stalled = await self.inspector.find_stalled(call, chain)
                 if stalled and not sink.ended.done():
-                    excluded.update(stalled)
+                    avoided.broken.update(stalled)
                     return Unknown(reason="stalled at " + "+".join(stalled))
                 continue
             wait = max(0.01, min(end, max(due, now + 0.01)) - now)
@@ -270,25 +292,25 @@
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
         outcome: Outcome | None,
-        excluded: set[str],
+        avoided: AvoidedTargets,
     ) -> None:
-        """Learns from an attempt and excludes targets from the next one."""
+        """Learns from an attempt which targets the next one avoids."""
         now = sink.loop.time()
         if outcome is None:
             for hop in chain:
                 self.selector.note_success(hop.target_id, now)
             return
         if isinstance(outcome, NotRun):
-            self.note_not_run(call, chain, sink, excluded)
+            self.note_not_run(call, chain, sink, avoided)
             return
         call.may_have_run = True
         call.ran_on.add(chain[0].target_id)
         if isinstance(outcome, Answered) or outcome.timed_out:
             return
         gone = [hop.target_id for hop in chain if self.is_gone(hop)]
-        excluded.update(gone)
-        if excluded.isdisjoint(hop.target_id for hop in chain):
-            excluded.add(chain[0].target_id)
+        avoided.broken.update(gone)
+        if avoided.now(now).isdisjoint(hop.target_id for hop in chain):
+            avoided.broken.add(chain[0].target_id)
             self.selector.note_failure(chain[0].target_id, now=now)
 
     def is_gone(self, hop: ChainHop) -> bool:
@@ -301,16 +323,19 @@
         call: Call,
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
-        excluded: set[str],
+        avoided: AvoidedTargets,
     ) -> None:
-        """Excludes the target that refused, or that was named at fault."""
+        """Avoids the target that refused, or that was named at fault."""
         now = sink.loop.time()
         address = sink.terms.faulty_address or chain[0].address
         by_address = {hop.address: hop.target_id for hop in chain}
         target_id = by_address.get(address, chain[0].target_id)
-        excluded.add(target_id)
         waited = now - sink.event_at
         dead = waited >= STALL_PART * call.service.engine.stall_s
+        if dead:
+            avoided.broken.add(target_id)
+        else:
+            avoided.full[target_id] = now + FULL_REST_SECONDS
         self.selector.note_failure(target_id, now=now, crashed=dead)
 
     def answer_failure(self, call: Call, outcome: Answered) -> None:
--- a/rattanroute/platform/control.py
+++ b/rattanroute/platform/control.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from rattanroute.configurationgates import ConfigurationGate
+from rattanroute.control.configuration_hosts import ConfigurationHost
 from rattanroute.gateway.manifests import MANIFEST
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
@@ -55,7 +55,7 @@
 
     vm_id: str
     zones: frozenset[str]
-    configurations: ConfigurationGate
+    configurations: ConfigurationHost
     routing: Callable[[], RoutingTable | None]
     reports: TargetReportSystem
     departures: DepartureSystem
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -9,7 +9,8 @@
 from typing import Protocol
 
 from rattanroute.addresses import parse_address
-from rattanroute.controlplanes import ControlPlane
+from rattanroute.control.leases import LeaderLease
+from rattanroute.control.planes import ControlPlane
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
 from rattanroute.gateway.handlers import GatewayHandler
@@ -29,7 +30,6 @@
 from rattanroute.http1.servers import Exchange
 from rattanroute.http1.servers import Handler
 from rattanroute.http1.servers import HttpServer
-from rattanroute.leases import LeaderLease
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.platform.control import ControlHandler
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from rattanroute.addresses import parse_address
-from rattanroute.controlsettings import ControlSettings
-from rattanroute.controlsettings import StorageOptions
+from rattanroute.control.settings import ControlSettings
+from rattanroute.control.settings import StorageOptions
 from rattanroute.errors import SettingsError
 
 PATH_VARIABLE = "RATTANROUTE_BOOT"
--- a/rattanroute/callers.py
+++ b/rattanroute/requests/callers.py
@@ -9,8 +9,8 @@
 from expression import Result
 
 from rattanroute.actions import Refusal
-from rattanroute.bodies import invalid
-from rattanroute.refusals import UNAUTHENTICATED
+from rattanroute.requests.bodies import invalid
+from rattanroute.requests.refusals import UNAUTHENTICATED
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import Workspace
 
--- a/rattanroute/chatsessions.py
+++ b/rattanroute/requests/chats.py
@@ -10,7 +10,6 @@
 from opentelemetry import trace
 
 from rattanroute.actions import ReplaceStage
-from rattanroute.attemptruns import AttemptRun
 from rattanroute.clients.attempts import AttemptOrder
 from rattanroute.clients.attempts import TokenChunk
 from rattanroute.clients.attempts import Usage
@@ -21,8 +20,9 @@
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import StageDegraded
 from rattanroute.logs import get_logger
-from rattanroute.sessions import Session
-from rattanroute.sessions import SessionHost
+from rattanroute.requests.attempts import AttemptRun
+from rattanroute.requests.sessions import Session
+from rattanroute.requests.sessions import SessionHost
 from rattanroute.tables.requests import Request
 
 FIRST_TOKEN_TIMEOUT_SECONDS = 20.0
--- a/rattanroute/cores.py
+++ b/rattanroute/requests/cores.py
@@ -15,7 +15,6 @@
 from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
-from rattanroute.coresystems import CoreSystems
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
@@ -24,6 +23,7 @@
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
 from rattanroute.events import StageDegraded
+from rattanroute.requests.core_systems import CoreSystems
 from rattanroute.systems import refusals
 from rattanroute.systems.admissions import weights_of
 from rattanroute.systems.routing import hop_of
--- a/rattanroute/servicesessions.py
+++ b/rattanroute/requests/services.py
@@ -4,13 +4,13 @@
 
 from opentelemetry import trace
 
-from rattanroute.attemptruns import AttemptRun
 from rattanroute.clients.services import ServiceAnswer
 from rattanroute.clients.services import ServiceOrder
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptSucceeded
-from rattanroute.sessions import Session
-from rattanroute.sessions import SessionHost
+from rattanroute.requests.attempts import AttemptRun
+from rattanroute.requests.sessions import Session
+from rattanroute.requests.sessions import SessionHost
 from rattanroute.tables.requests import Request
 
 
--- a/rattanroute/sessions.py
+++ b/rattanroute/requests/sessions.py
@@ -15,8 +15,6 @@
 from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
-from rattanroute.attemptruns import AttemptRun
-from rattanroute.attemptruns import AttemptUsage
 from rattanroute.clients.attempts import AttemptError
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.services import ServiceClient
@@ -29,7 +27,9 @@
 from rattanroute.events import RequestArrived
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
-from rattanroute.refusals import RequestRefusedError
+from rattanroute.requests.attempts import AttemptRun
+from rattanroute.requests.attempts import AttemptUsage
+from rattanroute.requests.refusals import RequestRefusedError
 from rattanroute.tables.requests import Request
 from rattanroute.traces import TraceRecorder
 
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -6,12 +6,12 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
-from rattanroute.cores import RequestCore
-from rattanroute.coresystems import CoreSettings
+from rattanroute.control.placement_hosts import DemandMeter
 from rattanroute.events import Event
 from rattanroute.events import RequestArrived
-from rattanroute.placementgates import DemandMeter
-from rattanroute.sessions import SessionRegistry
+from rattanroute.requests.core_systems import CoreSettings
+from rattanroute.requests.cores import RequestCore
+from rattanroute.requests.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.systems.pipelines import PipelinePlanner
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -7,9 +7,9 @@
 
 from aiohttp import web
 
-from rattanroute.bodies import invalid
-from rattanroute.refusals import build_refusal_response
-from rattanroute.refusals import INTERNAL
+from rattanroute.requests.bodies import invalid
+from rattanroute.requests.refusals import build_refusal_response
+from rattanroute.requests.refusals import INTERNAL
 
 # A client that sends its headers slower than this is disconnected; open
 # connections without a request must not use up the file descriptors.
--- a/rattanroute/servers/streams.py
+++ b/rattanroute/servers/streams.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from rattanroute.actions import Refusal
-from rattanroute.refusals import build_refusal_event
+from rattanroute.requests.refusals import build_refusal_event
 
 DONE_EVENT = b"data: [DONE]\n\n"
 # About 20 tokens; each costs several times its length while it waits.
--- /dev/null
+++ b/rattanroute/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files that outlive a process: records, journals, state."""
--- a/rattanroute/ledgers.py
+++ b/rattanroute/storage/ledger_files.py
@@ -2,8 +2,8 @@
 
 import pathlib
 
-from rattanroute.records import FileAccess
-from rattanroute.statefiles import StateFile
+from rattanroute.storage.records import FileAccess
+from rattanroute.storage.state_files import StateFile
 
 LEDGER_FILE_NAME = "ledger.log"
 
--- a/rattanroute/statefiles.py
+++ b/rattanroute/storage/state_files.py
@@ -4,10 +4,10 @@
 
 from rattanroute.errors import StorageError
 from rattanroute.logs import get_logger
-from rattanroute.records import encode_file
-from rattanroute.records import FileAccess
-from rattanroute.records import RecordFile
-from rattanroute.records import write_file_synced
+from rattanroute.storage.records import encode_file
+from rattanroute.storage.records import FileAccess
+from rattanroute.storage.records import RecordFile
+from rattanroute.storage.records import write_file_synced
 
 # The file is rewritten when it has grown to this multiple of its last
 # rewritten size, so that rewriting costs less than appending.
--- a/rattanroute/tests/test_admissions.py
+++ b/rattanroute/tests/test_admissions.py
@@ -8,9 +8,9 @@
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Execution
 from rattanroute.actions import Refuse
-from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import RequestArrived
+from rattanroute.requests.core_systems import CoreSettings
 from rattanroute.systems.admissions import OpenGate
 from rattanroute.systems.queues import FairQueue
 from rattanroute.tests.support import build_report
--- a/rattanroute/tests/test_claims.py
+++ b/rattanroute/tests/test_claims.py
@@ -16,12 +16,12 @@
 from rattanroute.actions import Claimed
 from rattanroute.actions import Execution
 from rattanroute.actions import PersistClaims
-from rattanroute.claims import ClaimFile
 from rattanroute.messages.claims import ClaimRelease
 from rattanroute.messages.claims import ClaimRequest
 from rattanroute.messages.claims import CopyPiece
 from rattanroute.messages.claims import Outcome
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage.claim_files import ClaimFile
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems import holders
 from rattanroute.systems.claims import ClaimSystem
 from rattanroute.systems.claims import MAX_KEY_BYTES
--- a/rattanroute/tests/test_configurationgates.py
+++ b/rattanroute/tests/test_configuration_hosts.py
@@ -6,7 +6,7 @@
 import unittest
 
 from rattanroute.actions import SendMessage
-from rattanroute.configurationgates import ConfigurationGate
+from rattanroute.control.configuration_hosts import ConfigurationHost
 from rattanroute.messages.distributions import VersionAnswer
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import StorageSettings
@@ -22,7 +22,7 @@
 class PublishedChangeTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a change that is acknowledged and known to one VM only."""
 
-    def build_gate(self, folder: str) -> ConfigurationGate:
+    def build_gate(self, folder: str) -> ConfigurationHost:
         """Builds a lone voter that knows one other VM."""
         membership = MembershipSystem(
             vm_id="v1",
@@ -46,7 +46,7 @@
                 bootstrap_voters=("v1",),
             ),
         )
-        return ConfigurationGate(
+        return ConfigurationHost(
             settings=settings,
             membership=membership,
             send=lambda peer, message: True,
--- a/rattanroute/tests/test_consensus_hosts.py
+++ b/rattanroute/tests/test_consensus_hosts.py
@@ -20,7 +20,7 @@
 from rattanroute.errors import StorageError
 from rattanroute.messages.consensus import ProposeRequest
 from rattanroute.messages.consensus import ReadResponse
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.tests.test_records import FaultyFileAccess
 from rattanroute.tests.test_records import Killed
 
--- a/rattanroute/tests/test_consensus_storages.py
+++ b/rattanroute/tests/test_consensus_storages.py
@@ -16,7 +16,7 @@
 from rattanroute.consensus.storages import ConsensusStorage
 from rattanroute.consensus.storages import StoredState
 from rattanroute.errors import StorageError
-from rattanroute.records import FileAccess
+from rattanroute.storage.records import FileAccess
 from rattanroute.tests.test_records import FaultyFileAccess
 from rattanroute.tests.test_records import Killed
 
--- a/rattanroute/tests/test_cores.py
+++ b/rattanroute/tests/test_cores.py
@@ -10,13 +10,13 @@
 from rattanroute.actions import Hop
 from rattanroute.actions import Refuse
 from rattanroute.actions import ReplaceStage
-from rattanroute.cores import RequestCore
-from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import CallerGone
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.requests.core_systems import CoreSettings
+from rattanroute.requests.cores import RequestCore
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.requests import RequestTable
--- a/rattanroute/tests/test_forwards.py
+++ b/rattanroute/tests/test_forwards.py
@@ -5,11 +5,11 @@
 import unittest
 from unittest import mock
 
-from rattanroute import forwards
 from rattanroute.errors import NotProposedError
-from rattanroute.forwards import LogForwarder
 from rattanroute.messages.forwards import ChangeAnswer
 from rattanroute.messages.forwards import ChangeForward
+from rattanroute.requests import forwards
+from rattanroute.requests.forwards import LogForwarder
 from rattanroute.tables.changes import ChangeOutcome
 from rattanroute.tables.changes import encode_outcome
 from rattanroute.tables.changes import Verdict
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -51,6 +51,11 @@
     exchange.send(build_head(exchange, 503, stamped=False, not_run=True))
 
 
+async def shed_first(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the first request and answers the others."""
+    await (shed if len(target.seen) == 1 else stream)(target, exchange)
+
+
 class StreamTest(GatewayTestCase):
     """Guards against events that are missing, doubled, joined or cut."""
 
@@ -136,6 +141,13 @@
         answer = await self.call("/stream/x")
         self.assertEqual((answer.status, answer.body), (200, WHOLE))
 
+    async def test_engine_that_was_full_is_asked_again(self) -> None:
+        """Guards against a refusal when the only chain was full just now."""
+        target = await self.add_engine("e1", shed_first)
+        answer = await self.call("/stream/x")
+        self.assertEqual((answer.status, answer.body), (200, WHOLE))
+        self.assertEqual(len(target.seen), 2)
+
     async def test_wait_for_room_ends_in_a_true_refusal(self) -> None:
         """Guards against a request that is held until its deadline."""
         target = await self.add_engine("e1", stream)
--- a/rattanroute/tests/test_journals.py
+++ b/rattanroute/tests/test_journals.py
@@ -5,7 +5,7 @@
 import unittest
 
 from rattanroute.errors import StorageError
-from rattanroute.journals import Journal
+from rattanroute.storage.journals import Journal
 
 WAIT_SECONDS = 5.0
 
--- a/rattanroute/tests/test_ledgers.py
+++ b/rattanroute/tests/test_ledgers.py
@@ -11,8 +11,8 @@
 
 from rattanroute.actions import Action
 from rattanroute.actions import PersistUsages
-from rattanroute.ledgers import LedgerFile
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage.ledger_files import LedgerFile
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems import ledger_holders
 from rattanroute.systems import usages
 from rattanroute.systems.ledgers import LedgerSystem
--- a/rattanroute/tests/test_records.py
+++ b/rattanroute/tests/test_records.py
@@ -6,10 +6,10 @@
 import tempfile
 import unittest
 
-from rattanroute import records
 from rattanroute.errors import StorageError
-from rattanroute.records import RecordFile
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage import records
+from rattanroute.storage.records import RecordFile
+from rattanroute.storage.records import SystemFileAccess
 
 
 class Killed(BaseException):
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -9,10 +9,10 @@
 from rattanroute.actions import Finish
 from rattanroute.actions import Refusal
 from rattanroute.actions import Refuse
-from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.requests.core_systems import CoreSettings
 from rattanroute.systems.retries import MIN_HEDGE_SAMPLES
 from rattanroute.systems.retries import RETRY_BURST
 from rattanroute.systems.retries import RetrySystem
--- a/rattanroute/tests/test_sessions.py
+++ b/rattanroute/tests/test_sessions.py
@@ -19,9 +19,9 @@
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
 from rattanroute.metrics import MetricsRegistry
-from rattanroute.sessions import AttemptUsage
-from rattanroute.sessions import Session
-from rattanroute.sessions import SessionRegistry
+from rattanroute.requests.sessions import AttemptUsage
+from rattanroute.requests.sessions import Session
+from rattanroute.requests.sessions import SessionRegistry
 from rattanroute.tests.support import build_request
 from rattanroute.traces import TraceRecorder
 
--- a/rattanroute/tools/bench_baselines.py
+++ b/rattanroute/tools/bench_baselines.py
@@ -13,9 +13,9 @@
 import click
 import uvloop
 
-from rattanroute import cores
 from rattanroute.daemons import Daemon
 from rattanroute.logs import configure_logs
+from rattanroute.requests import cores
 from rattanroute.settings import load_settings
 from rattanroute.systems.routing import RoutingSystem
 from rattanroute.tables.pools import PoolKey
--- a/rattanroute/tools/bench_claims.py
+++ b/rattanroute/tools/bench_claims.py
@@ -19,9 +19,9 @@
 from rattanroute.actions import Claimed
 from rattanroute.actions import PersistUsages
 from rattanroute.actions import SendMessage
-from rattanroute.ledgers import LedgerFile
 from rattanroute.messages.memberships import Ping
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage.ledger_files import LedgerFile
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems.claims import ClaimSystem
 from rattanroute.systems.ledger_holders import LedgerHolder
 from rattanroute.systems.ledgers import LedgerSystem
--- a/rattanroute/tools/bench_consensus.py
+++ b/rattanroute/tools/bench_consensus.py
@@ -20,8 +20,8 @@
 from rattanroute.actions import SendMessage
 from rattanroute.consensus import storages
 from rattanroute.consensus.hosts import ConsensusHost
-from rattanroute.records import RecordFile
-from rattanroute.records import SystemFileAccess
+from rattanroute.storage.records import RecordFile
+from rattanroute.storage.records import SystemFileAccess
 
 TICK_SECONDS = 0.05
 CHANGE_BYTES = 200
--- a/rattanroute/tools/bench_decisions.py
+++ b/rattanroute/tools/bench_decisions.py
@@ -11,12 +11,12 @@
 from rattanroute import codecs
 from rattanroute.actions import Dispatch
 from rattanroute.actions import SendMessage
-from rattanroute.cores import RequestCore
-from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.requests.core_systems import CoreSettings
+from rattanroute.requests.cores import RequestCore
 from rattanroute.systems.queues import FairQueue
 from rattanroute.systems.shares import SharesSystem
 from rattanroute.tables.configurations import Configuration
--- a/rattanroute/tools/bench_policies.py
+++ b/rattanroute/tools/bench_policies.py
@@ -17,11 +17,11 @@
 from rattanroute.actions import CancelAttempt
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Refuse
-from rattanroute.cores import RequestCore
-from rattanroute.coresystems import CoreSettings
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
 from rattanroute.events import RequestArrived
+from rattanroute.requests.core_systems import CoreSettings
+from rattanroute.requests.cores import RequestCore
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestKind
