--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.requirements-installed
 
-.PHONY: demo test lint format bench proto settings-docs clean
+.PHONY: demo test lint format bench soak proto settings-docs clean
 
 demo: $(STAMP)
 	$(PY) -m rattanroute.tools.demo
@@ -23,6 +23,9 @@
 bench: $(STAMP)
 	$(PY) -m rattanroute.tools.bench $(if $(ONLY),--only $(ONLY))
 
+soak: $(STAMP)
+	$(PY) -m rattanroute.tools.soak --count $(or $(SEEDS),4) --jobs $(or $(JOBS),2)
+
 proto: $(STAMP)
 	PATH="$(abspath $(VENV))/bin:$$PATH" $(PY) -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. rattanroute/proto/*.proto
 
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import dataclasses
 import random as randoms
 import secrets
+import signal
 import sys
 import time
 
@@ -18,6 +20,7 @@
 from rattanroute.tools.soak_callers import Entry
 from rattanroute.tools.soak_callers import Operator
 from rattanroute.tools.soak_checks import find_broken
+from rattanroute.tools.soak_fleets import FRONTS_PER_ZONE
 from rattanroute.tools.soak_fleets import SoakFleet
 from rattanroute.tools.soak_fleets import ZONES
 from rattanroute.tools.soak_plans import plan_soak
@@ -44,6 +47,7 @@
         seed: Seed of the faults and of the callers.
         seconds: Duration of the traffic under faults.
         faults: Faults in place of those of the seed; None for those.
+        fronts: Fronts of each zone.
     """
 
     def __init__(
@@ -52,11 +56,12 @@
         seed: int,
         seconds: float,
         faults: tuple[PlannedFault, ...] | None = None,
+        fronts: int = FRONTS_PER_ZONE,
     ) -> None:
         self.seed = seed
         self.bounds = Bounds()
         self.random = randoms.Random(seed)
-        self.fleet = SoakFleet(bounds=self.bounds)
+        self.fleet = SoakFleet(bounds=self.bounds, fronts=fronts)
         self.plan: SoakPlan = plan_soak(
             seed,
             machines=list(self.fleet.machines.values()),
@@ -173,15 +178,34 @@
         )
 
 
-async def run_seeds(seeds: list[int], seconds: float, jobs: int) -> int:
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SoakOptions:
+    """Options of the command line.
+
+    Attributes:
+        seeds: Seeds to run.
+        seconds: Duration of the traffic under faults.
+        jobs: Soaks side by side.
+        fronts: Fronts of each zone.
+    """
+
+    seeds: list[int]
+    seconds: float
+    jobs: int
+    fronts: int
+
+
+async def run_seeds(options: SoakOptions) -> int:
     """Runs soaks side by side and returns how many broke a promise."""
-    gate = asyncio.Semaphore(jobs)
+    gate = asyncio.Semaphore(options.jobs)
     broken = 0
 
     async def run_seed(seed: int) -> None:
         nonlocal broken
         async with gate:
-            soak = Soak(seed=seed, seconds=seconds)
+            soak = Soak(
+                seed=seed, seconds=options.seconds, fronts=options.fronts
+            )
             found = await soak.run()
         broken += bool(found)
         click.echo(f"{soak.describe()} broken={','.join(found) or 'none'}")
@@ -191,7 +215,7 @@
         if found:
             click.echo(f"  logs: {soak.fleet.folder}")
 
-    await asyncio.gather(*(run_seed(seed) for seed in seeds))
+    await asyncio.gather(*(run_seed(seed) for seed in options.seeds))
     return broken
 
 
@@ -201,12 +225,15 @@
 @click.option("--count", default=1, help="Number of seeds.")
 @click.option("--seconds", default=TRAFFIC_SECONDS, help="Traffic of each.")
 @click.option("--jobs", default=1, help="Soaks side by side.")
+@click.option("--fronts", default=FRONTS_PER_ZONE, help="Fronts of each zone.")
 def main(
+    *,
     seeds: tuple[int, ...],
     first: int | None,
     count: int,
     seconds: float,
     jobs: int,
+    fronts: int,
 ) -> None:
     """Run soaks of the platform's programs.
 
@@ -218,7 +245,12 @@
         wanted += range(first, first + count)
     elif not wanted:
         wanted = [secrets.randbits(SEED_BITS) for _ in range(count)]
-    sys.exit(bool(uvloop.run(run_seeds(wanted, seconds, jobs))))
+    # A terminated soak ends its processes as an interrupted one does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    options = SoakOptions(
+        seeds=wanted, seconds=seconds, jobs=jobs, fronts=fronts
+    )
+    sys.exit(bool(uvloop.run(run_seeds(options))))
 
 
 if __name__ == "__main__":
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -32,7 +32,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 FRONTS_PER_ZONE = 2
 ENGINES_PER_ZONE = 2
-FIRST_REPLICA_HOST = 100
+FIRST_REPLICA_HOST = 200
 TARGET_PROXY_PORT = 9100
 FIRST_CONTROL_ROUTE_PORT = 30_000
 ROLE_MODULE = "rattanroute.platform"
@@ -65,11 +65,15 @@
 
     Args:
         bounds: Times of the deployment.
+        fronts: Fronts of each zone.
     """
 
-    def __init__(self, *, bounds: Bounds) -> None:
+    def __init__(
+        self, *, bounds: Bounds, fronts: int = FRONTS_PER_ZONE
+    ) -> None:
         super().__init__()
         self.bounds = bounds
+        self.fronts_per_zone = fronts
         self.machines = {x.name: x for x in self.list_machines()}
         self.replicas = {x.name: x for x in self.list_replicas()}
         addresses = {x.name: x.peer_address for x in self.machines.values()}
@@ -104,7 +108,8 @@
         found = []
         for number, zone in enumerate(ZONES, start=1):
             names = [f"{zone}-core"]
-            names += [f"{zone}-front-{i + 1}" for i in range(FRONTS_PER_ZONE)]
+            fronts = range(1, self.fronts_per_zone + 1)
+            names += [f"{zone}-front-{i}" for i in fronts]
             for host, name in enumerate(names, start=1):
                 found.append(
                     Machine(
