--- a/rattanroute/control/configuration_hosts.py
+++ b/rattanroute/control/configuration_hosts.py
@@ -13,10 +13,10 @@
 from rattanroute.consensus.nodes import Timing
 from rattanroute.consensus.proposals import Outcome
 from rattanroute.consensus.proposals import ProposalError
+from rattanroute.control.forwards import LogForwarder
 from rattanroute.control.settings import LogSettings
 from rattanroute.errors import NotProposedError
 from rattanroute.errors import RouterError
-from rattanroute.requests.forwards import LogForwarder
 from rattanroute.subsystems import Subsystem
 from rattanroute.systems.configurations import ConfigurationStateMachine
 from rattanroute.systems.distributions import DistributionSystem
--- a/rattanroute/systems/waitingrooms.py
+++ b/rattanroute/systems/waitingrooms.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class WaitingRoom:
-    """The requests of this VM that wait, by no particular order.
+    """The requests of this VM that wait, in no particular order.
 
     Attributes:
         waiters: The requests.
--- a/rattanroute/tests/test_forwards.py
+++ b/rattanroute/tests/test_forwards.py
@@ -5,11 +5,11 @@
 import unittest
 from unittest import mock
 
+from rattanroute.control import forwards
+from rattanroute.control.forwards import LogForwarder
 from rattanroute.errors import NotProposedError
 from rattanroute.messages.forwards import ChangeAnswer
 from rattanroute.messages.forwards import ChangeForward
-from rattanroute.requests import forwards
-from rattanroute.requests.forwards import LogForwarder
 from rattanroute.tables.changes import ChangeOutcome
 from rattanroute.tables.changes import encode_outcome
 from rattanroute.tables.changes import Verdict
