Read the configuration of a soak after its last change

Seed 1015 of 25 so far reported version 52 as lost after the final fault. The logs show it accepted at 07:34:30.711, 20 ms before the programs were ended, and in force on all three core machines: the last read had come before it, while the operator still made changes. The soak was wrong; the seed is kept.

--- a/rattanroute/tests/soak_support.py
+++ b/rattanroute/tests/soak_support.py
@@ -37,6 +37,14 @@
             "version, not yet acknowledged, had dropped."
         ),
     ),
+    FailedSeed(
+        seed=1015,
+        seconds=20.0,
+        cause=(
+            "The configuration was read for the last time while the operator "
+            "still made changes."
+        ),
+    ),
 )
 
 
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -121,6 +121,7 @@
             await self.finish()
             self.over = True
             await asyncio.gather(*workers)
+            await self.read_last()
         finally:
             for task in (*followers, *workers):
                 task.cancel()
@@ -163,6 +164,9 @@
             await self.fleet.kill_all_machines(MACHINES_DOWN_SECONDS)
         self.log.settled_at = time.monotonic()
         await asyncio.sleep(self.bounds.recovery_s + AFTER_SECONDS)
+
+    async def read_last(self) -> None:
+        """Reads the configuration after the last change."""
         for machine in self.fleet.core:
             version = await self.operator.read(machine)
             self.log.final_version = max(self.log.final_version, version)
