--- a/rattanroute/tests/integration/test_claims.py
+++ b/rattanroute/tests/integration/test_claims.py
@@ -334,6 +334,10 @@
         await self.wait_for(is_refused, seconds=RECOVERY_SECONDS)
         for name in SERVICES:
             await self.cluster.start_target(name)
+        for name in SERVICES:
+            await self.cluster.wait_status(
+                f"{self.cluster.targets[name].url}/healthz"
+            )
         key = f"dc-a/no-target-{len(answers) - 1}"
         await self.wait_written("dc-a-2", key)
         runs = await self.assert_at_most_once()
--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -15,6 +15,8 @@
 
 START_SECONDS = 30.0
 POLL_SECONDS = 0.1
+# Within the time that a program takes to import its modules.
+EARLY_SECONDS = 0.2
 METRICS_PORT = PEER_PORT + 1
 
 
@@ -81,6 +83,19 @@
         self.assertEqual(await self.fleet.stop(self.front.name), 0)
         await self.wait_logged(self.front.name, "daemon stopped")
 
+    async def test_reload_during_the_start(self) -> None:
+        """Guards against a program that SIGHUP ends before it is ready.
+
+        The platform may send it at any time after the start.
+        """
+        await self.fleet.stop(self.front.name)
+        await self.fleet.restart(self.front.name)
+        await asyncio.sleep(EARLY_SECONDS)
+        self.fleet.signal(self.front.name, signal.SIGHUP)
+        await asyncio.sleep(1.0)
+        self.assertIsNone(self.fleet.processes[self.front.name].returncode)
+        await self.wait_status(self.front.ready_url)
+
     async def test_wrong_settings_do_not_stop_a_program(self) -> None:
         """Guards against a reload that takes a damaged file."""
         path = self.fleet.folder / f"{self.front.name}.json"
