Use one client for questions in the stand-in; split the soak's seeds off

The stand-in replica had a copy of TargetQuestions.send. Soak had an argument that nobody passed, and soak_fleets a constant that nobody read.

--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -18,7 +18,7 @@
 import xxhash
 
 from rattanroute.errors import RouterError
-from rattanroute.http1.clients import CollectingSink
+from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import find_header
 from rattanroute.http1.heads import RequestHead
@@ -29,6 +29,7 @@
 from rattanroute.platform import headers
 from rattanroute.platform.replicas import DRAINING
 from rattanroute.platform.replicas import ORDER_PATH
+from rattanroute.platform.replicas import PlatformOrders
 from rattanroute.platform.replicas import READY
 from rattanroute.platform.replicas import REPORT_PATH
 
@@ -43,7 +44,6 @@
 STALL_SECONDS = 2.0
 EVENT_SECONDS = 0.04
 LOAD_SECONDS = 0.2
-MAX_BODY_BYTES = 65_536
 
 
 class StandInSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,7 +120,9 @@
         self.records = os.open(
             settings.records, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
-        self.pool = ConnectionPool()
+        self.questions = TargetQuestions(
+            pool=ConnectionPool(), codec=PlatformOrders()
+        )
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.orders = 0
@@ -330,31 +332,13 @@
         question = RequestHead(method=b"POST", target=MEMBER_PATH, headers=[])
         try:
             async with asyncio.timeout(STALL_SECONDS):
-                status, _ = await self.send(
+                status, _ = await self.questions.send(
                     address, question, b"%d-%d" % (first, end)
                 )
         except (TimeoutError, RouterError):
             return UNAVAILABLE
         return status
 
-    async def send(
-        self, address: str, head: RequestHead, body: bytes
-    ) -> tuple[int, bytes]:
-        """Sends a request and returns status and body.
-
-        Raises:
-            RouterError: If there is no whole answer.
-        """
-        connection = await self.pool.take(address, timeout_s=ACK_SECONDS)
-        sink = CollectingSink(max_bytes=MAX_BODY_BYTES)
-        try:
-            connection.send(head, body, sink)
-            await sink.done
-        finally:
-            if not sink.done.done() or sink.done.cancelled():
-                connection.cancel()
-        return sink.head.status, sink.body
-
     async def beat(self) -> bool:
         """Sends a liveness report; returns whether it was acknowledged."""
         settings = self.settings
@@ -382,7 +366,7 @@
         for address in control[start:] + control[:start]:
             try:
                 async with asyncio.timeout(ACK_SECONDS):
-                    status, _ = await self.send(address, head, body)
+                    status, _ = await self.questions.send(address, head, body)
             except (TimeoutError, RouterError):
                 continue
             if status == 200:
--- a/rattanroute/tests/integration/test_backpressure.py
+++ b/rattanroute/tests/integration/test_backpressure.py
@@ -24,8 +24,7 @@
 SLOW_FACTOR = 100.0
 STUCK_SECONDS = 12.0
 START_SECONDS = 10.0
-# The buffers of 50 connections take about 250,000 tokens; a busy machine
-# produces them in a minute. Below the deadline of the readers.
+# The buffers of all connections must fill first; below the readers' deadline.
 SETTLE_SECONDS = 100.0
 CANCEL_SECONDS = 1.0
 DEADLINE_SECONDS = 2.0
--- /dev/null
+++ b/rattanroute/tests/integration/test_soak_seeds.py
@@ -0,0 +1,29 @@
+"""The seeds of the soak that once failed."""
+
+from rattanroute.tests.soak_support import FAILED_SEEDS
+from rattanroute.tests.soak_support import SoakTestCase
+
+
+class FailedSeedTest(SoakTestCase):
+    """Guards against the return of faults that a soak found."""
+
+    async def assert_mended(self, seed: int) -> None:
+        """Runs a seed again that failed once."""
+        failed = FAILED_SEEDS[seed]
+        await self.assert_kept(failed.seed, failed.seconds)
+
+    async def test_seed_1(self) -> None:
+        """Guards against a check of changes that sees too much."""
+        await self.assert_mended(1)
+
+    async def test_seed_1015(self) -> None:
+        """Guards against a last read that comes before the last change."""
+        await self.assert_mended(1015)
+
+    async def test_seed_1026(self) -> None:
+        """Guards against a last read that comes before the last change."""
+        await self.assert_mended(1026)
+
+    async def test_seed_1043(self) -> None:
+        """Guards against a program that a reload ends during its start."""
+        await self.assert_mended(1043)
--- a/rattanroute/tests/soak_support.py
+++ b/rattanroute/tests/soak_support.py
@@ -1,10 +1,12 @@
 """Builders of what a soak saw, and the seeds that once failed."""
 
 import dataclasses
+import unittest
 
 from rattanroute.platform.standins import Record
 from rattanroute.platform.trials import CallKind
 from rattanroute.platform.trials import Machine
+from rattanroute.tools.soak import Soak
 from rattanroute.tools.soak_records import Attempt
 from rattanroute.tools.soak_records import Ending
 from rattanroute.tools.soak_records import Probe
@@ -56,6 +58,16 @@
 FAILED_SEEDS = {failed.seed: failed for failed in FAILED_SEED_CASES}
 
 
+class SoakTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test that runs soaks."""
+
+    async def assert_kept(self, seed: int, seconds: float) -> None:
+        """Runs a soak that must break no promise."""
+        soak = Soak(seed=seed, seconds=seconds)
+        broken = await soak.run()
+        self.assertEqual(broken, {}, f"logs: {soak.fleet.folder}")
+
+
 def build_machines() -> list[Machine]:
     """Builds the machines of two zones."""
     return [
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -46,7 +46,6 @@
     Args:
         seed: Seed of the faults and of the callers.
         seconds: Duration of the traffic under faults.
-        faults: Faults in place of those of the seed; None for those.
         fronts: Fronts of each zone.
     """
 
@@ -55,7 +54,6 @@
         *,
         seed: int,
         seconds: float,
-        faults: tuple[PlannedFault, ...] | None = None,
         fronts: int = FRONTS_PER_ZONE,
     ) -> None:
         self.seed = seed
@@ -68,7 +66,6 @@
             replicas=list(self.fleet.replicas),
             seconds=seconds,
         )
-        self.faults = self.plan.faults if faults is None else faults
         self.log = SoakLog(fronts=[x.name for x in self.fleet.fronts])
         self.entry = Entry(fleet=self.fleet, random=self.random)
         self.operator = Operator(
@@ -148,7 +145,7 @@
         start = time.monotonic()
         tasks = [
             asyncio.create_task(self.carry_out(fault, start))
-            for fault in self.faults
+            for fault in self.plan.faults
         ]
         await asyncio.sleep(self.plan.seconds)
         await asyncio.gather(*tasks)
@@ -176,7 +173,7 @@
         attempts = self.log.attempts
         served = sum(x.ending is Ending.COMPLETE for x in attempts)
         return (
-            f"seed={self.seed} faults={len(self.faults)} "
+            f"seed={self.seed} faults={len(self.plan.faults)} "
             f"final_fault={self.plan.final_fault} attempts={len(attempts)} "
             f"served={served} changes={len(self.log.acknowledgements)}"
         )
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -38,7 +38,6 @@
 ROLE_MODULE = "rattanroute.platform"
 REPLICA_MODULE = "rattanroute.platform.standins"
 ROLL_PAUSE_SECONDS = 0.5
-LOG_SUFFIX = ".log"
 
 
 @dataclasses.dataclass(kw_only=True)
