--- a/rattanroute/platform/__main__.py
+++ b/rattanroute/platform/__main__.py
@@ -1,76 +1,24 @@
-"""Starts a program on a machine of the platform."""
+"""Starts a program; a SIGHUP during the imports is kept until it can reload.
 
-import asyncio
-import os
-import pathlib
-import signal
-import sys
-
-import click
-import uvloop
-
-from rattanroute.errors import RouterError
-from rattanroute.errors import SettingsError
-from rattanroute.logs import BoundedSink
-from rattanroute.logs import configure_logs
-from rattanroute.logs import get_logger
-from rattanroute.platform.daemons import PlatformDaemon
-from rattanroute.platform.daemons import ROLES
-from rattanroute.platform.settings import load_boot
-from rattanroute.platform.settings import PATH_VARIABLE
-from rattanroute.startup import freeze_startup_objects
-
-FAILURE_EXIT_CODE = 1
-SETTINGS_EXIT_CODE = 2
+The default action of SIGHUP would end the process, so the handler is set
+before anything else is imported.
+"""
 
-log = get_logger(__name__)
-
-
-@click.command()
-@click.argument("role", type=click.Choice(sorted(ROLES)))
-@click.option(
-    "--config",
-    "path",
-    type=click.Path(path_type=pathlib.Path),
-    help=f"Settings file; by default the one that {PATH_VARIABLE} names.",
-)
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(role: str, path: pathlib.Path | None, check: bool) -> None:
-    """Run a program of rattanroute on the platform.
+import importlib
+import signal
 
-    Exit codes: 0 after a planned stop, 1 when the program cannot run, 2 when
-    the settings are wrong.
-    """
-    path = path or pathlib.Path(os.environ.get(PATH_VARIABLE, ""))
-    try:
-        boot = load_boot(path)
-        if check:
-            click.echo(f"{path}: settings are correct")
-            return
-        sink = BoundedSink(descriptor=sys.stdout.fileno())
-        configure_logs(level="INFO", vm_id=boot.node, sink=sink)
-        uvloop.run(run(ROLES[role](path=path, boot=boot)))
-    except RouterError as error:
-        click.echo(f"rattanroute: {error}", err=True)
-        wrong = isinstance(error, SettingsError)
-        sys.exit(SETTINGS_EXIT_CODE if wrong else FAILURE_EXIT_CODE)
+PROGRAMS_MODULE = "rattanroute.platform.programs"
 
+reload_requests: list[int] = []
 
-async def run(daemon: PlatformDaemon) -> None:
-    """Runs a program until it is told to stop.
 
-    Raises:
-        RouterError: If it cannot start.
-    """
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-    await daemon.start()
-    freeze_startup_objects()
-    await stopped.wait()
-    await daemon.stop()
+def main() -> None:
+    """Imports the program and runs it."""
+    signal.signal(
+        signal.SIGHUP, lambda number, frame: reload_requests.append(number)
+    )
+    programs = importlib.import_module(PROGRAMS_MODULE)
+    programs.run_program(reload_requests=reload_requests)
 
 
 if __name__ == "__main__":
