Heed targets that say in their answers that they leave or want a pause

Cause: a header by which a target says that it leaves was not read, so that a VM sent on until the notice came; a 503 with Retry-After was taken for a full target and asked again after 0.15 s. Change: the answer's terms carry both. A target that leaves counts as departed on this VM at once; a VM that is no voter tells the voters, which flood what is news. A paused target gets nothing from this VM, questions included, until the pause or its incarnation ends; when no target is left, callers are refused at once and told when the first pause ends. A failed question is no state.

--- a/rattanroute/gateway/inspectors.py
+++ b/rattanroute/gateway/inspectors.py
@@ -6,11 +6,13 @@
 
 from rattanroute.actions import Action
 from rattanroute.errors import RouterError
+from rattanroute.gateway.questions import PauseError
 from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.http1.clients import ConnectError
 from rattanroute.logs import get_logger
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetReport
 
 # A healthy target of the same data centre answers within a few milliseconds.
 ANSWER_SECONDS = 0.3
@@ -27,6 +29,7 @@
         questions: Asks a target.
         execute: Executes the actions of the system.
         is_engine: Whether a target can be asked for its state.
+        on_leaving: Called with the report of a target that says it leaves.
         tasks: Questions without an answer.
     """
 
@@ -34,6 +37,7 @@
     questions: TargetQuestions
     execute: Callable[[list[Action]], None]
     is_engine: Callable[[Target], bool]
+    on_leaving: Callable[[TargetReport], None]
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
     def run(self) -> None:
@@ -59,6 +63,9 @@
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 state = await self.questions.ask_state(report.address)
+        except PauseError as error:
+            self.system.note_pause(report.target_id, until=error.until)
+            actions = []
         except (RouterError, TimeoutError) as error:
             log.info(
                 "target silent",
@@ -74,4 +81,6 @@
             actions = self.system.note_answer(
                 report.target_id, pace=state.pace, now=loop.time()
             )
+            if state.leaving and state.incarnation in (0, report.incarnation):
+                self.on_leaving(report)
         self.execute(actions)
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -57,10 +57,24 @@
     codec: HeaderCodec
     random: randoms.Random
 
-    def refuse(self, call: Call, reason: str, *, timed_out: bool) -> None:
+    def refuse(
+        self,
+        call: Call,
+        reason: str,
+        *,
+        timed_out: bool,
+        free_at: float | None = None,
+    ) -> None:
         """Ends a call that no target answered.
 
         Only a call that certainly did not run is told so.
+
+        Args:
+            call: The call.
+            reason: Why no target answered it.
+            timed_out: Whether its time ended.
+            free_at: Time at which the first target takes work again, when all
+                want none for a while.
         """
         exchange = call.exchange
         if exchange.gone:
@@ -73,7 +87,7 @@
         retry_after_s = None
         if not call.may_have_run:
             status = 503
-            retry_after_s = self.choose_return(call)
+            retry_after_s = self.choose_return(call, free_at)
         else:
             status = 504 if timed_out else 502
         exchange.send(
@@ -85,11 +99,17 @@
         )
         self.log(call, status, reason)
 
-    def choose_return(self, call: Call) -> float:
+    def choose_return(self, call: Call, free_at: float | None) -> float:
         """Returns after how many seconds a refused caller should come back."""
-        left = call.time_left(call.exchange.connection.loop.time())
+        now = call.exchange.connection.loop.time()
+        left = call.time_left(now)
         part = self.random.uniform(MIN_RETRY_PART, MAX_RETRY_PART)
-        return max(MIN_RETRY_SECONDS, part * left)
+        seconds = max(MIN_RETRY_SECONDS, part * left)
+        if free_at is not None:
+            # Callers that were refused together return spread out after it.
+            spread = self.random.uniform(0, MIN_RETRY_PART) * left
+            seconds = max(seconds, free_at - now + spread)
+        return seconds
 
     def log(self, call: Call, status: int, reason: str) -> None:
         """Writes the line of a call that ended."""
--- a/rattanroute/gateway/questions.py
+++ b/rattanroute/gateway/questions.py
@@ -1,15 +1,33 @@
 """Questions and orders to engines over kept connections."""
 
+import asyncio
 import dataclasses
 from typing import Protocol
 
+from rattanroute.errors import RouterError
+from rattanroute.gateway.terms import AnswerTerms
 from rattanroute.http1.clients import CollectingSink
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import RequestHead
+from rattanroute.http1.heads import ResponseHead
 from rattanroute.systems.stageplans import LayerRange
 
 CONNECT_SECONDS = 0.5
+OK = 200
 MAX_ANSWER_BYTES = 1_048_576
+# Bounds a pause that makes no sense.
+MAX_PAUSE_SECONDS = 60.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class PauseError(RouterError):
+    """A target was not asked, as it wants nothing from this VM for now.
+
+    Attributes:
+        until: End of the pause, in seconds of the loop.
+    """
+
+    until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,6 +49,8 @@
         layers: Layers that it holds; None when it is empty.
         stalled: Requests that it received first and that wait for a member
             of their chain.
+        leaving: Whether it takes no new work.
+        incarnation: Its incarnation; 0 when it does not say.
     """
 
     orders: int = 0
@@ -38,6 +58,8 @@
     pace: float = 1.0
     layers: LayerRange | None = None
     stalled: tuple[StalledRequest, ...] = ()
+    leaving: bool = False
+    incarnation: int = 0
 
 
 class EngineCodec(Protocol):
@@ -55,6 +77,10 @@
         """
         ...
 
+    def read_answer(self, head: ResponseHead) -> AnswerTerms:
+        """Decodes what an answer says about the engine."""
+        ...
+
     def build_order(self, address: str) -> RequestHead:
         """Returns the head of an order."""
         ...
@@ -73,20 +99,32 @@
     Attributes:
         pool: Connections to targets.
         codec: Questions and orders.
+        pauses: Ends of the pauses that targets asked for, by address.
     """
 
     pool: ConnectionPool
     codec: EngineCodec
+    pauses: dict[str, float] = dataclasses.field(default_factory=dict)
 
     async def ask_state(self, address: str) -> EngineState:
         """Returns the state of an engine.
 
         Raises:
+            PauseError: If the engine asked for a pause.
             RouterError: If there is no proper answer.
         """
         question = self.codec.build_question(address)
-        _, body = await self.send(address, question, b"")
-        return self.codec.decode_state(address, body)
+        head, body = await self.send(address, question, b"")
+        self.check_pause(address)
+        if head.status != OK:
+            raise RouterError(
+                step="ask target",
+                peer=address,
+                message=f"status {head.status}",
+            )
+        state = self.codec.decode_state(address, body)
+        leaving = self.codec.read_answer(head).leaving
+        return dataclasses.replace(state, leaving=leaving)
 
     async def order_layers(
         self, address: str, layers: LayerRange, *, fence: int, expected: int
@@ -98,17 +136,19 @@
         """
         body = self.codec.encode_order(layers, fence=fence, expected=expected)
         head = self.codec.build_order(address)
-        status, _ = await self.send(address, head, body)
-        return status
+        answer, _ = await self.send(address, head, body)
+        return answer.status
 
     async def send(
         self, address: str, head: RequestHead, body: bytes
-    ) -> tuple[int, bytes]:
-        """Sends a request and returns status and body.
+    ) -> tuple[ResponseHead, bytes]:
+        """Sends a request and returns the answer.
 
         Raises:
+            PauseError: If the target asked for a pause.
             RouterError: If there is no whole answer.
         """
+        self.check_pause(address)
         connection = await self.pool.take(address, timeout_s=CONNECT_SECONDS)
         sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
         try:
@@ -117,4 +157,24 @@
         finally:
             if not sink.done.done() or sink.done.cancelled():
                 connection.cancel()
-        return sink.head.status, sink.body
+        pause_s = self.codec.read_answer(sink.head).pause_s
+        if pause_s is not None:
+            now = asyncio.get_running_loop().time()
+            self.pauses[address] = now + min(pause_s, MAX_PAUSE_SECONDS)
+        return sink.head, sink.body
+
+    def check_pause(self, address: str) -> None:
+        """Checks that a target may be asked now.
+
+        Raises:
+            PauseError: If it asked for a pause.
+        """
+        until = self.pauses.get(address, 0.0)
+        if asyncio.get_running_loop().time() < until:
+            raise PauseError(
+                step="ask target",
+                peer=address,
+                message="it asked for a pause",
+                until=until,
+            )
+        self.pauses.pop(address, None)
--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -4,6 +4,9 @@
 import dataclasses
 import random as randoms
 
+from rattanroute.gateway.questions import MAX_PAUSE_SECONDS
+from rattanroute.gateway.terms import AnswerTerms
+from rattanroute.logs import get_logger
 from rattanroute.systems.detections import DetectionSystem
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetHealth
@@ -18,6 +21,8 @@
 SUSPECT_PENALTY = 3.0
 JITTER = 0.3
 
+log = get_logger(__name__)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TargetSelector:
@@ -29,6 +34,7 @@
         detections: Verdicts on targets.
         has_departed: Whether a report comes from a target that said it ends.
         suspect: Asks for an inspection of a target.
+        note_departure: Tells the other VMs that a target leaves.
         random: Source of the jitter.
     """
 
@@ -37,6 +43,7 @@
     detections: DetectionSystem
     has_departed: Callable[[TargetReport], bool]
     suspect: Callable[[Target], None]
+    note_departure: Callable[[TargetReport], None]
     random: randoms.Random
 
     def is_current(self, target: Target, now: float) -> bool:
@@ -51,7 +58,7 @@
     def is_usable(self, target: Target, now: float) -> bool:
         """Whether a target may get new work."""
         report = target.report
-        if report.leaving or target.blocked_until > now:
+        if report.leaving or self.is_held_back(target, now):
             return False
         if not target.reachable:
             return False
@@ -61,6 +68,55 @@
             return False
         return self.is_current(target, now)
 
+    def is_held_back(self, target: Target, now: float) -> bool:
+        """Whether a back-off or a pause that the target asked for runs."""
+        return max(target.blocked_until, target.paused_until) > now
+
+    def is_paused(self, target_id: str, now: float) -> bool:
+        """Whether a target wants nothing from this VM for now."""
+        target = self.targets.get(target_id)
+        return target is not None and target.paused_until > now
+
+    def find_pause_end(self, service: str, now: float) -> float | None:
+        """Returns when the first pause of a service's targets ends.
+
+        Returns:
+            The time; None when no target asked for a pause.
+        """
+        ends = [
+            target.paused_until
+            for target in self.targets.serving(service)
+            if target.paused_until > now and not target.report.leaving
+        ]
+        return min(ends, default=None)
+
+    def note_answer(
+        self, report: TargetReport, terms: AnswerTerms, now: float
+    ) -> None:
+        """Heeds what an answer says of the target that gave it.
+
+        Args:
+            report: The target's report at the time of the request, so that a
+                late answer does not count for a later incarnation.
+            terms: What the answer says.
+            now: Time in seconds.
+        """
+        if terms.leaving and not self.has_departed(report):
+            self.note_departure(report)
+        row = self.targets.get(report.target_id)
+        if terms.pause_s is None or row is None:
+            return
+        if row.report.incarnation != report.incarnation:
+            return
+        pause_s = min(terms.pause_s, MAX_PAUSE_SECONDS)
+        row.paused_until = max(row.paused_until, now + pause_s)
+        log.info(
+            "target asked for a pause",
+            target=report.target_id,
+            seconds=pause_s,
+            request_id=terms.request_id,
+        )
+
     def choose(
         self, service: str, *, excluded: set[str], now: float
     ) -> Target | None:
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -87,7 +87,14 @@
         if failed is not None:
             self.answer(call, failed)
             return
-        self.ender.refuse(call, reason, timed_out=timed_out)
+        self.ender.refuse(
+            call,
+            reason,
+            timed_out=timed_out,
+            free_at=self.selector.find_pause_end(
+                call.service.name, loop.time()
+            ),
+        )
 
     def may_send(self, call: Call, now: float) -> bool:
         """Whether another attempt is allowed."""
@@ -130,11 +137,12 @@
     async def exchange(self, call: Call, target: Target) -> Outcome:
         """Sends a call over a connection and waits for the answer."""
         loop = asyncio.get_running_loop()
+        report = target.report
         left = call.time_left(loop.time())
         repeatable = call.route.repeatable
         try:
             connection = await self.pool.take(
-                target.report.address,
+                report.address,
                 timeout_s=min(CONNECT_SECONDS, left),
                 fresh=not repeatable,
             )
@@ -148,7 +156,7 @@
         head = self.codec.build_request(
             request.head,
             Upstream(
-                target_id=target.report.target_id,
+                target_id=report.target_id,
                 time_left_s=left,
                 workspace=call.workspace,
             ),
@@ -171,12 +179,16 @@
             else:
                 with contextlib.suppress(RouterError):
                     sink.done.result()
-        return self.judge(call, sink)
-
-    def judge(self, call: Call, sink: CollectingSink) -> Outcome:
+            if sink.head is not None:
+                terms = self.codec.read_answer(sink.head)
+                if sink.head.status != MISDIRECTED:
+                    self.selector.note_answer(report, terms, loop.time())
+        return self.judge(call, sink.head, sink.body, terms)
+
+    def judge(
+        self, call: Call, head: ResponseHead, body: bytes, terms: AnswerTerms
+    ) -> Outcome:
         """Decides what a whole answer means."""
-        head = sink.head
-        terms = self.codec.read_answer(head)
         if head.status == MISDIRECTED:
             return NotRun(reason="another target")
         if terms.not_run:
@@ -184,7 +196,7 @@
         fault = find_fault(head, terms, call.terms.request_id)
         if fault:
             return Unknown(reason=fault)
-        return Answered(head=head, body=sink.body)
+        return Answered(head=head, body=body)
 
     def answer(self, call: Call, outcome: Answered) -> None:
         """Returns a target's answer to the caller."""
--- a/rattanroute/gateway/stalls.py
+++ b/rattanroute/gateway/stalls.py
@@ -30,10 +30,13 @@
     ) -> list[str]:
         """Returns the targets that hold a request up; none if it only waits.
 
-        The first target itself is returned when it does not answer.
+        The first target itself is returned when it does not answer. It is not
+        asked while it wants nothing from this VM.
         """
         now = asyncio.get_running_loop().time()
         first = chain[0]
+        if self.selector.is_paused(first.target_id, now):
+            return []
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 state = await self.questions.ask_state(first.address)
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -1,6 +1,7 @@
 """Forwards streams of engines, event by event, and resumes broken ones."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from rattanroute.gateway.calls import Call
@@ -15,6 +16,7 @@
 from rattanroute.gateway.streamsinks import OK
 from rattanroute.gateway.streamsinks import StreamSink
 from rattanroute.gateway.streamsinks import StreamState
+from rattanroute.gateway.terms import AnswerTerms
 from rattanroute.gateway.terms import ChainHop
 from rattanroute.gateway.terms import HeaderCodec
 from rattanroute.gateway.terms import Upstream
@@ -115,7 +117,14 @@
             reason = outcome.reason
             call.failures.append(reason)
         timed_out = call.time_left(loop.time()) <= 0
-        self.ender.refuse(call, reason, timed_out=timed_out)
+        self.ender.refuse(
+            call,
+            reason,
+            timed_out=timed_out,
+            free_at=self.selector.find_pause_end(
+                call.service.name, loop.time()
+            ),
+        )
 
     async def find_chain(
         self, call: Call, state: StreamState, avoided: AvoidedTargets
@@ -221,7 +230,12 @@
             )
             avoided.broken.add(first.target_id)
             return NotRun(reason=str(error))
-        sink = StreamSink(state=state, codec=self.codec, connection=connection)
+        sink = StreamSink(
+            state=state,
+            codec=self.codec,
+            connection=connection,
+            on_terms=self.note_terms(first.target_id),
+        )
         call.exchange.on_writable = connection.resume
         try:
             self.following.add((chain, sink))
@@ -236,6 +250,19 @@
         self.note_health(call, chain, sink, outcome, avoided)
         return outcome
 
+    def note_terms(self, target_id: str) -> Callable[[AnswerTerms], None]:
+        """Returns what heeds the terms of an answer of a target."""
+        target = self.selector.targets.get(target_id)
+        if target is None:
+            return lambda terms: None
+        report = target.report
+        loop = asyncio.get_running_loop()
+
+        def note(terms: AnswerTerms) -> None:
+            self.selector.note_answer(report, terms, loop.time())
+
+        return note
+
     def send(
         self,
         call: Call,
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -1,6 +1,7 @@
 """Takes the answer of an engine and passes whole events on to the caller."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from rattanroute.errors import RouterError
@@ -44,6 +45,7 @@
     """Passes the events of one attempt on to the caller.
 
     Attributes:
+        on_terms: Gets what the answer of the target says about itself.
         ended: Gets the outcome of the attempt; None after a whole stream.
         event_at: Time of the latest event, or of the start.
     """
@@ -54,7 +56,9 @@
         state: StreamState,
         codec: HeaderCodec,
         connection: ClientConnection,
+        on_terms: Callable[[AnswerTerms], None],
     ) -> None:
+        self.on_terms = on_terms
         self.loop = asyncio.get_running_loop()
         self.state = state
         self.codec = codec
@@ -79,6 +83,8 @@
         self.head = head
         self.terms = self.codec.read_answer(head)
         call = self.state.call
+        if head.status != MISDIRECTED:
+            self.on_terms(self.terms)
         if self.terms.request_id not in ("", call.terms.request_id):
             self.finish(Unknown(reason="answer to another request"))
         elif head.status != OK:
--- a/rattanroute/gateway/terms.py
+++ b/rattanroute/gateway/terms.py
@@ -82,6 +82,9 @@
         encoded: Whether the body is compressed, which nobody asked for.
         target_id: The target, where it names itself.
         faulty_address: Address of the target at fault, where it is named.
+        leaving: Whether the target takes no new work.
+        pause_s: Seconds for which a target that turned a request away wants
+            nothing from this VM; None when it asks for no pause.
     """
 
     request_id: str = ""
@@ -90,6 +93,8 @@
     encoded: bool = False
     target_id: str = ""
     faulty_address: str = ""
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -49,6 +49,7 @@
 from rattanroute.systems.stagechoices import StageChooser
 from rattanroute.tables.engineloads import EngineLoadTable
 from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
 READY_PATH = b"/rattanroute/ready"
@@ -107,6 +108,7 @@
         self.pool = ConnectionPool()
         self.departures = DepartureSystem(
             vm_id=self.vm_id,
+            voter=self.control.settings.storage.voter,
             targets=self.targets,
             members=self.control.membership.alive,
         )
@@ -233,6 +235,7 @@
             detections=DetectionSystem(targets=self.targets),
             has_departed=self.departures.covers,
             suspect=self.suspect,
+            note_departure=self.note_departure,
             random=self.random,
         )
         budget = SendBudget(
@@ -283,6 +286,23 @@
         log.info("target gone", target=target_id)
         self.streams.leave_target(target_id)
 
+    def note_departure(self, report: TargetReport) -> None:
+        """Keeps new work from a target that said in an answer it leaves."""
+        now = asyncio.get_running_loop().time()
+        log.info(
+            "target departs",
+            target=report.target_id,
+            incarnation=report.incarnation,
+            reason="answer",
+        )
+        self.control.host.execute(
+            self.departures.announce(
+                target_id=report.target_id,
+                until_incarnation=report.incarnation,
+                now=now,
+            )
+        )
+
     def suspect(self, target: Target) -> None:
         """Asks the core to look at a target that failed a request."""
         now = asyncio.get_running_loop().time()
@@ -408,6 +428,9 @@
             questions=self.questions,
             execute=self.control.host.execute,
             is_engine=lambda row: row.report.total_layers > 0,
+            on_leaving=lambda report: self.handler.depart(
+                report.target_id, report.incarnation, "answer"
+            ),
         )
         self.pool.on_idle_lost = self.inspector.note_lost_link
 
--- a/rattanroute/platform/headers.py
+++ b/rattanroute/platform/headers.py
@@ -25,6 +25,9 @@
 TARGET_ID = b"Rattanroute-Replica-Id"
 FAULTY_TARGET = b"At-Server"
 LAST_EVENT = b"Last-Event-Id"
+# "1" in each answer of a replica that leaves.
+LEAVING = b"Server-Leaving"
+RETRY_AFTER = b"Retry-After"
 BEARER = "bearer "
 
 SET_BY_ROUTER = frozenset(
@@ -40,6 +43,7 @@
     )
 )
 MILLISECONDS = 1000
+TURNED_AWAY = 503
 
 
 class PlatformHeaders:
@@ -91,17 +95,7 @@
 
     def read_answer(self, head: ResponseHead) -> AnswerTerms:
         """Decodes what an answer says about itself."""
-        values = {name.lower(): value for name, value in head.headers}
-        return AnswerTerms(
-            request_id=values.get(REQUEST_ID.lower(), b"").decode("latin-1"),
-            stamped=STAMP.lower() in values,
-            not_run=NOT_RUN.lower() in values,
-            encoded=b"content-encoding" in values,
-            target_id=values.get(TARGET_ID.lower(), b"").decode("latin-1"),
-            faulty_address=values.get(FAULTY_TARGET.lower(), b"").decode(
-                "latin-1"
-            ),
-        )
+        return read_answer(head)
 
     def build_answer(self, head: ResponseHead) -> ResponseHead:
         """Returns the head of the answer to the caller."""
@@ -123,10 +117,29 @@
         if request_id:
             headers.append((REQUEST_ID, request_id.encode("latin-1")))
         if retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.2f" % retry_after_s))
+            headers.append((RETRY_AFTER, b"%.2f" % retry_after_s))
         return ResponseHead(status=status, headers=headers)
 
 
+def read_answer(head: ResponseHead) -> AnswerTerms:
+    """Decodes what an answer says about itself."""
+    values = {name.lower(): value for name, value in head.headers}
+    return AnswerTerms(
+        request_id=values.get(REQUEST_ID.lower(), b"").decode("latin-1"),
+        stamped=STAMP.lower() in values,
+        not_run=NOT_RUN.lower() in values,
+        encoded=b"content-encoding" in values,
+        target_id=values.get(TARGET_ID.lower(), b"").decode("latin-1"),
+        faulty_address=values.get(FAULTY_TARGET.lower(), b"").decode("latin-1"),
+        leaving=values.get(LEAVING.lower(), b"").strip() == b"1",
+        pause_s=(
+            read_number(values.get(RETRY_AFTER.lower(), b""))
+            if head.status == TURNED_AWAY
+            else None
+        ),
+    )
+
+
 def read_number(value: bytes) -> float | None:
     """Returns a number that is not negative, or None."""
     try:
--- a/rattanroute/platform/replicas.py
+++ b/rattanroute/platform/replicas.py
@@ -5,7 +5,10 @@
 from rattanroute.errors import RouterError
 from rattanroute.gateway.questions import EngineState
 from rattanroute.gateway.questions import StalledRequest
+from rattanroute.gateway.terms import AnswerTerms
 from rattanroute.http1.heads import RequestHead
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.platform.headers import read_answer
 from rattanroute.systems.stageplans import LayerRange
 from rattanroute.tables.routes import BackendService
 from rattanroute.tables.targets import TargetKind
@@ -183,12 +186,17 @@
             busy=report.busy,
             pace=report.pace,
             layers=find_layers(report.layers),
+            incarnation=report.born,
             stalled=tuple(
                 StalledRequest(request_id=item.id, address=item.address)
                 for item in report.stalled
             ),
         )
 
+    def read_answer(self, head: ResponseHead) -> AnswerTerms:
+        """Decodes what an answer says about the replica."""
+        return read_answer(head)
+
     def build_order(self, address: str) -> RequestHead:
         """Returns the head of an order."""
         return RequestHead(
--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -332,12 +332,12 @@
         question = RequestHead(method=b"POST", target=MEMBER_PATH, headers=[])
         try:
             async with asyncio.timeout(STALL_SECONDS):
-                status, _ = await self.questions.send(
+                answer, _ = await self.questions.send(
                     address, question, b"%d-%d" % (first, end)
                 )
         except (TimeoutError, RouterError):
             return UNAVAILABLE
-        return status
+        return answer.status
 
     async def beat(self) -> bool:
         """Sends a liveness report; returns whether it was acknowledged."""
@@ -366,10 +366,10 @@
         for address in control[start:] + control[:start]:
             try:
                 async with asyncio.timeout(ACK_SECONDS):
-                    status, _ = await self.questions.send(address, head, body)
+                    answer, _ = await self.questions.send(address, head, body)
             except (TimeoutError, RouterError):
                 continue
-            if status == 200:
+            if answer.status == 200:
                 return True
         return False
 
--- a/rattanroute/systems/departures.py
+++ b/rattanroute/systems/departures.py
@@ -1,7 +1,9 @@
 """Keeps work from targets that said they end, on every VM.
 
-A notice is flooded at once and repeated for a while, because a link may lose
-messages without an error. It outlives the target's record, so that a report
+A target tells one VM, or says so in its answers. A voter floods the notice at
+once and repeats it for a while, because a link may lose messages without an
+error; a VM that is no voter has few links and tells the voters, which flood
+what is news to them. A notice outlives the target's record, so that a report
 that was delayed on its way does not bring the target back.
 """
 
@@ -28,6 +30,7 @@
     """What this system reads of a live VM."""
 
     vm_id: str
+    voter: bool
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -50,6 +53,7 @@
 
     Args:
         vm_id: Identifier of this VM.
+        voter: Whether this VM is a voter.
         targets: All targets.
         members: Returns the live VMs, this one included.
     """
@@ -60,10 +64,12 @@
         self,
         *,
         vm_id: str,
+        voter: bool,
         targets: TargetTable,
         members: Callable[[], Iterable[MemberRow]],
     ) -> None:
         self.vm_id = vm_id
+        self.voter = voter
         self.targets = targets
         self.members = members
         self.rows: dict[str, DepartureRow] = {}
@@ -72,7 +78,7 @@
     def announce(
         self, *, target_id: str, until_incarnation: int, now: float
     ) -> list[Action]:
-        """Takes the notice that a target gave to this VM."""
+        """Takes the notice that a target gave to this VM, or its answer."""
         notice = Departure(
             target_id=target_id, until_incarnation=until_incarnation
         )
@@ -101,21 +107,34 @@
             self.targets.refresh(row)
 
     def send(self, notices: tuple[Departure, ...]) -> list[Action]:
-        """Returns the messages that tell all other VMs."""
+        """Returns the messages that tell the other VMs, or the voters."""
         message = Departures(departures=notices)
         return [
             SendMessage(peer=member.vm_id, message=message)
             for member in self.members()
-            if member.vm_id != self.vm_id
+            if member.vm_id != self.vm_id and (self.voter or member.voter)
         ]
 
     def receive(
         self, *, peer: str, message: object, now: float
     ) -> list[Action]:
-        """Applies the notices that a peer heard."""
+        """Applies the notices that a peer heard; a voter passes news on."""
+        news = []
         for notice in message.departures:
+            known = self.rows.get(notice.target_id)
+            until = notice.until_incarnation
+            if known is None or known.until_incarnation < until:
+                news.append(notice)
             self.apply(notice, now)
-        return []
+        if not news or not self.voter or self.is_voter(peer):
+            return []
+        for notice in news:
+            self.rows[notice.target_id].repeats = REPEATS
+        return self.send(tuple(news))
+
+    def is_voter(self, vm_id: str) -> bool:
+        """Whether a live VM is a voter."""
+        return any(x.vm_id == vm_id and x.voter for x in self.members())
 
     def tick(self, *, now: float) -> list[Action]:
         """Repeats notices and forgets old ones."""
--- a/rattanroute/systems/inspections.py
+++ b/rattanroute/systems/inspections.py
@@ -162,6 +162,13 @@
         row.next_at = now + (URGENT_SECONDS if urgent else INTERVAL_SECONDS)
         return self.tell_change(target_id, row)
 
+    def note_pause(self, target_id: str, *, until: float) -> None:
+        """Leaves a target alone until the end of its pause."""
+        row = self.rows.get(target_id)
+        if row is not None:
+            row.asking = False
+            row.next_at = until
+
     def build_state(self, target_id: str, row: Inspection) -> TargetState:
         """Returns what all VMs should know of a target."""
         return TargetState(
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -110,6 +110,7 @@
         first_heard_at: Time of the first report of this incarnation.
         failures: Consecutive failed attempts.
         blocked_until: Time before which no attempt is dispatched to it.
+        paused_until: Time before which it wants nothing from this VM.
         slowness: Moving average of measured over expected duration.
         samples: Measurements in `slowness`.
         ejections: Recent ejections; they lengthen the next one.
@@ -132,6 +133,7 @@
     first_heard_at: float = 0.0
     failures: int = 0
     blocked_until: float = 0.0
+    paused_until: float = 0.0
     finished_since_report: int = 0
     changes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
@@ -375,6 +377,7 @@
     row.first_heard_at = heard_at
     row.failures = 0
     row.blocked_until = 0.0
+    row.paused_until = 0.0
     row.health = TargetHealth.HEALTHY
     row.slowness = 1.0
     row.samples = 0
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -85,7 +85,7 @@
 
 
 def build_head(
-    exchange: Exchange, status: int = 200, **options: bool
+    exchange: Exchange, status: int = 200, **options: float
 ) -> ResponseHead:
     """Builds the head of a target's answer."""
     request_id = find_header(
@@ -96,6 +96,10 @@
         headers.append(STAMP)
     if options.get("not_run", False):
         headers.append((b"Rattanroute-Not-Executed", b"1"))
+    if options.get("leaving", False):
+        headers.append((b"Server-Leaving", b"1"))
+    if "pause_s" in options:
+        headers.append((b"Retry-After", b"%g" % options["pause_s"]))
     return ResponseHead(status=status, headers=headers)
 
 
@@ -153,6 +157,7 @@
         self.targets = TargetTable()
         self.pool = ConnectionPool()
         self.suspected: list[str] = []
+        self.departed: set[str] = set()
         self.table = build_table()
         self.handler = self.build_handler()
         self.server = HttpServer(
@@ -173,8 +178,9 @@
             data_centre="dc-a",
             targets=self.targets,
             detections=DetectionSystem(targets=self.targets),
-            has_departed=lambda report: False,
+            has_departed=lambda report: report.target_id in self.departed,
             suspect=lambda row: self.suspected.append(row.report.target_id),
+            note_departure=lambda report: self.departed.add(report.target_id),
             random=random.Random(1),
         )
         shared = {
--- a/rattanroute/tests/test_departures.py
+++ b/rattanroute/tests/test_departures.py
@@ -13,17 +13,29 @@
     """A live VM."""
 
     vm_id: str
+    voter: bool = True
 
 
-def build_system(vm_id: str) -> DepartureSystem:
-    """Builds the system of one of two VMs, with one target."""
+MEMBERS = (
+    MemberStub(vm_id="a"),
+    MemberStub(vm_id="b"),
+    MemberStub(vm_id="front-1", voter=False),
+    MemberStub(vm_id="front-2", voter=False),
+)
+
+
+def build_system(
+    vm_id: str, members: tuple[MemberStub, ...] = MEMBERS[:2]
+) -> DepartureSystem:
+    """Builds the system of a VM, with one target."""
     targets = TargetTable()
     report = build_report("t1", incarnation=5, sequence=1)
     targets.record(report=report, observer="v", heard_at=0.0)
     return DepartureSystem(
         vm_id=vm_id,
+        voter=not vm_id.startswith("front"),
         targets=targets,
-        members=lambda: [MemberStub(vm_id="a"), MemberStub(vm_id="b")],
+        members=lambda: members,
     )
 
 
@@ -65,3 +77,25 @@
         self.first.announce(target_id="t1", until_incarnation=5, now=1.0)
         again = build_report("t1", incarnation=6)
         self.assertFalse(self.first.covers(again))
+
+
+class NoticeInAnAnswerTest(unittest.TestCase):
+    """Guards against links from each front to all others for one notice."""
+
+    def test_front_tells_the_voters_and_a_voter_tells_all(self) -> None:
+        front = build_system("front-1", MEMBERS)
+        actions = front.announce(target_id="t1", until_incarnation=5, now=1.0)
+        self.assertEqual({x.peer for x in actions}, {"a", "b"})
+        voter = build_system("a", MEMBERS)
+        message = actions[0].message
+        passed = voter.receive(peer="front-1", message=message, now=1.0)
+        self.assertEqual({x.peer for x in passed}, {"b", "front-1", "front-2"})
+        again = voter.receive(peer="front-2", message=message, now=1.1)
+        self.assertEqual(again, [], "what is known is not flooded again")
+
+    def test_voter_does_not_pass_on_what_a_voter_floods(self) -> None:
+        first = build_system("a", MEMBERS)
+        actions = first.announce(target_id="t1", until_incarnation=5, now=1.0)
+        second = build_system("b", MEMBERS)
+        passed = second.receive(peer="a", message=actions[0].message, now=1.0)
+        self.assertEqual(passed, [])
--- a/rattanroute/tests/test_gateway_services.py
+++ b/rattanroute/tests/test_gateway_services.py
@@ -1,6 +1,7 @@
 """Tests of calls of plain services through the gateway."""
 
 import asyncio
+import dataclasses
 
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
@@ -172,3 +173,79 @@
         for _ in range(5):
             self.assertEqual((await self.call("/once/")).status, 200)
         self.assertEqual(leaving.seen, [])
+
+
+async def answer_and_leave(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers with success and says that the target leaves."""
+    exchange.send(build_head(exchange, leaving=True), b"done")
+
+
+async def shed_for_long(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request and asks for a pause."""
+    head = build_head(
+        exchange, 503, stamped=False, not_run=True, pause_s=PAUSE_SECONDS
+    )
+    exchange.send(head)
+
+
+async def misdirect_and_leave(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers as another target at the same address, which leaves."""
+    head = build_head(exchange, 421, stamped=False, not_run=True, leaving=True)
+    exchange.send(head)
+
+
+PAUSE_SECONDS = 2.5
+
+
+class WordOfTheTargetTest(GatewayTestCase):
+    """Guards against work for targets that said that they want none."""
+
+    async def test_target_that_leaves_in_its_answer(self) -> None:
+        leaving = await self.add_target("i-1", answer_and_leave)
+        first = await self.call("/safe/a")
+        self.assertEqual((first.status, first.body), (200, b"done"))
+        self.assertEqual(self.departed, {"i-1"})
+        second = await self.call("/safe/a")
+        self.assertEqual(second.status, 503)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_word_of_another_target_at_the_address(self) -> None:
+        await self.add_target("i-1", misdirect_and_leave)
+        await self.call("/safe/a")
+        self.assertEqual(self.departed, set())
+
+    async def test_paused_target_gets_nothing(self) -> None:
+        paused = await self.add_target("i-1", shed_for_long)
+        first = await self.call("/safe/a")
+        started = asyncio.get_running_loop().time()
+        answers = [await self.call("/safe/a") for _ in range(5)]
+        waited = asyncio.get_running_loop().time() - started
+        self.assertEqual(len(paused.seen), 1)
+        self.assertLess(waited, 1.0, "refusals that are certain come at once")
+        for refusal in (first, *answers):
+            self.assertEqual(refusal.status, 503)
+            seconds = float(refusal.headers[b"retry-after"])
+            self.assertGreaterEqual(seconds, PAUSE_SECONDS - waited - 0.1)
+
+    async def test_others_serve_during_a_pause(self) -> None:
+        paused = await self.add_target("i-1", shed_for_long)
+        await self.add_target("i-2", answer)
+        answers = [await self.call("/once/a") for _ in range(8)]
+        self.assertEqual([x.status for x in answers], [200] * 8)
+        self.assertLessEqual(len(paused.seen), 1)
+
+    async def test_pause_outlives_reports_but_not_the_incarnation(
+        self,
+    ) -> None:
+        await self.add_target("i-1", shed_for_long)
+        await self.call("/safe/a")
+        row = self.targets.get("i-1")
+        now = asyncio.get_running_loop().time()
+        for incarnation, paused in ((0, True), (1, False)):
+            report = dataclasses.replace(
+                row.report, sequence=7, incarnation=incarnation
+            )
+            self.targets.record(report=report, observer="v", heard_at=now)
+            selector = self.streams.selector
+            self.assertEqual(selector.is_paused("i-1", now), paused)
+            self.assertEqual(selector.is_usable(row, now), not paused)
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -51,6 +51,19 @@
     exchange.send(build_head(exchange, 503, stamped=False, not_run=True))
 
 
+async def stream_and_leave(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers with all events and says that the engine leaves."""
+    exchange.start(build_head(exchange, leaving=True))
+    exchange.write(WHOLE)
+    exchange.end()
+
+
+async def shed_for_long(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request and asks for a pause."""
+    head = build_head(exchange, 503, stamped=False, not_run=True, pause_s=2)
+    exchange.send(head)
+
+
 async def shed_first(target: FakeTarget, exchange: Exchange) -> None:
     """Rejects the first request and answers the others."""
     await (shed if len(target.seen) == 1 else stream)(target, exchange)
@@ -120,6 +133,27 @@
         for _ in range(4):
             self.assertEqual((await self.call("/stream/")).body, WHOLE)
 
+    async def test_engine_that_leaves_finishes_its_stream(self) -> None:
+        """Guards against new streams for an engine that said it leaves."""
+        leaving = await self.add_engine("t1", stream_and_leave)
+        answered = await self.call("/stream/")
+        self.assertEqual(answered.body, WHOLE)
+        self.assertTrue(answered.complete)
+        self.assertEqual(self.departed, {"t1"})
+        self.assertEqual((await self.call("/stream/")).status, 503)
+        self.assertEqual(len(leaving.seen), 1)
+
+    async def test_engine_that_asked_for_a_pause(self) -> None:
+        """Guards against streams and questions for a paused engine."""
+        paused = await self.add_engine("t1", shed_for_long)
+        refusals = [
+            await self.call("/stream/", deadline_ms=20000) for _ in range(4)
+        ]
+        self.assertEqual(len(paused.seen), 1)
+        for refusal in refusals:
+            self.assertEqual(refusal.status, 503)
+            self.assertGreater(float(refusal.headers[b"retry-after"]), 1.5)
+
     async def test_stream_without_a_chain_is_refused_at_once(self) -> None:
         started = asyncio.get_running_loop().time()
         answered = await self.call("/stream/", deadline_ms=20000)
--- a/rattanroute/tests/test_selectors.py
+++ b/rattanroute/tests/test_selectors.py
@@ -18,6 +18,7 @@
         detections=DetectionSystem(targets=targets),
         has_departed=lambda report: False,
         suspect=lambda row: None,
+        note_departure=lambda report: None,
         random=random.Random(1),
     )
 
