Bound the bytes of a message that are neither head nor body

Cause: chunk extensions, zeros before a chunk's size and trailers have no end of their own; the parsers fed them on, kept trailers as headers, and a body of one-byte chunks took 34 MB before its limit of 4 MB. An answer beyond the limit of a plain call or a question was given up, but its connection was read on. The size of heads was summed over all answers of a kept connection. Change: framing is counted after each slice of 16 KB against the body; trailers are dropped; events, failures and answers have a largest size, after which the connection closes. A body that grows may take longer than a head.

--- a/rattanroute/gateway/events.py
+++ b/rattanroute/gateway/events.py
@@ -2,7 +2,11 @@
 
 import dataclasses
 
+from rattanroute.errors import RouterError
+
 EVENT_END = b"\n\n"
+# Far above the largest event of an engine.
+MAX_EVENT_BYTES = 262_144
 ID_FIELD = b"id:"
 
 
@@ -26,9 +30,15 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Takes bytes and returns the events that they complete."""
+        """Takes bytes and returns the events that they complete.
+
+        Raises:
+            RouterError: If an event does not end.
+        """
         data = self.rest + data
         *whole, self.rest = data.split(EVENT_END)
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise RouterError(step="read event", message="event too long")
         return [
             StreamEvent(data=part + EVENT_END, event_id=find_id(part))
             for part in whole
--- a/rattanroute/gateway/questions.py
+++ b/rattanroute/gateway/questions.py
@@ -155,7 +155,8 @@
             connection.send(head, body, sink)
             await sink.done
         finally:
-            if not sink.done.done() or sink.done.cancelled():
+            # A whole answer has given the connection back.
+            if connection.sink is sink:
                 connection.cancel()
         pause_s = self.codec.read_answer(sink.head).pause_s
         if pause_s is not None:
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -174,9 +174,10 @@
         except RouterError as error:
             return Unknown(reason=error.message)
         finally:
-            if not sink.done.done() or sink.done.cancelled():
+            # A whole answer has given the connection back.
+            if connection.sink is sink:
                 connection.cancel()
-            else:
+            if sink.done.done() and not sink.done.cancelled():
                 with contextlib.suppress(RouterError):
                     sink.done.result()
             if sink.head is not None:
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -101,10 +101,16 @@
             return
         if not self.is_stream:
             self.failure_bytes += len(data)
-            if self.failure_bytes <= MAX_FAILURE_BYTES:
-                self.failure.append(data)
+            if self.failure_bytes > MAX_FAILURE_BYTES:
+                self.finish(Unknown(reason="failure too long"))
+                return
+            self.failure.append(data)
+            return
+        try:
+            events = self.splitter.feed(data)
+        except RouterError as error:
+            self.finish(Unknown(reason=error.message))
             return
-        events = self.splitter.feed(data)
         if not events:
             return
         self.note_event()
--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import Protocol
 
@@ -17,6 +18,12 @@
 
 # A response head beyond this size is not one of a well-behaved target.
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Bytes of chunk lines and trailers after the last byte of a body.
+MAX_FRAMING_BYTES = 16_384
+# Bytes of chunk lines for each byte of a body; a chunk of one byte has five.
+MAX_FRAMING_RATIO = 16
+# Bytes that are fed at once, so that framing is counted often enough.
+SLICE_BYTES = 16_384
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -51,6 +58,52 @@
     idle_seconds: float = 15.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class FramingMeter:
+    """Counts the bytes of a message that are neither head nor body.
+
+    Chunk extensions, zeros before a chunk's size and trailers have no end of
+    their own.
+
+    Attributes:
+        idle: Bytes of framing since the last byte of the body.
+        total: Bytes of framing of the message.
+        body: Bytes of the body.
+    """
+
+    idle: int = 0
+    total: int = 0
+    body: int = 0
+
+    def count(self, size: int, body: int) -> None:
+        """Counts bytes that were fed after the head.
+
+        Args:
+            size: Bytes that were fed.
+            body: Bytes of the body among them.
+        """
+        framing = size - body
+        self.idle = framing if body else self.idle + framing
+        self.total += framing
+        self.body += body
+
+    @property
+    def exceeded(self) -> bool:
+        """Whether there is more framing than a sound sender needs."""
+        allowed = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.body
+        return self.idle > MAX_FRAMING_BYTES or self.total > allowed
+
+
+def slice_data(data: bytes) -> Iterator[bytes | memoryview]:
+    """Yields bytes in pieces of a bounded size."""
+    if len(data) <= SLICE_BYTES:
+        yield data
+        return
+    view = memoryview(data)
+    for start in range(0, len(data), SLICE_BYTES):
+        yield view[start : start + SLICE_BYTES]
+
+
 class RequestParser:
     """Turns the bytes of one connection into requests.
 
@@ -72,17 +125,28 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.framing = FramingMeter()
         self.head_complete = False
 
     def feed(self, data: bytes) -> None:
         """Takes bytes; complete requests are added to `requests`.
 
+        Raises:
+            ProtocolError: If the bytes are no request or exceed a limit.
+        """
+        for part in slice_data(data):
+            self.feed_slice(part)
+
+    def feed_slice(self, data: bytes | memoryview) -> None:
+        """Takes a bounded number of bytes.
+
         Raises:
             ProtocolError: If the bytes are no request or exceed a limit.
         """
         self.is_reading = True
+        in_body = self.head_complete
+        body_before = len(self.body)
         try:
             self.parser.feed_data(data)
         except ProtocolError:
@@ -97,8 +161,14 @@
             httptools.HttpParserUpgrade,
         ) as error:
             raise reject(400, str(error) or "not a request") from error
-        if not self.head_complete and self.is_reading:
+        if not self.is_reading:
+            return
+        if not self.head_complete:
             self.count_head(len(data))
+        elif in_body:
+            self.framing.count(len(data), len(self.body) - body_before)
+            if self.framing.exceeded:
+                raise reject(400, "the body has too much framing")
 
     def count_head(self, size: int) -> None:
         """Bounds a head that arrives in pieces.
@@ -122,8 +192,9 @@
         self.target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header."""
-        self.headers.append((name, value or b""))
+        """Takes a header; trailers are dropped."""
+        if not self.head_complete:
+            self.headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
         """Checks the size of the head."""
@@ -140,10 +211,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > self.limits.max_body_bytes:
+        if len(self.body) + len(data) > self.limits.max_body_bytes:
             raise reject(413, "the body is too long")
-        self.body.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Ends a request."""
@@ -153,7 +223,7 @@
             headers=self.headers,
             keep_alive=self.parser.should_keep_alive(),
         )
-        self.requests.append(Request(head=head, body=b"".join(self.body)))
+        self.requests.append(Request(head=head, body=bytes(self.body)))
         self.is_reading = False
         self.reset()
 
@@ -206,6 +276,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.reason = b""
         self.head_bytes = 0
+        self.body_bytes = 0
+        self.framing = FramingMeter()
         self.until_close = False
         self.in_body = False
         self.keep_alive = False
@@ -217,6 +289,8 @@
         self.receiver = receiver
         self.method = method
         self.started = False
+        self.head_bytes = 0
+        self.framing = FramingMeter()
 
     def feed(self, data: bytes) -> None:
         """Takes bytes and passes the parts of the response on.
@@ -224,11 +298,22 @@
         Raises:
             ProtocolError: If the bytes are no response.
         """
-        if self.receiver is None:
-            self.surplus = True
-            return
+        for part in slice_data(data):
+            if self.receiver is None:
+                self.surplus = True
+                return
+            self.feed_slice(part)
+
+    def feed_slice(self, data: bytes | memoryview) -> None:
+        """Takes a bounded number of bytes.
+
+        Raises:
+            ProtocolError: If the bytes are no response.
+        """
         self.started = True
-        if not self.in_body:
+        was_in_body = self.in_body
+        body_before = self.body_bytes
+        if not was_in_body:
             self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -239,10 +324,19 @@
             raise ProtocolError(
                 step="read response", message=str(error) or "not a response"
             ) from error
+        if self.receiver is None:
+            return
         if not self.in_body and self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise ProtocolError(
                 step="read response", message="the head is too long"
             )
+        if self.in_body and was_in_body:
+            self.framing.count(len(data), self.body_bytes - body_before)
+            if self.framing.exceeded:
+                raise ProtocolError(
+                    step="read response",
+                    message="the body has too much framing",
+                )
 
     def finish(self) -> bool:
         """Notes the end of the connection.
@@ -269,8 +363,9 @@
         self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header."""
-        self.headers.append((name, value or b""))
+        """Takes a header; trailers are dropped."""
+        if not self.in_body:
+            self.headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
         """Passes the head of a final response on."""
@@ -294,6 +389,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body on."""
+        self.body_bytes += len(data)
         if self.receiver is None:
             self.surplus = True
         else:
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -21,6 +21,8 @@
 # paused.
 WRITE_BUFFER_BYTES = 65_536
 BACKLOG = 1_024
+# A caller that sends its body more slowly only holds the connection.
+MIN_BODY_BYTES_PER_SECOND = 4_096
 
 log = get_logger(__name__)
 
@@ -132,6 +134,8 @@
         self.paused = False
         self.active_at = self.loop.time()
         self.reading_since: float | None = None
+        self.progress_at = self.active_at
+        self.progress_bytes = 0
         self.failure: ProtocolError | None = None
 
     # Callbacks of the transport.
@@ -152,15 +156,23 @@
             self.parser.feed(data)
         except ProtocolError as error:
             self.failure = error
-        if self.parser.is_reading:
-            self.reading_since = self.reading_since or now
-        else:
-            self.reading_since = None
+        self.note_progress(now)
         if self.parser.expects_continue and self.parser.is_reading:
             self.parser.expects_continue = False
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.start_next()
 
+    def note_progress(self, now: float) -> None:
+        """Notes since when a request is read, and when its body grew."""
+        if not self.parser.is_reading:
+            self.reading_since = None
+            return
+        received = len(self.parser.body)
+        if self.reading_since is None or received != self.progress_bytes:
+            self.progress_at = now
+        self.reading_since = self.reading_since or now
+        self.progress_bytes = received
+
     def eof_received(self) -> bool:
         """Lets the transport close."""
         return False
@@ -260,13 +272,25 @@
         self.exchange = None
         self.close()
 
+    def is_too_slow(self, now: float) -> bool:
+        """Whether the request that is read stands still or trickles in.
+
+        A head has a fixed time. A body may take longer as long as it grows.
+        """
+        seconds = self.server.limits.head_seconds
+        elapsed = now - self.reading_since
+        if not self.parser.head_complete:
+            return elapsed > seconds
+        grown = len(self.parser.body) / MIN_BODY_BYTES_PER_SECOND
+        return now - self.progress_at > seconds or elapsed > seconds + grown
+
     def sweep(self, now: float) -> None:
         """Closes the connection when it has been idle or slow too long."""
         if self.exchange is not None or self.closing:
             return
         limits = self.server.limits
         if self.reading_since is not None:
-            if now - self.reading_since > limits.head_seconds:
+            if self.is_too_slow(now):
                 self.failure = self.failure or ProtocolError(
                     step="read request", message="timed out", status=408
                 )
--- a/rattanroute/tests/test_http1_parsers.py
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -77,6 +77,61 @@
         head = b"POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\n"
         self.check_status(413, head, b"a" * 30)
 
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against a trailer that replaces a checked header."""
+        self.parser.feed(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n1\r\na\r\n0\r\nAuthorization: Bearer other\r\n\r\n"
+        )
+        (request,) = self.parser.requests
+        names = [name for name, _ in request.head.headers]
+        self.assertEqual(names, [b"Host", b"Transfer-Encoding"])
+
+    def test_framing_without_end_is_refused(self) -> None:
+        """Guards against bytes after the head that never become a body."""
+        head = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for name, start, endless in ENDLESS_FRAMING:
+            for size in (1, 700, 100_000):
+                with self.subTest(name=name, size=size):
+                    limits = RequestLimits()
+                    parser = RequestParser(limits=limits)
+                    parser.feed(head + start)
+                    with self.assertRaises(ProtocolError):
+                        feed_endless(parser, endless, size)
+
+    def test_body_of_small_chunks_is_whole(self) -> None:
+        """Guards against a slow but sound body that counts as framing."""
+        parser = RequestParser(limits=RequestLimits())
+        parser.feed(
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        parser.feed(b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n")
+        (request,) = parser.requests
+        self.assertEqual(request.body, b"a" * 50_000)
+
+
+# What starts a body, and what then comes without end.
+ENDLESS_FRAMING = (
+    ("extension", b"1;a=", b"x" * 100),
+    ("zeros", b"", b"0" * 100),
+    ("trailers", b"0\r\n", b"X-T: " + b"x" * 90 + b"\r\n"),
+    ("one trailer", b"0\r\nX-T: ", b"x" * 100),
+    ("extensions", b"", b"1;" + b"x" * 9_000 + b"\r\na\r\n"),
+)
+ENDLESS_BYTES = 2_000_000
+
+
+def feed_endless(
+    parser: RequestParser | ResponseParser, endless: bytes, size: int
+) -> None:
+    """Feeds bytes over and over, in pieces of a size."""
+    data = endless * (max(size, 20_000) // len(endless) + 1)
+    for _ in range(0, ENDLESS_BYTES, len(data)):
+        for start in range(0, len(data), size):
+            parser.feed(data[start : start + size])
+
 
 class Receiver:
     """Collects what a response parser passes on."""
@@ -139,6 +194,33 @@
         with self.assertRaises(ProtocolError):
             self.parser.feed(b"\x16\x03\x01 nonsense\r\n\r\n")
 
+    def test_kept_connection_carries_many_answers(self) -> None:
+        """Guards against sound answers that together count as one head."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n" + b"a" * 800
+        for _ in range(200):
+            receiver = Receiver()
+            self.parser.expect(receiver, b"POST")
+            self.parser.feed(answer)
+            self.assertTrue(receiver.ended)
+
+    def test_interim_heads_without_end_are_refused(self) -> None:
+        with self.assertRaises(ProtocolError):
+            feed_endless(self.parser, b"HTTP/1.1 100 Continue\r\n\r\n", 700)
+
+    def test_framing_without_end_is_refused(self) -> None:
+        """Guards against bytes after the head that never become a body."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for name, start, endless in ENDLESS_FRAMING:
+            for size in (1, 700, 100_000):
+                with self.subTest(name=name, size=size):
+                    parser = ResponseParser()
+                    receiver = Receiver()
+                    parser.expect(receiver, b"POST")
+                    parser.feed(head + start)
+                    with self.assertRaises(ProtocolError):
+                        feed_endless(parser, endless, size)
+                    self.assertFalse(receiver.ended)
+
 
 class HeadTest(unittest.TestCase):
     """Guards against headers that belong to one connection only."""
