Inspect engines that reported before their service was known

Cause: an engine whose first report came before the first configuration had no layers yet, so that the inspector skipped it after marking it as being asked, for the rest of its lifetime. Change: the system itself passes over targets without layers. The test fails on the code before. Test: test_inspections.test_engine_that_reported_before_its_service_was_known.

--- a/rattanroute/gateway/inspectors.py
+++ b/rattanroute/gateway/inspectors.py
@@ -28,7 +28,6 @@
         system: Says whom to ask, and learns from the answers.
         questions: Asks a target.
         execute: Executes the actions of the system.
-        is_engine: Whether a target can be asked for its state.
         on_leaving: Called with the report of a target that says it leaves.
         tasks: Questions without an answer.
     """
@@ -36,7 +35,6 @@
     system: InspectionSystem
     questions: TargetQuestions
     execute: Callable[[list[Action]], None]
-    is_engine: Callable[[Target], bool]
     on_leaving: Callable[[TargetReport], None]
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
@@ -44,8 +42,6 @@
         """Asks the targets that are due; called at an interval."""
         now = asyncio.get_running_loop().time()
         for target in self.system.take_due(now):
-            if not self.is_engine(target):
-                continue
             task = asyncio.create_task(self.ask(target))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -427,7 +427,6 @@
             system=self.inspections,
             questions=self.questions,
             execute=self.control.host.execute,
-            is_engine=lambda row: row.report.total_layers > 0,
             on_leaving=lambda report: self.handler.depart(
                 report.target_id, report.incarnation, "answer"
             ),
--- a/rattanroute/systems/inspections.py
+++ b/rattanroute/systems/inspections.py
@@ -111,7 +111,7 @@
         return min(voters, default=self.vm_id) == self.vm_id
 
     def take_due(self, now: float) -> list[Target]:
-        """Returns the targets to ask now; their answers are awaited then."""
+        """Returns the engines to ask now; their answers are awaited then."""
         if not self.is_inspector:
             return []
         found = []
@@ -119,6 +119,10 @@
             report = target.report
             if report.data_centre != self.data_centre or report.leaving:
                 continue
+            if not report.total_layers:
+                # A plain service, or an engine of a service that is not known
+                # yet: it is asked once its reports tell.
+                continue
             row = self.rows.get(report.target_id)
             if row is None or row.incarnation != report.incarnation:
                 row = Inspection(incarnation=report.incarnation)
--- a/rattanroute/tests/test_inspections.py
+++ b/rattanroute/tests/test_inspections.py
@@ -75,6 +75,18 @@
         self.assertEqual(self.due(9.5), [])
         self.assertEqual(self.due(9.0 + INTERVAL_SECONDS), ["t1"])
 
+    def test_engine_that_reported_before_its_service_was_known(self) -> None:
+        """Guards against engines of the first start that nobody asks."""
+        targets = TargetTable()
+        early = build_report("t1", sequence=1, total_layers=0, last_layer=-1)
+        targets.record(report=early, observer="v", heard_at=0.0)
+        system = build_system("core-1", targets)
+        self.assertEqual(system.take_due(1.0), [])
+        known = build_report("t1", sequence=2)
+        targets.record(report=known, observer="v", heard_at=2.0)
+        found = [x.report.target_id for x in system.take_due(2.0)]
+        self.assertEqual(found, ["t1"])
+
     def test_one_lost_answer_is_no_failure(self) -> None:
         self.due(1.0)
         actions = self.system.note_silence("t1", refused=False, now=1.3)
--- a/rattanroute/tests/test_questions.py
+++ b/rattanroute/tests/test_questions.py
@@ -68,7 +68,9 @@
     def build_inspector(self, left: list[TargetReport]) -> TargetInspector:
         """Builds the inspector of a voter that knows the engine."""
         targets = TargetTable()
-        report = build_report("t1", address=self.address, incarnation=5)
+        report = build_report(
+            "t1", address=self.address, incarnation=5, total_layers=1
+        )
         targets.record(report=report, observer="v", heard_at=0.0)
         system = InspectionSystem(
             vm_id="v",
@@ -81,7 +83,6 @@
             system=system,
             questions=self.questions,
             execute=lambda actions: None,
-            is_engine=lambda row: True,
             on_leaving=left.append,
         )
 
