Ask relays of other data centres when no voter answers

Change: a VM whose upstream VM is silent also asks the relay of another data centre, one after the other; versions only grow, so their word is safe. Links are bounded by the data centres.

--- a/rattanroute/systems/distributions.py
+++ b/rattanroute/systems/distributions.py
@@ -292,11 +292,12 @@
         return self.rng.random() < STALE_PROBABILITY
 
     def choose_others(self, view: RelayView) -> list[str]:
-        """Returns a voter and another VM of the data centre, if any.
+        """Returns a voter, a VM of the data centre and one elsewhere, if any.
 
         Voters take turns, so that one that cannot be reached costs one
-        period. The VM of the data centre helps when no voter can be reached:
-        it may have a version that a restarted VM lacks.
+        period. The others help when no voter can be reached: they may have a
+        version that this VM lacks. Elsewhere only relays are asked, which
+        bounds the links.
         """
         others = []
         voters = view.voters()
@@ -305,6 +306,9 @@
         neighbours = sorted(x.vm_id for x in view.neighbours())
         if neighbours:
             others.append(self.rng.choice(neighbours))
+        elsewhere = view.relays_elsewhere()
+        if elsewhere:
+            others.append(elsewhere[self.turn % len(elsewhere)])
         return others
 
     def ask(self, peer: str, now: float) -> Action:
--- a/rattanroute/systems/relays.py
+++ b/rattanroute/systems/relays.py
@@ -76,6 +76,14 @@
             and x.vm_id != self.own.vm_id
         ]
 
+    def relays_elsewhere(self) -> list[str]:
+        """Returns the VM of each other data centre that voters push to."""
+        places: dict[str, list[str]] = {}
+        for peer in self.alive.values():
+            if not peer.voter and peer.data_centre != self.own.data_centre:
+                places.setdefault(peer.data_centre, []).append(peer.vm_id)
+        return [self.choose(places[place]) for place in sorted(places)]
+
     def voters(self) -> list[str]:
         """Returns the live voters, those of the own data centre first."""
         place = self.own.data_centre
--- a/rattanroute/tests/distribution_support.py
+++ b/rattanroute/tests/distribution_support.py
@@ -62,6 +62,7 @@
         duplication: Probability that a message arrives twice.
         delay_ticks: Longest delay of a message.
         cut: Pairs of data centres that cannot reach each other.
+        cut_vms: Pairs of VMs that cannot reach each other.
         down: VMs that do not run.
         dead: VMs that membership knows to be dead.
         sent_bytes: Bytes sent by VM.
@@ -82,6 +83,7 @@
         self.duplication = 0.0
         self.delay_ticks = 1
         self.cut: set[frozenset[str]] = set()
+        self.cut_vms: set[frozenset[str]] = set()
         self.down: set[str] = set()
         self.dead: set[str] = set()
         self.sent_bytes: dict[str, int] = {}
@@ -132,6 +134,13 @@
             self.cut.add(frozenset((place, other)))
         self.update_logs()
 
+    def hide_voters(self, place: str) -> None:
+        """Cuts the other VMs of a data centre off from all voters."""
+        for vm_id, at in self.places.items():
+            if at == place and vm_id not in self.logs:
+                for voter in self.logs:
+                    self.cut_vms.add(frozenset((vm_id, voter)))
+
     def heal(self) -> None:
         """Ends all partitions."""
         self.cut.clear()
@@ -156,7 +165,8 @@
     def connected(self, one: str, other: str) -> bool:
         """Whether messages pass between two VMs."""
         places = frozenset((self.places[one], self.places[other]))
-        return places not in self.cut
+        pair = frozenset((one, other))
+        return places not in self.cut and pair not in self.cut_vms
 
     def change(self, *operations: Operation) -> int:
         """Accepts a change on the majority and returns its version."""
--- a/rattanroute/tests/test_distributions.py
+++ b/rattanroute/tests/test_distributions.py
@@ -175,6 +175,20 @@
             for system in cluster.vms.values():
                 self.assertLess(system.age_s(cluster.now), 3.0)
 
+    def test_data_centre_that_reaches_no_voter(self) -> None:
+        """Guards against an old version where only other VMs are reached.
+
+        Connections to voters can fail while those to VMs elsewhere work.
+        """
+        for seed in range(5):
+            cluster = self.build_cluster(seed=seed)
+            cluster.run(2.0)
+            cluster.hide_voters("dc2")
+            for number in range(4):
+                version = cluster.change(drain(f"t{number}"))
+                seconds = cluster.seconds_until(version)
+                self.assertLess(seconds, CATCH_UP_SECONDS)
+
     def test_vm_that_restarts_in_a_partition_gets_the_last_version(
         self,
     ) -> None:
