Leave a full engine alone on the whole VM, and for longer each time

Cause: a full engine rested for 0.15 s for one request only; all others of the VM went to it, and three rejections ejected it like a failed one, for up to 30 s. Change: a rejection rests the engine for all requests of the VM, twice as long each time up to 1.2 s, until it serves again. It is looked at, as a member of its chain may be gone, but does not count as failed. Tests: test_selectors.FullTargetTest.

--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -20,6 +20,10 @@
 OTHER_CENTRE_PENALTY = 0.5
 SUSPECT_PENALTY = 3.0
 JITTER = 0.3
+# A target that was full is left alone for a few passes of its engine, and for
+# longer each time that it still is.
+FULL_REST_SECONDS = 0.15
+MAX_FULL_REST_SECONDS = 1.2
 
 log = get_logger(__name__)
 
@@ -143,8 +147,23 @@
         """Restores a target that answered."""
         row = self.targets.get(target_id)
         if row is not None:
+            row.rejections = 0
             self.detections.note_success(row, now)
 
+    def note_full(self, target_id: str, now: float) -> None:
+        """Leaves a target alone that had no room, and has it looked at.
+
+        A target also seems full when a member of its chain is gone.
+        """
+        row = self.targets.get(target_id)
+        if row is None:
+            return
+        rest_s = FULL_REST_SECONDS * 2**row.rejections
+        rest_s = min(rest_s, MAX_FULL_REST_SECONDS)
+        row.full_until = now + rest_s * self.random.uniform(0.75, 1.25)
+        row.rejections += 1
+        self.suspect(row)
+
     def note_failure(
         self, target_id: str, *, now: float, crashed: bool = False
     ) -> None:
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -37,31 +37,11 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is broken off.
 DEADLINE_MARGIN_SECONDS = 0.1
-# A target that was full is asked again after a few passes of its engine.
-FULL_REST_SECONDS = 0.15
 # Part of the stall time of engines after which a target's "not run" means
 # that a member of its chain is dead rather than full.
 STALL_PART = 0.8
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class AvoidedTargets:
-    """Targets that a call does not use again.
-
-    Attributes:
-        broken: Targets that failed the call.
-        full: Targets that had no room for it, with the end of their rest.
-    """
-
-    broken: set[str] = dataclasses.field(default_factory=set)
-    full: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def now(self, now: float) -> frozenset[str]:
-        """Returns the targets that are not used at a time."""
-        resting = (x for x, until in self.full.items() if now < until)
-        return frozenset(self.broken.union(resting))
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StreamForwarder:
     """Sends calls over chains of engines until a stream is whole.
@@ -101,7 +81,7 @@
         call.exchange.on_gone = asyncio.current_task().cancel
         loop = asyncio.get_running_loop()
         state = StreamState(call=call)
-        avoided = AvoidedTargets()
+        avoided: set[str] = set()
         reason = "no chain has room"
         while self.may_send(call, loop.time()):
             chain = await self.find_chain(call, state, avoided)
@@ -127,7 +107,7 @@
         )
 
     async def find_chain(
-        self, call: Call, state: StreamState, avoided: AvoidedTargets
+        self, call: Call, state: StreamState, avoided: set[str]
     ) -> tuple[ChainHop, ...]:
         """Returns a chain with room, after a short wait if need be.
 
@@ -143,9 +123,7 @@
             chain = choose()
             if chain:
                 return chain
-        if not self.chooser.is_covered(
-            service, excluded=avoided.broken, now=now
-        ):
+        if not self.chooser.is_covered(service, excluded=avoided, now=now):
             return ()
         since = max(state.event_at, call.exchange.received_at)
         most_s = min(call.time_left(now), since + MAX_WAIT_SECONDS - now)
@@ -154,7 +132,7 @@
         return chain
 
     def choose_chain(
-        self, call: Call, avoided: AvoidedTargets
+        self, call: Call, avoided: set[str]
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that has room now, or nothing."""
         now = asyncio.get_running_loop().time()
@@ -165,7 +143,7 @@
         return self.chooser.choose(
             call.service,
             build_demand(call),
-            excluded=avoided.now(now),
+            excluded=frozenset(avoided),
             starts=starts,
             now=now,
         )
@@ -181,7 +159,7 @@
         call: Call,
         state: StreamState,
         chain: tuple[ChainHop, ...],
-        avoided: AvoidedTargets,
+        avoided: set[str],
     ) -> Outcome | None:
         """Sends a call over a chain, counting its load meanwhile."""
         loop = asyncio.get_running_loop()
@@ -214,7 +192,7 @@
         call: Call,
         state: StreamState,
         chain: tuple[ChainHop, ...],
-        avoided: AvoidedTargets,
+        avoided: set[str],
     ) -> Outcome | None:
         """Sends a call to the first target and follows the stream."""
         loop = asyncio.get_running_loop()
@@ -228,7 +206,7 @@
             self.selector.note_failure(
                 first.target_id, now=loop.time(), crashed=True
             )
-            avoided.broken.add(first.target_id)
+            avoided.add(first.target_id)
             return NotRun(reason=str(error))
         sink = StreamSink(
             state=state,
@@ -290,7 +268,7 @@
         call: Call,
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
-        avoided: AvoidedTargets,
+        avoided: set[str],
     ) -> Outcome | None:
         """Waits for the end of an attempt and looks into pauses."""
         loop = asyncio.get_running_loop()
@@ -306,7 +284,7 @@
                 checked_at = now
                 stalled = await self.inspector.find_stalled(call, chain)
                 if stalled and not sink.ended.done():
-                    avoided.broken.update(stalled)
+                    avoided.update(stalled)
                     return Unknown(reason="stalled at " + "+".join(stalled))
                 continue
             wait = max(0.01, min(end, max(due, now + 0.01)) - now)
@@ -319,7 +297,7 @@
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
         outcome: Outcome | None,
-        avoided: AvoidedTargets,
+        avoided: set[str],
     ) -> None:
         """Learns from an attempt which targets the next one avoids."""
         now = sink.loop.time()
@@ -335,9 +313,9 @@
         if isinstance(outcome, Answered) or outcome.timed_out:
             return
         gone = [hop.target_id for hop in chain if self.is_gone(hop)]
-        avoided.broken.update(gone)
-        if avoided.now(now).isdisjoint(hop.target_id for hop in chain):
-            avoided.broken.add(chain[0].target_id)
+        avoided.update(gone)
+        if avoided.isdisjoint(hop.target_id for hop in chain):
+            avoided.add(chain[0].target_id)
             self.selector.note_failure(chain[0].target_id, now=now)
 
     def is_gone(self, hop: ChainHop) -> bool:
@@ -350,7 +328,7 @@
         call: Call,
         chain: tuple[ChainHop, ...],
         sink: StreamSink,
-        avoided: AvoidedTargets,
+        avoided: set[str],
     ) -> None:
         """Avoids the target that refused, or that was named at fault."""
         now = sink.loop.time()
@@ -360,10 +338,10 @@
         waited = now - sink.event_at
         dead = waited >= STALL_PART * call.service.engine.stall_s
         if dead:
-            avoided.broken.add(target_id)
+            avoided.add(target_id)
+            self.selector.note_failure(target_id, now=now, crashed=True)
         else:
-            avoided.full[target_id] = now + FULL_REST_SECONDS
-        self.selector.note_failure(target_id, now=now, crashed=dead)
+            self.selector.note_full(target_id, now)
 
     def answer_failure(self, call: Call, outcome: Answered) -> None:
         """Returns a target's own failure to the caller."""
--- a/rattanroute/systems/stagechoices.py
+++ b/rattanroute/systems/stagechoices.py
@@ -144,7 +144,7 @@
         for target in self.targets.serving(service.name):
             if target.report.target_id in excluded:
                 continue
-            if not self.is_usable(target, now):
+            if target.full_until > now or not self.is_usable(target, now):
                 continue
             candidate = self.build_candidate(target, engine, demand)
             if candidate is not None:
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -111,6 +111,8 @@
         failures: Consecutive failed attempts.
         blocked_until: Time before which no attempt is dispatched to it.
         paused_until: Time before which it wants nothing from this VM.
+        full_until: Time before which it is taken to be full.
+        rejections: Requests that it rejected as full since its last success.
         slowness: Moving average of measured over expected duration.
         samples: Measurements in `slowness`.
         ejections: Recent ejections; they lengthen the next one.
@@ -134,6 +136,8 @@
     failures: int = 0
     blocked_until: float = 0.0
     paused_until: float = 0.0
+    full_until: float = 0.0
+    rejections: int = 0
     finished_since_report: int = 0
     changes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
@@ -378,6 +382,8 @@
     row.failures = 0
     row.blocked_until = 0.0
     row.paused_until = 0.0
+    row.full_until = 0.0
+    row.rejections = 0
     row.health = TargetHealth.HEALTHY
     row.slowness = 1.0
     row.samples = 0
--- a/rattanroute/tests/test_selectors.py
+++ b/rattanroute/tests/test_selectors.py
@@ -3,9 +3,12 @@
 import random
 import unittest
 
+from rattanroute.gateway.selectors import FULL_REST_SECONDS
+from rattanroute.gateway.selectors import MAX_FULL_REST_SECONDS
 from rattanroute.gateway.selectors import STALE_SECONDS
 from rattanroute.gateway.selectors import TargetSelector
 from rattanroute.systems.detections import DetectionSystem
+from rattanroute.tables.targets import TargetHealth
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
@@ -75,3 +78,32 @@
         usable = [selector.is_usable(x, 1.0) for x in targets]
         self.assertTrue(all(usable))
         self.assertEqual(CountingTable.reads, 1)
+
+
+class FullTargetTest(unittest.TestCase):
+    """Guards against calls that all go to the same full target."""
+
+    def setUp(self) -> None:
+        self.targets = TargetTable()
+        record(self.targets, "t1", 1.0)
+        self.selector = build_selector(self.targets)
+        self.row = self.targets.get("t1")
+
+    def test_rest_grows_until_the_target_serves_again(self) -> None:
+        rests = []
+        for _ in range(6):
+            self.selector.note_full("t1", 10.0)
+            rests.append(self.row.full_until - 10.0)
+        self.assertLess(rests[0], 2 * FULL_REST_SECONDS)
+        self.assertGreater(rests[3], 2 * rests[0])
+        self.assertLess(max(rests), 2 * MAX_FULL_REST_SECONDS)
+        self.selector.note_success("t1", 11.0)
+        self.selector.note_full("t1", 12.0)
+        self.assertLess(self.row.full_until - 12.0, 2 * FULL_REST_SECONDS)
+
+    def test_full_target_is_no_failed_one(self) -> None:
+        """Guards against an overload that ejects the targets that serve."""
+        for _ in range(9):
+            self.selector.note_full("t1", 10.0)
+        self.assertIs(self.row.health, TargetHealth.HEALTHY)
+        self.assertTrue(self.selector.is_usable(self.row, 10.0))
