Import only what a program uses: fronts without the log

Change: the parts of a voter are built by control/voters.py, which only voters import; a module of messages is imported with its first message; the programs have modules of their own.

--- a/rattanroute/codecs.py
+++ b/rattanroute/codecs.py
@@ -1,68 +1,69 @@
-"""Encoding of peer messages: a numbered kind and a msgpack body."""
+"""Encoding of peer messages: a numbered kind and a msgpack body.
 
-from types import ModuleType
+A module of messages is imported with its first message: no VM uses all of
+them, and their classes cost time at the start.
+"""
+
+import functools
+import importlib
 
 import msgspec
 
 from rattanroute.errors import CodecError
-from rattanroute.messages import claims
-from rattanroute.messages import consensus
-from rattanroute.messages import departures
-from rattanroute.messages import distributions
-from rattanroute.messages import forwards
-from rattanroute.messages import inspections
-from rattanroute.messages import ledgers
-from rattanroute.messages import loads
-from rattanroute.messages import memberships
-from rattanroute.messages import orders
-from rattanroute.messages import quarantines
-from rattanroute.messages import shares
-from rattanroute.messages import targets
-
-MODULES: tuple[ModuleType, ...] = (
-    consensus,
-    distributions,
-    memberships,
-    claims,
-    shares,
-    ledgers,
-    targets,
-    quarantines,
-    orders,
-    forwards,
-    loads,
-    departures,
-    inspections,
-)
-
-
-def collect_kinds(modules: tuple[ModuleType, ...]) -> dict[int, type]:
-    """Merges the `KINDS` maps of message modules.
+
+MESSAGES_PACKAGE = "rattanroute.messages"
+# Modules of messages by the first of their numbers, which are 20 each.
+NUMBERS_PER_MODULE = 20
+MODULES: dict[int, str] = {
+    20: "consensus",
+    40: "distributions",
+    60: "memberships",
+    80: "claims",
+    100: "shares",
+    120: "ledgers",
+    140: "targets",
+    160: "quarantines",
+    180: "orders",
+    200: "forwards",
+    220: "loads",
+    240: "departures",
+    250: "inspections",
+}
+# More than there are classes; bounds what wrong numbers of a peer leave here.
+MAX_DECODERS = 256
+ENCODER = msgspec.msgpack.Encoder()
+
+
+def load_kinds(module_name: str) -> dict[int, type]:
+    """Returns the message classes of a module by number."""
+    return importlib.import_module(module_name).KINDS
+
+
+@functools.cache
+def find_number(message_type: type) -> int:
+    """Returns the number of a message class.
 
     Raises:
-        ValueError: If two classes have the same number.
+        KeyError: If its module does not number it.
     """
-    kinds: dict[int, type] = {}
-    for module in modules:
-        for number, message_type in module.KINDS.items():
-            if number in kinds:
-                raise ValueError(f"message kind {number} is used twice")
-            kinds[number] = message_type
-    return kinds
+    kinds = load_kinds(message_type.__module__)
+    return {kind: number for number, kind in kinds.items()}[message_type]
 
 
-TYPE_BY_KIND = collect_kinds(MODULES)
-KIND_BY_TYPE = {kind: number for number, kind in TYPE_BY_KIND.items()}
-ENCODER = msgspec.msgpack.Encoder()
-DECODERS = {
-    number: msgspec.msgpack.Decoder(kind)
-    for number, kind in TYPE_BY_KIND.items()
-}
+@functools.lru_cache(maxsize=MAX_DECODERS)
+def find_decoder(number: int) -> msgspec.msgpack.Decoder | None:
+    """Returns the decoder of a number; None when no class has it."""
+    starts = [start for start in MODULES if start <= number]
+    if not starts or number - max(starts) >= NUMBERS_PER_MODULE:
+        return None
+    kinds = load_kinds(f"{MESSAGES_PACKAGE}.{MODULES[max(starts)]}")
+    kind = kinds.get(number)
+    return None if kind is None else msgspec.msgpack.Decoder(kind)
 
 
 def encode(message: object) -> tuple[int, bytes]:
     """Encodes a message as its kind number and body."""
-    return KIND_BY_TYPE[type(message)], ENCODER.encode(message)
+    return find_number(type(message)), ENCODER.encode(message)
 
 
 def decode(*, kind: int, body: bytes, peer: str) -> object:
@@ -71,7 +72,7 @@
     Raises:
         CodecError: If the kind is unknown or the body does not fit its type.
     """
-    decoder = DECODERS.get(kind)
+    decoder = find_decoder(kind)
     if decoder is None:
         raise CodecError(
             step="decode message", peer=peer, message=f"unknown kind {kind}"
--- a/rattanroute/control/configuration_hosts.py
+++ b/rattanroute/control/configuration_hosts.py
@@ -3,93 +3,21 @@
 from collections.abc import Callable
 import random as randoms
 import time
-
-from expression import Error
-from expression import Ok
-from expression import Result
+from typing import TYPE_CHECKING
 
 from rattanroute.actions import Action
-from rattanroute.consensus.hosts import ConsensusHost
-from rattanroute.consensus.nodes import Timing
-from rattanroute.consensus.proposals import Outcome
-from rattanroute.consensus.proposals import ProposalError
 from rattanroute.control.forwards import LogForwarder
 from rattanroute.control.settings import LogSettings
-from rattanroute.errors import NotProposedError
-from rattanroute.errors import RouterError
 from rattanroute.subsystems import Subsystem
-from rattanroute.systems.configurations import ConfigurationStateMachine
 from rattanroute.systems.distributions import DistributionSystem
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.tables.replicas import ConfigurationReplica
 
-CONSENSUS_FOLDER = "log"
+if TYPE_CHECKING:
+    from rattanroute.control.voters import Voter
+
 TRANSFER_SECONDS = 2.0
 REFRESH_SECONDS = 0.5
-REFRESH_TIMEOUT_SECONDS = 1.0
-
-
-class ConsensusLog:
-    """The replicated log as the operators' interface takes it.
-
-    Args:
-        host: The consensus host of this voter.
-    """
-
-    def __init__(self, *, host: ConsensusHost) -> None:
-        self.host = host
-
-    async def propose(
-        self, data: bytes, timeout_s: float
-    ) -> Result[object, RouterError]:
-        """Appends a change and returns its outcome."""
-        result = await self.host.propose(data, timeout_s)
-        return result.map_error(convert_error)
-
-    async def read_barrier(self, timeout_s: float) -> Result[None, RouterError]:
-        """Waits until all changes accepted so far are applied here."""
-        result = await self.host.read_barrier(timeout_s)
-        if result.is_error():
-            return Error(result.error)
-        return Ok(None)
-
-
-def convert_error(error: RouterError) -> RouterError:
-    """Returns an error that says so when a change cannot take effect."""
-    certain = (
-        isinstance(error, ProposalError)
-        and error.outcome is Outcome.NOT_ACCEPTED
-    )
-    if not certain:
-        return error
-    return NotProposedError(
-        step=error.step, peer=error.peer, message=error.message
-    )
-
-
-class VoterFreshness:
-    """Knows since when a voter's applied state is confirmed.
-
-    Args:
-        log: The log of this voter.
-    """
-
-    def __init__(self, *, log: ConsensusLog) -> None:
-        self.log = log
-        self.confirmed_at: float | None = None
-
-    def confirmed_age_s(self, now: float) -> float | None:
-        """Returns the seconds since a majority confirmed the state."""
-        if self.confirmed_at is None:
-            return None
-        return now - self.confirmed_at
-
-    async def refresh(self) -> None:
-        """Asks a majority whether all that is committed is applied here."""
-        started = time.monotonic()
-        result = await self.log.read_barrier(REFRESH_TIMEOUT_SECONDS)
-        if result.is_ok():
-            self.confirmed_at = started
 
 
 class ConfigurationHost:
@@ -101,6 +29,7 @@
         send: Sends a message to a peer.
         execute: Executes actions between ticks.
         random: Random numbers.
+        voter: The parts of a voter; None on another VM.
     """
 
     def __init__(
@@ -111,30 +40,14 @@
         send: Callable[[str, object], bool],
         execute: Callable[[list[Action]], None],
         random: randoms.Random,
+        voter: "Voter | None" = None,
     ) -> None:
         self.vm_id = settings.vm_id
         self.membership = membership
-        self.machine: ConfigurationStateMachine | None = None
-        self.consensus: ConsensusHost | None = None
-        self.freshness: VoterFreshness | None = None
-        log = None
-        if settings.storage.voter:
-            self.machine = ConfigurationStateMachine()
-            self.consensus = ConsensusHost(
-                vm_id=settings.vm_id,
-                folder=settings.storage.folder / CONSENSUS_FOLDER,
-                machine=self.machine,
-                rng=random,
-                now=time.monotonic(),
-                bootstrap_voters=settings.storage.bootstrap_voters,
-                send=execute,
-                voter_target=settings.storage.voter_target,
-                timing=Timing(election_min_s=settings.storage.election_s),
-            )
-            log = ConsensusLog(host=self.consensus)
-            self.freshness = VoterFreshness(log=log)
+        self.consensus = voter.consensus if voter else None
+        self.freshness = voter.freshness if voter else None
         self.replica = (
-            self.machine.replica if self.machine else ConfigurationReplica()
+            voter.machine.replica if voter else ConfigurationReplica()
         )
         self.distribution = DistributionSystem(
             vm_id=settings.vm_id,
@@ -156,9 +69,9 @@
             send=send,
             replica=self.replica,
             random=random,
-            log=log,
+            log=voter.log if voter else None,
         )
-        self.log = log or self.forwarder
+        self.log = voter.log if voter else self.forwarder
 
     @property
     def subsystems(self) -> list[Subsystem]:
--- a/rattanroute/control/planes.py
+++ b/rattanroute/control/planes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random as randoms
 import time
+from typing import TYPE_CHECKING
 
 from grpclib.server import Server
 
@@ -24,10 +25,17 @@
 from rattanroute.tables.members import MemberState
 from rattanroute.tasks import run_repeatedly
 
+if TYPE_CHECKING:
+    from rattanroute.control.voters import Voter
+
 TICK_SECONDS = 0.1
 HOUSEKEEPING_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
+VoterBuilder = Callable[
+    [ControlSettings, Callable[[list[Action]], None], randoms.Random], "Voter"
+]
+
 log = get_logger(__name__)
 
 
@@ -38,6 +46,7 @@
         settings: Settings of the VM.
         metrics: Metrics of the process.
         random: Random numbers for all decisions.
+        build_voter: Builds the parts of a voter; None on another VM.
     """
 
     def __init__(
@@ -46,6 +55,7 @@
         settings: ControlSettings,
         metrics: MetricsRegistry,
         random: randoms.Random,
+        build_voter: VoterBuilder | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
@@ -68,6 +78,11 @@
             send=self.send,
             execute=self.host.execute,
             random=random,
+            voter=(
+                build_voter(settings, self.host.execute, random)
+                if build_voter
+                else None
+            ),
         )
         self.tasks: list[asyncio.Task[None]] = []
         self.server: Server | None = None
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -22,6 +22,7 @@
 from rattanroute.control.configuration_hosts import REFRESH_SECONDS
 from rattanroute.control.ledger_hosts import LedgerHost
 from rattanroute.control.placement_hosts import PlacementHost
+from rattanroute.control.voters import build_voter
 from rattanroute.errors import RouterError
 from rattanroute.events import Event
 from rattanroute.hosts import SubsystemHost
@@ -110,6 +111,11 @@
             send=self.send,
             execute=self.subsystems.execute,
             random=self.random,
+            voter=(
+                build_voter(settings, self.subsystems.execute, self.random)
+                if settings.storage.voter
+                else None
+            ),
         )
         self.running: set[asyncio.Task[object]] = set()
         self.router = RequestRouter(
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -1,29 +1,17 @@
-"""The two programs that run on the platform's machines."""
+"""What both programs have that run on the platform's machines."""
 
-import asyncio
-from collections.abc import Callable
-import contextlib
 import functools
 import pathlib
 import random as randoms
 from typing import Protocol
 
 from rattanroute.addresses import parse_address
-from rattanroute.control.leases import LeaderLease
 from rattanroute.control.planes import ControlPlane
+from rattanroute.control.planes import VoterBuilder
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
-from rattanroute.gateway.handlers import GatewayHandler
-from rattanroute.gateway.inspectors import TargetInspector
 from rattanroute.gateway.manifests import RoutingView
-from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.questions import TargetQuestions
-from rattanroute.gateway.selectors import TargetSelector
-from rattanroute.gateway.sendbudgets import SendBudget
-from rattanroute.gateway.services import ServiceForwarder
-from rattanroute.gateway.stageorders import StageOrderer
-from rattanroute.gateway.stalls import StallInspector
-from rattanroute.gateway.streams import StreamForwarder
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import RequestLimits
@@ -32,40 +20,16 @@
 from rattanroute.http1.servers import HttpServer
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
-from rattanroute.platform.control import ControlHandler
-from rattanroute.platform.headers import PlatformHeaders
 from rattanroute.platform.manifests import decode_manifest
 from rattanroute.platform.replicas import PlatformOrders
 from rattanroute.platform.settings import Boot
 from rattanroute.platform.settings import build_settings
 from rattanroute.platform.settings import load_boot
-from rattanroute.systems.budgets import RepeatBudget
 from rattanroute.systems.departures import DepartureSystem
-from rattanroute.systems.detections import DetectionSystem
-from rattanroute.systems.engineloads import EngineLoadSystem
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
-from rattanroute.systems.stagechoices import is_served
-from rattanroute.systems.stagechoices import StageChooser
-from rattanroute.tables.engineloads import EngineLoadTable
-from rattanroute.tables.targets import Target
-from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
-READY_PATH = b"/rattanroute/ready"
-# Two misses of the entry's question each second, and a margin for the
-# connections that are on their way.
-LEAVE_ROTATION_SECONDS = 2.5
-# Time before SIGKILL at which a stopping process ends what is left.
-EXIT_MARGIN_SECONDS = 0.6
-STATUS_SECONDS = 0.1
-PLAN_SECONDS = 0.5
-INSPECT_SECONDS = 0.1
-# A front that has a manifest takes callers after this time even when it has
-# not heard of a target of each service.
-TARGETS_WAIT_SECONDS = 3.0
-CONTROL_BODY_BYTES = 16_777_216
-
 log = get_logger(__name__)
 
 
@@ -91,9 +55,16 @@
     Args:
         path: The settings file.
         boot: Its content.
+        build_voter: Builds the parts of a voter; None on another machine.
     """
 
-    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        boot: Boot,
+        build_voter: VoterBuilder | None = None,
+    ) -> None:
         self.path = path
         self.boot = boot
         self.random = randoms.Random()
@@ -102,6 +73,7 @@
             settings=build_settings(boot),
             metrics=self.metrics,
             random=self.random,
+            build_voter=build_voter,
         )
         self.vm_id = self.control.settings.vm_id
         self.targets = TargetTable()
@@ -197,264 +169,3 @@
             await server.close()
         self.pool.close()
         log.info("daemon stopped", node=self.boot.node)
-
-
-class FrontDaemon(BaseDaemon):
-    """Serves requesters.
-
-    Args:
-        path: The settings file.
-        boot: Its content.
-    """
-
-    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
-        super().__init__(path=path, boot=boot)
-        self.loads = EngineLoadTable()
-        self.control.add(
-            EngineLoadSystem(
-                vm_id=self.vm_id,
-                members=self.control.membership.alive,
-                loads=self.loads,
-            )
-        )
-        self.limits = RequestLimits()
-        self.configured_at: float | None = None
-        self.ready = False
-        self.settled = asyncio.Event()
-        self.usable: dict[tuple[str, str], int] = {}
-        self.handler = self.build_handler()
-        self.inspections.on_unreachable = self.leave_target
-
-    def build_handler(self) -> GatewayHandler:
-        """Builds the path of a request."""
-        codec = PlatformHeaders()
-        bounds = self.boot.bounds
-        self.selector = selector = TargetSelector(
-            data_centre=self.boot.zone,
-            targets=self.targets,
-            detections=DetectionSystem(targets=self.targets),
-            has_departed=self.departures.covers,
-            suspect=self.suspect,
-            note_departure=self.note_departure,
-            random=self.random,
-        )
-        budget = SendBudget(
-            repeats=RepeatBudget(
-                ratio=bounds.retry_budget_ratio,
-                extra=bounds.budget_extra,
-                window_s=bounds.budget_window_s,
-            ),
-            vms=self.control.count_servers,
-        )
-        ender = CallEnder(codec=codec, random=self.random)
-        services = ServiceForwarder(
-            codec=codec,
-            pool=self.pool,
-            selector=selector,
-            budget=budget,
-            ender=ender,
-        )
-        self.streams = streams = StreamForwarder(
-            codec=codec,
-            pool=self.pool,
-            selector=selector,
-            chooser=StageChooser(
-                data_centre=self.boot.zone,
-                targets=self.targets,
-                loads=self.loads,
-                random=self.random,
-                is_usable=selector.is_usable,
-                vms=self.control.count_servers,
-            ),
-            budget=budget,
-            ender=ender,
-            inspector=StallInspector(
-                questions=self.questions, selector=selector
-            ),
-        )
-        return GatewayHandler(
-            codec=codec,
-            routing=self.routing.current,
-            services=services,
-            streams=streams,
-            random=self.random,
-            settled=self.settled,
-        )
-
-    def leave_target(self, target_id: str) -> None:
-        """Moves streams away from a target that is gone."""
-        log.info("target gone", target=target_id)
-        self.streams.leave_target(target_id)
-
-    def note_departure(self, report: TargetReport) -> None:
-        """Keeps new work from a target that said in an answer it leaves."""
-        now = asyncio.get_running_loop().time()
-        log.info(
-            "target departs",
-            target=report.target_id,
-            incarnation=report.incarnation,
-            reason="answer",
-        )
-        self.control.host.execute(
-            self.departures.announce(
-                target_id=report.target_id,
-                until_incarnation=report.incarnation,
-                now=now,
-            )
-        )
-
-    def suspect(self, target: Target) -> None:
-        """Asks the core to look at a target that failed a request."""
-        now = asyncio.get_running_loop().time()
-        self.control.host.execute(self.inspections.suspect(target, now))
-
-    async def start(self) -> None:
-        """Opens the listeners and starts the work."""
-        await self.start_control()
-        listen = self.boot.listen
-        await self.open(listen.ready, self.show_ready, RequestLimits())
-        self.front = await self.open(
-            listen.front, self.handler.handle, self.limits
-        )
-        self.control.repeat(STATUS_SECONDS, self.update_status)
-
-    def update_status(self) -> None:
-        """Follows the manifest and tells the others whether it is ready."""
-        now = asyncio.get_running_loop().time()
-        table = self.routing.current()
-        if table is not None:
-            self.configured_at = self.configured_at or now
-            self.limits.max_head_bytes = table.limits.max_head_bytes
-            self.limits.max_body_bytes = table.limits.max_body_bytes
-            self.limits.head_seconds = table.limits.head_s
-            self.limits.idle_seconds = table.limits.idle_s
-        self.log_targets(now)
-        ready = self.find_ready(now)
-        if ready != self.ready:
-            log.info(
-                "readiness changed", ready=ready, targets=len(self.targets)
-            )
-        self.ready = ready
-        if ready:
-            self.settled.set()
-        self.control.set_status(ready=ready, draining=self.stopping)
-
-    def log_targets(self, now: float) -> None:
-        """Logs how many targets may get work, when that has changed."""
-        usable: dict[tuple[str, str], int] = {}
-        for target in self.targets:
-            key = (target.report.model, target.report.data_centre)
-            usable.setdefault(key, 0)
-            usable[key] += self.selector.is_usable(target, now)
-        if usable == self.usable:
-            return
-        self.usable = usable
-        counts = (f"{a}@{b}:{count}" for (a, b), count in usable.items())
-        log.info("usable targets", targets=",".join(sorted(counts)))
-
-    def find_ready(self, now: float) -> bool:
-        """Whether this process takes requesters."""
-        table = self.routing.table
-        if self.stopping or table is None:
-            return False
-        if now - self.configured_at >= TARGETS_WAIT_SECONDS:
-            return True
-        return all(
-            is_served(service, self.targets)
-            for service in table.services.values()
-        )
-
-    async def show_ready(self, exchange: Exchange) -> None:
-        """Answers whether this process takes requesters."""
-        known = exchange.request.head.path == READY_PATH
-        status = 404 if not known else 200 if self.ready else 503
-        exchange.send(ResponseHead(status=status))
-
-    async def stop(self) -> None:
-        """Stops as planned: leaves the rotation, then ends its requests."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + self.boot.bounds.grace_s - EXIT_MARGIN_SECONDS
-        self.stopping = True
-        self.ready = False
-        self.front.start_draining()
-        self.control.set_status(ready=False, draining=True)
-        log.info("planned stop", open_requests=self.front.busy)
-        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
-        self.front.stop_accepting()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(end):
-                await self.front.empty.wait()
-        log.info("requests ended", open_requests=self.front.busy)
-        await self.close()
-
-
-class CoreDaemon(BaseDaemon):
-    """Keeps the configuration and takes the reports of replicas.
-
-    Args:
-        path: The settings file.
-        boot: Its content.
-    """
-
-    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
-        super().__init__(path=path, boot=boot)
-        self.control.add(
-            EngineLoadSystem(
-                vm_id=self.vm_id, members=self.control.membership.alive
-            )
-        )
-        self.handler = ControlHandler(
-            vm_id=self.vm_id,
-            zones=frozenset(boot.zones),
-            configurations=self.control.configurations,
-            routing=self.routing.current,
-            reports=self.reports,
-            departures=self.departures,
-            execute=self.control.host.execute,
-            stall_s=boot.bounds.stall_ms / 1000,
-        )
-        self.orderer = StageOrderer(
-            lease=LeaderLease(consensus=self.control.configurations.consensus),
-            targets=self.targets,
-            routing=self.routing.current,
-            questions=self.questions,
-            has_left=lambda row: (
-                row.report.leaving or self.departures.covers(row.report)
-            ),
-        )
-
-        self.inspector = TargetInspector(
-            system=self.inspections,
-            questions=self.questions,
-            execute=self.control.host.execute,
-            on_leaving=lambda report: self.handler.depart(
-                report.target_id, report.incarnation, "answer"
-            ),
-        )
-        self.pool.on_idle_lost = self.inspector.note_lost_link
-
-    async def start(self) -> None:
-        """Opens the listeners and starts the work."""
-        await self.start_control()
-        limits = RequestLimits(max_body_bytes=CONTROL_BODY_BYTES)
-        self.front = await self.open(
-            self.boot.listen.control, self.handler.handle, limits
-        )
-        self.control.repeat(PLAN_SECONDS, self.orderer.run)
-        self.control.repeat(INSPECT_SECONDS, self.inspector.run)
-        self.control.set_status(ready=True, draining=False)
-
-    async def stop(self) -> None:
-        """Stops as planned: hands leadership over and ends its requests."""
-        self.stopping = True
-        log.info("planned stop", open_requests=self.front.busy)
-        self.control.set_status(ready=False, draining=True)
-        self.front.start_draining()
-        self.front.stop_accepting()
-        await self.close()
-
-
-ROLES: dict[str, Callable[..., PlatformDaemon]] = {
-    "front": FrontDaemon,
-    "core": CoreDaemon,
-}
--- /dev/null
+++ b/rattanroute/platform/fronts.py
@@ -0,0 +1,230 @@
+"""The program that takes requests."""
+
+import asyncio
+import contextlib
+import pathlib
+
+from rattanroute.gateway.handlers import GatewayHandler
+from rattanroute.gateway.outcomes import CallEnder
+from rattanroute.gateway.selectors import TargetSelector
+from rattanroute.gateway.sendbudgets import SendBudget
+from rattanroute.gateway.services import ServiceForwarder
+from rattanroute.gateway.stalls import StallInspector
+from rattanroute.gateway.streams import StreamForwarder
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.servers import Exchange
+from rattanroute.logs import get_logger
+from rattanroute.platform.daemons import BaseDaemon
+from rattanroute.platform.headers import PlatformHeaders
+from rattanroute.platform.settings import Boot
+from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.detections import DetectionSystem
+from rattanroute.systems.engineloads import EngineLoadSystem
+from rattanroute.systems.stagechoices import is_served
+from rattanroute.systems.stagechoices import StageChooser
+from rattanroute.tables.engineloads import EngineLoadTable
+from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetReport
+
+READY_PATH = b"/rattanroute/ready"
+# Two misses of the entry's question each second, and a margin for the
+# connections that are on their way.
+LEAVE_ROTATION_SECONDS = 2.5
+# Time before SIGKILL at which a stopping process ends what is left.
+EXIT_MARGIN_SECONDS = 0.6
+STATUS_SECONDS = 0.1
+# A front that has a manifest takes callers after this time even when it has
+# not heard of a target of each service.
+TARGETS_WAIT_SECONDS = 3.0
+
+log = get_logger(__name__)
+
+
+class FrontDaemon(BaseDaemon):
+    """Serves requesters.
+
+    Args:
+        path: The settings file.
+        boot: Its content.
+    """
+
+    def __init__(self, *, path: pathlib.Path, boot: Boot) -> None:
+        super().__init__(path=path, boot=boot)
+        self.loads = EngineLoadTable()
+        self.control.add(
+            EngineLoadSystem(
+                vm_id=self.vm_id,
+                members=self.control.membership.alive,
+                loads=self.loads,
+            )
+        )
+        self.limits = RequestLimits()
+        self.configured_at: float | None = None
+        self.ready = False
+        self.settled = asyncio.Event()
+        self.usable: dict[tuple[str, str], int] = {}
+        self.handler = self.build_handler()
+        self.inspections.on_unreachable = self.leave_target
+
+    def build_handler(self) -> GatewayHandler:
+        """Builds the path of a request."""
+        codec = PlatformHeaders()
+        bounds = self.boot.bounds
+        self.selector = selector = TargetSelector(
+            data_centre=self.boot.zone,
+            targets=self.targets,
+            detections=DetectionSystem(targets=self.targets),
+            has_departed=self.departures.covers,
+            suspect=self.suspect,
+            note_departure=self.note_departure,
+            random=self.random,
+        )
+        budget = SendBudget(
+            repeats=RepeatBudget(
+                ratio=bounds.retry_budget_ratio,
+                extra=bounds.budget_extra,
+                window_s=bounds.budget_window_s,
+            ),
+            vms=self.control.count_servers,
+        )
+        ender = CallEnder(codec=codec, random=self.random)
+        services = ServiceForwarder(
+            codec=codec,
+            pool=self.pool,
+            selector=selector,
+            budget=budget,
+            ender=ender,
+        )
+        self.streams = streams = StreamForwarder(
+            codec=codec,
+            pool=self.pool,
+            selector=selector,
+            chooser=StageChooser(
+                data_centre=self.boot.zone,
+                targets=self.targets,
+                loads=self.loads,
+                random=self.random,
+                is_usable=selector.is_usable,
+                vms=self.control.count_servers,
+            ),
+            budget=budget,
+            ender=ender,
+            inspector=StallInspector(
+                questions=self.questions, selector=selector
+            ),
+        )
+        return GatewayHandler(
+            codec=codec,
+            routing=self.routing.current,
+            services=services,
+            streams=streams,
+            random=self.random,
+            settled=self.settled,
+        )
+
+    def leave_target(self, target_id: str) -> None:
+        """Moves streams away from a target that is gone."""
+        log.info("target gone", target=target_id)
+        self.streams.leave_target(target_id)
+
+    def note_departure(self, report: TargetReport) -> None:
+        """Keeps new work from a target that said in an answer it leaves."""
+        now = asyncio.get_running_loop().time()
+        log.info(
+            "target departs",
+            target=report.target_id,
+            incarnation=report.incarnation,
+            reason="answer",
+        )
+        self.control.host.execute(
+            self.departures.announce(
+                target_id=report.target_id,
+                until_incarnation=report.incarnation,
+                now=now,
+            )
+        )
+
+    def suspect(self, target: Target) -> None:
+        """Asks the core to look at a target that failed a request."""
+        now = asyncio.get_running_loop().time()
+        self.control.host.execute(self.inspections.suspect(target, now))
+
+    async def start(self) -> None:
+        """Opens the listeners and starts the work."""
+        await self.start_control()
+        listen = self.boot.listen
+        await self.open(listen.ready, self.show_ready, RequestLimits())
+        self.front = await self.open(
+            listen.front, self.handler.handle, self.limits
+        )
+        self.control.repeat(STATUS_SECONDS, self.update_status)
+
+    def update_status(self) -> None:
+        """Follows the manifest and tells the others whether it is ready."""
+        now = asyncio.get_running_loop().time()
+        table = self.routing.current()
+        if table is not None:
+            self.configured_at = self.configured_at or now
+            self.limits.max_head_bytes = table.limits.max_head_bytes
+            self.limits.max_body_bytes = table.limits.max_body_bytes
+            self.limits.head_seconds = table.limits.head_s
+            self.limits.idle_seconds = table.limits.idle_s
+        self.log_targets(now)
+        ready = self.find_ready(now)
+        if ready != self.ready:
+            log.info(
+                "readiness changed", ready=ready, targets=len(self.targets)
+            )
+        self.ready = ready
+        if ready:
+            self.settled.set()
+        self.control.set_status(ready=ready, draining=self.stopping)
+
+    def log_targets(self, now: float) -> None:
+        """Logs how many targets may get work, when that has changed."""
+        usable: dict[tuple[str, str], int] = {}
+        for target in self.targets:
+            key = (target.report.model, target.report.data_centre)
+            usable.setdefault(key, 0)
+            usable[key] += self.selector.is_usable(target, now)
+        if usable == self.usable:
+            return
+        self.usable = usable
+        counts = (f"{a}@{b}:{count}" for (a, b), count in usable.items())
+        log.info("usable targets", targets=",".join(sorted(counts)))
+
+    def find_ready(self, now: float) -> bool:
+        """Whether this process takes requesters."""
+        table = self.routing.table
+        if self.stopping or table is None:
+            return False
+        if now - self.configured_at >= TARGETS_WAIT_SECONDS:
+            return True
+        return all(
+            is_served(service, self.targets)
+            for service in table.services.values()
+        )
+
+    async def show_ready(self, exchange: Exchange) -> None:
+        """Answers whether this process takes requesters."""
+        known = exchange.request.head.path == READY_PATH
+        status = 404 if not known else 200 if self.ready else 503
+        exchange.send(ResponseHead(status=status))
+
+    async def stop(self) -> None:
+        """Stops as planned: leaves the rotation, then ends its requests."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.boot.bounds.grace_s - EXIT_MARGIN_SECONDS
+        self.stopping = True
+        self.ready = False
+        self.front.start_draining()
+        self.control.set_status(ready=False, draining=True)
+        log.info("planned stop", open_requests=self.front.busy)
+        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        self.front.stop_accepting()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                await self.front.empty.wait()
+        log.info("requests ended", open_requests=self.front.busy)
+        await self.close()
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -1,6 +1,7 @@
 """The command line of the programs on the platform's machines."""
 
 import asyncio
+import importlib
 import os
 import pathlib
 import signal
@@ -15,11 +16,15 @@
 from rattanroute.logs import configure_logs
 from rattanroute.logs import get_logger
 from rattanroute.platform.daemons import PlatformDaemon
-from rattanroute.platform.daemons import ROLES
 from rattanroute.platform.settings import load_boot
 from rattanroute.platform.settings import PATH_VARIABLE
 from rattanroute.startup import freeze_startup_objects
 
+# Only the module of the role is imported, as each start costs time.
+ROLES = {
+    "front": ("rattanroute.platform.fronts", "FrontDaemon"),
+    "core": ("rattanroute.platform.cores", "CoreDaemon"),
+}
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 
@@ -55,7 +60,9 @@
             return
         sink = BoundedSink(descriptor=sys.stdout.fileno())
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
-        daemon = ROLES[role](path=path, boot=boot)
+        module, name = ROLES[role]
+        build_daemon = getattr(importlib.import_module(module), name)
+        daemon = build_daemon(path=path, boot=boot)
         uvloop.run(run(daemon, reload_requests))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
--- a/rattanroute/tests/test_codecs.py
+++ b/rattanroute/tests/test_codecs.py
@@ -1,5 +1,7 @@
 """Tests of the peer codec."""
 
+import importlib
+import pkgutil
 import unittest
 
 from rattanroute import codecs
@@ -29,3 +31,17 @@
     def test_unknown_kind_is_refused(self) -> None:
         with self.assertRaises(CodecError):
             codecs.decode(kind=99999, body=b"", peer="vm-2")
+
+    def test_each_class_is_found_by_its_number_and_no_other(self) -> None:
+        """Guards against messages that are decoded as another class."""
+        found: set[int] = set()
+        for name in codecs.MODULES.values():
+            kinds = codecs.load_kinds(f"{codecs.MESSAGES_PACKAGE}.{name}")
+            for number, kind in kinds.items():
+                self.assertNotIn(number, found)
+                found.add(number)
+                self.assertEqual(codecs.find_number(kind), number)
+                self.assertIs(codecs.find_decoder(number).type, kind)
+        package = importlib.import_module(codecs.MESSAGES_PACKAGE)
+        modules = {x.name for x in pkgutil.iter_modules(package.__path__)}
+        self.assertEqual(modules, set(codecs.MODULES.values()))
--- a/rattanroute/tests/test_configuration_hosts.py
+++ b/rattanroute/tests/test_configuration_hosts.py
@@ -7,6 +7,7 @@
 
 from rattanroute.actions import SendMessage
 from rattanroute.control.configuration_hosts import ConfigurationHost
+from rattanroute.control.voters import build_voter
 from rattanroute.messages.distributions import VersionAnswer
 from rattanroute.settings import DaemonSettings
 from rattanroute.settings import StorageSettings
@@ -46,12 +47,14 @@
                 bootstrap_voters=("v1",),
             ),
         )
+        rng = random.Random(1)
         return ConfigurationHost(
             settings=settings,
             membership=membership,
             send=lambda peer, message: True,
             execute=self.sent.extend,
-            random=random.Random(1),
+            random=rng,
+            voter=build_voter(settings, self.sent.extend, rng),
         )
 
     async def test_change_is_pushed_before_it_is_acknowledged(self) -> None:
