--- a/rattanroute/gateway/questions.py
+++ b/rattanroute/gateway/questions.py
@@ -47,6 +47,7 @@
         busy: Whether it is carrying one out.
         pace: Factor on the usual time of its steps.
         layers: Layers that it holds; None when it is empty.
+        queued: Requests that wait for their start.
         stalled: Requests that it received first and that wait for a member
             of their chain.
         leaving: Whether it takes no new work.
@@ -57,6 +58,7 @@
     busy: bool = False
     pace: float = 1.0
     layers: LayerRange | None = None
+    queued: int = 0
     stalled: tuple[StalledRequest, ...] = ()
     leaving: bool = False
     incarnation: int = 0
--- a/rattanroute/gateway/stalls.py
+++ b/rattanroute/gateway/stalls.py
@@ -11,6 +11,9 @@
 
 # A healthy target answers within a few milliseconds and its link's delay.
 ANSWER_SECONDS = 0.25
+# A stream without an event for so long hangs, unless its engine has a queue.
+# Callers leave after about two seconds.
+HANG_SECONDS = 1.2
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -26,12 +29,24 @@
     selector: TargetSelector
 
     async def find_stalled(
-        self, call: Call, chain: tuple[ChainHop, ...]
+        self,
+        call: Call,
+        chain: tuple[ChainHop, ...],
+        *,
+        silent_s: float,
+        started: bool,
     ) -> list[str]:
         """Returns the targets that hold a request up; none if it only waits.
 
-        The first target itself is returned when it does not answer. It is not
-        asked while it wants nothing from this VM.
+        Args:
+            call: The call.
+            chain: Its chain.
+            silent_s: Seconds since its last event or its start.
+            started: Whether an event came over this chain.
+
+        Returns:
+            Targets; the first one when it does not answer. It is not asked
+            while it wants nothing from this VM.
         """
         now = asyncio.get_running_loop().time()
         first = chain[0]
@@ -51,4 +66,8 @@
             if item.request_id == call.terms.request_id and target_id:
                 self.selector.note_failure(target_id, now=now, crashed=True)
                 found.append(target_id)
-        return found
+        if found or silent_s < HANG_SECONDS or (state.queued and not started):
+            return found
+        # The engine says that all is well, and still sends no event.
+        self.selector.note_failure(first.target_id, now=now)
+        return [first.target_id]
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -287,7 +287,12 @@
             due = max(sink.event_at, checked_at) + limit
             if now >= due and call.exchange.writable:
                 checked_at = now
-                stalled = await self.inspector.find_stalled(call, chain)
+                stalled = await self.inspector.find_stalled(
+                    call,
+                    chain,
+                    silent_s=now - sink.event_at,
+                    started=sink.events > 0,
+                )
                 if stalled and not sink.ended.done():
                     avoided.update(stalled)
                     return Unknown(reason="stalled at " + "+".join(stalled))
--- a/rattanroute/platform/replicas.py
+++ b/rattanroute/platform/replicas.py
@@ -186,6 +186,7 @@
             busy=report.busy,
             pace=report.pace,
             layers=find_layers(report.layers),
+            queued=report.queued,
             incarnation=report.born,
             stalled=tuple(
                 StalledRequest(request_id=item.id, address=item.address)
--- a/rattanroute/tests/test_gateway_services.py
+++ b/rattanroute/tests/test_gateway_services.py
@@ -62,6 +62,7 @@
             b"HTTP/1.1 200 OK\r\nRattanroute-Request-Id: r1\r\n"
             b"Rattanroute-Replica-Stamp: s\r\nContent-Length: 7\r\n\r\n/safe/1"
         )
+        await asyncio.sleep(0.05)
     exchange.send(build_head(exchange), body)
 
 
--- a/rattanroute/tests/test_gateway_streams.py
+++ b/rattanroute/tests/test_gateway_streams.py
@@ -51,6 +51,30 @@
     exchange.send(build_head(exchange, 503, stamped=False, not_run=True))
 
 
+async def stream_slowly(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends four events with pauses that are long but end."""
+    exchange.start(build_head(exchange))
+    for number in range(1, 5):
+        exchange.write(build_events(number, number + 1))
+        await asyncio.sleep(0.6)
+    exchange.end()
+
+
+async def stream_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers with all events after a long time in its queue."""
+    await asyncio.sleep(1.8)
+    await stream(target, exchange)
+
+
+async def trickle(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends three events, then a byte now and then, and no event."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(1, 4) + b"id: 4\ndata: ")
+    while not exchange.gone:
+        await asyncio.sleep(0.1)
+        exchange.write(b".")
+
+
 async def stream_and_leave(target: FakeTarget, exchange: Exchange) -> None:
     """Answers with all events and says that the engine leaves."""
     exchange.start(build_head(exchange, leaving=True))
@@ -133,6 +157,34 @@
         for _ in range(4):
             self.assertEqual((await self.call("/stream/")).body, WHOLE)
 
+    async def test_slow_stream_is_not_cut(self) -> None:
+        """Guards against a sound stream that is taken for a stalled one."""
+        engine = await self.add_engine("t1", stream_slowly)
+        await self.add_engine("t2", stream)
+        self.fill("t2")
+        answered = await self.call("/stream/")
+        self.assertEqual(answered.body, build_events(1, 5))
+        self.assertTrue(answered.complete)
+        self.assertEqual(len(engine.seen), 1)
+
+    async def test_stream_that_only_trickles_moves_on(self) -> None:
+        """Guards against a stalled stream that a byte now and then keeps."""
+        await self.add_engine("t1", trickle)
+        await self.add_engine("t2", stream)
+        self.fill("t2")
+        asyncio.get_running_loop().call_later(0.3, self.fill, "t2", -1)
+        answered = await self.call("/stream/", deadline_ms=5000)
+        self.assertEqual(answered.body, WHOLE)
+        self.assertTrue(answered.complete)
+
+    async def test_engine_with_a_queue_may_start_late(self) -> None:
+        """Guards against requests that lose their place in a queue."""
+        engine = await self.add_engine("t1", stream_late)
+        engine.report = b'{"queued":3}'
+        answered = await self.call("/stream/", deadline_ms=5000)
+        self.assertEqual(answered.body, WHOLE)
+        self.assertEqual(len(engine.seen), 1)
+
     async def test_engine_that_leaves_finishes_its_stream(self) -> None:
         """Guards against new streams for an engine that said it leaves."""
         leaving = await self.add_engine("t1", stream_and_leave)
