--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -83,10 +83,14 @@
         loop = asyncio.get_running_loop()
         state = StreamState(call=call)
         avoided: set[str] = set()
-        reason = "no chain has room"
+        reason = ""
         while self.may_send(call, loop.time()):
             chain = await self.find_chain(call, state, avoided)
-            if not chain or not self.budget.take(call, loop.time()):
+            if not chain:
+                reason = reason or state.shortage
+                break
+            if not self.budget.take(call, loop.time()):
+                reason = f"no budget to repeat after {reason}"
                 break
             outcome = await self.attempt(call, state, chain, avoided)
             if outcome is None:
@@ -125,6 +129,7 @@
             if chain:
                 return chain
         if not self.chooser.is_covered(service, excluded=avoided, now=now):
+            state.shortage = "layers are missing"
             return ()
         underway = call.exchange.started
         since = state.event_at if underway else call.exchange.received_at
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -33,12 +33,14 @@
         last_event_id: Identifier of the last event that was passed on.
         head: Head of the first answer; later ones are not shown.
         event_at: Time of the latest event.
+        shortage: Why the latest search for a chain found none.
     """
 
     call: Call
     last_event_id: bytes = b""
     head: ResponseHead | None = None
     event_at: float = 0.0
+    shortage: str = "no chain has room"
 
 
 class StreamSink(ResponseSink):
