Keep the sums of engine loads in each data centre

Change: each VM reports to a voter of its own data centre; the keepers tell each other their sums. A data centre that is cut off still counts its own load. Test: test_engineloads.FleetTest: what passes between keepers is the same for 20 and for 195 VMs, and no keeper takes more than its part of the reports.

--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -32,7 +32,9 @@
         super().__init__(path=path, boot=boot, build_voter=build_voter)
         self.control.add(
             EngineLoadSystem(
-                vm_id=self.vm_id, members=self.control.membership.alive
+                vm_id=self.vm_id,
+                data_centre=boot.zone,
+                members=self.control.membership.alive,
             )
         )
         self.handler = ControlHandler(
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -55,6 +55,7 @@
         self.control.add(
             EngineLoadSystem(
                 vm_id=self.vm_id,
+                data_centre=boot.zone,
                 members=self.control.membership.alive,
                 loads=self.loads,
             )
--- a/rattanroute/servers/peers.py
+++ b/rattanroute/servers/peers.py
@@ -66,9 +66,10 @@
     def receive(self, peer: str, frame: Frame) -> None:
         """Decodes and delivers the messages of a frame."""
         labels = {"direction": "in"}
+        size = sum(len(item.body) for item in frame.items)
+        self.metrics.peer_messages.add(labels, len(frame.items))
+        self.metrics.peer_bytes.add(labels, size)
         for item in frame.items:
-            self.metrics.peer_messages.inc(labels)
-            self.metrics.peer_bytes.add(labels, len(item.body))
             try:
                 message = codecs.decode(
                     kind=item.kind, body=item.body, peer=peer
--- a/rattanroute/systems/engineloads.py
+++ b/rattanroute/systems/engineloads.py
@@ -1,8 +1,10 @@
 """Tells each VM the load that the others have put on the engines.
 
-One voter keeps the sums: each VM sends it the own load at a short interval
-while there is any, and gets the load of the others in answer. Without an
-answer a VM goes on with the own load only.
+A voter of each data centre keeps the sums there: each VM sends it the own load
+at a short interval while there is any, and gets the load of all others in
+answer. The keepers tell each other their sums, so that what passes between
+data centres does not grow with the VMs. Without an answer a VM asks another
+voter; until then it goes on with the own load only.
 """
 
 from collections.abc import Callable
@@ -21,6 +23,8 @@
 IDLE_REPORT_SECONDS = 1.0
 # A VM that has not reported for so long has no load, or is gone.
 EXPIRY_SECONDS = 2.5
+# Keepers tell each other their sums at this interval.
+KEEPER_SECONDS = 0.25
 # Without an answer for so long the load of the others is unknown.
 SILENCE_SECONDS = 3.0
 
@@ -29,22 +33,61 @@
     """What this system reads of a live VM."""
 
     vm_id: str
+    data_centre: str
     voter: bool
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class HeardLoads:
-    """The load of one VM and when it was heard."""
+    """The load of one VM, or of those that report to a keeper.
+
+    Attributes:
+        loads: The load by target.
+        vms: VMs that it comes from.
+        heard_at: When it was heard.
+    """
 
     loads: dict[str, EngineLoad]
+    vms: int
     heard_at: float
 
 
+class LoadSum:
+    """Adds the load of several VMs up."""
+
+    def __init__(self) -> None:
+        self.requests: dict[str, int] = {}
+        self.units: dict[str, int] = {}
+        self.vms = 0
+
+    def add(self, heard: HeardLoads) -> None:
+        """Adds the load of one VM or keeper."""
+        self.vms += heard.vms
+        for name, load in heard.loads.items():
+            self.requests[name] = self.requests.get(name, 0) + load.requests
+            self.units[name] = self.units.get(name, 0) + load.cache_units
+
+    def build(self, vms: int) -> OtherLoads:
+        """Returns the sums as a message about a number of VMs."""
+        return OtherLoads(
+            loads=tuple(
+                EngineLoad(
+                    target_id=name,
+                    requests=count,
+                    cache_units=self.units[name],
+                )
+                for name, count in self.requests.items()
+            ),
+            vms=vms,
+        )
+
+
 class EngineLoadSystem:
     """Sends the own load and hears that of the others; keeps the sums.
 
     Args:
         vm_id: Identifier of this VM.
+        data_centre: Data centre of this VM.
         members: Returns the live VMs, this one included.
         loads: Table of loads; None on a VM that serves no callers.
     """
@@ -55,67 +98,95 @@
         self,
         *,
         vm_id: str,
+        data_centre: str,
         members: Callable[[], Iterable[MemberRow]],
         loads: EngineLoadTable | None = None,
     ) -> None:
         self.vm_id = vm_id
+        self.data_centre = data_centre
         self.members = members
         self.loads = loads
         self.due = 0.0
         self.answered_at = 0.0
-        self.heard: dict[str, HeardLoads] = {}
+        self.reported: dict[str, HeardLoads] = {}
+        self.kept: dict[str, HeardLoads] = {}
         self.turn = 0
 
     def receive(
         self, *, peer: str, message: object, now: float
     ) -> list[Action]:
-        """Takes the load of a VM as the keeper, or the keeper's answer."""
+        """Takes the load of a VM or of a keeper, or the keeper's answer."""
+        loads = {load.target_id: load for load in message.loads}
         if isinstance(message, OwnLoads):
-            self.heard[peer] = HeardLoads(
-                loads={load.target_id: load for load in message.loads},
-                heard_at=now,
-            )
+            self.reported[peer] = HeardLoads(loads=loads, vms=1, heard_at=now)
             return [SendMessage(peer=peer, message=self.sum_others(peer, now))]
-        if self.loads is not None:
-            self.answered_at = now
-            self.loads.take_others(message.loads, message.vms)
+        if self.loads is None:
+            self.kept[peer] = HeardLoads(
+                loads=loads, vms=message.vms, heard_at=now
+            )
+            return []
+        self.answered_at = now
+        self.loads.take_others(message.loads, message.vms)
         return []
 
     def sum_others(self, peer: str, now: float) -> OtherLoads:
         """Returns the load of all VMs but one."""
-        requests: dict[str, int] = {}
-        units: dict[str, int] = {}
-        for vm_id, heard in list(self.heard.items()):
-            if now - heard.heard_at > EXPIRY_SECONDS:
-                del self.heard[vm_id]
-                continue
-            if vm_id == peer:
-                continue
-            for name, load in heard.loads.items():
-                requests[name] = requests.get(name, 0) + load.requests
-                units[name] = units.get(name, 0) + load.cache_units
-        return OtherLoads(
-            loads=tuple(
-                EngineLoad(
-                    target_id=name, requests=count, cache_units=units[name]
-                )
-                for name, count in requests.items()
-            ),
-            vms=len(self.heard),
-        )
+        self.forget(now)
+        total = LoadSum()
+        for vm_id, heard in self.reported.items():
+            if vm_id != peer:
+                total.add(heard)
+        for heard in self.kept.values():
+            total.add(heard)
+        return total.build(vms=total.vms + 1)
+
+    def sum_reported(self, now: float) -> OtherLoads:
+        """Returns the load of the VMs that report to this keeper."""
+        self.forget(now)
+        total = LoadSum()
+        for heard in self.reported.values():
+            total.add(heard)
+        return total.build(vms=total.vms)
+
+    def forget(self, now: float) -> None:
+        """Forgets the load of VMs and keepers that are silent."""
+        for rows in (self.reported, self.kept):
+            for vm_id, heard in list(rows.items()):
+                if now - heard.heard_at > EXPIRY_SECONDS:
+                    del rows[vm_id]
 
     def tick(self, *, now: float) -> list[Action]:
-        """Sends the own load when that is due."""
-        if self.loads is None or now < self.due:
+        """Sends the own load, or the sums of a keeper, when that is due."""
+        if now < self.due:
             return []
+        if self.loads is None:
+            return self.tell_keepers(now)
         own = self.loads.own()
         self.due = now + (REPORT_SECONDS if own else IDLE_REPORT_SECONDS)
         if now - self.answered_at > SILENCE_SECONDS:
             self.turn += 1
             self.answered_at = now
             self.loads.take_others((), 1)
-        voters = sorted(x.vm_id for x in self.members() if x.voter)
+        voters = self.list_voters()
         if not voters:
             return []
         keeper = voters[self.turn % len(voters)]
         return [SendMessage(peer=keeper, message=OwnLoads(loads=own))]
+
+    def tell_keepers(self, now: float) -> list[Action]:
+        """Sends the sums of this keeper to the other voters."""
+        self.due = now + KEEPER_SECONDS
+        if not self.reported:
+            return []
+        message = self.sum_reported(now)
+        return [
+            SendMessage(peer=vm_id, message=message)
+            for vm_id in self.list_voters()
+            if vm_id != self.vm_id
+        ]
+
+    def list_voters(self) -> list[str]:
+        """Returns the live voters, those of the own data centre first."""
+        voters = [x for x in self.members() if x.voter]
+        voters.sort(key=lambda x: (x.data_centre != self.data_centre, x.vm_id))
+        return [x.vm_id for x in voters]
--- a/rattanroute/tests/test_engineloads.py
+++ b/rattanroute/tests/test_engineloads.py
@@ -14,14 +14,15 @@
     """A live VM."""
 
     vm_id: str
+    data_centre: str = "dc-a"
     voter: bool = False
 
 
 MEMBERS = (
     MemberStub(vm_id="core-1", voter=True),
-    MemberStub(vm_id="core-2", voter=True),
+    MemberStub(vm_id="core-2", voter=True, data_centre="dc-b"),
     MemberStub(vm_id="f1"),
-    MemberStub(vm_id="f2"),
+    MemberStub(vm_id="f2", data_centre="dc-b"),
 )
 
 
@@ -33,6 +34,7 @@
         self.systems = {
             name: EngineLoadSystem(
                 vm_id=name,
+                data_centre="dc-b" if name.endswith("2") else "dc-a",
                 members=lambda: MEMBERS,
                 loads=self.tables.get(name),
             )
@@ -40,8 +42,9 @@
         }
 
     def exchange(self, now: float, *, lost: str = "") -> None:
-        """Lets the fronts report and hear the keeper's answers."""
+        """Lets the fronts report and hear the keepers' answers."""
         for name in self.tables:
+            self.exchange_keepers(now, lost=lost)
             for action in self.systems[name].tick(now=now):
                 if action.peer == lost:
                     continue
@@ -53,9 +56,19 @@
                         peer=action.peer, message=answer.message, now=now
                     )
 
+    def exchange_keepers(self, now: float, *, lost: str = "") -> None:
+        """Lets the keepers tell each other their sums."""
+        for name in ("core-1", "core-2"):
+            for action in self.systems[name].tick(now=now):
+                if lost not in (name, action.peer):
+                    self.systems[action.peer].receive(
+                        peer=name, message=action.message, now=now
+                    )
+
     def test_burst_on_one_front_is_seen_by_the_other(self) -> None:
         self.tables["f1"].add("t1", requests=40, cache_units=4000)
         self.exchange(1.0)
+        self.exchange(2.0)
         row = self.tables["f2"].get("t1")
         self.assertEqual(row.other_requests, 40)
         self.assertEqual(row.all_cache_units, 4000)
@@ -64,9 +77,12 @@
     def test_load_of_a_front_that_is_gone_is_forgotten(self) -> None:
         self.tables["f1"].add("t1", requests=40, cache_units=4000)
         self.exchange(1.0)
-        keeper = self.systems["core-1"]
-        others = keeper.sum_others("f2", 1.0 + EXPIRY_SECONDS + 0.1)
-        self.assertEqual(others.loads, ())
+        self.exchange(2.0)
+        for name in ("core-1", "core-2"):
+            keeper = self.systems[name]
+            self.assertTrue(keeper.sum_others("f3", 2.0).loads)
+            others = keeper.sum_others("f3", 2.0 + EXPIRY_SECONDS + 0.1)
+            self.assertEqual(others.loads, ())
 
     def test_another_keeper_is_asked_after_silence(self) -> None:
         self.tables["f1"].add("t1", requests=40, cache_units=4000)
@@ -75,3 +91,71 @@
             second += 0.25
             self.exchange(second, lost="core-1")
         self.assertEqual(self.tables["f2"].get("t1").other_requests, 40)
+
+    def test_data_centre_that_is_cut_off_counts_its_own_load(self) -> None:
+        """Guards against engines that seem free in a cut data centre."""
+        members = (*MEMBERS, MemberStub(vm_id="f3"))
+        self.tables["f3"] = EngineLoadTable()
+        self.systems["f3"] = EngineLoadSystem(
+            vm_id="f3",
+            data_centre="dc-a",
+            members=lambda: members,
+            loads=self.tables["f3"],
+        )
+        self.tables["f1"].add("t1", requests=40, cache_units=4000)
+        for step in range(1, 20):
+            self.exchange(step * 0.5, lost="core-2")
+        self.assertEqual(self.tables["f3"].get("t1").other_requests, 40)
+
+
+class FleetTest(unittest.TestCase):
+    """Guards against a cost that grows with the square of the VMs."""
+
+    def count(self, vms: int) -> tuple[int, int]:
+        """Returns the loads received by a keeper and those between them."""
+        centres = [f"dc-{number}" for number in range(5)]
+        members = [
+            MemberStub(vm_id=f"core-{x}", data_centre=x, voter=True)
+            for x in centres
+        ]
+        members += [
+            MemberStub(vm_id=f"f{number}", data_centre=centres[number % 5])
+            for number in range(vms)
+        ]
+        tables = {}
+        systems = {}
+        for member in members:
+            if not member.voter:
+                tables[member.vm_id] = EngineLoadTable()
+                tables[member.vm_id].add("t1", requests=1, cache_units=9)
+            systems[member.vm_id] = EngineLoadSystem(
+                vm_id=member.vm_id,
+                data_centre=member.data_centre,
+                members=lambda: members,
+                loads=tables.get(member.vm_id),
+            )
+        reports = {x.vm_id: 0 for x in members}
+        between = 0
+        for step in range(1, 5):
+            for name, system in systems.items():
+                for action in system.tick(now=step * 0.25):
+                    reports[action.peer] += name in tables
+                    between += name not in tables
+                    for answer in systems[action.peer].receive(
+                        peer=name, message=action.message, now=step * 0.25
+                    ):
+                        system.receive(
+                            peer=action.peer,
+                            message=answer.message,
+                            now=step * 0.25,
+                        )
+        seen = {x.get("t1").all_requests for x in tables.values()}
+        self.assertEqual(seen, {vms})
+        return max(reports.values()), between
+
+    def test_keepers_share_the_reports(self) -> None:
+        small, small_between = self.count(20)
+        large, large_between = self.count(195)
+        self.assertLessEqual(large, 4 * 195 / 5)
+        self.assertLessEqual(large / small, 10.0)
+        self.assertEqual(small_between, large_between)
