--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -34,6 +34,8 @@
 # Time before SIGKILL at which a stopping process ends what is left.
 EXIT_MARGIN_SECONDS = 0.6
 STATUS_SECONDS = 0.1
+# Looking at all targets takes time that grows with their number.
+TARGET_LOG_SECONDS = 1.0
 # A front that has a manifest takes callers after this time even when it has
 # not heard of a target of each service.
 TARGETS_WAIT_SECONDS = 3.0
@@ -160,6 +162,7 @@
             listen.front, self.handler.handle, self.limits
         )
         self.control.repeat(STATUS_SECONDS, self.update_status)
+        self.control.repeat(TARGET_LOG_SECONDS, self.log_targets)
 
     def update_status(self) -> None:
         """Follows the manifest and tells the others whether it is ready."""
@@ -171,7 +174,6 @@
             self.limits.max_body_bytes = table.limits.max_body_bytes
             self.limits.head_seconds = table.limits.head_s
             self.limits.idle_seconds = table.limits.idle_s
-        self.log_targets(now)
         ready = self.find_ready(now)
         if ready != self.ready:
             log.info(
@@ -182,8 +184,9 @@
             self.settled.set()
         self.control.set_status(ready=ready, draining=self.stopping)
 
-    def log_targets(self, now: float) -> None:
+    def log_targets(self) -> None:
         """Logs how many targets may get work, when that has changed."""
+        now = asyncio.get_running_loop().time()
         usable: dict[tuple[str, str], int] = {}
         for target in self.targets:
             key = (target.report.model, target.report.data_centre)
