--- a/rattanroute/gateway/stageorders.py
+++ b/rattanroute/gateway/stageorders.py
@@ -8,6 +8,8 @@
 from rattanroute.errors import RouterError
 from rattanroute.gateway.questions import TargetQuestions
 from rattanroute.logs import get_logger
+from rattanroute.systems.relayouts import find_broken_centres
+from rattanroute.systems.relayouts import plan_relayouts
 from rattanroute.systems.stageplans import LayerRange
 from rattanroute.systems.stageplans import plan_moves
 from rattanroute.systems.stageplans import plan_stages
@@ -25,6 +27,9 @@
 # Time for which a layer must be missing in a data centre before engines move:
 # one that restarts fills its own gap.
 GAP_SECONDS = 0.5
+# Time for which it must be missing before the targets there share all layers
+# anew: most that crash are back, or replaced, within seconds.
+RELAYOUT_SECONDS = 1.5
 # An order without effect after the expected time of loading and this margin
 # is given again.
 RETRY_MARGIN_SECONDS = 6.0
@@ -123,15 +128,26 @@
         self, service: BackendService, holders: list[StageHolder], now: float
     ) -> dict[str, LayerRange]:
         """Returns moves into gaps that have lasted for a while."""
-        moves = plan_moves(service.engine, holders)
-        if not moves:
+        engine = service.engine
+        moves = plan_moves(engine, holders)
+        if not moves and not find_broken_centres(engine, holders):
             self.gap_since.pop(service.name, None)
             self.complete[service.name] = holders
             return {}
-        since = self.gap_since.setdefault(service.name, now)
-        if now - since < GAP_SECONDS:
+        lasted = now - self.gap_since.setdefault(service.name, now)
+        if moves:
+            return moves if lasted >= GAP_SECONDS else {}
+        if lasted < RELAYOUT_SECONDS:
             return {}
-        return moves
+        relayouts = plan_relayouts(engine, holders)
+        if relayouts:
+            log.info(
+                "layers shared anew",
+                service=service.name,
+                targets=len(relayouts),
+                seconds=lasted,
+            )
+        return relayouts
 
     def build_holder(self, row: Target) -> StageHolder:
         """Returns a target as the plan sees it; orders count as done."""
