--- a/rattanroute/tests/test_http1_servers.py
+++ b/rattanroute/tests/test_http1_servers.py
@@ -97,6 +97,39 @@
             data = await reader.read()
         self.assertIn(b" 408 ", data)
 
+    async def upload(self, part: bytes, parts: int, pause_s: float) -> bytes:
+        """Sends a body in parts; returns what comes back."""
+        reader, writer = await self.connect()
+        size = len(part) * parts
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n"
+            b"Connection: close\r\n\r\n" % size
+        )
+        for _ in range(parts):
+            if reader.at_eof() or writer.is_closing():
+                break
+            writer.write(part)
+            await asyncio.sleep(pause_s)
+        async with asyncio.timeout(3):
+            return await reader.read()
+
+    async def test_slow_body_that_moves_is_taken(self) -> None:
+        """Guards against uploads that are cut on a slow link."""
+        self.gate.set()
+        data = await self.upload(b"x" * 8_192, parts=6, pause_s=0.25)
+        self.assertIn(b" 200 ", data)
+
+    async def test_body_that_stands_is_refused(self) -> None:
+        data = await self.upload(b"x" * 8_192, parts=2, pause_s=1.5)
+        self.assertIn(b" 408 ", data)
+        self.assertEqual(self.arrived, 0)
+
+    async def test_body_that_trickles_is_refused(self) -> None:
+        """Guards against a connection that a byte now and then holds."""
+        data = await self.upload(b"x", parts=15, pause_s=0.1)
+        self.assertIn(b" 408 ", data)
+        self.assertEqual(self.arrived, 0)
+
     async def test_idle_connection_is_closed(self) -> None:
         reader, _ = await self.connect()
         async with asyncio.timeout(3):
