Tell callers the end of a pause only when no other target is left

Cause: one paused target set the Retry-After of all refusals of its service, also while others were merely full. Test: test_gateway_services.test_pause_of_one_does_not_speak_for_all.

--- a/rattanroute/gateway/selectors.py
+++ b/rattanroute/gateway/selectors.py
@@ -94,6 +94,13 @@
         ]
         return min(ends, default=None)
 
+    def has_usable(self, service: str, now: float) -> bool:
+        """Whether any target of a service may get new work."""
+        return any(
+            self.is_usable(target, now)
+            for target in self.targets.serving(service)
+        )
+
     def note_answer(
         self, report: TargetReport, terms: AnswerTerms, now: float
     ) -> None:
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -88,14 +88,12 @@
         if failed is not None:
             self.answer(call, failed)
             return
-        self.ender.refuse(
-            call,
-            reason,
-            timed_out=timed_out,
-            free_at=self.selector.find_pause_end(
+        free_at = None
+        if not self.selector.has_usable(call.service.name, loop.time()):
+            free_at = self.selector.find_pause_end(
                 call.service.name, loop.time()
-            ),
-        )
+            )
+        self.ender.refuse(call, reason, timed_out=timed_out, free_at=free_at)
 
     def may_send(self, call: Call, now: float) -> bool:
         """Whether another attempt is allowed."""
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -14,6 +14,7 @@
 from rattanroute.gateway.sendbudgets import SendBudget
 from rattanroute.gateway.stalls import StallInspector
 from rattanroute.gateway.streamsinks import OK
+from rattanroute.gateway.streamsinks import Shortage
 from rattanroute.gateway.streamsinks import StreamSink
 from rattanroute.gateway.streamsinks import StreamState
 from rattanroute.gateway.terms import AnswerTerms
@@ -102,14 +103,12 @@
             reason = outcome.reason
             call.failures.append(reason)
         timed_out = call.time_left(loop.time()) <= 0
-        self.ender.refuse(
-            call,
-            reason,
-            timed_out=timed_out,
-            free_at=self.selector.find_pause_end(
+        free_at = None
+        if state.shortage is Shortage.LAYERS:
+            free_at = self.selector.find_pause_end(
                 call.service.name, loop.time()
-            ),
-        )
+            )
+        self.ender.refuse(call, reason, timed_out=timed_out, free_at=free_at)
 
     async def find_chain(
         self, call: Call, state: StreamState, avoided: set[str]
@@ -129,7 +128,7 @@
             if chain:
                 return chain
         if not self.chooser.is_covered(service, excluded=avoided, now=now):
-            state.shortage = "layers are missing"
+            state.shortage = Shortage.LAYERS
             return ()
         underway = call.exchange.started
         since = state.event_at if underway else call.exchange.received_at
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
@@ -24,6 +25,13 @@
 OK = 200
 
 
+class Shortage(enum.StrEnum):
+    """Why there is no chain for a stream."""
+
+    ROOM = "no chain has room"
+    LAYERS = "layers are missing"
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StreamState:
     """What the caller has of a stream over all attempts.
@@ -40,7 +48,7 @@
     last_event_id: bytes = b""
     head: ResponseHead | None = None
     event_at: float = 0.0
-    shortage: str = "no chain has room"
+    shortage: Shortage = Shortage.ROOM
 
 
 class StreamSink(ResponseSink):
--- a/rattanroute/tests/test_gateway_services.py
+++ b/rattanroute/tests/test_gateway_services.py
@@ -257,6 +257,15 @@
             seconds = float(refusal.headers[b"retry-after"])
             self.assertGreaterEqual(seconds, PAUSE_SECONDS - waited - 0.1)
 
+    async def test_pause_of_one_does_not_speak_for_all(self) -> None:
+        """Guards against a return that is late for the sake of one target."""
+        await self.add_target("i-1", shed_for_long)
+        await self.add_target("i-2", shed)
+        refusal = await self.call("/once/a", deadline_ms=1500)
+        self.assertEqual(refusal.status, 503)
+        seconds = float(refusal.headers[b"retry-after"])
+        self.assertLess(seconds, PAUSE_SECONDS / 2)
+
     async def test_others_serve_during_a_pause(self) -> None:
         paused = await self.add_target("i-1", shed_for_long)
         await self.add_target("i-2", answer)
