--- a/rattanroute/clients/failures.py
+++ b/rattanroute/clients/failures.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import math
+import socket
 
 import aiohttp
 
@@ -33,6 +34,22 @@
 """Bytes of a stream that are buffered for a slow caller before the target is
 paused; aiohttp keeps up to twice as much."""
 
+RECEIVE_BUFFER_BYTES = 131_072
+"""Bytes that the kernel keeps of an answer. Its own limit is megabytes, which
+a target would fill for each slow caller before it is paused."""
+
+
+def open_socket(addr_info: tuple[object, ...]) -> socket.socket:
+    """Opens a socket with a bounded receive buffer.
+
+    Args:
+        addr_info: Family, type, protocol, canonical name and address.
+    """
+    family, kind, protocol, _, _ = addr_info
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return opened
+
 
 def build_session(
     *, source: str = "", reuse: bool = True
@@ -48,6 +65,7 @@
         limit=0,
         use_dns_cache=False,
         local_addr=(source, 0) if source else None,
+        socket_factory=open_socket,
         **(
             {"keepalive_timeout": KEEPALIVE_S}
             if reuse
--- a/rattanroute/control/configuration_hosts.py
+++ b/rattanroute/control/configuration_hosts.py
@@ -44,6 +44,7 @@
     ) -> None:
         self.vm_id = settings.vm_id
         self.membership = membership
+        self.machine = voter.machine if voter else None
         self.consensus = voter.consensus if voter else None
         self.freshness = voter.freshness if voter else None
         self.replica = (
