Count framing over the end of a request; tests with arbitrary cuts

Cause: where one slice ended an upload and started the next, the count of body bytes went down and the rest was taken for framing: sound pipelined uploads were refused with 400. Change: body bytes are counted over all requests of a connection. Tests: test_http1_parsers.test_pipelined_uploads_are_whole (fails before) and SplitTest (hypothesis, fixed examples) over both parsers. The exchange of a plain call is split into shorter functions.

--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -1,7 +1,6 @@
 """Forwards requests to plain services and returns whole answers."""
 
 import asyncio
-import contextlib
 import dataclasses
 
 from rattanroute.errors import RouterError
@@ -22,6 +21,7 @@
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.tables.targets import Target
+from rattanroute.tables.targets import TargetReport
 
 # A connection within a region takes a few milliseconds.
 CONNECT_SECONDS = 0.25
@@ -151,15 +151,13 @@
         if left <= 0:
             self.pool.put(connection)
             return NotRun(reason="no time left")
-        request = call.exchange.request
-        head = self.codec.build_request(
-            request.head,
-            Upstream(
-                target_id=report.target_id,
-                time_left_s=left,
-                workspace=call.workspace,
-            ),
+        upstream = Upstream(
+            target_id=report.target_id,
+            time_left_s=left,
+            workspace=call.workspace,
         )
+        request = call.exchange.request
+        head = self.codec.build_request(request.head, upstream)
         wait = left + ANSWER_AFTER_DEADLINE_SECONDS
         if repeatable and len(call.ran_on) + 1 < call.route.max_attempts:
             wait = max(call.route.goal_s, FIRST_ATTEMPT_PART * left)
@@ -173,27 +171,25 @@
         except RouterError as error:
             return Unknown(reason=error.message)
         finally:
-            # A whole answer has given the connection back.
-            if connection.sink is sink:
-                connection.cancel()
-            if sink.done.done() and not sink.done.cancelled():
-                with contextlib.suppress(RouterError):
-                    sink.done.result()
-            if sink.head is not None:
-                terms = self.codec.read_answer(sink.head)
-                if sink.head.status != MISDIRECTED:
-                    self.selector.note_answer(report, terms, loop.time())
-        return self.judge(call, connection, sink, terms)
+            release(connection, sink)
+            self.note_terms(report, sink)
+        return self.judge(call, connection, sink)
+
+    def note_terms(self, report: TargetReport, sink: CollectingSink) -> None:
+        """Heeds what the head of an answer says of its target, if it came."""
+        # Another target at the address answers a misdirected request.
+        if sink.head is None or sink.head.status == MISDIRECTED:
+            return
+        terms = self.codec.read_answer(sink.head)
+        now = asyncio.get_running_loop().time()
+        self.selector.note_answer(report, terms, now)
 
     def judge(
-        self,
-        call: Call,
-        connection: ClientConnection,
-        sink: CollectingSink,
-        terms: AnswerTerms,
+        self, call: Call, connection: ClientConnection, sink: CollectingSink
     ) -> Outcome:
         """Decides what a whole answer means."""
         head = sink.head
+        terms = self.codec.read_answer(head)
         if head.status == MISDIRECTED:
             return NotRun(reason="another target")
         if terms.not_run:
@@ -212,6 +208,18 @@
         self.ender.log(call, head.status, "answered")
 
 
+def release(connection: ClientConnection, sink: CollectingSink) -> None:
+    """Ends the use of a connection by an exchange.
+
+    A whole answer has given it back already.
+    """
+    if connection.sink is sink:
+        connection.cancel()
+    if sink.done.done() and not sink.done.cancelled():
+        # Marks the error as seen; it was handled where it was awaited.
+        sink.done.exception()
+
+
 def find_fault(head: ResponseHead, terms: AnswerTerms, request_id: str) -> str:
     """Returns why an answer must not reach the caller; empty if it may."""
     if terms.request_id != request_id:
--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -118,6 +118,8 @@
         self.expects_continue = False
         self.head_complete = False
         self.is_reading = False
+        # Of all requests, as a slice may end one and start the next.
+        self.body_bytes = 0
         self.reset()
 
     def reset(self) -> None:
@@ -146,7 +148,7 @@
         """
         self.is_reading = True
         in_body = self.head_complete
-        body_before = len(self.body)
+        body_before = self.body_bytes
         try:
             self.parser.feed_data(data)
         except ProtocolError:
@@ -166,7 +168,7 @@
         if not self.head_complete:
             self.count_head(len(data))
         elif in_body:
-            self.framing.count(len(data), len(self.body) - body_before)
+            self.framing.count(len(data), self.body_bytes - body_before)
             if self.framing.exceeded:
                 raise reject(400, "the body has too much framing")
 
@@ -214,6 +216,7 @@
         if len(self.body) + len(data) > self.limits.max_body_bytes:
             raise reject(413, "the body is too long")
         self.body += data
+        self.body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Ends a request."""
--- a/rattanroute/tests/test_http1_parsers.py
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -1,7 +1,13 @@
 """Tests of the parsers of HTTP/1.1."""
 
+from collections.abc import Iterator
+import itertools
 import unittest
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
 from rattanroute.http1.heads import drop_connection_headers
 from rattanroute.http1.heads import encode_request
 from rattanroute.http1.heads import RequestHead
@@ -101,6 +107,18 @@
                     with self.assertRaises(ProtocolError):
                         feed_endless(parser, endless, size)
 
+    def test_pipelined_uploads_are_whole(self) -> None:
+        """Guards against a second upload that counts as framing."""
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+        data = (head + b"x" * 200_000) * 3
+        for size in (1_000, 16_384, 50_000, len(data)):
+            with self.subTest(size=size):
+                parser = RequestParser(limits=RequestLimits())
+                for start in range(0, len(data), size):
+                    parser.feed(data[start : start + size])
+                bodies = [len(x.body) for x in parser.requests]
+                self.assertEqual(bodies, [200_000] * 3)
+
     def test_body_of_small_chunks_is_whole(self) -> None:
         """Guards against a slow but sound body that counts as framing."""
         parser = RequestParser(limits=RequestLimits())
@@ -238,3 +256,83 @@
     def test_body_gets_its_length(self) -> None:
         head = RequestHead(method=b"POST", target=b"/", headers=[])
         self.assertIn(b"Content-Length: 3\r\n", encode_request(head, b"abc"))
+
+
+def encode_body(body: bytes, chunk_sizes: list[int]) -> bytes:
+    """Encodes the headers and the body of a message.
+
+    Args:
+        body: The body.
+        chunk_sizes: Sizes of chunks, over and over; none for a length.
+    """
+    if not chunk_sizes:
+        return b"Content-Length: %d\r\n\r\n" % len(body) + body
+    parts = [b"Transfer-Encoding: chunked\r\n\r\n"]
+    sizes = itertools.cycle(chunk_sizes)
+    while body:
+        size = next(sizes)
+        part, body = body[:size], body[size:]
+        parts.append(b"%x\r\n%b\r\n" % (len(part), part))
+    return b"".join(parts) + b"0\r\n\r\n"
+
+
+def split_data(data: bytes, sizes: list[int]) -> Iterator[bytes]:
+    """Yields bytes in pieces whose sizes repeat."""
+    start = 0
+    for size in itertools.cycle(sizes):
+        if start >= len(data):
+            return
+        yield data[start : start + size]
+        start += size
+
+
+BODIES = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 40_000),
+        strategies.lists(strategies.integers(1, 9_000), max_size=3),
+    ),
+    min_size=1,
+    max_size=4,
+)
+PIECES = strategies.lists(
+    strategies.integers(1, 30_000), min_size=1, max_size=5
+)
+
+
+class SplitTest(unittest.TestCase):
+    """Guards against messages that depend on how they are cut on the way."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(bodies=BODIES, pieces=PIECES)
+    def test_requests(
+        self, bodies: list[tuple[int, list[int]]], pieces: list[int]
+    ) -> None:
+        data = b"".join(
+            b"POST /%d HTTP/1.1\r\nHost: h\r\n" % number
+            + encode_body(b"x" * size, chunks)
+            for number, (size, chunks) in enumerate(bodies)
+        )
+        parser = RequestParser(limits=RequestLimits())
+        for piece in split_data(data, pieces):
+            parser.feed(piece)
+        found = [(x.head.target, len(x.body)) for x in parser.requests]
+        expected = [
+            (b"/%d" % number, size) for number, (size, _) in enumerate(bodies)
+        ]
+        self.assertEqual(found, expected)
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(bodies=BODIES, pieces=PIECES)
+    def test_responses(
+        self, bodies: list[tuple[int, list[int]]], pieces: list[int]
+    ) -> None:
+        parser = ResponseParser()
+        for size, chunks in bodies:
+            receiver = Receiver()
+            parser.expect(receiver, b"POST")
+            data = b"HTTP/1.1 200 OK\r\n" + encode_body(b"x" * size, chunks)
+            for piece in split_data(data, pieces):
+                parser.feed(piece)
+            self.assertEqual(receiver.body, b"x" * size)
+            self.assertTrue(receiver.ended)
+            self.assertFalse(parser.surplus)
