Leave layers alone where targets may only seem to be gone

Cause: behind a cut the reports of a data centre grow stale one after the other and come back one after the other. Seen from outside it has gaps meanwhile, and sharing its layers anew would reload a data centre that still serves. Change: a target whose reports stopped, and that nobody found unreachable, keeps its data centre as it is for 15 s. Tests: test_stageorders (a loss is shared among the rest; a cut changes nothing, which fails before).

--- a/rattanroute/gateway/stageorders.py
+++ b/rattanroute/gateway/stageorders.py
@@ -34,6 +34,9 @@
 # is given again.
 RETRY_MARGIN_SECONDS = 6.0
 STALE_SECONDS = 5.0
+# A target whose reports stopped, and that nobody found unreachable, is taken
+# to be gone only after this time: it may be behind a cut that heals.
+LOST_SECONDS = 15.0
 ACCEPTED = frozenset({200, 202})
 
 log = get_logger(__name__)
@@ -139,7 +142,10 @@
             return moves if lasted >= GAP_SECONDS else {}
         if lasted < RELAYOUT_SECONDS:
             return {}
-        relayouts = plan_relayouts(engine, holders)
+        unsure = self.find_unsure_centres(service, now)
+        relayouts = plan_relayouts(
+            engine, [x for x in holders if x.data_centre not in unsure]
+        )
         if relayouts:
             log.info(
                 "layers shared anew",
@@ -149,6 +155,22 @@
             )
         return relayouts
 
+    def find_unsure_centres(
+        self, service: BackendService, now: float
+    ) -> set[str]:
+        """Returns data centres with targets that may only seem to be gone.
+
+        Sharing their layers anew would stop a data centre that still serves
+        behind a cut.
+        """
+        return {
+            row.report.data_centre
+            for row in self.targets.serving(service.name)
+            if STALE_SECONDS <= now - row.heard_at < LOST_SECONDS
+            and row.reachable
+            and not self.has_left(row)
+        }
+
     def build_holder(self, row: Target) -> StageHolder:
         """Returns a target as the plan sees it; orders count as done."""
         report = row.report
--- a/rattanroute/tests/test_stageorders.py
+++ b/rattanroute/tests/test_stageorders.py
@@ -6,8 +6,11 @@
 
 from rattanroute.gateway.questions import EngineState
 from rattanroute.gateway.stageorders import GAP_SECONDS
+from rattanroute.gateway.stageorders import LOST_SECONDS
+from rattanroute.gateway.stageorders import RELAYOUT_SECONDS
 from rattanroute.gateway.stageorders import SETTLE_SECONDS
 from rattanroute.gateway.stageorders import StageOrderer
+from rattanroute.gateway.stageorders import STALE_SECONDS
 from rattanroute.systems.stageplans import LayerRange
 from rattanroute.tables.routes import RoutingTable
 from rattanroute.tables.targets import TargetReport
@@ -164,6 +167,43 @@
         }
         self.assertTrue(held & set(gap))
 
+    async def lose_layers(self) -> None:
+        """Loses an engine whose layers no other can take over by itself."""
+        self.targets = self.orderer.targets = TargetTable()
+        for holder in build_holders(
+            {"dc-b": {"big": 1, "middle": 2, "small": 3}}
+        ):
+            self.report(holder.target_id, holder.accelerator)
+        await self.start()
+        self.targets.get("dc-b-middle-0").reachable = False
+        while await self.run_orders():
+            self.report_states()
+        for name in list(self.orderer.gap_since):
+            self.orderer.gap_since[name] -= RELAYOUT_SECONDS
+
+    async def test_rest_shares_all_layers_after_a_loss(self) -> None:
+        """Guards against a data centre that waits for a lost engine."""
+        await self.lose_layers()
+        given = await self.run_orders()
+        self.assertTrue(given)
+        held = {
+            layer
+            for row in self.targets
+            if row.reachable
+            for part in [self.engines.states[row.report.address].layers]
+            for layer in range(part.first, part.end)
+        }
+        self.assertEqual(held, set(range(LAYERS)))
+
+    async def test_data_centre_behind_a_cut_keeps_its_layers(self) -> None:
+        """Guards against loads everywhere while reports are only late."""
+        await self.lose_layers()
+        silent = self.targets.get("dc-b-small-0")
+        silent.heard_at = self.now - STALE_SECONDS - 0.1
+        self.assertEqual(await self.run_orders(), [])
+        silent.heard_at = self.now - LOST_SECONDS
+        self.assertTrue(await self.run_orders())
+
     async def test_order_that_came_late_is_not_repeated_blindly(self) -> None:
         self.settle()
         late = LayerRange(first=3, end=9)
