Log which target crashed under a request, and the request's fingerprint

Each lost attempt now gets a line with the hash of workspace, path and body, and a verdict: crashed when the machine refuses connections, when the inspections find the target silent, or when a later incarnation reports from its address. No decision depends on it yet.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import xxhash
+
 from rattanroute.gateway.terms import RequestTerms
 from rattanroute.http1.servers import Exchange
 from rattanroute.tables.routes import BackendService
@@ -29,6 +31,7 @@
         longest_gap_s: Longest pause between two events.
         targets: Identifiers of the targets it was sent to.
         failures: Why attempts failed, in order.
+        digest: The fingerprint once it was asked for.
     """
 
     exchange: Exchange
@@ -47,6 +50,22 @@
     longest_gap_s: float = 0.0
     targets: list[str] = dataclasses.field(default_factory=list)
     failures: list[str] = dataclasses.field(default_factory=list)
+    digest: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Hash of what stays the same when a caller sends a request again.
+
+        The identifier of the request and the other headers change.
+        """
+        if not self.digest:
+            request = self.exchange.request
+            content = xxhash.xxh3_128()
+            content.update(self.workspace.encode())
+            content.update(b"\0" + request.head.target + b"\0")
+            content.update(request.body)
+            self.digest = content.hexdigest()
+        return self.digest
 
     def time_left(self, now: float) -> float:
         """Returns the seconds until the answer is due."""
--- /dev/null
+++ b/rattanroute/gateway/crashes.py
@@ -0,0 +1,199 @@
+"""Finds out whether a target has crashed under a request.
+
+A connection that closes tells little: targets also reset single requests, and
+links break. A target counts as crashed when its machine refuses connections,
+when the inspections of all VMs find it silent, or when a later incarnation
+reports from its address.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import dataclasses
+
+from aioprometheus import Counter
+
+from rattanroute.gateway.calls import Call
+from rattanroute.http1.clients import ConnectError
+from rattanroute.http1.clients import ConnectionPool
+from rattanroute.logs import get_logger
+from rattanroute.tables.targets import TargetReport
+from rattanroute.tables.targets import TargetTable
+
+CONNECT_SECONDS = 0.25
+CHECK_SECONDS = 0.2
+# Targets that crash are back, and report, within a few seconds.
+VERDICT_SECONDS = 8.0
+# A crash of a full target loses about a hundred attempts of one VM.
+MAX_LOST = 512
+
+log = get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LostAttempt:
+    """An attempt that ended without a whole answer, for an unknown reason.
+
+    Attributes:
+        request_id: Identifier of the caller's request.
+        fingerprint: What the request has in common with its repetitions.
+        reports: Reports of its targets at the time of the attempt.
+        lost_at: Time of the end.
+        verdict: Set to the report of the target that crashed; to None when
+            none was found in time.
+    """
+
+    request_id: str
+    fingerprint: str
+    reports: tuple[TargetReport, ...]
+    lost_at: float
+    verdict: asyncio.Future[TargetReport | None]
+
+
+class CrashObserver:
+    """Judges lost attempts.
+
+    Args:
+        pool: Connections to targets.
+        targets: All targets.
+        lost_attempts: Counts lost attempts by verdict.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        targets: TargetTable,
+        lost_attempts: Counter,
+    ) -> None:
+        self.pool = pool
+        self.targets = targets
+        self.lost_attempts = lost_attempts
+        self.open: list[LostAttempt] = []
+        self.probes: dict[str, asyncio.Task[None]] = {}
+        self.refused_at: dict[str, float] = {}
+
+    def list_reports(
+        self, target_ids: Iterable[str]
+    ) -> tuple[TargetReport, ...]:
+        """Returns the present reports of targets."""
+        rows = [self.targets.get(target_id) for target_id in target_ids]
+        return tuple(row.report for row in rows if row is not None)
+
+    def note_lost(
+        self, call: Call, reports: tuple[TargetReport, ...], reason: str
+    ) -> LostAttempt | None:
+        """Takes an attempt that ended for an unknown reason.
+
+        Args:
+            call: The call.
+            reports: Reports of its targets when it was sent; the first one
+                is that of the target that took the request.
+            reason: Why the attempt ended.
+
+        Returns:
+            The attempt with its verdict to come; None beyond the bound.
+        """
+        if not reports or len(self.open) >= MAX_LOST:
+            return None
+        loop = asyncio.get_running_loop()
+        lost = LostAttempt(
+            request_id=call.terms.request_id,
+            fingerprint=call.fingerprint,
+            reports=reports,
+            lost_at=loop.time(),
+            verdict=loop.create_future(),
+        )
+        self.open.append(lost)
+        log.info(
+            "attempt lost",
+            request_id=lost.request_id,
+            fingerprint=lost.fingerprint,
+            target=reports[0].target_id,
+            incarnation=reports[0].incarnation,
+            reason=reason,
+        )
+        self.probe(reports[0].address)
+        return lost
+
+    def probe(self, address: str) -> None:
+        """Tries to connect to a target, once for all that ask meanwhile."""
+        if address not in self.probes:
+            task = asyncio.create_task(self.connect(address))
+            self.probes[address] = task
+            task.add_done_callback(lambda _: self.probes.pop(address))
+
+    async def connect(self, address: str) -> None:
+        """Finds out whether a machine refuses connections."""
+        try:
+            connection = await self.pool.take(
+                address, timeout_s=CONNECT_SECONDS, fresh=True
+            )
+        except ConnectError as error:
+            if error.refused:
+                now = asyncio.get_running_loop().time()
+                self.refused_at[address] = now
+                self.check()
+            return
+        self.pool.put(connection)
+
+    def check(self) -> None:
+        """Gives the verdicts that are due; called at an interval."""
+        now = asyncio.get_running_loop().time()
+        left = []
+        for lost in self.open:
+            crashed = self.find_crashed(lost)
+            if crashed is not None:
+                self.conclude(lost, crashed, now)
+            elif now - lost.lost_at >= VERDICT_SECONDS:
+                self.conclude(lost, None, now)
+            else:
+                left.append(lost)
+        self.open = left
+        for address, at in list(self.refused_at.items()):
+            if now - at >= VERDICT_SECONDS:
+                del self.refused_at[address]
+
+    def find_crashed(self, lost: LostAttempt) -> TargetReport | None:
+        """Returns the first target of an attempt that has crashed, if any."""
+        for report in lost.reports:
+            if self.has_crashed(report, lost.lost_at):
+                return report
+        return None
+
+    def has_crashed(self, report: TargetReport, lost_at: float) -> bool:
+        """Whether an incarnation of a target has ended, and not as planned.
+
+        Args:
+            report: A report of the incarnation.
+            lost_at: When an attempt at it was lost.
+        """
+        row = self.targets.get(report.target_id)
+        if row is not None and row.report.leaving:
+            return False
+        if self.refused_at.get(report.address, 0.0) >= lost_at:
+            return True
+        if row is not None and not row.reachable:
+            return True
+        return any(
+            other.report.address == report.address
+            and other.report.incarnation > report.incarnation
+            for other in self.targets.serving(report.model)
+        )
+
+    def conclude(
+        self, lost: LostAttempt, crashed: TargetReport | None, now: float
+    ) -> None:
+        """Gives a verdict."""
+        lost.verdict.set_result(crashed)
+        verdict = "unknown" if crashed is None else "crashed"
+        self.lost_attempts.inc({"verdict": verdict})
+        if crashed is None:
+            return
+        log.info(
+            "target crashed under a request",
+            request_id=lost.request_id,
+            fingerprint=lost.fingerprint,
+            target=crashed.target_id,
+            incarnation=crashed.incarnation,
+            seconds=now - lost.lost_at,
+        )
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -5,6 +5,7 @@
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.outcomes import NotRun
@@ -48,6 +49,7 @@
         selector: Choice of targets.
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
+        crashes: Finds out whether targets crashed.
     """
 
     codec: HeaderCodec
@@ -55,6 +57,7 @@
     selector: TargetSelector
     budget: SendBudget
     ender: CallEnder
+    crashes: CrashObserver
 
     async def forward(self, call: Call) -> None:
         """Sends a call to targets and answers the caller."""
@@ -106,7 +109,8 @@
     async def attempt(self, call: Call, target: Target) -> Outcome:
         """Sends a call to a target and judges the answer."""
         targets = self.selector.targets
-        target_id = target.report.target_id
+        report = target.report
+        target_id = report.target_id
         loop = asyncio.get_running_loop()
         call.sends += 1
         call.targets.append(target_id)
@@ -119,6 +123,8 @@
         if not isinstance(outcome, NotRun):
             call.ran_on.add(target_id)
             call.may_have_run = True
+        if isinstance(outcome, Unknown):
+            self.crashes.note_lost(call, (report,), outcome.reason)
         return outcome
 
     def note_health(self, target_id: str, outcome: Outcome, now: float) -> None:
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.outcomes import NotRun
@@ -56,6 +57,7 @@
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
         inspector: Finds the target at which a stream stalls.
+        crashes: Finds out whether targets crashed.
         queue: Calls that wait for room.
         following: Chains and sinks of the attempts that are open.
     """
@@ -67,6 +69,7 @@
     budget: SendBudget
     ender: CallEnder
     inspector: StallInspector
+    crashes: CrashObserver
     queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
     following: set[tuple[tuple[ChainHop, ...], StreamSink]] = dataclasses.field(
         default_factory=set
@@ -175,11 +178,15 @@
         call.sends += 1
         call.targets.append("+".join(hop.target_id for hop in chain))
         tokens = build_demand(call).tokens
+        reports = self.crashes.list_reports(hop.target_id for hop in chain)
         self.count_load(chain, tokens, 1, loop.time())
         try:
-            return await self.exchange(call, state, chain, avoided)
+            outcome = await self.exchange(call, state, chain, avoided)
         finally:
             self.count_load(chain, tokens, -1, loop.time())
+        if isinstance(outcome, Unknown) and not outcome.timed_out:
+            self.crashes.note_lost(call, reports, outcome.reason)
+        return outcome
 
     def count_load(
         self, chain: tuple[ChainHop, ...], tokens: int, sign: int, now: float
--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -26,6 +26,11 @@
             "rattanroute_attempts_failed_total",
             "Failed attempts by provenance.",
         )
+        self.lost_attempts = self.counter(
+            "rattanroute_lost_attempts_total",
+            "Attempts that ended for an unknown reason, by whether their "
+            "target was found to have crashed.",
+        )
         self.tokens = self.counter(
             "rattanroute_tokens_total", "Tokens passed to callers by model."
         )
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -4,6 +4,8 @@
 import contextlib
 import pathlib
 
+from rattanroute.gateway.crashes import CHECK_SECONDS
+from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.handlers import GatewayHandler
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.selectors import TargetSelector
@@ -94,12 +96,18 @@
             repeats=self.repeats, vms=self.control.count_servers
         )
         ender = CallEnder(codec=codec, random=self.random)
+        self.crashes = CrashObserver(
+            pool=self.pool,
+            targets=self.targets,
+            lost_attempts=self.metrics.lost_attempts,
+        )
         services = ServiceForwarder(
             codec=codec,
             pool=self.pool,
             selector=selector,
             budget=budget,
             ender=ender,
+            crashes=self.crashes,
         )
         self.streams = streams = StreamForwarder(
             codec=codec,
@@ -118,6 +126,7 @@
             inspector=StallInspector(
                 questions=self.questions, selector=selector
             ),
+            crashes=self.crashes,
         )
         return GatewayHandler(
             codec=codec,
@@ -165,6 +174,7 @@
         )
         self.control.repeat(STATUS_SECONDS, self.update_status)
         self.control.repeat(TARGET_LOG_SECONDS, self.log_targets)
+        self.control.repeat(CHECK_SECONDS, self.crashes.check)
 
     def update_status(self) -> None:
         """Follows the manifest and tells the others whether it is ready."""
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -7,6 +7,7 @@
 import random
 import unittest
 
+from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.handlers import GatewayHandler
 from rattanroute.gateway.outcomes import CallEnder
 from rattanroute.gateway.questions import TargetQuestions
@@ -21,6 +22,7 @@
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.servers import Exchange
 from rattanroute.http1.servers import HttpServer
+from rattanroute.metrics import MetricsRegistry
 from rattanroute.platform.headers import PlatformHeaders
 from rattanroute.platform.replicas import PlatformOrders
 from rattanroute.systems.budgets import RepeatBudget
@@ -183,7 +185,13 @@
             note_departure=lambda report: self.departed.add(report.target_id),
             random=random.Random(1),
         )
+        self.crashes = CrashObserver(
+            pool=self.pool,
+            targets=self.targets,
+            lost_attempts=MetricsRegistry().lost_attempts,
+        )
         shared = {
+            "crashes": self.crashes,
             "codec": codec,
             "pool": self.pool,
             "selector": selector,
--- /dev/null
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -0,0 +1,108 @@
+"""Tests of the search for crashes behind lost attempts."""
+
+import asyncio
+
+from rattanroute.gateway.crashes import LostAttempt
+from rattanroute.http1.servers import Exchange
+from rattanroute.tests.gateway_hosts import build_head
+from rattanroute.tests.gateway_hosts import FakeTarget
+from rattanroute.tests.gateway_hosts import GatewayTestCase
+
+
+async def crash(target: FakeTarget, exchange: Exchange) -> None:
+    """Closes the listener and the connection."""
+    target.server.listener.close()
+    exchange.abort()
+
+
+async def reset(target: FakeTarget, exchange: Exchange) -> None:
+    """Closes the connection only."""
+    exchange.abort()
+
+
+async def answer(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers well."""
+    exchange.send(build_head(exchange), b"ok")
+
+
+class CrashObserverTest(GatewayTestCase):
+    """Guards against crashes that are missed, or seen where there is none."""
+
+    async def lose(self, path: str = "/once/x", **options: str) -> LostAttempt:
+        """Sends a request whose attempt is lost."""
+        await self.call(path, **options)
+        return self.crashes.open[-1]
+
+    async def test_target_that_refuses_connections_has_crashed(self) -> None:
+        await self.add_target("t1", crash)
+        lost = await self.lose()
+        async with asyncio.timeout(1.0):
+            crashed = await lost.verdict
+        self.assertEqual(crashed.target_id, "t1")
+        self.assertEqual(self.crashes.open, [])
+
+    async def test_target_that_resets_a_request_has_not_crashed(self) -> None:
+        await self.add_target("t1", reset)
+        lost = await self.lose()
+        await asyncio.sleep(0.1)
+        self.crashes.check()
+        self.assertFalse(lost.verdict.done())
+
+    async def test_later_incarnation_at_the_address_tells_a_crash(self) -> None:
+        """Guards against a crash behind a listener that stays open."""
+        target = await self.add_target("t1", reset)
+        lost = await self.lose()
+        report = self.targets.get("t1").report
+        again = type(report)(
+            target_id="t2",
+            incarnation=report.incarnation + 1,
+            address=target.address,
+            data_centre="dc-a",
+            model=report.model,
+            last_layer=-1,
+        )
+        self.targets.record(report=again, observer="v", heard_at=1.0)
+        self.crashes.check()
+        self.assertEqual(lost.verdict.result().target_id, "t1")
+
+    async def test_planned_end_is_no_crash(self) -> None:
+        """Guards against requests that are blamed for a departure."""
+        await self.add_target("t1", crash)
+        self.targets.get("t1").report.leaving = False
+        lost = await self.lose()
+        self.targets.get("t1").report.leaving = True
+        await asyncio.sleep(0.1)
+        self.crashes.check()
+        self.assertFalse(lost.verdict.done())
+
+    async def test_old_refusal_does_not_count_for_a_new_incarnation(
+        self,
+    ) -> None:
+        """Guards against a crash that is found twice."""
+        target = await self.add_target("t1", reset)
+        self.crashes.refused_at[target.address] = 0.0
+        lost = await self.lose()
+        self.crashes.check()
+        self.assertFalse(lost.verdict.done())
+
+    async def test_repetitions_have_one_fingerprint(self) -> None:
+        """Guards against repetitions that cannot be told to be the same."""
+        await self.add_target("t1", reset)
+        first = await self.lose(request_id="r1")
+        self.selector_wakes()
+        again = await self.lose(request_id="r2", extra="X-Try: 2\r\n")
+        self.selector_wakes()
+        other = await self.lose(request_id="r3", body=b"y")
+        self.assertEqual(first.fingerprint, again.fingerprint)
+        self.assertNotEqual(first.fingerprint, other.fingerprint)
+
+    def selector_wakes(self) -> None:
+        """Lets the target be chosen again after a failure."""
+        row = self.targets.get("t1")
+        row.blocked_until = 0.0
+        row.failures = 0
+
+    async def test_answered_request_leaves_nothing_to_judge(self) -> None:
+        await self.add_target("t1", answer)
+        self.assertEqual((await self.call("/once/x")).status, 200)
+        self.assertEqual(self.crashes.open, [])
