--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -60,6 +60,8 @@
         max_layers: Layers that fit in the memory.
         work_s: Time that a plain call takes.
         drain_s: Time that the replica serves after its notice is taken.
+        crash_marker: Content of a body that ends the process once the request
+            begins to run; empty for none.
     """
 
     replica_id: str
@@ -75,6 +77,7 @@
     slots: int = 16
     work_s: float = 0.02
     drain_s: float = 2.0
+    crash_marker: str = ""
 
 
 class Record(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -238,6 +241,13 @@
         finally:
             self.active -= 1
 
+    def begin(self, request_id: str, body: bytes) -> None:
+        """Begins to run a request, which may end the process."""
+        self.record("run", request_id=request_id)
+        marker = self.settings.crash_marker
+        if marker and marker.encode() in body:
+            os._exit(1)
+
     def refuse(
         self, exchange: Exchange, status: int, request_id: str, at: str = ""
     ) -> None:
@@ -262,7 +272,7 @@
 
     async def answer(self, exchange: Exchange, request_id: str) -> None:
         """Runs a plain call."""
-        self.record("run", request_id=request_id)
+        self.begin(request_id, exchange.request.body)
         await asyncio.sleep(self.settings.work_s)
         body = build_answer(request_id, exchange.request.body)
         exchange.send(self.build_head(request_id), body)
@@ -287,7 +297,7 @@
         last = find_header(values, headers.LAST_EVENT.lower()) or b"0"
         tokens = find_header(values, headers.TOKENS.lower()) or b"0,0"
         count = int(tokens.partition(b",")[2])
-        self.record("run", request_id=request_id)
+        self.begin(request_id, exchange.request.body)
         exchange.start(self.build_head(request_id))
         for number in range(int(last) + 1, count + 1):
             await asyncio.sleep(EVENT_SECONDS)
--- /dev/null
+++ b/rattanroute/tests/integration/test_crashing_requests.py
@@ -0,0 +1,120 @@
+"""Requests that crash each replica of the platform that runs them."""
+
+import asyncio
+import itertools
+import signal
+import time
+
+from rattanroute.platform.trials import CallKind
+from rattanroute.platform.trials import Machine
+from rattanroute.tests.integration.platform_support import PlatformTestCase
+from rattanroute.tests.integration.platform_support import POLL_SECONDS
+
+MARKER = "crash"
+BODY = b"a request that makes targets crash"
+# Crashes after which the request must be known everywhere.
+MAX_CRASHES = 3
+# Retries that may still reach replicas once it is known.
+MAX_LATE_RETRIES = 3
+RETURN_SECONDS = 0.25
+REPLICA_DOWN_SECONDS = 1.0
+SERVICE_SECONDS = 12.0
+# Engines that start again are empty, and load layers first.
+ENGINE_SECONDS = 20.0
+HARMLESS_SECONDS = 10.0
+
+
+class CrashingRequestTest(PlatformTestCase):
+    """Guards against a request that is sent on after it crashed targets.
+
+    Its caller sends it again and again, through all fronts in turn, each time
+    with another identifier.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Starts a deployment whose replicas are started again."""
+        await self.start_fleet(fronts=2, crash_marker=MARKER)
+        for front in self.fleet.fronts:
+            await self.wait_status(front.ready_url)
+        self.numbers = itertools.count()
+        self.reviver = asyncio.create_task(self.revive())
+        self.addCleanup(self.reviver.cancel)
+
+    async def revive(self) -> None:
+        """Starts each replica again some time after it has crashed."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            for name in self.fleet.replicas:
+                process = self.fleet.processes[name]
+                if process.returncode is not None:
+                    await asyncio.sleep(REPLICA_DOWN_SECONDS)
+                    await self.fleet.restart_once(name, process)
+
+    async def send_crashing(self, front: Machine, kind: CallKind) -> int:
+        """Sends the request once more; returns the status."""
+        return await self.call(front, kind, BODY, f"c{next(self.numbers)}")
+
+    async def repeat_crashing(self, kind: CallKind, seconds: float) -> None:
+        """Sends the request again and again, through all fronts."""
+        end = time.monotonic() + seconds
+        calls = []
+        for front in itertools.cycle(self.fleet.fronts):
+            if time.monotonic() > end:
+                break
+            calls.append(asyncio.create_task(self.send_crashing(front, kind)))
+            await asyncio.sleep(RETURN_SECONDS)
+        await asyncio.gather(*calls)
+
+    def list_crashes(self) -> list[float]:
+        """Returns the times at which the request began to run."""
+        return sorted(
+            record.at
+            for record in self.fleet.read_records()
+            if record.event == "run" and record.request_id.startswith("c")
+        )
+
+    def assert_stopped(self) -> None:
+        """Checks that it did not reach targets once it had to be known."""
+        crashes = self.list_crashes()
+        self.assertGreaterEqual(len(crashes), MAX_CRASHES)
+        known_at = crashes[MAX_CRASHES - 1] + self.fleet.bounds.contact_s
+        late = [at for at in crashes if at > known_at]
+        self.assertLessEqual(len(late), MAX_LATE_RETRIES, crashes)
+
+    async def assert_harmless_served(self, kind: CallKind) -> None:
+        """Checks that other requests of the same kind are served."""
+        for front in self.fleet.fronts:
+            async with asyncio.timeout(HARMLESS_SECONDS):
+                while True:
+                    name = f"h{next(self.numbers)}"
+                    body = b"a harmless request"
+                    if await self.call(front, kind, body, name) == 200:
+                        break
+                    await asyncio.sleep(POLL_SECONDS)
+
+    async def test_plain_services(self) -> None:
+        """Guards against plain services that such a request keeps down."""
+        await self.repeat_crashing(CallKind.REPEATABLE, SERVICE_SECONDS)
+        self.assert_stopped()
+        await self.assert_harmless_served(CallKind.REPEATABLE)
+
+    async def test_engines(self) -> None:
+        """Guards against engines that such a stream keeps down."""
+        await self.repeat_crashing(CallKind.STREAM, ENGINE_SECONDS)
+        self.assert_stopped()
+        await self.assert_harmless_served(CallKind.STREAM)
+
+    async def test_front_that_starts_later(self) -> None:
+        """Guards against a front that forgets the request in its restart."""
+        await self.repeat_crashing(CallKind.REPEATABLE, SERVICE_SECONDS)
+        front = self.fleet.fronts[0]
+        process = self.fleet.processes[front.name]
+        self.fleet.signal(front.name, signal.SIGKILL)
+        await process.wait()
+        await self.fleet.restart(front.name)
+        await self.wait_status(front.ready_url)
+        await asyncio.sleep(self.fleet.bounds.contact_s)
+        before = len(self.list_crashes())
+        status = await self.send_crashing(front, CallKind.REPEATABLE)
+        self.assertEqual(status, 503)
+        self.assertEqual(len(self.list_crashes()), before)
--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -3,73 +3,25 @@
 import asyncio
 import signal
 import sys
-import unittest
 
-import aiohttp
-
-from rattanroute.platform.trials import Bounds
 from rattanroute.platform.trials import build_configuration
-from rattanroute.platform.trials import Machine
 from rattanroute.platform.trials import PEER_PORT
-from rattanroute.tools.soak_fleets import SoakFleet
+from rattanroute.tests.integration.platform_support import PlatformTestCase
 
-START_SECONDS = 30.0
-POLL_SECONDS = 0.1
 # Within the time that a program takes to import its modules.
 EARLY_SECONDS = 0.2
 METRICS_PORT = PEER_PORT + 1
 
 
-class PlatformProgramTest(unittest.IsolatedAsyncioTestCase):
+class PlatformProgramTest(PlatformTestCase):
     """Guards against programs that operators cannot watch or steer."""
 
     async def asyncSetUp(self) -> None:
         """Starts a deployment with one front in each zone."""
-        self.fleet = SoakFleet(bounds=Bounds(), fronts=1)
-        self.addAsyncCleanup(self.fleet.close)
-        await self.fleet.start()
+        await self.start_fleet()
         self.front = self.fleet.fronts[0]
-        await self.configure()
         await self.wait_status(self.front.ready_url)
 
-    async def configure(self) -> None:
-        """Sends a configuration until it is accepted."""
-        body = build_configuration(1)
-        async with asyncio.timeout(START_SECONDS):
-            while True:
-                for machine in self.fleet.core:
-                    if await self.put(machine, body) == 200:
-                        return
-                await asyncio.sleep(POLL_SECONDS)
-
-    async def put(self, machine: Machine, body: bytes) -> int:
-        """Sends a configuration; returns the status, 0 without one."""
-        try:
-            async with self.fleet.client.put(
-                machine.configuration_url, data=body
-            ) as response:
-                return response.status
-        except aiohttp.ClientError:
-            return 0
-
-    async def wait_status(self, url: str) -> str:
-        """Waits until a URL answers with status 200; returns its body."""
-        async with asyncio.timeout(START_SECONDS):
-            while True:
-                try:
-                    async with self.fleet.client.get(url) as response:
-                        if response.status == 200:
-                            return await response.text()
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(POLL_SECONDS)
-
-    async def wait_logged(self, name: str, text: str) -> None:
-        """Waits until a program has logged a text."""
-        async with asyncio.timeout(START_SECONDS):
-            while text not in self.fleet.read_log(name):
-                await asyncio.sleep(POLL_SECONDS)
-
     async def test_metrics_reload_and_stop(self) -> None:
         """Guards against lost metrics, a reload that ends, an unclean stop."""
         for machine in (self.front, self.fleet.core[0]):
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -65,13 +65,20 @@
     Args:
         bounds: Times of the deployment.
         fronts: Fronts of each zone.
+        crash_marker: Content of a request that crashes the replicas which run
+            it; empty for none.
     """
 
     def __init__(
-        self, *, bounds: Bounds, fronts: int = FRONTS_PER_ZONE
+        self,
+        *,
+        bounds: Bounds,
+        fronts: int = FRONTS_PER_ZONE,
+        crash_marker: str = "",
     ) -> None:
         super().__init__()
         self.bounds = bounds
+        self.crash_marker = crash_marker
         self.fronts_per_zone = fronts
         self.machines = {x.name: x for x in self.list_machines()}
         self.replicas = {x.name: x for x in self.list_replicas()}
@@ -211,6 +218,7 @@
             layers=LAYERS if engine else 0,
             max_layers=MAX_LAYERS if engine else 0,
             drain_s=self.bounds.drain_s,
+            crash_marker=self.crash_marker,
         )
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
