Refuse requests under which three targets crashed, on every VM

What callers saw: a request that crashes each target which runs it was sent on with each return of its caller; others on these targets lost their answers.

Cause: fronts kept nothing between two calls. A call goes to two first targets at most, but the caller returns with another identifier through another front and starts anew, so that crashes grow with its returns. The daemon has a quarantine; the platform's programs never composed it, and it needs links between all VMs, which fronts do not have.

Repair: fronts tell the voters of crashes under a request, identified by workspace, path and body. The voters count them over all fronts and tell all VMs to refuse it after the third. Bans are repeated for VMs that start later, and voters that start anew hear of them from the fronts. An answer anywhere clears a request, as one that crashes its targets is never answered; so what many callers ask for is not banned for crashes beside it. A suspect waits for the verdict on its last target before it is sent again.

The stand-in for a live VM moves to the tests' support.

--- a/rattanroute/codecs.py
+++ b/rattanroute/codecs.py
@@ -28,6 +28,7 @@
     220: "loads",
     240: "departures",
     250: "inspections",
+    270: "crashbans",
 }
 # More than there are classes; bounds what wrong numbers of a peer leave here.
 MAX_DECODERS = 256
--- a/rattanroute/gateway/crashes.py
+++ b/rattanroute/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Finds out whether a target has crashed under a request.
+"""Finds out under which requests targets crash, and which are refused.
 
 A connection that closes tells little: targets also reset single requests, and
 links break. A target counts as crashed when its machine refuses connections,
@@ -16,6 +16,8 @@
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
+from rattanroute.systems.crashbans import CrashBanSystem
+from rattanroute.tables.fingerprints import CrashKey
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
@@ -25,6 +27,10 @@
 VERDICT_SECONDS = 8.0
 # A crash of a full target loses about a hundred attempts of one VM.
 MAX_LOST = 512
+# A machine refuses a connection within milliseconds, and inspections of a
+# crashed engine take two messages.
+SUSPECT_WAIT_SECONDS = 0.3
+BANNED_REASON = "targets crashed under this request"
 
 log = get_logger(__name__)
 
@@ -50,11 +56,12 @@
 
 
 class CrashObserver:
-    """Judges lost attempts.
+    """Judges lost attempts, and says which requests are refused.
 
     Args:
         pool: Connections to targets.
         targets: All targets.
+        bans: Requests under which targets crashed, on all VMs.
         lost_attempts: Counts lost attempts by verdict.
     """
 
@@ -63,15 +70,46 @@
         *,
         pool: ConnectionPool,
         targets: TargetTable,
+        bans: CrashBanSystem,
         lost_attempts: Counter,
     ) -> None:
         self.pool = pool
         self.targets = targets
+        self.bans = bans
         self.lost_attempts = lost_attempts
         self.open: list[LostAttempt] = []
         self.probes: dict[str, asyncio.Task[None]] = {}
         self.refused_at: dict[str, float] = {}
 
+    async def find_ban(self, call: Call) -> float | None:
+        """Returns until when a request must not be sent; None if it may be.
+
+        A request that is a suspect already waits until it is known what
+        became of its latest target.
+        """
+        suspects = self.bans.suspects
+        if not suspects or call.fingerprint not in suspects:
+            return None
+        await self.settle(call)
+        now = asyncio.get_running_loop().time()
+        return self.bans.banned_until(call.fingerprint, now)
+
+    async def settle(self, call: Call) -> None:
+        """Waits a short time for the verdict on a call's lost attempt."""
+        request_id = call.terms.request_id
+        for lost in reversed(self.open):
+            if lost.request_id == request_id:
+                await asyncio.wait(
+                    (lost.verdict,), timeout=SUSPECT_WAIT_SECONDS
+                )
+                return
+
+    def note_answered(self, call: Call) -> None:
+        """Clears a suspect that was answered."""
+        if self.bans.suspects:
+            now = asyncio.get_running_loop().time()
+            self.bans.note_answer(call.fingerprint, now)
+
     def list_reports(
         self, target_ids: Iterable[str]
     ) -> tuple[TargetReport, ...]:
@@ -197,3 +235,5 @@
             incarnation=crashed.incarnation,
             seconds=now - lost.lost_at,
         )
+        crash = CrashKey(crashed.target_id, crashed.incarnation)
+        self.bans.note_crash(lost.fingerprint, crash, now)
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -5,6 +5,7 @@
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.crashes import BANNED_REASON
 from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import CallEnder
@@ -49,7 +50,7 @@
         selector: Choice of targets.
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
-        crashes: Finds out whether targets crashed.
+        crashes: Says which requests crash their targets.
     """
 
     codec: HeaderCodec
@@ -67,7 +68,12 @@
         failed: Answered | None = None
         timed_out = False
         reason = "no target"
+        banned_until = None
         while self.may_send(call, loop.time()):
+            banned_until = await self.crashes.find_ban(call)
+            if banned_until is not None:
+                reason = BANNED_REASON
+                break
             target = self.selector.choose(
                 call.service.name, excluded=excluded, now=loop.time()
             )
@@ -91,8 +97,10 @@
         if failed is not None:
             self.answer(call, failed)
             return
-        free_at = None
-        if not self.selector.has_usable(call.service.name, loop.time()):
+        free_at = banned_until
+        if free_at is None and not self.selector.has_usable(
+            call.service.name, loop.time()
+        ):
             free_at = self.selector.find_pause_end(
                 call.service.name, loop.time()
             )
@@ -212,6 +220,8 @@
         head: ResponseHead = self.codec.build_answer(outcome.head)
         call.exchange.send(head, outcome.body)
         self.ender.log(call, head.status, "answered")
+        if head.status < FIRST_FAILURE_STATUS:
+            self.crashes.note_answered(call)
 
 
 def release(connection: ClientConnection, sink: CollectingSink) -> None:
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.crashes import BANNED_REASON
 from rattanroute.gateway.crashes import CrashObserver
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import CallEnder
@@ -57,7 +58,7 @@
         budget: Attempts beyond the first.
         ender: Ends calls without an answer.
         inspector: Finds the target at which a stream stalls.
-        crashes: Finds out whether targets crashed.
+        crashes: Says which requests crash their targets.
         queue: Calls that wait for room.
         following: Chains and sinks of the attempts that are open.
     """
@@ -88,7 +89,12 @@
         state = StreamState(call=call)
         avoided: set[str] = set()
         reason = ""
+        banned_until = None
         while self.may_send(call, loop.time()):
+            banned_until = await self.crashes.find_ban(call)
+            if banned_until is not None:
+                reason = BANNED_REASON
+                break
             chain = await self.find_chain(call, state, avoided)
             if not chain:
                 reason = reason or state.shortage
@@ -99,6 +105,7 @@
             outcome = await self.attempt(call, state, chain, avoided)
             if outcome is None:
                 self.ender.log(call, OK, "answered")
+                self.crashes.note_answered(call)
                 return
             if isinstance(outcome, Answered):
                 self.answer_failure(call, outcome)
@@ -106,8 +113,8 @@
             reason = outcome.reason
             call.failures.append(reason)
         timed_out = call.time_left(loop.time()) <= 0
-        free_at = None
-        if state.shortage is Shortage.LAYERS:
+        free_at = banned_until
+        if free_at is None and state.shortage is Shortage.LAYERS:
             free_at = self.selector.find_pause_end(
                 call.service.name, loop.time()
             )
--- /dev/null
+++ b/rattanroute/messages/crashbans.py
@@ -0,0 +1,34 @@
+"""Messages on requests that crash targets; kinds 270 to 279."""
+
+import msgspec
+
+
+class SuspectState(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """What a VM knows of a request under which targets crashed.
+
+    Attributes:
+        fingerprint: The request's fingerprint.
+        banned_s: Seconds for which it is refused; 0 when it is only watched.
+        crash_age_s: Seconds since the latest crash under it.
+    """
+
+    fingerprint: str
+    banned_s: float
+    crash_age_s: float
+
+
+class SuspectStates(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Requests that are watched or banned."""
+
+    states: tuple[SuspectState, ...]
+
+
+class ClearedRequests(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True
+):
+    """Fingerprints of requests that were answered."""
+
+    fingerprints: tuple[str, ...]
+
+
+KINDS: dict[int, type] = {270: SuspectStates, 271: ClearedRequests}
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -25,6 +25,7 @@
 from rattanroute.platform.settings import Boot
 from rattanroute.platform.settings import build_settings
 from rattanroute.platform.settings import load_boot
+from rattanroute.systems.crashbans import CrashBanSystem
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
@@ -104,7 +105,16 @@
             targets=self.targets,
             members=self.control.membership.alive,
         )
+        self.bans = CrashBanSystem(
+            vm_id=self.vm_id,
+            voter=self.control.settings.storage.voter,
+            members=self.control.membership.alive,
+        )
+        self.bans.on_banned = lambda fingerprint: log.info(
+            "request banned", fingerprint=fingerprint
+        )
         self.questions = TargetQuestions(pool=self.pool, codec=PlatformOrders())
+        self.control.add(self.bans)
         self.control.add(self.departures)
         self.control.add(self.inspections)
         self.control.add(self.reports)
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -99,6 +99,7 @@
         self.crashes = CrashObserver(
             pool=self.pool,
             targets=self.targets,
+            bans=self.bans,
             lost_attempts=self.metrics.lost_attempts,
         )
         services = ServiceForwarder(
--- /dev/null
+++ b/rattanroute/systems/crashbans.py
@@ -0,0 +1,365 @@
+"""Refuses requests that crash the targets that run them, on every VM.
+
+The caller of such a request sends it again, to other VMs and with another
+identifier, so that no VM sees it often. A VM that finds a target crashed under
+a request therefore tells the voters, which count the crashes that all VMs saw
+and tell all VMs what to refuse. They repeat that, for messages that are lost
+and VMs that start later; VMs tell voters that have started anew.
+
+Most requests that run on a target when it crashes did not cause it. An answer
+clears a request everywhere: one that crashes its targets is never answered.
+VMs are told of a request before it is refused, so that they know of which
+answers the voters must hear.
+
+Unlike the quarantine, this system does not keep suspects apart, for which each
+VM would have to hear of each run at all others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from typing import Protocol
+
+from rattanroute.actions import Action
+from rattanroute.actions import SendMessage
+from rattanroute.messages.crashbans import ClearedRequests
+from rattanroute.messages.crashbans import SuspectState
+from rattanroute.messages.crashbans import SuspectStates
+from rattanroute.messages.quarantines import Crash
+from rattanroute.messages.quarantines import CrashReports
+from rattanroute.tables.fingerprints import CrashKey
+
+# Two crashes in a row may be a coincidence: those who ran beside the cause of
+# the first one may have moved to the same target.
+MAX_CRASHES = 3
+# Crashes from which on all VMs look out for an answer.
+WATCHED_CRASHES = 2
+BAN_SECONDS = 600.0
+REPEAT_SECONDS = 1.0
+# Times that a VM repeats to the voters what it saw.
+REPEATS = 3
+# Without a word of the voters for so long they are told of a ban.
+SILENCE_SECONDS = 3.0
+# Word of crashes from before an answer may arrive for so long.
+CLEARED_SECONDS = 10.0
+# Bound the memory for requests that ran beside crashes, and a message.
+MAX_SUSPECTS = 4096
+MAX_TOLD = 256
+
+
+class MemberRow(Protocol):
+    """What this system reads of a live VM."""
+
+    vm_id: str
+    voter: bool
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Suspect:
+    """A request under which targets crashed.
+
+    Attributes:
+        crashes: Crashes that this VM counts, with their times.
+        crashed_at: Time of the latest crash that any VM told of.
+        banned_until: Time until which it is refused.
+        confirmed_at: When a voter last told of it.
+    """
+
+    crashes: dict[CrashKey, float] = dataclasses.field(default_factory=dict)
+    crashed_at: float = 0.0
+    banned_until: float = 0.0
+    confirmed_at: float = float("-inf")
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Sighting:
+    """A crash or an answer that this VM saw and repeats to the voters.
+
+    Attributes:
+        fingerprint: The request.
+        crash: The crash; None for an answer.
+        at: Time of the sighting.
+        sends: Times that it was sent.
+    """
+
+    fingerprint: str
+    crash: CrashKey | None
+    at: float
+    sends: int = 0
+
+
+class CrashBanSystem:
+    """Counts crashes by request and bans requests.
+
+    Args:
+        vm_id: Identifier of this VM.
+        voter: Whether this VM counts for all others.
+        members: Returns the live VMs, this one included.
+    """
+
+    message_types: tuple[type, ...] = (
+        CrashReports,
+        SuspectStates,
+        ClearedRequests,
+    )
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        voter: bool,
+        members: Callable[[], Iterable[MemberRow]],
+    ) -> None:
+        self.vm_id = vm_id
+        self.voter = voter
+        self.members = members
+        self.suspects: dict[str, Suspect] = {}
+        self.cleared: dict[str, float] = {}
+        self.sightings: list[Sighting] = []
+        self.news: set[str] = set()
+        self.repeat_at = 0.0
+        self.on_banned: Callable[[str], None] | None = None
+
+    # What this VM sees.
+
+    def banned_until(self, fingerprint: str, now: float) -> float | None:
+        """Returns until when a request is refused; None if it is not."""
+        row = self.suspects.get(fingerprint)
+        if row is None or row.banned_until <= now:
+            return None
+        return row.banned_until
+
+    def note_crash(self, fingerprint: str, crash: CrashKey, now: float) -> None:
+        """Takes a crash that this VM saw under a request."""
+        if self.add(fingerprint, crash, now, now):
+            self.sightings.append(
+                Sighting(fingerprint=fingerprint, crash=crash, at=now)
+            )
+
+    def note_answer(self, fingerprint: str, now: float) -> None:
+        """Clears a suspect that was answered here."""
+        if fingerprint in self.suspects:
+            self.clear(fingerprint, now)
+            self.sightings.append(
+                Sighting(fingerprint=fingerprint, crash=None, at=now)
+            )
+
+    # The table.
+
+    def add(
+        self, fingerprint: str, crash: CrashKey, at: float, now: float
+    ) -> bool:
+        """Records a crash; returns whether it was not known."""
+        row = self.enter(fingerprint, at, now)
+        if row is None or crash in row.crashes:
+            return False
+        row.crashes[crash] = at
+        if len(row.crashes) >= MAX_CRASHES:
+            self.ban(fingerprint, row, now + BAN_SECONDS, now)
+        return True
+
+    def enter(
+        self, fingerprint: str, crashed_at: float, now: float
+    ) -> Suspect | None:
+        """Returns the row of a request under which a target crashed.
+
+        Returns nothing when the request was answered since then.
+        """
+        if crashed_at <= self.cleared.get(fingerprint, float("-inf")):
+            return None
+        row = self.suspects.get(fingerprint)
+        if row is None:
+            if len(self.suspects) >= MAX_SUSPECTS:
+                self.drop(self.find_dispensable(now))
+            row = self.suspects[fingerprint] = Suspect()
+        row.crashed_at = max(row.crashed_at, crashed_at)
+        return row
+
+    def find_dispensable(self, now: float) -> str:
+        """Returns the oldest suspect, one that is not banned if there is."""
+        free = (k for k, x in self.suspects.items() if x.banned_until <= now)
+        return next(free, next(iter(self.suspects)))
+
+    def ban(
+        self, fingerprint: str, row: Suspect, until: float, now: float
+    ) -> None:
+        """Refuses a request for a while."""
+        is_new = row.banned_until <= now
+        row.banned_until = max(row.banned_until, until)
+        if is_new and self.on_banned is not None:
+            self.on_banned(fingerprint)
+
+    def clear(self, fingerprint: str, now: float) -> bool:
+        """Forgets a suspect; returns whether it was one."""
+        self.cleared[fingerprint] = now
+        return self.drop(fingerprint)
+
+    def drop(self, fingerprint: str) -> bool:
+        """Removes a suspect; returns whether it was one."""
+        self.news.discard(fingerprint)
+        return self.suspects.pop(fingerprint, None) is not None
+
+    # Messages.
+
+    def receive(
+        self, *, peer: str, message: object, now: float
+    ) -> list[Action]:
+        """Takes what another VM saw, or what a voter tells."""
+        match message:
+            case CrashReports():
+                self.take_reports(message, now)
+            case SuspectStates():
+                self.take_states(peer, message, now)
+            case ClearedRequests():
+                return self.take_cleared(peer, message, now)
+        return []
+
+    def take_reports(self, message: CrashReports, now: float) -> None:
+        """Counts crashes that another VM saw."""
+        for crash in message.crashes:
+            key = CrashKey(crash.target_id, crash.incarnation)
+            for fingerprint in crash.fingerprints:
+                if not self.add(fingerprint, key, now - crash.age, now):
+                    continue
+                if len(self.suspects[fingerprint].crashes) >= WATCHED_CRASHES:
+                    self.news.add(fingerprint)
+
+    def take_states(
+        self, peer: str, message: SuspectStates, now: float
+    ) -> None:
+        """Takes over which requests are watched and banned."""
+        from_voter = self.is_voter(peer)
+        for state in message.states:
+            crashed_at = now - state.crash_age_s
+            row = self.enter(state.fingerprint, crashed_at, now)
+            if row is None:
+                continue
+            if from_voter:
+                row.confirmed_at = now
+            if state.banned_s <= 0:
+                continue
+            if self.voter and row.banned_until <= now:
+                self.news.add(state.fingerprint)
+            banned_s = min(state.banned_s, BAN_SECONDS)
+            self.ban(state.fingerprint, row, now + banned_s, now)
+
+    def take_cleared(
+        self, peer: str, message: ClearedRequests, now: float
+    ) -> list[Action]:
+        """Forgets requests that were answered; a voter tells all VMs."""
+        known = [x for x in message.fingerprints if self.clear(x, now)]
+        if not known or not self.voter or self.is_voter(peer):
+            return []
+        return self.tell_all(ClearedRequests(fingerprints=tuple(known)))
+
+    def is_voter(self, vm_id: str) -> bool:
+        """Whether a live VM is a voter."""
+        return any(x.vm_id == vm_id and x.voter for x in self.members())
+
+    def tell_voters(self, message: object) -> list[Action]:
+        """Returns the messages to all voters."""
+        return [
+            SendMessage(peer=member.vm_id, message=message)
+            for member in self.members()
+            if member.voter and member.vm_id != self.vm_id
+        ]
+
+    def tell_all(self, message: object) -> list[Action]:
+        """Returns the messages to all other VMs."""
+        return [
+            SendMessage(peer=member.vm_id, message=message)
+            for member in self.members()
+            if member.vm_id != self.vm_id
+        ]
+
+    # Ticks.
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Tells what is new, repeats what counts, forgets what is old."""
+        repeats = now >= self.repeat_at
+        if repeats:
+            self.repeat_at = now + REPEAT_SECONDS
+            self.forget(now)
+        if self.voter:
+            return self.tell_states(repeats, now)
+        actions = self.tell_sightings(repeats, now)
+        return actions + self.remind(now) if repeats else actions
+
+    def build_states(
+        self, fingerprints: Iterable[str], now: float
+    ) -> SuspectStates:
+        """Returns a message about some suspects."""
+        rows = [(x, self.suspects[x]) for x in fingerprints]
+        return SuspectStates(
+            states=tuple(
+                SuspectState(
+                    fingerprint=name,
+                    banned_s=max(0.0, row.banned_until - now),
+                    crash_age_s=now - row.crashed_at,
+                )
+                for name, row in rows
+            )
+        )
+
+    def list_banned(self, now: float) -> list[str]:
+        """Returns the requests that are refused, the newest last."""
+        return [k for k, x in self.suspects.items() if x.banned_until > now]
+
+    def tell_states(self, repeats: bool, now: float) -> list[Action]:
+        """Tells all VMs what has changed, or again all that they refuse."""
+        names = list(self.news)[:MAX_TOLD]
+        self.news.difference_update(names)
+        if repeats:
+            names += self.list_banned(now)[-MAX_TOLD:]
+        if not names:
+            return []
+        return self.tell_all(self.build_states(dict.fromkeys(names), now))
+
+    def tell_sightings(self, repeats: bool, now: float) -> list[Action]:
+        """Tells the voters what this VM saw, some of it again."""
+        due = [x for x in self.sightings if repeats or not x.sends]
+        if not due:
+            return []
+        for sighting in due:
+            sighting.sends += 1
+        self.sightings = [x for x in self.sightings if x.sends <= REPEATS]
+        actions = []
+        answered = tuple(x.fingerprint for x in due if x.crash is None)
+        if answered:
+            message = ClearedRequests(fingerprints=answered)
+            actions += self.tell_voters(message)
+        crashes = tuple(build_crash(x, now) for x in due if x.crash is not None)
+        if crashes:
+            actions += self.tell_voters(CrashReports(crashes=crashes))
+        return actions
+
+    def remind(self, now: float) -> list[Action]:
+        """Tells the voters of bans of which they no longer tell."""
+        silent = [
+            name
+            for name in self.list_banned(now)
+            if now - self.suspects[name].confirmed_at > SILENCE_SECONDS
+        ]
+        if not silent:
+            return []
+        states = self.build_states(silent[-MAX_TOLD:], now)
+        return self.tell_voters(states)
+
+    def forget(self, now: float) -> None:
+        """Forgets what is too old to count."""
+        for name, row in list(self.suspects.items()):
+            if now - row.crashed_at >= BAN_SECONDS and row.banned_until <= now:
+                self.drop(name)
+        for name, at in list(self.cleared.items()):
+            if now - at >= CLEARED_SECONDS:
+                del self.cleared[name]
+
+
+def build_crash(sighting: Sighting, now: float) -> Crash:
+    """Returns what tells a voter of a crash."""
+    return Crash(
+        target_id=sighting.crash.target_id,
+        incarnation=sighting.crash.incarnation,
+        fingerprints=(sighting.fingerprint,),
+        age=now - sighting.at,
+    )
--- /dev/null
+++ b/rattanroute/tests/crashban_support.py
@@ -0,0 +1,85 @@
+"""VMs that share what they know of crashing requests, for tests."""
+
+import dataclasses
+
+from rattanroute.actions import Action
+from rattanroute.systems.crashbans import CrashBanSystem
+from rattanroute.tables.fingerprints import CrashKey
+from rattanroute.tests.support import MemberStub
+
+VOTERS = ("core-1", "core-2", "core-3")
+FRONTS = ("front-1", "front-2", "front-3", "front-4")
+TICK_SECONDS = 0.1
+
+
+def build_crash(number: int) -> CrashKey:
+    """Builds the crash of a target of its own."""
+    return CrashKey(f"t{number}", 1)
+
+
+@dataclasses.dataclass(kw_only=True)
+class BanCluster:
+    """The systems of all VMs, with messages that arrive at once.
+
+    Attributes:
+        now: Time in seconds.
+        systems: The system of each VM.
+        cut: VMs whose messages are lost, in both directions.
+        sent: Messages sent so far.
+    """
+
+    now: float = 100.0
+    systems: dict[str, CrashBanSystem] = dataclasses.field(default_factory=dict)
+    cut: set[str] = dataclasses.field(default_factory=set)
+    sent: int = 0
+
+    def __post_init__(self) -> None:
+        for vm_id in (*VOTERS, *FRONTS):
+            self.start(vm_id)
+
+    def start(self, vm_id: str) -> None:
+        """Starts a VM, or starts it anew."""
+        self.systems[vm_id] = CrashBanSystem(
+            vm_id=vm_id,
+            voter=vm_id in VOTERS,
+            members=lambda: [
+                MemberStub(vm_id=name, voter=name in VOTERS)
+                for name in (*VOTERS, *FRONTS)
+            ],
+        )
+
+    def crash(self, front: str, fingerprint: str, number: int) -> None:
+        """Lets a target crash under a request of a front."""
+        self.systems[front].note_crash(
+            fingerprint, build_crash(number), self.now
+        )
+
+    def answer(self, front: str, fingerprint: str) -> None:
+        """Lets a request of a front be answered."""
+        self.systems[front].note_answer(fingerprint, self.now)
+
+    def deliver(self, sender: str, actions: list[Action]) -> None:
+        """Delivers messages, and what they cause."""
+        for action in actions:
+            self.sent += 1
+            if sender in self.cut or action.peer in self.cut:
+                continue
+            more = self.systems[action.peer].receive(
+                peer=sender, message=action.message, now=self.now
+            )
+            self.deliver(action.peer, more)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            for vm_id, system in list(self.systems.items()):
+                self.deliver(vm_id, system.tick(now=self.now))
+
+    def list_refusing(self, fingerprint: str) -> list[str]:
+        """Returns the fronts that refuse a request."""
+        return [
+            front
+            for front in FRONTS
+            if self.systems[front].banned_until(fingerprint, self.now)
+        ]
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -26,6 +26,7 @@
 from rattanroute.platform.headers import PlatformHeaders
 from rattanroute.platform.replicas import PlatformOrders
 from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.crashbans import CrashBanSystem
 from rattanroute.systems.detections import DetectionSystem
 from rattanroute.systems.stagechoices import StageChooser
 from rattanroute.tables.engineloads import EngineLoadTable
@@ -41,6 +42,7 @@
 from rattanroute.tests.gateway_support import build_service
 from rattanroute.tests.gateway_support import LAYERS
 from rattanroute.tests.gateway_support import SERVICE
+from rattanroute.tests.support import MemberStub
 
 DESK = "desk"
 STAMP = (b"Rattanroute-Replica-Stamp", b"s")
@@ -160,6 +162,11 @@
         self.pool = ConnectionPool()
         self.suspected: list[str] = []
         self.departed: set[str] = set()
+        self.bans = CrashBanSystem(
+            vm_id="front-1",
+            voter=False,
+            members=lambda: (MemberStub(vm_id="a", voter=True),),
+        )
         self.table = build_table()
         self.handler = self.build_handler()
         self.server = HttpServer(
@@ -188,6 +195,7 @@
         self.crashes = CrashObserver(
             pool=self.pool,
             targets=self.targets,
+            bans=self.bans,
             lost_attempts=MetricsRegistry().lost_attempts,
         )
         shared = {
--- a/rattanroute/tests/support.py
+++ b/rattanroute/tests/support.py
@@ -1,10 +1,21 @@
 """Builders of test data."""
 
+import dataclasses
+
 from rattanroute.tables.requests import Request
 from rattanroute.tables.requests import RequestKind
 from rattanroute.tables.targets import TargetReport
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MemberStub:
+    """A live VM."""
+
+    vm_id: str
+    data_centre: str = "dc-a"
+    voter: bool = False
+
+
 def build_report(target_id: str = "t1", **changes: object) -> TargetReport:
     """Builds the report of a whole-model target with four slots."""
     values: dict[str, object] = {
--- /dev/null
+++ b/rattanroute/tests/test_crashbans.py
@@ -0,0 +1,203 @@
+"""Tests of the refusal of requests that crash targets."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanroute.systems.crashbans import BAN_SECONDS
+from rattanroute.systems.crashbans import MAX_CRASHES
+from rattanroute.systems.crashbans import MAX_SUSPECTS
+from rattanroute.systems.crashbans import REPEATS
+from rattanroute.tests.crashban_support import BanCluster
+from rattanroute.tests.crashban_support import FRONTS
+from rattanroute.tests.crashban_support import TICK_SECONDS
+from rattanroute.tests.crashban_support import VOTERS
+
+BAD = "bad"
+ALL = list(FRONTS)
+
+
+class ReturningRequestTest(unittest.TestCase):
+    """Guards against a request that crashes one target after the other.
+
+    It returns through other VMs, so that none of them sees all its crashes.
+    """
+
+    def setUp(self) -> None:
+        self.cluster = BanCluster()
+
+    def crash_everywhere(self, count: int = MAX_CRASHES) -> None:
+        """Lets targets crash under the request, at one front after another."""
+        for number in range(count):
+            self.cluster.crash(FRONTS[number], BAD, number)
+
+    def test_third_crash_bans_it_on_all_vms(self) -> None:
+        self.crash_everywhere(MAX_CRASHES - 1)
+        self.cluster.run(1.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+        self.cluster.crash(FRONTS[2], BAD, 2)
+        self.cluster.run(2 * TICK_SECONDS)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_one_crash_that_several_vms_saw_counts_once(self) -> None:
+        for front in FRONTS:
+            self.cluster.crash(front, BAD, 0)
+        self.cluster.run(2.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+
+    def test_front_that_starts_later_learns_of_it(self) -> None:
+        self.crash_everywhere()
+        self.cluster.run(5.0)
+        self.cluster.start("front-4")
+        self.cluster.run(1.1)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_lost_messages_are_repeated(self) -> None:
+        self.cluster.cut = {"front-2"}
+        self.crash_everywhere()
+        self.cluster.run(0.5)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+        self.cluster.cut = set()
+        self.cluster.run(1.2)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_voters_that_start_anew_learn_of_it(self) -> None:
+        """Guards against a ban that is lost with the memory of the core."""
+        self.crash_everywhere()
+        self.cluster.run(5.0)
+        for voter in VOTERS:
+            self.cluster.start(voter)
+        self.cluster.start("front-1")
+        self.cluster.run(5.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_ban_does_not_depend_on_one_voter(self) -> None:
+        self.cluster.cut = {"core-1", "core-2"}
+        self.crash_everywhere()
+        self.cluster.run(2 * TICK_SECONDS)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_ban_ends(self) -> None:
+        """Guards against a fingerprint that is refused for ever."""
+        self.crash_everywhere()
+        self.cluster.run(1.0)
+        for _ in range(int(BAN_SECONDS) + 2):
+            self.cluster.now += 1.0
+            self.cluster.run(TICK_SECONDS)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+        for system in self.cluster.systems.values():
+            self.assertEqual(system.suspects, {})
+
+
+class HarmlessRequestTest(unittest.TestCase):
+    """Guards against bans of requests that ran beside crashes."""
+
+    def setUp(self) -> None:
+        self.cluster = BanCluster()
+
+    def test_answer_elsewhere_clears_a_request(self) -> None:
+        """Guards against the ban of what many callers ask for.
+
+        Targets that go down and up by turns always have it in work.
+        """
+        for number in range(4 * MAX_CRASHES):
+            self.cluster.crash(FRONTS[number % 3], BAD, number)
+            self.cluster.run(0.3)
+            self.cluster.answer("front-4", BAD)
+            self.cluster.run(0.3)
+            self.assertEqual(self.cluster.list_refusing(BAD), [], number)
+
+    def test_answer_lifts_a_ban(self) -> None:
+        for number in range(MAX_CRASHES):
+            self.cluster.crash("front-1", BAD, number)
+        self.cluster.run(1.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+        self.cluster.answer("front-3", BAD)
+        self.cluster.run(4.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+
+    def test_lost_word_of_an_answer_is_repeated(self) -> None:
+        for number in range(MAX_CRASHES):
+            self.cluster.crash("front-1", BAD, number)
+        self.cluster.run(1.0)
+        self.cluster.cut = {"front-3"}
+        self.cluster.answer("front-3", BAD)
+        self.cluster.run(0.5)
+        self.cluster.cut = set()
+        self.cluster.run(5.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+
+    def test_crash_heard_of_late_does_not_count_after_an_answer(self) -> None:
+        self.cluster.cut = {"front-1"}
+        for number in range(MAX_CRASHES):
+            self.cluster.crash("front-1", BAD, number)
+        self.cluster.run(0.3)
+        voter = self.cluster.systems["core-1"]
+        voter.clear(BAD, self.cluster.now)
+        self.cluster.cut = set()
+        self.cluster.run(1.0)
+        self.assertNotIn(BAD, voter.suspects)
+
+    def test_others_are_not_refused(self) -> None:
+        for number in range(MAX_CRASHES):
+            self.cluster.crash("front-1", BAD, number)
+            self.cluster.crash("front-1", f"beside-{number}", number)
+        self.cluster.run(1.0)
+        for number in range(MAX_CRASHES):
+            name = f"beside-{number}"
+            self.assertEqual(self.cluster.list_refusing(name), [])
+
+
+class CostTest(unittest.TestCase):
+    """Guards against memory and messages that grow with crashes."""
+
+    def test_suspects_are_bounded_and_bans_kept(self) -> None:
+        cluster = BanCluster()
+        for number in range(MAX_CRASHES):
+            cluster.crash("front-1", BAD, number)
+        for number in range(MAX_SUSPECTS + 100):
+            cluster.crash("front-1", f"beside-{number}", 0)
+        system = cluster.systems["front-1"]
+        self.assertEqual(len(system.suspects), MAX_SUSPECTS)
+        self.assertIsNotNone(system.banned_until(BAD, cluster.now))
+
+    def test_fronts_do_not_hear_of_single_crashes(self) -> None:
+        """Guards against a flood to all VMs at each crash."""
+        cluster = BanCluster()
+        for number in range(100):
+            cluster.crash("front-1", f"beside-{number}", 0)
+        cluster.run(5.0)
+        self.assertEqual(cluster.systems["front-2"].suspects, {})
+        self.assertEqual(cluster.sent, len(VOTERS) * (1 + REPEATS))
+
+
+class LossTest(unittest.TestCase):
+    """Guards against a ban that some VM misses, whatever is lost."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(FRONTS),
+                st.sets(st.sampled_from((*VOTERS, *FRONTS)), max_size=5),
+                st.floats(0.0, 1.0),
+            ),
+            min_size=MAX_CRASHES,
+            max_size=8,
+        )
+    )
+    def test_all_vms_refuse_it_once_messages_arrive(
+        self, crashes: list[tuple[str, set[str], float]]
+    ) -> None:
+        cluster = BanCluster()
+        for number, (front, cut, pause) in enumerate(crashes):
+            cluster.cut = cut
+            cluster.crash(front, BAD, number)
+            cluster.run(pause)
+        cluster.cut = set()
+        cluster.run(3.5)
+        count = len(crashes)
+        with self.subTest(crashes=count):
+            self.assertEqual(cluster.list_refusing(BAD), ALL)
--- a/rattanroute/tests/test_departures.py
+++ b/rattanroute/tests/test_departures.py
@@ -1,26 +1,17 @@
 """Tests of the notices of targets that end."""
 
-import dataclasses
 import unittest
 
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.tables.targets import TargetTable
 from rattanroute.tests.support import build_report
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class MemberStub:
-    """A live VM."""
-
-    vm_id: str
-    voter: bool = True
-
+from rattanroute.tests.support import MemberStub
 
 MEMBERS = (
-    MemberStub(vm_id="a"),
-    MemberStub(vm_id="b"),
-    MemberStub(vm_id="front-1", voter=False),
-    MemberStub(vm_id="front-2", voter=False),
+    MemberStub(vm_id="a", voter=True),
+    MemberStub(vm_id="b", voter=True),
+    MemberStub(vm_id="front-1"),
+    MemberStub(vm_id="front-2"),
 )
 
 
--- a/rattanroute/tests/test_engineloads.py
+++ b/rattanroute/tests/test_engineloads.py
@@ -1,22 +1,12 @@
 """Tests of the load of engines that VMs tell each other."""
 
-import dataclasses
 import unittest
 
 from rattanroute.systems.engineloads import EngineLoadSystem
 from rattanroute.systems.engineloads import EXPIRY_SECONDS
 from rattanroute.systems.engineloads import SILENCE_SECONDS
 from rattanroute.tables.engineloads import EngineLoadTable
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class MemberStub:
-    """A live VM."""
-
-    vm_id: str
-    data_centre: str = "dc-a"
-    voter: bool = False
-
+from rattanroute.tests.support import MemberStub
 
 MEMBERS = (
     MemberStub(vm_id="core-1", voter=True),
--- a/rattanroute/tests/test_gateway_crashes.py
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -4,9 +4,12 @@
 
 from rattanroute.gateway.crashes import LostAttempt
 from rattanroute.http1.servers import Exchange
+from rattanroute.systems.crashbans import BAN_SECONDS
+from rattanroute.systems.crashbans import MAX_CRASHES
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import GatewayTestCase
+from rattanroute.tests.gateway_support import SERVICE
 
 
 async def crash(target: FakeTarget, exchange: Exchange) -> None:
@@ -106,3 +109,63 @@
         await self.add_target("t1", answer)
         self.assertEqual((await self.call("/once/x")).status, 200)
         self.assertEqual(self.crashes.open, [])
+
+
+class BannedRequestTest(GatewayTestCase):
+    """Guards against targets that one request ends one after the other."""
+
+    async def test_returning_call_is_refused_after_three_crashes(self) -> None:
+        """Guards against a caller that ends a target with each return."""
+        targets = [await self.add_target(f"t{i}", crash) for i in range(6)]
+        statuses = []
+        for number in range(6):
+            answer = await self.call("/safe/x", request_id=f"r{number}")
+            statuses.append(answer.status)
+            await asyncio.sleep(0.05)
+        self.assertEqual(sum(len(x.seen) for x in targets), MAX_CRASHES)
+        self.assertEqual(statuses, [502, 502, 503, 503, 503, 503])
+
+    async def test_returning_stream_is_refused(self) -> None:
+        """Guards against a stream that ends an engine with each return."""
+        targets = [
+            await self.add_target(f"t{i}", crash, service=SERVICE)
+            for i in range(6)
+        ]
+        for number in range(6):
+            answer = await self.call("/stream/x", request_id=f"r{number}")
+            await asyncio.sleep(0.05)
+        self.assertEqual(sum(len(x.seen) for x in targets), MAX_CRASHES)
+        self.assertEqual(answer.status, 503)
+
+    async def test_refusal_tells_when_to_come_back(self) -> None:
+        """Guards against callers that return before the ban ends."""
+        for number in range(4):
+            await self.add_target(f"t{number}", crash)
+        for number in range(3):
+            await self.call("/safe/x", request_id=f"r{number}")
+            await asyncio.sleep(0.05)
+        answer = await self.call("/safe/x", request_id="r9")
+        self.assertEqual(answer.status, 503)
+        wait = float(answer.headers[b"retry-after"])
+        self.assertGreater(wait, BAN_SECONDS - 10)
+
+    async def test_other_requests_are_served(self) -> None:
+        """Guards against a ban of all that a caller sends."""
+        for number in range(3):
+            await self.add_target(f"t{number}", crash)
+        for number in range(2):
+            await self.call("/safe/x", request_id=f"r{number}")
+            await asyncio.sleep(0.05)
+        await self.add_target("good", answer)
+        self.assertEqual((await self.call("/safe/x", body=b"y")).status, 200)
+        self.assertEqual((await self.call("/safe/x")).status, 503)
+
+    async def test_answer_clears_a_suspect(self) -> None:
+        """Guards against bans of requests that ran beside crashes."""
+        await self.add_target("t1", crash)
+        await self.call("/once/x")
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.bans.suspects), 1)
+        await self.add_target("good", answer)
+        self.assertEqual((await self.call("/once/x")).status, 200)
+        self.assertEqual(self.bans.suspects, {})
--- a/rattanroute/tests/test_inspections.py
+++ b/rattanroute/tests/test_inspections.py
@@ -1,6 +1,5 @@
 """Tests of the inspection of targets."""
 
-import dataclasses
 import unittest
 
 from rattanroute.actions import SendMessage
@@ -11,16 +10,7 @@
 from rattanroute.systems.inspections import INTERVAL_SECONDS
 from rattanroute.tables.targets import TargetTable
 from rattanroute.tests.support import build_report
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class MemberStub:
-    """A live VM."""
-
-    vm_id: str
-    data_centre: str
-    voter: bool
-
+from rattanroute.tests.support import MemberStub
 
 MEMBERS = (
     MemberStub(vm_id="core-1", data_centre="dc-a", voter=True),
