Search for crashes at a bounded cost; log what is refused as banned

Late answers of a slow service open no further connection: those hold its slots. Incarnations are looked up once for all open attempts, not for each member of each chain. A banned request gets a log line with its fingerprint.

--- a/rattanroute/gateway/crashes.py
+++ b/rattanroute/gateway/crashes.py
@@ -13,6 +13,7 @@
 from aioprometheus import Counter
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.outcomes import Unknown
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
@@ -92,7 +93,15 @@
             return None
         await self.settle(call)
         now = asyncio.get_running_loop().time()
-        return self.bans.banned_until(call.fingerprint, now)
+        until = self.bans.banned_until(call.fingerprint, now)
+        if until is not None:
+            log.info(
+                "banned request not sent",
+                request_id=call.terms.request_id,
+                fingerprint=call.fingerprint,
+                seconds=until - now,
+            )
+        return until
 
     async def settle(self, call: Call) -> None:
         """Waits a short time for the verdict on a call's lost attempt."""
@@ -118,21 +127,18 @@
         return tuple(row.report for row in rows if row is not None)
 
     def note_lost(
-        self, call: Call, reports: tuple[TargetReport, ...], reason: str
-    ) -> LostAttempt | None:
+        self, call: Call, reports: tuple[TargetReport, ...], outcome: Unknown
+    ) -> None:
         """Takes an attempt that ended for an unknown reason.
 
         Args:
             call: The call.
             reports: Reports of its targets when it was sent; the first one
                 is that of the target that took the request.
-            reason: Why the attempt ended.
-
-        Returns:
-            The attempt with its verdict to come; None beyond the bound.
+            outcome: How the attempt ended.
         """
         if not reports or len(self.open) >= MAX_LOST:
-            return None
+            return
         loop = asyncio.get_running_loop()
         lost = LostAttempt(
             request_id=call.terms.request_id,
@@ -148,10 +154,11 @@
             fingerprint=lost.fingerprint,
             target=reports[0].target_id,
             incarnation=reports[0].incarnation,
-            reason=reason,
+            reason=outcome.reason,
         )
-        self.probe(reports[0].address)
-        return lost
+        # A target that only takes too long needs no further connection.
+        if not outcome.timed_out:
+            self.probe(reports[0].address)
 
     def probe(self, address: str) -> None:
         """Tries to connect to a target, once for all that ask meanwhile."""
@@ -177,9 +184,10 @@
     def check(self) -> None:
         """Gives the verdicts that are due; called at an interval."""
         now = asyncio.get_running_loop().time()
+        newest = self.list_incarnations() if self.open else {}
         left = []
         for lost in self.open:
-            crashed = self.find_crashed(lost)
+            crashed = self.find_crashed(lost, newest)
             if crashed is not None:
                 self.conclude(lost, crashed, now)
             elif now - lost.lost_at >= VERDICT_SECONDS:
@@ -191,32 +199,35 @@
             if now - at >= VERDICT_SECONDS:
                 del self.refused_at[address]
 
-    def find_crashed(self, lost: LostAttempt) -> TargetReport | None:
-        """Returns the first target of an attempt that has crashed, if any."""
-        for report in lost.reports:
-            if self.has_crashed(report, lost.lost_at):
-                return report
-        return None
+    def list_incarnations(self) -> dict[str, int]:
+        """Returns the newest incarnation at each address."""
+        newest: dict[str, int] = {}
+        for row in self.targets:
+            address = row.report.address
+            known = newest.get(address, 0)
+            newest[address] = max(known, row.report.incarnation)
+        return newest
 
-    def has_crashed(self, report: TargetReport, lost_at: float) -> bool:
-        """Whether an incarnation of a target has ended, and not as planned.
+    def find_crashed(
+        self, lost: LostAttempt, newest: dict[str, int]
+    ) -> TargetReport | None:
+        """Returns the first target of an attempt that has crashed, if any.
 
         Args:
-            report: A report of the incarnation.
-            lost_at: When an attempt at it was lost.
+            lost: The attempt.
+            newest: The newest incarnation at each address.
         """
-        row = self.targets.get(report.target_id)
-        if row is not None and row.report.leaving:
-            return False
-        if self.refused_at.get(report.address, 0.0) >= lost_at:
-            return True
-        if row is not None and not row.reachable:
-            return True
-        return any(
-            other.report.address == report.address
-            and other.report.incarnation > report.incarnation
-            for other in self.targets.serving(report.model)
-        )
+        for report in lost.reports:
+            row = self.targets.get(report.target_id)
+            if row is not None and row.report.leaving:
+                continue
+            if self.refused_at.get(report.address, 0.0) >= lost.lost_at:
+                return report
+            if row is not None and not row.reachable:
+                return report
+            if newest.get(report.address, 0) > report.incarnation:
+                return report
+        return None
 
     def conclude(
         self, lost: LostAttempt, crashed: TargetReport | None, now: float
--- a/rattanroute/gateway/services.py
+++ b/rattanroute/gateway/services.py
@@ -132,7 +132,7 @@
             call.ran_on.add(target_id)
             call.may_have_run = True
         if isinstance(outcome, Unknown):
-            self.crashes.note_lost(call, (report,), outcome.reason)
+            self.crashes.note_lost(call, (report,), outcome)
         return outcome
 
     def note_health(self, target_id: str, outcome: Outcome, now: float) -> None:
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -191,8 +191,8 @@
             outcome = await self.exchange(call, state, chain, avoided)
         finally:
             self.count_load(chain, tokens, -1, loop.time())
-        if isinstance(outcome, Unknown) and not outcome.timed_out:
-            self.crashes.note_lost(call, reports, outcome.reason)
+        if isinstance(outcome, Unknown):
+            self.crashes.note_lost(call, reports, outcome)
         return outcome
 
     def count_load(
--- a/rattanroute/tests/test_gateway_crashes.py
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -31,7 +31,9 @@
 class CrashObserverTest(GatewayTestCase):
     """Guards against crashes that are missed, or seen where there is none."""
 
-    async def lose(self, path: str = "/once/x", **options: str) -> LostAttempt:
+    async def lose(
+        self, path: str = "/once/x", **options: object
+    ) -> LostAttempt:
         """Sends a request whose attempt is lost."""
         await self.call(path, **options)
         return self.crashes.open[-1]
@@ -71,13 +73,23 @@
     async def test_planned_end_is_no_crash(self) -> None:
         """Guards against requests that are blamed for a departure."""
         await self.add_target("t1", crash)
-        self.targets.get("t1").report.leaving = False
         lost = await self.lose()
         self.targets.get("t1").report.leaving = True
         await asyncio.sleep(0.1)
         self.crashes.check()
         self.assertFalse(lost.verdict.done())
 
+    async def test_late_answer_opens_no_connection(self) -> None:
+        """Guards against probes that add to the load of a slow service."""
+
+        async def wait(target: FakeTarget, exchange: Exchange) -> None:
+            await target.gone.wait()
+
+        await self.add_target("t1", wait)
+        await self.lose(deadline_ms=200)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.pool.opened, 1)
+
     async def test_old_refusal_does_not_count_for_a_new_incarnation(
         self,
     ) -> None:
