--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -44,6 +44,8 @@
 STALL_SECONDS = 2.0
 EVENT_SECONDS = 0.04
 LOAD_SECONDS = 0.2
+# Status of a process that a request crashed.
+CRASH_STATUS = 70
 
 
 class StandInSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -246,7 +248,7 @@
         self.record("run", request_id=request_id)
         marker = self.settings.crash_marker
         if marker and marker.encode() in body:
-            os._exit(1)
+            os._exit(CRASH_STATUS)
 
     def refuse(
         self, exchange: Exchange, status: int, request_id: str, at: str = ""
--- a/rattanroute/tests/test_soak_checks.py
+++ b/rattanroute/tests/test_soak_checks.py
@@ -12,6 +12,7 @@
 from rattanroute.tests.soak_support import build_record
 from rattanroute.tests.soak_support import FRONT
 from rattanroute.tools.soak_checks import find_broken
+from rattanroute.tools.soak_crashes import CRASHING_CALLER
 from rattanroute.tools.soak_plans import Action
 from rattanroute.tools.soak_records import Acknowledgement
 from rattanroute.tools.soak_records import Disturbance
@@ -122,6 +123,29 @@
         log = build_log(records=records)
         self.assertEqual(list_broken(log), {"check_departures"})
 
+    def test_crashing_request_that_is_sent_on(self) -> None:
+        """Guards against a request that ends one replica after the other."""
+        times = [10.0, 10.5, 11.0, 15.1, 15.5, 16.0, 16.5]
+        names = [f"{CRASHING_CALLER}-{i}" for i in range(len(times))]
+        log = build_log(
+            attempts=[
+                build_attempt(
+                    request_id=name, ending=Ending.REFUSED, status=502
+                )
+                for name in names
+            ]
+            + [build_attempt()],
+            records=[
+                build_record("run", at=at, request_id=name)
+                for at, name in zip(times, names, strict=True)
+            ],
+        )
+        self.assertEqual(list_broken(log), {"check_crashes", "check_recovery"})
+        log.attempts += [build_attempt(request_id=f"r{i}") for i in range(9)]
+        self.assertEqual(list_broken(log), {"check_crashes"})
+        log.records.pop()
+        self.assertEqual(list_broken(log), set())
+
     def test_too_many_repeats(self) -> None:
         """Guards against retries beyond the budget."""
         count = int(BOUNDS.repeat_extra) + 10
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -20,6 +20,10 @@
 from rattanroute.tools.soak_callers import Entry
 from rattanroute.tools.soak_callers import Operator
 from rattanroute.tools.soak_checks import find_broken
+from rattanroute.tools.soak_crashes import CRASH_MARKER
+from rattanroute.tools.soak_crashes import CRASHING_CALLER
+from rattanroute.tools.soak_crashes import CrashingCaller
+from rattanroute.tools.soak_crashes import REPLICA_DOWN_SECONDS
 from rattanroute.tools.soak_fleets import FRONTS_PER_ZONE
 from rattanroute.tools.soak_fleets import SoakFleet
 from rattanroute.tools.soak_fleets import ZONES
@@ -59,14 +63,19 @@
         self.seed = seed
         self.bounds = Bounds()
         self.random = randoms.Random(seed)
-        self.fleet = SoakFleet(bounds=self.bounds, fronts=fronts)
+        self.fleet = SoakFleet(
+            bounds=self.bounds, fronts=fronts, crash_marker=CRASH_MARKER
+        )
         self.plan: SoakPlan = plan_soak(
             seed,
             machines=list(self.fleet.machines.values()),
             replicas=list(self.fleet.replicas),
             seconds=seconds,
         )
-        self.log = SoakLog(fronts=[x.name for x in self.fleet.fronts])
+        self.log = SoakLog(
+            fronts=[x.name for x in self.fleet.fronts],
+            core=[x.name for x in self.fleet.core],
+        )
         self.entry = Entry(fleet=self.fleet, random=self.random)
         self.operator = Operator(
             fleet=self.fleet, log=self.log, random=self.random
@@ -82,6 +91,16 @@
             for zone in ZONES
             for i in range(CALLERS_PER_ZONE)
         ]
+        self.callers.append(
+            CrashingCaller(
+                name=CRASHING_CALLER,
+                zone=ZONES[0],
+                zones=ZONES,
+                entry=self.entry,
+                log=self.log,
+                random=randoms.Random(f"{seed} {CRASHING_CALLER}"),
+            )
+        )
         self.over = False
 
     async def run(self) -> dict[str, list[str]]:
@@ -109,6 +128,9 @@
             asyncio.create_task(self.operator.probe(x))
             for x in self.fleet.fronts
         ]
+        followers.append(
+            asyncio.create_task(self.fleet.revive_crashed(REPLICA_DOWN_SECONDS))
+        )
         workers = [
             asyncio.create_task(x.run(self.is_over))
             for x in (*self.callers, self.operator)
--- a/rattanroute/tools/soak_checks.py
+++ b/rattanroute/tools/soak_checks.py
@@ -10,6 +10,7 @@
 from rattanroute.platform.trials import PROMISES
 from rattanroute.platform.trials import timeout_s
 from rattanroute.platform.trials import VERSIONS_KEPT
+from rattanroute.tools.soak_crashes import CRASHING_CALLER
 from rattanroute.tools.soak_plans import Action
 from rattanroute.tools.soak_records import Ending
 from rattanroute.tools.soak_records import Probe
@@ -17,6 +18,10 @@
 
 # Part of the requests that must be served after the last fault.
 RECOVERED_PART = 0.25
+# Crashes after which a request must be known on all fronts in touch, and
+# retries that may still reach replicas then.
+MAX_CRASHES = 3
+MAX_LATE_RETRIES = 3
 # From SIGTERM on, a front still takes new connections for so long.
 ROTATION_SECONDS = 2.5
 
@@ -276,6 +281,28 @@
     return wrong
 
 
+def check_crashes(log: SoakLog, bounds: Bounds) -> list[str]:
+    """A request that crashed replicas is not sent on by fronts in touch."""
+    fronts = {x.request_id: x.front for x in log.attempts}
+    runs = sorted(
+        (record.at, fronts[record.request_id])
+        for record in log.records
+        if record.event == "run"
+        and record.request_id.startswith(CRASHING_CALLER)
+        and record.request_id in fronts
+    )
+    if len(runs) <= MAX_CRASHES:
+        return []
+    known_at = runs[MAX_CRASHES - 1][0] + bounds.contact_s
+    late = [
+        f"{front} sent it on {at - known_at:.2f} s after it had to be known"
+        for at, front in runs
+        if at > known_at
+        and log.is_calm({front, *log.core}, at, at, margin_s=bounds.contact_s)
+    ]
+    return late if len(late) > MAX_LATE_RETRIES else []
+
+
 def check_recovery(log: SoakLog, bounds: Bounds) -> list[str]:
     """Requests are served again after the last fault."""
     start = log.settled_at + bounds.recovery_s
@@ -306,6 +333,7 @@
     check_kept,
     check_budget,
     check_departures,
+    check_crashes,
     check_recovery,
     check_processes,
 )
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from rattanroute.platform.standins import CRASH_STATUS
 from rattanroute.platform.standins import Record
 from rattanroute.platform.standins import StandInSettings
 from rattanroute.platform.trials import Bounds
@@ -22,6 +23,7 @@
 from rattanroute.platform.trials import Machine
 from rattanroute.platform.trials import MAX_LAYERS
 from rattanroute.platform.trials import REPLICA_PORT
+from rattanroute.tools.processes import POLL_SECONDS
 from rattanroute.tools.processes import ProcessGroup
 from rattanroute.tools.proxies import Fault
 from rattanroute.tools.proxies import Route
@@ -353,12 +355,25 @@
             await self.start_machine(name, bootstrap=False)
         noted.end = time.monotonic()
 
+    async def revive_crashed(self, seconds: float) -> None:
+        """Starts replicas that a request crashed again, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            for name in self.replicas:
+                process = self.processes[name]
+                if process.returncode == CRASH_STATUS:
+                    await asyncio.sleep(seconds)
+                    await self.restart_once(name, process)
+
     def find_dead(self) -> list[str]:
-        """Returns processes that ended by themselves."""
+        """Returns processes that ended by themselves.
+
+        Replicas that a request crashed are not meant.
+        """
         return [
             f"{name} ended with {process.returncode}"
             for name, process in self.processes.items()
-            if process.returncode is not None
+            if process.returncode not in (None, CRASH_STATUS)
             and process not in self.expected_ends
         ]
 
--- a/rattanroute/tools/soak_records.py
+++ b/rattanroute/tools/soak_records.py
@@ -114,6 +114,7 @@
 
     Attributes:
         fronts: Names of the fronts.
+        core: Names of the machines that keep the configuration.
         attempts: Attempts of callers.
         probes: Requests on the routes of versions.
         acknowledgements: Changes that were acknowledged.
@@ -126,6 +127,7 @@
     """
 
     fronts: list[str] = dataclasses.field(default_factory=list)
+    core: list[str] = dataclasses.field(default_factory=list)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     acknowledgements: list[Acknowledgement] = dataclasses.field(
