Store what voters know of requests that crash targets

What callers saw: after all programs had ended at one moment, a request that had been refused crashed targets again, five and more times.

Cause: the counts and bans were in memory only. The bans come back from fronts to voters that start anew, but nobody is left when all end.

Repair: each voter writes suspects with two crashes or more to a file of its data folder, off the loop, and restores them at its start; it goes on without the file when the disk fails. Fronts no longer ban by their own count while they know a voter: they do not hear of answers to what is not watched, and would refuse what many ask for. Answers to requests with a single crash are told to the voters only.

--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -2,6 +2,7 @@
 
 import pathlib
 
+from rattanroute.control.crashban_stores import CrashBanStore
 from rattanroute.control.leases import LeaderLease
 from rattanroute.control.voters import build_voter
 from rattanroute.gateway.inspectors import TargetInspector
@@ -11,6 +12,7 @@
 from rattanroute.platform.control import ControlHandler
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.settings import Boot
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems.engineloads import EngineLoadSystem
 
 PLAN_SECONDS = 0.5
@@ -37,6 +39,11 @@
                 members=self.control.membership.alive,
             )
         )
+        self.ban_store = CrashBanStore(
+            folder=self.control.settings.storage.folder,
+            bans=self.bans,
+            files=SystemFileAccess(),
+        )
         self.handler = ControlHandler(
             vm_id=self.vm_id,
             zones=frozenset(boot.zones),
@@ -86,3 +93,4 @@
         self.front.start_draining()
         self.front.stop_accepting()
         await self.close()
+        await self.ban_store.close()
--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -119,6 +119,7 @@
         self.news: set[str] = set()
         self.repeat_at = 0.0
         self.on_banned: Callable[[str], None] | None = None
+        self.on_changed: Callable[[str], None] | None = None
 
     # What this VM sees.
 
@@ -154,10 +155,18 @@
         if row is None or crash in row.crashes:
             return False
         row.crashes[crash] = at
-        if len(row.crashes) >= MAX_CRASHES:
+        if len(row.crashes) >= MAX_CRASHES and self.is_judge():
             self.ban(fingerprint, row, now + BAN_SECONDS, now)
         return True
 
+    def is_judge(self) -> bool:
+        """Whether this VM bans by its own count.
+
+        Others wait for the voters, which hear of answers elsewhere; without
+        any voter they protect their targets by themselves.
+        """
+        return self.voter or not any(x.voter for x in self.members())
+
     def enter(
         self, fingerprint: str, crashed_at: float, now: float
     ) -> Suspect | None:
@@ -175,6 +184,31 @@
         row.crashed_at = max(row.crashed_at, crashed_at)
         return row
 
+    def restore(
+        self,
+        fingerprint: str,
+        crashes: Iterable[CrashKey],
+        *,
+        age_s: float,
+        banned_s: float,
+        now: float,
+    ) -> None:
+        """Takes over a suspect that an earlier process stored.
+
+        Args:
+            fingerprint: The request's fingerprint.
+            crashes: Crashes that it counted.
+            age_s: Seconds since the latest one.
+            banned_s: Seconds for which it is still refused.
+            now: Time in seconds.
+        """
+        if age_s >= BAN_SECONDS:
+            return
+        row = self.enter(fingerprint, now - age_s, now)
+        row.crashes.update(dict.fromkeys(crashes, now - age_s))
+        if banned_s > 0:
+            self.ban(fingerprint, row, now + min(banned_s, BAN_SECONDS), now)
+
     def find_dispensable(self, now: float) -> str:
         """Returns the oldest suspect, one that is not banned if there is."""
         free = (k for k, x in self.suspects.items() if x.banned_until <= now)
@@ -189,15 +223,15 @@
         if is_new and self.on_banned is not None:
             self.on_banned(fingerprint)
 
-    def clear(self, fingerprint: str, now: float) -> bool:
-        """Forgets a suspect; returns whether it was one."""
+    def clear(self, fingerprint: str, now: float) -> None:
+        """Forgets a suspect that was answered."""
         self.cleared[fingerprint] = now
-        return self.drop(fingerprint)
+        self.drop(fingerprint)
 
-    def drop(self, fingerprint: str) -> bool:
-        """Removes a suspect; returns whether it was one."""
+    def drop(self, fingerprint: str) -> None:
+        """Removes a suspect."""
         self.news.discard(fingerprint)
-        return self.suspects.pop(fingerprint, None) is not None
+        self.suspects.pop(fingerprint, None)
 
     # Messages.
 
@@ -221,8 +255,14 @@
             for fingerprint in crash.fingerprints:
                 if not self.add(fingerprint, key, now - crash.age, now):
                     continue
-                if len(self.suspects[fingerprint].crashes) >= WATCHED_CRASHES:
-                    self.news.add(fingerprint)
+                if self.is_watched(fingerprint, now):
+                    self.announce(fingerprint)
+
+    def announce(self, fingerprint: str) -> None:
+        """Lets all VMs and the store know of a change."""
+        self.news.add(fingerprint)
+        if self.on_changed is not None:
+            self.on_changed(fingerprint)
 
     def take_states(
         self, peer: str, message: SuspectStates, now: float
@@ -238,19 +278,32 @@
                 row.confirmed_at = now
             if state.banned_s <= 0:
                 continue
-            if self.voter and row.banned_until <= now:
-                self.news.add(state.fingerprint)
+            is_new = row.banned_until <= now
             banned_s = min(state.banned_s, BAN_SECONDS)
             self.ban(state.fingerprint, row, now + banned_s, now)
+            if self.voter and is_new:
+                self.announce(state.fingerprint)
 
     def take_cleared(
         self, peer: str, message: ClearedRequests, now: float
     ) -> list[Action]:
         """Forgets requests that were answered; a voter tells all VMs."""
-        known = [x for x in message.fingerprints if self.clear(x, now)]
-        if not known or not self.voter or self.is_voter(peer):
+        told = [x for x in message.fingerprints if self.is_watched(x, now)]
+        for fingerprint in message.fingerprints:
+            self.clear(fingerprint, now)
+        if self.on_changed is not None:
+            for fingerprint in told:
+                self.on_changed(fingerprint)
+        if not told or not self.voter or self.is_voter(peer):
             return []
-        return self.tell_all(ClearedRequests(fingerprints=tuple(known)))
+        return self.tell_all(ClearedRequests(fingerprints=tuple(told)))
+
+    def is_watched(self, fingerprint: str, now: float) -> bool:
+        """Whether all VMs were told of a request."""
+        row = self.suspects.get(fingerprint)
+        if row is None:
+            return False
+        return len(row.crashes) >= WATCHED_CRASHES or row.banned_until > now
 
     def is_voter(self, vm_id: str) -> bool:
         """Whether a live VM is a voter."""
--- a/rattanroute/tests/integration/test_soak_seeds.py
+++ b/rattanroute/tests/integration/test_soak_seeds.py
@@ -28,6 +28,14 @@
         """Guards against a program that a reload ends during its start."""
         await self.assert_mended(1043)
 
+    async def test_seed_2000(self) -> None:
+        """Guards against a ban that is lost with all programs."""
+        await self.assert_mended(2000)
+
+    async def test_seed_2001(self) -> None:
+        """Guards against a ban that is lost with all programs."""
+        await self.assert_mended(2001)
+
     async def test_seed_1510155370(self) -> None:
         """Guards against callers that wait on, and against a slow return."""
         await self.assert_mended(1510155370)
--- a/rattanroute/tests/soak_support.py
+++ b/rattanroute/tests/soak_support.py
@@ -53,6 +53,15 @@
         seconds=20.0,
         cause="SIGHUP ended a program 0.25 s after its start.",
     ),
+    FailedSeed(
+        seed=2000,
+        seconds=20.0,
+        cause=(
+            "A request that crashes its replicas was sent on after all "
+            "programs had ended: nobody had stored what was known of it."
+        ),
+    ),
+    FailedSeed(seed=2001, seconds=20.0, cause="The same as of seed 2000."),
     FailedSeed(
         seed=1510155370,
         seconds=20.0,
--- a/rattanroute/tests/test_crashbans.py
+++ b/rattanroute/tests/test_crashbans.py
@@ -1,15 +1,26 @@
 """Tests of the refusal of requests that crash targets."""
 
+import pathlib
+import tempfile
+import time
 import unittest
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from rattanroute.control.crashban_stores import CrashBanStore
+from rattanroute.control.crashban_stores import FILE_NAME
+from rattanroute.messages.crashbans import ClearedRequests
+from rattanroute.messages.quarantines import Crash
+from rattanroute.messages.quarantines import CrashReports
+from rattanroute.storage.records import SystemFileAccess
 from rattanroute.systems.crashbans import BAN_SECONDS
+from rattanroute.systems.crashbans import CrashBanSystem
 from rattanroute.systems.crashbans import MAX_CRASHES
 from rattanroute.systems.crashbans import MAX_SUSPECTS
 from rattanroute.systems.crashbans import REPEATS
+from rattanroute.tables.fingerprints import CrashKey
 from rattanroute.tests.crashban_support import BanCluster
 from rattanroute.tests.crashban_support import FRONTS
 from rattanroute.tests.crashban_support import TICK_SECONDS
@@ -140,6 +151,17 @@
         self.cluster.run(1.0)
         self.assertNotIn(BAD, voter.suspects)
 
+    def test_answers_that_follow_single_crashes_clear_at_each_vm(self) -> None:
+        """Guards against a VM that bans by a count of its own alone."""
+        for number in range(MAX_CRASHES):
+            self.cluster.crash("front-1", BAD, number)
+            self.cluster.run(0.3)
+            if number == 0:
+                self.cluster.systems["core-1"].clear(BAD, self.cluster.now)
+                self.cluster.systems["core-2"].clear(BAD, self.cluster.now)
+                self.cluster.systems["core-3"].clear(BAD, self.cluster.now)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+
     def test_others_are_not_refused(self) -> None:
         for number in range(MAX_CRASHES):
             self.cluster.crash("front-1", BAD, number)
@@ -150,6 +172,93 @@
             self.assertEqual(self.cluster.list_refusing(name), [])
 
 
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bans that are lost when all programs end at once."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def open(self) -> tuple[CrashBanSystem, CrashBanStore]:
+        """Starts a voter on the folder."""
+        system = BanCluster().systems["core-1"]
+        store = CrashBanStore(
+            folder=self.folder, bans=system, files=SystemFileAccess()
+        )
+        return system, store
+
+    def report(self, system: CrashBanSystem, count: int) -> None:
+        """Lets a voter hear of crashes."""
+        now = time.monotonic()
+        for number in range(count):
+            message = CrashReports(
+                crashes=(
+                    Crash(
+                        target_id=f"t{number}",
+                        incarnation=1,
+                        fingerprints=(BAD,),
+                    ),
+                )
+            )
+            system.receive(peer="front-1", message=message, now=now)
+
+    async def test_ban_is_kept(self) -> None:
+        system, store = self.open()
+        self.report(system, MAX_CRASHES)
+        await store.close()
+        system, store = self.open()
+        until = system.banned_until(BAD, time.monotonic())
+        self.assertAlmostEqual(until, time.monotonic() + BAN_SECONDS, delta=1.0)
+        await store.close()
+
+    async def test_count_before_a_ban_is_kept(self) -> None:
+        system, store = self.open()
+        self.report(system, MAX_CRASHES - 1)
+        await store.close()
+        system, store = self.open()
+        now = time.monotonic()
+        self.assertIsNone(system.banned_until(BAD, now))
+        system.add(BAD, CrashKey("t9", 1), now, now)
+        self.assertIsNotNone(system.banned_until(BAD, now))
+        await store.close()
+
+    async def test_cleared_request_stays_cleared(self) -> None:
+        system, store = self.open()
+        self.report(system, MAX_CRASHES)
+        system.receive(
+            peer="front-1",
+            message=ClearedRequests(fingerprints=(BAD,)),
+            now=time.monotonic(),
+        )
+        await store.close()
+        system, store = self.open()
+        self.assertEqual(system.suspects, {})
+        await store.close()
+
+    async def test_damaged_file_does_not_stop_a_voter(self) -> None:
+        """Guards against a program that does not start for its bans."""
+        (self.folder / FILE_NAME).write_bytes(b"x" * 100)
+        system, store = self.open()
+        self.assertEqual(system.suspects, {})
+        self.report(system, MAX_CRASHES)
+        await store.close()
+        system, store = self.open()
+        self.assertEqual(len(system.suspects), 1)
+        await store.close()
+
+    async def test_folder_that_cannot_be_used_does_not_stop_a_voter(
+        self,
+    ) -> None:
+        """Guards against a voter that a faulty disk keeps from its work."""
+        (self.folder / "file").write_bytes(b"")
+        self.folder /= "file"
+        system, store = self.open()
+        self.report(system, MAX_CRASHES)
+        self.assertIsNotNone(system.banned_until(BAD, time.monotonic()))
+        await store.close()
+
+
 class CostTest(unittest.TestCase):
     """Guards against memory and messages that grow with crashes."""
 
@@ -157,12 +266,26 @@
         cluster = BanCluster()
         for number in range(MAX_CRASHES):
             cluster.crash("front-1", BAD, number)
+        cluster.run(1.0)
         for number in range(MAX_SUSPECTS + 100):
             cluster.crash("front-1", f"beside-{number}", 0)
         system = cluster.systems["front-1"]
         self.assertEqual(len(system.suspects), MAX_SUSPECTS)
         self.assertIsNotNone(system.banned_until(BAD, cluster.now))
 
+    def test_answers_after_single_crashes_reach_voters_only(self) -> None:
+        """Guards against a flood to all VMs once a crash is over."""
+        cluster = BanCluster()
+        for number in range(100):
+            cluster.crash("front-1", f"beside-{number}", 0)
+        cluster.run(5.0)
+        sent = cluster.sent
+        for number in range(100):
+            cluster.answer("front-1", f"beside-{number}")
+        cluster.run(5.0)
+        self.assertEqual(cluster.sent - sent, len(VOTERS) * (1 + REPEATS))
+        self.assertEqual(cluster.systems["core-1"].suspects, {})
+
     def test_fronts_do_not_hear_of_single_crashes(self) -> None:
         """Guards against a flood to all VMs at each crash."""
         cluster = BanCluster()
