Count the repeats of VMs that started anew; wait for news before the first

Repeats could exceed the budget of all VMs.

A front that started anew had forgotten its repeats, the keepers dropped them with its old report, and an equal part was granted whatever the others had used.

Repair: keepers count the attempts of a process that ended until the window is over; a VM that heard that the budget is spent takes nothing, and one that has just started waits for news for at most two seconds.

--- a/rattanroute/messages/loads.py
+++ b/rattanroute/messages/loads.py
@@ -38,10 +38,12 @@
     Attributes:
         loads: Its open requests by target.
         attempts: Its attempts by service.
+        process: Differs between the processes of a VM.
     """
 
     loads: tuple[EngineLoad, ...]
     attempts: tuple[AttemptCount, ...] = ()
+    process: int = 0
 
 
 class OtherLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -50,7 +52,8 @@
     Attributes:
         loads: The sums by target.
         vms: VMs that reported, with the receiver.
-        attempts: The sums by service.
+        attempts: The sums by service, with what earlier processes of VMs
+            attempted within the window.
     """
 
     loads: tuple[EngineLoad, ...]
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -37,6 +37,7 @@
                 vm_id=self.vm_id,
                 data_centre=boot.zone,
                 members=self.control.membership.alive,
+                window_s=boot.bounds.budget_window_s,
             )
         )
         self.ban_store = CrashBanStore(
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import time
 
 from rattanroute.gateway.crashes import CHECK_SECONDS
 from rattanroute.gateway.crashes import CrashObserver
@@ -21,6 +22,7 @@
 from rattanroute.platform.headers import PlatformHeaders
 from rattanroute.platform.settings import Boot
 from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.budgets import SILENCE_SECONDS
 from rattanroute.systems.detections import DetectionSystem
 from rattanroute.systems.engineloads import EngineLoadSystem
 from rattanroute.systems.stagechoices import is_served
@@ -62,6 +64,7 @@
             extra=bounds.budget_extra,
             window_s=bounds.budget_window_s,
             random=self.random,
+            quiet_until=time.monotonic() + SILENCE_SECONDS,
         )
         self.control.add(
             EngineLoadSystem(
@@ -70,6 +73,8 @@
                 members=self.control.membership.alive,
                 loads=self.loads,
                 budget=self.repeats,
+                process=self.control.membership.me.incarnation,
+                window_s=bounds.budget_window_s,
             )
         )
         self.limits = RequestLimits()
--- a/rattanroute/systems/budgets.py
+++ b/rattanroute/systems/budgets.py
@@ -1,10 +1,12 @@
 """Budget of attempts beyond the first, which all VMs share.
 
-Each VM may always use an equal part of the allowance of the whole system, and
-the same part of the ratio of its own requests. Failures hit few VMs at a time,
-so that a VM also borrows from what the others have left, as it heard a moment
-ago. All together they borrow only a part of that within the time that news
-take, so that the budget holds without a question for each attempt.
+Each VM may use an equal part of the allowance of the whole system, and the
+same part of the ratio of its own requests, unless it heard that the budget is
+spent. Failures hit few VMs at a time, so that a VM also borrows from what the
+others have left, as it heard a moment ago. All together they borrow only a
+part of that within the time that news take, so that the budget holds without a
+question for each attempt. A VM that has just started first waits for news: its
+earlier process may have spent its part.
 """
 
 import collections
@@ -55,6 +57,7 @@
         heard_at: When they were heard.
         loans: What may be borrowed, by service.
         random: Decides when less than one attempt may be borrowed.
+        quiet_until: Time until which nothing is repeated without news.
     """
 
     ratio: float
@@ -72,6 +75,7 @@
     heard_at: float = float("-inf")
     loans: dict[str, Loan] = dataclasses.field(default_factory=dict)
     random: randoms.Random = dataclasses.field(default_factory=randoms.Random)
+    quiet_until: float = float("-inf")
 
     def note_first(self, service: str, now: float) -> None:
         """Counts a first attempt."""
@@ -93,6 +97,8 @@
             now: Time in seconds.
         """
         count = self.count(service, now)
+        if self.is_spent(service, count, vms=vms, now=now):
+            return False
         allowed = self.ratio * count.firsts + self.extra / max(1, vms)
         if count.repeats + 1 > EQUAL_PART * allowed and not self.borrow(
             service, count, vms=vms, now=now
@@ -147,12 +153,27 @@
         loan.level = max(0.0, loan.level - 1)
         return granted
 
-    def find_rate(
+    def is_spent(
         self, service: str, own: AttemptCount, *, vms: int, now: float
-    ) -> float:
-        """Returns the attempts a second that this VM may borrow."""
-        if now - self.heard_at > SILENCE_SECONDS:
-            return 0.0
+    ) -> bool:
+        """Whether nothing is left, as far as is known.
+
+        Args:
+            service: The service.
+            own: Attempts of this VM.
+            vms: VMs that share the allowance.
+            now: Time in seconds.
+        """
+        if not self.has_news(now):
+            return now < self.quiet_until
+        return self.find_left(service, own, vms=vms) <= 0
+
+    def has_news(self, now: float) -> bool:
+        """Whether this VM heard of the others a moment ago."""
+        return now - self.heard_at <= SILENCE_SECONDS
+
+    def find_left(self, service: str, own: AttemptCount, *, vms: int) -> float:
+        """Returns the attempts that all VMs have left, as last heard."""
         others = self.others.get(service)
         firsts, repeats = own.firsts, own.repeats
         if others is not None:
@@ -161,5 +182,13 @@
         # Those that were not heard keep their part of the allowance.
         heard_part = min(1.0, self.heard_vms / max(1, vms))
         allowed = self.ratio * firsts + self.extra * heard_part
-        left = max(0.0, USED_PART * allowed - repeats)
+        return max(0.0, USED_PART * allowed - repeats)
+
+    def find_rate(
+        self, service: str, own: AttemptCount, *, vms: int, now: float
+    ) -> float:
+        """Returns the attempts a second that this VM may borrow."""
+        if not self.has_news(now):
+            return 0.0
+        left = self.find_left(service, own, vms=vms)
         return BORROWED_PART * left / self.heard_vms / NEWS_SECONDS
--- a/rattanroute/systems/engineloads.py
+++ b/rattanroute/systems/engineloads.py
@@ -8,6 +8,9 @@
 answer. The keepers tell each other their sums, so that what passes between
 data centres does not grow with the VMs. Without an answer a VM asks another
 voter; until then it goes on with the own load only.
+
+The attempts of a VM that ends or starts anew still count for the window of the
+budget; the VM itself has forgotten them.
 """
 
 from collections.abc import Callable
@@ -51,12 +54,14 @@
         attempts: Attempts by service.
         vms: VMs that it comes from.
         heard_at: When it was heard.
+        process: Process of the VM that it comes from.
     """
 
     loads: dict[str, EngineLoad]
     attempts: tuple[AttemptCount, ...]
     vms: int
     heard_at: float
+    process: int = 0
 
 
 class LoadSum:
@@ -111,6 +116,8 @@
         loads: Table of loads; None on a VM that serves no callers.
         budget: Budget of further attempts that all VMs share; None on a VM
             that serves no callers.
+        process: Differs between the processes of this VM.
+        window_s: Window of the budget, in seconds.
     """
 
     message_types: tuple[type, ...] = (OwnLoads, OtherLoads)
@@ -123,8 +130,12 @@
         members: Callable[[], Iterable[MemberRow]],
         loads: EngineLoadTable | None = None,
         budget: RepeatBudget | None = None,
+        process: int = 0,
+        window_s: float = 0.0,
     ) -> None:
         self.vm_id = vm_id
+        self.process = process
+        self.window_s = window_s
         self.data_centre = data_centre
         self.members = members
         self.loads = loads
@@ -133,6 +144,7 @@
         self.answered_at = 0.0
         self.reported: dict[str, HeardLoads] = {}
         self.kept: dict[str, HeardLoads] = {}
+        self.former: list[HeardLoads] = []
         self.turn = 0
 
     def receive(
@@ -145,8 +157,12 @@
             attempts=message.attempts,
             vms=1 if is_own else message.vms,
             heard_at=now,
+            process=message.process if is_own else 0,
         )
         if is_own:
+            known = self.reported.get(peer)
+            if known is not None and known.process != heard.process:
+                self.retire(known)
             self.reported[peer] = heard
             return [SendMessage(peer=peer, message=self.sum_others(peer, now))]
         if self.loads is None:
@@ -165,7 +181,7 @@
         for vm_id, heard in self.reported.items():
             if vm_id != peer:
                 total.add(heard)
-        for heard in self.kept.values():
+        for heard in (*self.kept.values(), *self.former):
             total.add(heard)
         return total.build(vms=total.vms + 1)
 
@@ -173,16 +189,27 @@
         """Returns the load of the VMs that report to this keeper."""
         self.forget(now)
         total = LoadSum()
-        for heard in self.reported.values():
+        for heard in (*self.reported.values(), *self.former):
             total.add(heard)
         return total.build(vms=total.vms)
 
     def forget(self, now: float) -> None:
         """Forgets the load of VMs and keepers that are silent."""
-        for rows in (self.reported, self.kept):
-            for vm_id, heard in list(rows.items()):
-                if now - heard.heard_at > EXPIRY_SECONDS:
-                    del rows[vm_id]
+        for vm_id, heard in list(self.kept.items()):
+            if now - heard.heard_at > EXPIRY_SECONDS:
+                del self.kept[vm_id]
+        for vm_id, heard in list(self.reported.items()):
+            if now - heard.heard_at > EXPIRY_SECONDS:
+                self.retire(self.reported.pop(vm_id))
+        self.former = [
+            x for x in self.former if now - x.heard_at < self.window_s
+        ]
+
+    def retire(self, heard: HeardLoads) -> None:
+        """Keeps the attempts of a process that ended, without its load."""
+        if heard.attempts:
+            former = dataclasses.replace(heard, loads={}, vms=0)
+            self.former.append(former)
 
     def tick(self, *, now: float) -> list[Action]:
         """Sends the own load, or the sums of a keeper, when that is due."""
@@ -201,13 +228,13 @@
             return []
         keeper = voters[self.turn % len(voters)]
         attempts = self.budget.count_own(now) if self.budget else ()
-        message = OwnLoads(loads=own, attempts=attempts)
+        message = OwnLoads(loads=own, attempts=attempts, process=self.process)
         return [SendMessage(peer=keeper, message=message)]
 
     def tell_keepers(self, now: float) -> list[Action]:
         """Sends the sums of this keeper to the other voters."""
         self.due = now + KEEPER_SECONDS
-        if not self.reported:
+        if not self.reported and not self.former:
             return []
         message = self.sum_reported(now)
         return [
--- a/rattanroute/tests/test_budgets.py
+++ b/rattanroute/tests/test_budgets.py
@@ -5,6 +5,7 @@
 
 from rattanroute.messages.loads import AttemptCount
 from rattanroute.systems.budgets import RepeatBudget
+from rattanroute.systems.budgets import SILENCE_SECONDS
 
 
 class RepeatBudgetTest(unittest.TestCase):
@@ -56,20 +57,22 @@
     NEWS_INTERVAL_SECONDS = 0.25
 
     def setUp(self) -> None:
-        self.budgets = [
-            RepeatBudget(
-                ratio=self.RATIO,
-                extra=self.EXTRA,
-                window_s=self.WINDOW_SECONDS,
-                random=random.Random(number),
-            )
-            for number in range(self.VMS)
-        ]
+        self.budgets = [self.build(number) for number in range(self.VMS)]
         self.firsts: list[float] = []
         self.repeats: list[float] = []
         self.sums: tuple[AttemptCount, ...] = ()
+        self.former: list[AttemptCount] = []
         self.now = 0.0
 
+    def build(self, number: int) -> RepeatBudget:
+        """Builds the budget of a VM."""
+        return RepeatBudget(
+            ratio=self.RATIO,
+            extra=self.EXTRA,
+            window_s=self.WINDOW_SECONDS,
+            random=random.Random(number),
+        )
+
     def play(self, wanting: range, *, seconds: float) -> None:
         """Plays a request a second at each VM; some want many repeats.
 
@@ -79,7 +82,7 @@
         for step in range(steps):
             self.now += self.NEWS_INTERVAL_SECONDS
             now = self.now
-            counts = [x.count("s", now) for x in self.budgets]
+            counts = [x.count("s", now) for x in self.budgets] + self.former
             for number, budget in enumerate(self.budgets):
                 budget.take_others(self.sums, vms=self.VMS, now=now)
                 if step % 4 == number % 4:
@@ -95,6 +98,13 @@
             )
             self.sums = (total,)
 
+    def restart(self, numbers: range) -> None:
+        """Starts VMs anew; the keepers still tell of their attempts."""
+        for number in numbers:
+            self.former.append(self.budgets[number].count("s", self.now))
+            self.budgets[number] = self.build(number)
+            self.budgets[number].quiet_until = self.now + SILENCE_SECONDS
+
     def count_window(self, times: list[float], start: float) -> int:
         """Counts what lies in the window that starts at a time."""
         return sum(start <= t < start + self.WINDOW_SECONDS for t in times)
@@ -126,6 +136,39 @@
         self.play(range(self.VMS), seconds=12.0)
         self.check_bound(27.0)
 
+    def test_storm_that_moves_to_the_other_vms(self) -> None:
+        """Moving storm: guards against parts that were lent and are used.
+
+        Some VMs borrow all that is left; then the others need their parts.
+        """
+        self.play(range(65), seconds=6.0)
+        self.play(range(65, self.VMS), seconds=6.0)
+        self.check_bound(12.0)
+
+    def test_vms_that_restart_in_a_storm(self) -> None:
+        """Restarts: guards against what a restarted VM has forgotten.
+
+        What it used before still lies in the window.
+        """
+        for part in (range(65), range(self.VMS)):
+            with self.subTest(vms=len(part)):
+                self.setUp()
+                self.play(part, seconds=5.0)
+                self.restart(part)
+                self.play(part, seconds=5.0)
+                self.check_bound(10.0)
+
+    def test_vm_that_has_just_started_waits_for_news(self) -> None:
+        """Guards against many VMs that start and each use their part."""
+        budget = self.build(0)
+        budget.quiet_until = SILENCE_SECONDS
+        self.assertFalse(budget.take_repeat("s", vms=self.VMS, now=1.0))
+        self.assertTrue(budget.take_repeat("s", vms=self.VMS, now=2.1))
+        budget = self.build(0)
+        budget.quiet_until = SILENCE_SECONDS
+        budget.take_others((), vms=self.VMS, now=0.5)
+        self.assertTrue(budget.take_repeat("s", vms=self.VMS, now=1.0))
+
     def test_nothing_is_borrowed_without_news(self) -> None:
         """Cut: guards against parts that each use the whole budget."""
         budget = self.budgets[0]
--- a/rattanroute/tests/test_engineloads.py
+++ b/rattanroute/tests/test_engineloads.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from rattanroute.messages.loads import AttemptCount
+from rattanroute.messages.loads import OtherLoads
+from rattanroute.messages.loads import OwnLoads
 from rattanroute.systems.engineloads import EngineLoadSystem
 from rattanroute.systems.engineloads import EXPIRY_SECONDS
 from rattanroute.systems.engineloads import SILENCE_SECONDS
@@ -98,6 +101,53 @@
         self.assertEqual(self.tables["f3"].get("t1").other_requests, 40)
 
 
+class FormerAttemptsTest(unittest.TestCase):
+    """Guards against repeats that are forgotten with the VM that made them."""
+
+    WINDOW_SECONDS = 10.0
+
+    def setUp(self) -> None:
+        self.keepers = {
+            name: EngineLoadSystem(
+                vm_id=name,
+                data_centre=centre,
+                members=lambda: MEMBERS,
+                window_s=self.WINDOW_SECONDS,
+            )
+            for name, centre in (("core-1", "dc-a"), ("core-2", "dc-b"))
+        }
+
+    def report(self, repeats: int, *, process: int, now: float) -> OtherLoads:
+        """Lets a front report; returns what the keeper answers."""
+        count = AttemptCount(service="s", firsts=10, repeats=repeats)
+        message = OwnLoads(loads=(), attempts=(count,), process=process)
+        [answer] = self.keepers["core-1"].receive(
+            peer="f1", message=message, now=now
+        )
+        return answer.message
+
+    def test_front_that_starts_anew_hears_of_its_own_attempts(self) -> None:
+        self.assertEqual(self.report(7, process=1, now=1.0).attempts, ())
+        [count] = self.report(0, process=2, now=3.0).attempts
+        self.assertEqual(count.repeats, 7)
+        self.assertEqual(self.report(0, process=2, now=11.1).attempts, ())
+
+    def test_attempts_of_a_front_that_is_gone_still_count(self) -> None:
+        self.report(7, process=1, now=1.0)
+        others = self.keepers["core-1"].sum_others("f9", 1 + EXPIRY_SECONDS + 1)
+        self.assertEqual(others.attempts[0].repeats, 7)
+        self.assertEqual(others.vms, 1)
+
+    def test_other_keepers_hear_of_them(self) -> None:
+        self.report(7, process=1, now=1.0)
+        [action] = self.keepers["core-1"].tick(now=1 + EXPIRY_SECONDS + 1)
+        self.keepers["core-2"].receive(
+            peer="core-1", message=action.message, now=5.0
+        )
+        others = self.keepers["core-2"].sum_others("f2", 5.0)
+        self.assertEqual(others.attempts[0].repeats, 7)
+
+
 class FleetTest(unittest.TestCase):
     """Guards against a cost that grows with the square of the VMs."""
 
