Renew a ban at the first crash after its end; do not lengthen bans by delays

A request whose ban had ended could crash three more targets. And voters that told each other what is left of a ban added the delay of the message each time, so that with slow messages a ban would not have ended. Both with tests.

--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -35,6 +35,8 @@
 # Crashes from which on all VMs look out for an answer.
 WATCHED_CRASHES = 2
 BAN_SECONDS = 600.0
+# After the end of a ban one more crash renews it.
+SUSPECT_SECONDS = 3600.0
 REPEAT_SECONDS = 1.0
 # Times that a VM repeats to the voters what it saw.
 REPEATS = 3
@@ -156,7 +158,7 @@
             return False
         row.crashes[crash] = at
         if len(row.crashes) >= MAX_CRASHES and self.is_judge():
-            self.ban(fingerprint, row, now + BAN_SECONDS, now)
+            self.ban(fingerprint, row, now, BAN_SECONDS)
         return True
 
     def is_judge(self) -> bool:
@@ -202,12 +204,12 @@
             banned_s: Seconds for which it is still refused.
             now: Time in seconds.
         """
-        if age_s >= BAN_SECONDS:
+        if age_s >= SUSPECT_SECONDS:
             return
         row = self.enter(fingerprint, now - age_s, now)
         row.crashes.update(dict.fromkeys(crashes, now - age_s))
         if banned_s > 0:
-            self.ban(fingerprint, row, now + min(banned_s, BAN_SECONDS), now)
+            self.ban(fingerprint, row, now, banned_s)
 
     def find_dispensable(self, now: float) -> str:
         """Returns the oldest suspect, one that is not banned if there is."""
@@ -215,11 +217,11 @@
         return next(free, next(iter(self.suspects)))
 
     def ban(
-        self, fingerprint: str, row: Suspect, until: float, now: float
+        self, fingerprint: str, row: Suspect, now: float, seconds: float
     ) -> None:
-        """Refuses a request for a while."""
+        """Refuses a request for some time from now on."""
         is_new = row.banned_until <= now
-        row.banned_until = max(row.banned_until, until)
+        row.banned_until = now + min(seconds, BAN_SECONDS)
         if is_new and self.on_banned is not None:
             self.on_banned(fingerprint)
 
@@ -276,12 +278,12 @@
                 continue
             if from_voter:
                 row.confirmed_at = now
-            if state.banned_s <= 0:
+            # VMs that extended each other's bans by the delay of messages
+            # would never end them.
+            if state.banned_s <= 0 or row.banned_until > now:
                 continue
-            is_new = row.banned_until <= now
-            banned_s = min(state.banned_s, BAN_SECONDS)
-            self.ban(state.fingerprint, row, now + banned_s, now)
-            if self.voter and is_new:
+            self.ban(state.fingerprint, row, now, state.banned_s)
+            if self.voter:
                 self.announce(state.fingerprint)
 
     def take_cleared(
@@ -401,7 +403,7 @@
     def forget(self, now: float) -> None:
         """Forgets what is too old to count."""
         for name, row in list(self.suspects.items()):
-            if now - row.crashed_at >= BAN_SECONDS and row.banned_until <= now:
+            if now - row.crashed_at >= SUSPECT_SECONDS:
                 self.drop(name)
         for name, at in list(self.cleared.items()):
             if now - at >= CLEARED_SECONDS:
--- a/rattanroute/tests/test_crashbans.py
+++ b/rattanroute/tests/test_crashbans.py
@@ -12,6 +12,8 @@
 from rattanroute.control.crashban_stores import CrashBanStore
 from rattanroute.control.crashban_stores import FILE_NAME
 from rattanroute.messages.crashbans import ClearedRequests
+from rattanroute.messages.crashbans import SuspectState
+from rattanroute.messages.crashbans import SuspectStates
 from rattanroute.messages.quarantines import Crash
 from rattanroute.messages.quarantines import CrashReports
 from rattanroute.storage.records import SystemFileAccess
@@ -20,8 +22,10 @@
 from rattanroute.systems.crashbans import MAX_CRASHES
 from rattanroute.systems.crashbans import MAX_SUSPECTS
 from rattanroute.systems.crashbans import REPEATS
+from rattanroute.systems.crashbans import SUSPECT_SECONDS
 from rattanroute.tables.fingerprints import CrashKey
 from rattanroute.tests.crashban_support import BanCluster
+from rattanroute.tests.crashban_support import build_crash
 from rattanroute.tests.crashban_support import FRONTS
 from rattanroute.tests.crashban_support import TICK_SECONDS
 from rattanroute.tests.crashban_support import VOTERS
@@ -90,17 +94,53 @@
         self.cluster.run(2 * TICK_SECONDS)
         self.assertEqual(self.cluster.list_refusing(BAD), ALL)
 
+    def pass_time(self, seconds: float) -> None:
+        """Lets much time pass, with a tick at each second."""
+        for _ in range(int(seconds)):
+            self.cluster.now += 1.0 - TICK_SECONDS
+            self.cluster.run(TICK_SECONDS)
+
     def test_ban_ends(self) -> None:
         """Guards against a fingerprint that is refused for ever."""
         self.crash_everywhere()
         self.cluster.run(1.0)
-        for _ in range(int(BAN_SECONDS) + 2):
-            self.cluster.now += 1.0
-            self.cluster.run(TICK_SECONDS)
+        self.pass_time(BAN_SECONDS - 10)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+        self.pass_time(12)
         self.assertEqual(self.cluster.list_refusing(BAD), [])
+
+    def test_first_crash_after_a_ban_renews_it(self) -> None:
+        """Guards against three more crashes each time that a ban ends."""
+        self.crash_everywhere()
+        self.cluster.run(1.0)
+        self.pass_time(BAN_SECONDS + 2)
+        self.cluster.crash("front-1", BAD, MAX_CRASHES)
+        self.cluster.run(2 * TICK_SECONDS)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
+    def test_suspects_are_forgotten(self) -> None:
+        """Guards against memory that grows with the time."""
+        self.crash_everywhere()
+        self.cluster.run(1.0)
+        self.pass_time(SUSPECT_SECONDS + 2)
         for system in self.cluster.systems.values():
             self.assertEqual(system.suspects, {})
 
+    def test_slow_messages_do_not_lengthen_a_ban(self) -> None:
+        """Guards against voters that renew each other's bans for ever."""
+        voter = self.cluster.systems["core-1"]
+        for number in range(MAX_CRASHES):
+            voter.add(BAD, build_crash(number), 100.0, 100.0)
+        late = SuspectStates(
+            states=(
+                SuspectState(
+                    fingerprint=BAD, banned_s=BAN_SECONDS, crash_age_s=5.0
+                ),
+            )
+        )
+        voter.receive(peer="core-2", message=late, now=105.0)
+        self.assertEqual(voter.banned_until(BAD, 105.0), 100.0 + BAN_SECONDS)
+
 
 class HarmlessRequestTest(unittest.TestCase):
     """Guards against bans of requests that ran beside crashes."""
