Count crashes with a common cause once; short first ban that grows

Found by reading: what many callers send, with one path, caller and body, runs on all targets of a service. When these crashed at one moment, it had its three crashes, was refused for 600 s, and no attempt was left that could clear it.

Crashes within half a second under different calls now count once; attempts of one call follow each other and count each. The first ban lasts 120 s, and each crash after its end brings one four times as long. VMs repeat what they saw for ten seconds in place of three: the property test with lost messages needs it now that crashes lie further apart. Crashes travel in a message of their own with the call that the target ran, and are stored with it.

--- a/rattanroute/control/crashban_stores.py
+++ b/rattanroute/control/crashban_stores.py
@@ -15,6 +15,7 @@
 from rattanroute.storage.records import FileAccess
 from rattanroute.storage.state_files import StateFile
 from rattanroute.systems.crashbans import CrashBanSystem
+from rattanroute.systems.crashbans import CrashEvent
 from rattanroute.tables.fingerprints import CrashKey
 
 FILE_NAME = "crashbans.log"
@@ -22,21 +23,36 @@
 log = get_logger(__name__)
 
 
+class StoredCrash(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """A crash under a request.
+
+    Attributes:
+        target_id: The target.
+        incarnation: Its incarnation.
+        request_id: The call that it ran.
+        at: Time of day of the crash, in seconds.
+    """
+
+    target_id: str
+    incarnation: int
+    request_id: str
+    at: float
+
+
 class StoredSuspect(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """A request under which targets crashed.
 
     Attributes:
         fingerprint: The request's fingerprint.
-        crashes: Targets that crashed, with their incarnations; empty for a
-            request that was cleared.
-        crashed_at: Time of day of the latest crash, in seconds.
+        crashes: The crashes; empty when this voter was only told of a ban.
         banned_until: Time of day until which it is refused, in seconds.
+        cleared: Whether it was answered since.
     """
 
     fingerprint: str
-    crashes: tuple[tuple[str, int], ...] = ()
-    crashed_at: float = 0.0
+    crashes: tuple[StoredCrash, ...] = ()
     banned_until: float = 0.0
+    cleared: bool = False
 
 
 DECODER = msgspec.msgpack.Decoder(StoredSuspect)
@@ -82,15 +98,22 @@
                 log.error("stored ban not read", error=error)
                 continue
             newest[stored.fingerprint] = stored
-        now, day_now = time.monotonic(), time.time()
+        now = time.monotonic()
+        offset = time.time() - now
         for stored in newest.values():
-            if not stored.crashes:
+            if stored.cleared:
                 continue
             self.bans.restore(
                 stored.fingerprint,
-                [CrashKey(*crash) for crash in stored.crashes],
-                age_s=max(0.0, day_now - stored.crashed_at),
-                banned_s=stored.banned_until - day_now,
+                {
+                    CrashKey(x.target_id, x.incarnation): CrashEvent(
+                        # The time of day may have been set back.
+                        at=min(x.at - offset, now),
+                        request_id=x.request_id,
+                    )
+                    for x in stored.crashes
+                },
+                banned_s=stored.banned_until - offset - now,
                 now=now,
             )
         log.info("bans restored", suspects=len(self.bans.suspects))
@@ -105,12 +128,19 @@
         """Returns the present state of a request with times of day."""
         row = self.bans.suspects.get(fingerprint)
         if row is None:
-            return StoredSuspect(fingerprint=fingerprint)
+            return StoredSuspect(fingerprint=fingerprint, cleared=True)
         offset = time.time() - time.monotonic()
         return StoredSuspect(
             fingerprint=fingerprint,
-            crashes=tuple((x.target_id, x.incarnation) for x in row.crashes),
-            crashed_at=row.crashed_at + offset,
+            crashes=tuple(
+                StoredCrash(
+                    target_id=crash.target_id,
+                    incarnation=crash.incarnation,
+                    request_id=event.request_id,
+                    at=event.at + offset,
+                )
+                for crash, event in row.crashes.items()
+            ),
             banned_until=row.banned_until + offset,
         )
 
--- a/rattanroute/gateway/crashes.py
+++ b/rattanroute/gateway/crashes.py
@@ -18,6 +18,7 @@
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
 from rattanroute.systems.crashbans import CrashBanSystem
+from rattanroute.systems.crashbans import CrashEvent
 from rattanroute.tables.fingerprints import CrashKey
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
@@ -247,4 +248,5 @@
             seconds=now - lost.lost_at,
         )
         crash = CrashKey(crashed.target_id, crashed.incarnation)
-        self.bans.note_crash(lost.fingerprint, crash, now)
+        event = CrashEvent(at=lost.lost_at, request_id=lost.request_id)
+        self.bans.note_crash(lost.fingerprint, crash, event, now)
--- a/rattanroute/messages/crashbans.py
+++ b/rattanroute/messages/crashbans.py
@@ -3,6 +3,31 @@
 import msgspec
 
 
+class SeenCrash(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """A target that crashed under a request.
+
+    Attributes:
+        fingerprint: The request's fingerprint.
+        target_id: The target.
+        incarnation: Its incarnation.
+        request_id: The call that the target ran; the attempts of one call
+            follow each other.
+        age_s: Seconds since the crash.
+    """
+
+    fingerprint: str
+    target_id: str
+    incarnation: int
+    request_id: str
+    age_s: float
+
+
+class SeenCrashes(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Crashes that the sending VM saw."""
+
+    crashes: tuple[SeenCrash, ...]
+
+
 class SuspectState(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """What a VM knows of a request under which targets crashed.
 
@@ -31,4 +56,8 @@
     fingerprints: tuple[str, ...]
 
 
-KINDS: dict[int, type] = {270: SuspectStates, 271: ClearedRequests}
+KINDS: dict[int, type] = {
+    270: SeenCrashes,
+    271: SuspectStates,
+    272: ClearedRequests,
+}
--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -9,7 +9,10 @@
 Most requests that run on a target when it crashes did not cause it. An answer
 clears a request everywhere: one that crashes its targets is never answered.
 VMs are told of a request before it is refused, so that they know of which
-answers the voters must hear.
+answers the voters must hear. Targets that crash at the same moment under calls
+for the same count once, as a common cause is more likely: what many ask for
+runs on all targets of a service. A ban is short at first and grows with each
+crash after it, so that a wrong one ends soon.
 
 Unlike the quarantine, this system does not keep suspects apart, for which each
 VM would have to hear of each run at all others.
@@ -23,10 +26,10 @@
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
 from rattanroute.messages.crashbans import ClearedRequests
+from rattanroute.messages.crashbans import SeenCrash
+from rattanroute.messages.crashbans import SeenCrashes
 from rattanroute.messages.crashbans import SuspectState
 from rattanroute.messages.crashbans import SuspectStates
-from rattanroute.messages.quarantines import Crash
-from rattanroute.messages.quarantines import CrashReports
 from rattanroute.tables.fingerprints import CrashKey
 
 # Two crashes in a row may be a coincidence: those who ran beside the cause of
@@ -34,12 +37,19 @@
 MAX_CRASHES = 3
 # Crashes from which on all VMs look out for an answer.
 WATCHED_CRASHES = 2
-BAN_SECONDS = 600.0
-# After the end of a ban one more crash renews it.
-SUSPECT_SECONDS = 3600.0
+# Crashes of different calls within this time count once.
+SAME_CAUSE_SECONDS = 0.5
+# The first ban; each crash after its end makes the next one longer.
+BAN_SECONDS = 120.0
+BAN_FACTOR = 4.0
+MAX_BAN_SECONDS = 3600.0
+SUSPECT_SECONDS = 2 * MAX_BAN_SECONDS
+# Later crashes do not change what is decided.
+MAX_EVENTS = 16
 REPEAT_SECONDS = 1.0
-# Times that a VM repeats to the voters what it saw.
-REPEATS = 3
+# Times that a VM repeats to the voters what it saw, for links that lose
+# messages for some seconds.
+REPEATS = 10
 # Without a word of the voters for so long they are told of a ban.
 SILENCE_SECONDS = 3.0
 # Word of crashes from before an answer may arrive for so long.
@@ -56,22 +66,51 @@
     voter: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashEvent:
+    """A crash under a request.
+
+    Attributes:
+        at: Time of the crash.
+        request_id: The call that the target ran.
+    """
+
+    at: float
+    request_id: str
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Suspect:
     """A request under which targets crashed.
 
     Attributes:
-        crashes: Crashes that this VM counts, with their times.
+        crashes: Crashes that this VM knows.
         crashed_at: Time of the latest crash that any VM told of.
         banned_until: Time until which it is refused.
         confirmed_at: When a voter last told of it.
     """
 
-    crashes: dict[CrashKey, float] = dataclasses.field(default_factory=dict)
+    crashes: dict[CrashKey, CrashEvent] = dataclasses.field(
+        default_factory=dict
+    )
     crashed_at: float = 0.0
     banned_until: float = 0.0
     confirmed_at: float = float("-inf")
 
+    def count(self) -> int:
+        """Returns the crashes that do not seem to have a common cause."""
+        count = 0
+        last: CrashEvent | None = None
+        for event in sorted(self.crashes.values(), key=lambda x: x.at):
+            if (
+                last is None
+                or event.request_id == last.request_id
+                or event.at - last.at > SAME_CAUSE_SECONDS
+            ):
+                count += 1
+                last = event
+        return count
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Sighting:
@@ -79,14 +118,14 @@
 
     Attributes:
         fingerprint: The request.
-        crash: The crash; None for an answer.
-        at: Time of the sighting.
+        crash: The crashed target; None for an answer.
+        event: The crash; None for an answer.
         sends: Times that it was sent.
     """
 
     fingerprint: str
-    crash: CrashKey | None
-    at: float
+    crash: CrashKey | None = None
+    event: CrashEvent | None = None
     sends: int = 0
 
 
@@ -100,7 +139,7 @@
     """
 
     message_types: tuple[type, ...] = (
-        CrashReports,
+        SeenCrashes,
         SuspectStates,
         ClearedRequests,
     )
@@ -132,33 +171,36 @@
             return None
         return row.banned_until
 
-    def note_crash(self, fingerprint: str, crash: CrashKey, now: float) -> None:
+    def note_crash(
+        self, fingerprint: str, crash: CrashKey, event: CrashEvent, now: float
+    ) -> None:
         """Takes a crash that this VM saw under a request."""
-        if self.add(fingerprint, crash, now, now):
+        if self.add(fingerprint, crash, event, now):
             self.sightings.append(
-                Sighting(fingerprint=fingerprint, crash=crash, at=now)
+                Sighting(fingerprint=fingerprint, crash=crash, event=event)
             )
 
     def note_answer(self, fingerprint: str, now: float) -> None:
         """Clears a suspect that was answered here."""
         if fingerprint in self.suspects:
             self.clear(fingerprint, now)
-            self.sightings.append(
-                Sighting(fingerprint=fingerprint, crash=None, at=now)
-            )
+            self.sightings.append(Sighting(fingerprint=fingerprint))
 
     # The table.
 
     def add(
-        self, fingerprint: str, crash: CrashKey, at: float, now: float
+        self, fingerprint: str, crash: CrashKey, event: CrashEvent, now: float
     ) -> bool:
         """Records a crash; returns whether it was not known."""
-        row = self.enter(fingerprint, at, now)
+        row = self.enter(fingerprint, event.at, now)
         if row is None or crash in row.crashes:
             return False
-        row.crashes[crash] = at
-        if len(row.crashes) >= MAX_CRASHES and self.is_judge():
-            self.ban(fingerprint, row, now, BAN_SECONDS)
+        if len(row.crashes) < MAX_EVENTS:
+            row.crashes[crash] = event
+        count = row.count()
+        if count >= MAX_CRASHES and self.is_judge():
+            factor = BAN_FACTOR ** (count - MAX_CRASHES)
+            self.ban(fingerprint, row, now, BAN_SECONDS * factor)
         return True
 
     def is_judge(self) -> bool:
@@ -189,9 +231,8 @@
     def restore(
         self,
         fingerprint: str,
-        crashes: Iterable[CrashKey],
+        crashes: dict[CrashKey, CrashEvent],
         *,
-        age_s: float,
         banned_s: float,
         now: float,
     ) -> None:
@@ -199,15 +240,15 @@
 
         Args:
             fingerprint: The request's fingerprint.
-            crashes: Crashes that it counted.
-            age_s: Seconds since the latest one.
+            crashes: Crashes that it knew; none when it was told of a ban.
             banned_s: Seconds for which it is still refused.
             now: Time in seconds.
         """
-        if age_s >= SUSPECT_SECONDS:
+        crashed_at = max((x.at for x in crashes.values()), default=now)
+        if now - crashed_at >= SUSPECT_SECONDS:
             return
-        row = self.enter(fingerprint, now - age_s, now)
-        row.crashes.update(dict.fromkeys(crashes, now - age_s))
+        row = self.enter(fingerprint, crashed_at, now)
+        row.crashes.update(crashes)
         if banned_s > 0:
             self.ban(fingerprint, row, now, banned_s)
 
@@ -221,7 +262,7 @@
     ) -> None:
         """Refuses a request for some time from now on."""
         is_new = row.banned_until <= now
-        row.banned_until = now + min(seconds, BAN_SECONDS)
+        row.banned_until = now + min(seconds, MAX_BAN_SECONDS)
         if is_new and self.on_banned is not None:
             self.on_banned(fingerprint)
 
@@ -242,23 +283,23 @@
     ) -> list[Action]:
         """Takes what another VM saw, or what a voter tells."""
         match message:
-            case CrashReports():
-                self.take_reports(message, now)
+            case SeenCrashes():
+                self.take_crashes(message, now)
             case SuspectStates():
                 self.take_states(peer, message, now)
             case ClearedRequests():
                 return self.take_cleared(peer, message, now)
         return []
 
-    def take_reports(self, message: CrashReports, now: float) -> None:
+    def take_crashes(self, message: SeenCrashes, now: float) -> None:
         """Counts crashes that another VM saw."""
-        for crash in message.crashes:
-            key = CrashKey(crash.target_id, crash.incarnation)
-            for fingerprint in crash.fingerprints:
-                if not self.add(fingerprint, key, now - crash.age, now):
-                    continue
-                if self.is_watched(fingerprint, now):
-                    self.announce(fingerprint)
+        for seen in message.crashes:
+            crash = CrashKey(seen.target_id, seen.incarnation)
+            event = CrashEvent(at=now - seen.age_s, request_id=seen.request_id)
+            if not self.add(seen.fingerprint, crash, event, now):
+                continue
+            if self.is_watched(seen.fingerprint, now):
+                self.announce(seen.fingerprint)
 
     def announce(self, fingerprint: str) -> None:
         """Lets all VMs and the store know of a change."""
@@ -305,7 +346,7 @@
         row = self.suspects.get(fingerprint)
         if row is None:
             return False
-        return len(row.crashes) >= WATCHED_CRASHES or row.banned_until > now
+        return row.count() >= WATCHED_CRASHES or row.banned_until > now
 
     def is_voter(self, vm_id: str) -> bool:
         """Whether a live VM is a voter."""
@@ -383,9 +424,9 @@
         if answered:
             message = ClearedRequests(fingerprints=answered)
             actions += self.tell_voters(message)
-        crashes = tuple(build_crash(x, now) for x in due if x.crash is not None)
+        crashes = tuple(describe(x, now) for x in due if x.crash is not None)
         if crashes:
-            actions += self.tell_voters(CrashReports(crashes=crashes))
+            actions += self.tell_voters(SeenCrashes(crashes=crashes))
         return actions
 
     def remind(self, now: float) -> list[Action]:
@@ -410,11 +451,12 @@
                 del self.cleared[name]
 
 
-def build_crash(sighting: Sighting, now: float) -> Crash:
+def describe(sighting: Sighting, now: float) -> SeenCrash:
     """Returns what tells a voter of a crash."""
-    return Crash(
+    return SeenCrash(
+        fingerprint=sighting.fingerprint,
         target_id=sighting.crash.target_id,
         incarnation=sighting.crash.incarnation,
-        fingerprints=(sighting.fingerprint,),
-        age=now - sighting.at,
+        request_id=sighting.event.request_id,
+        age_s=now - sighting.event.at,
     )
