Move suspects to a table of their own; keep the latest crashes of each

The bound on the crashes of a request kept the first ones, so that crashes after the loss of many targets at once were not counted; it keeps the latest ones now (test).

--- a/rattanroute/control/crashban_stores.py
+++ b/rattanroute/control/crashban_stores.py
@@ -15,8 +15,8 @@
 from rattanroute.storage.records import FileAccess
 from rattanroute.storage.state_files import StateFile
 from rattanroute.systems.crashbans import CrashBanSystem
-from rattanroute.systems.crashbans import CrashEvent
 from rattanroute.tables.fingerprints import CrashKey
+from rattanroute.tables.suspects import CrashEvent
 
 FILE_NAME = "crashbans.log"
 
@@ -146,7 +146,9 @@
 
     def take_snapshot(self) -> list[bytes]:
         """Returns the records that replace a file which has grown."""
-        return [ENCODER.encode(self.describe(x)) for x in self.bans.suspects]
+        return [
+            ENCODER.encode(self.describe(x)) for x in self.bans.suspects.rows
+        ]
 
     async def close(self) -> None:
         """Closes the file."""
--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -31,21 +31,20 @@
 from rattanroute.messages.crashbans import SuspectState
 from rattanroute.messages.crashbans import SuspectStates
 from rattanroute.tables.fingerprints import CrashKey
+from rattanroute.tables.suspects import CrashEvent
+from rattanroute.tables.suspects import Suspect
+from rattanroute.tables.suspects import SuspectTable
 
 # Two crashes in a row may be a coincidence: those who ran beside the cause of
 # the first one may have moved to the same target.
 MAX_CRASHES = 3
 # Crashes from which on all VMs look out for an answer.
 WATCHED_CRASHES = 2
-# Crashes of different calls within this time count once.
-SAME_CAUSE_SECONDS = 0.5
 # The first ban; each crash after its end makes the next one longer.
 BAN_SECONDS = 120.0
 BAN_FACTOR = 4.0
 MAX_BAN_SECONDS = 3600.0
 SUSPECT_SECONDS = 2 * MAX_BAN_SECONDS
-# Later crashes do not change what is decided.
-MAX_EVENTS = 16
 REPEAT_SECONDS = 1.0
 # Times that a VM repeats to the voters what it saw, for links that lose
 # messages for some seconds.
@@ -54,8 +53,7 @@
 SILENCE_SECONDS = 3.0
 # Word of crashes from before an answer may arrive for so long.
 CLEARED_SECONDS = 10.0
-# Bound the memory for requests that ran beside crashes, and a message.
-MAX_SUSPECTS = 4096
+# Most suspects in a message.
 MAX_TOLD = 256
 
 
@@ -66,52 +64,6 @@
     voter: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashEvent:
-    """A crash under a request.
-
-    Attributes:
-        at: Time of the crash.
-        request_id: The call that the target ran.
-    """
-
-    at: float
-    request_id: str
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Suspect:
-    """A request under which targets crashed.
-
-    Attributes:
-        crashes: Crashes that this VM knows.
-        crashed_at: Time of the latest crash that any VM told of.
-        banned_until: Time until which it is refused.
-        confirmed_at: When a voter last told of it.
-    """
-
-    crashes: dict[CrashKey, CrashEvent] = dataclasses.field(
-        default_factory=dict
-    )
-    crashed_at: float = 0.0
-    banned_until: float = 0.0
-    confirmed_at: float = float("-inf")
-
-    def count(self) -> int:
-        """Returns the crashes that do not seem to have a common cause."""
-        count = 0
-        last: CrashEvent | None = None
-        for event in sorted(self.crashes.values(), key=lambda x: x.at):
-            if (
-                last is None
-                or event.request_id == last.request_id
-                or event.at - last.at > SAME_CAUSE_SECONDS
-            ):
-                count += 1
-                last = event
-        return count
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Sighting:
     """A crash or an answer that this VM saw and repeats to the voters.
@@ -154,7 +106,7 @@
         self.vm_id = vm_id
         self.voter = voter
         self.members = members
-        self.suspects: dict[str, Suspect] = {}
+        self.suspects = SuspectTable()
         self.cleared: dict[str, float] = {}
         self.sightings: list[Sighting] = []
         self.news: set[str] = set()
@@ -195,8 +147,7 @@
         row = self.enter(fingerprint, event.at, now)
         if row is None or crash in row.crashes:
             return False
-        if len(row.crashes) < MAX_EVENTS:
-            row.crashes[crash] = event
+        row.add(crash, event)
         count = row.count()
         if count >= MAX_CRASHES and self.is_judge():
             factor = BAN_FACTOR ** (count - MAX_CRASHES)
@@ -220,11 +171,7 @@
         """
         if crashed_at <= self.cleared.get(fingerprint, float("-inf")):
             return None
-        row = self.suspects.get(fingerprint)
-        if row is None:
-            if len(self.suspects) >= MAX_SUSPECTS:
-                self.drop(self.find_dispensable(now))
-            row = self.suspects[fingerprint] = Suspect()
+        row = self.suspects.enter(fingerprint, now)
         row.crashed_at = max(row.crashed_at, crashed_at)
         return row
 
@@ -252,11 +199,6 @@
         if banned_s > 0:
             self.ban(fingerprint, row, now, banned_s)
 
-    def find_dispensable(self, now: float) -> str:
-        """Returns the oldest suspect, one that is not banned if there is."""
-        free = (k for k, x in self.suspects.items() if x.banned_until <= now)
-        return next(free, next(iter(self.suspects)))
-
     def ban(
         self, fingerprint: str, row: Suspect, now: float, seconds: float
     ) -> None:
@@ -269,12 +211,7 @@
     def clear(self, fingerprint: str, now: float) -> None:
         """Forgets a suspect that was answered."""
         self.cleared[fingerprint] = now
-        self.drop(fingerprint)
-
-    def drop(self, fingerprint: str) -> None:
-        """Removes a suspect."""
-        self.news.discard(fingerprint)
-        self.suspects.pop(fingerprint, None)
+        self.suspects.remove(fingerprint)
 
     # Messages.
 
@@ -384,8 +321,9 @@
     def build_states(
         self, fingerprints: Iterable[str], now: float
     ) -> SuspectStates:
-        """Returns a message about some suspects."""
-        rows = [(x, self.suspects[x]) for x in fingerprints]
+        """Returns a message about those that are still suspects."""
+        found = ((x, self.suspects.get(x)) for x in fingerprints)
+        rows = [(name, row) for name, row in found if row is not None]
         return SuspectStates(
             states=tuple(
                 SuspectState(
@@ -397,16 +335,12 @@
             )
         )
 
-    def list_banned(self, now: float) -> list[str]:
-        """Returns the requests that are refused, the newest last."""
-        return [k for k, x in self.suspects.items() if x.banned_until > now]
-
     def tell_states(self, repeats: bool, now: float) -> list[Action]:
         """Tells all VMs what has changed, or again all that they refuse."""
         names = list(self.news)[:MAX_TOLD]
         self.news.difference_update(names)
         if repeats:
-            names += self.list_banned(now)[-MAX_TOLD:]
+            names += self.suspects.list_banned(now)[-MAX_TOLD:]
         if not names:
             return []
         return self.tell_all(self.build_states(dict.fromkeys(names), now))
@@ -433,8 +367,8 @@
         """Tells the voters of bans of which they no longer tell."""
         silent = [
             name
-            for name in self.list_banned(now)
-            if now - self.suspects[name].confirmed_at > SILENCE_SECONDS
+            for name in self.suspects.list_banned(now)
+            if now - self.suspects.rows[name].confirmed_at > SILENCE_SECONDS
         ]
         if not silent:
             return []
@@ -443,9 +377,9 @@
 
     def forget(self, now: float) -> None:
         """Forgets what is too old to count."""
-        for name, row in list(self.suspects.items()):
+        for name, row in list(self.suspects.rows.items()):
             if now - row.crashed_at >= SUSPECT_SECONDS:
-                self.drop(name)
+                self.suspects.remove(name)
         for name, at in list(self.cleared.items()):
             if now - at >= CLEARED_SECONDS:
                 del self.cleared[name]
--- a/rattanroute/tests/test_crashbans.py
+++ b/rattanroute/tests/test_crashbans.py
@@ -20,13 +20,14 @@
 from rattanroute.systems.crashbans import BAN_FACTOR
 from rattanroute.systems.crashbans import BAN_SECONDS
 from rattanroute.systems.crashbans import CrashBanSystem
-from rattanroute.systems.crashbans import CrashEvent
 from rattanroute.systems.crashbans import MAX_CRASHES
-from rattanroute.systems.crashbans import MAX_SUSPECTS
 from rattanroute.systems.crashbans import REPEATS
-from rattanroute.systems.crashbans import SAME_CAUSE_SECONDS
 from rattanroute.systems.crashbans import SUSPECT_SECONDS
 from rattanroute.tables.fingerprints import CrashKey
+from rattanroute.tables.suspects import CrashEvent
+from rattanroute.tables.suspects import MAX_EVENTS
+from rattanroute.tables.suspects import MAX_SUSPECTS
+from rattanroute.tables.suspects import SAME_CAUSE_SECONDS
 from rattanroute.tests.crashban_support import BanCluster
 from rattanroute.tests.crashban_support import build_crash
 from rattanroute.tests.crashban_support import FRONTS
@@ -130,7 +131,7 @@
         self.cluster.run(1.0)
         self.pass_time(SUSPECT_SECONDS + 2)
         for system in self.cluster.systems.values():
-            self.assertEqual(system.suspects, {})
+            self.assertEqual(system.suspects.rows, {})
 
     def test_slow_messages_do_not_lengthen_a_ban(self) -> None:
         """Guards against voters that renew each other's bans for ever."""
@@ -177,6 +178,15 @@
         self.cluster.run(2.0)
         self.assertEqual(self.cluster.list_refusing(BAD), [])
 
+    def test_crashes_after_a_large_loss_still_count(self) -> None:
+        """Guards against a bound on crashes that hides the later ones."""
+        for number in range(2 * MAX_EVENTS):
+            self.cluster.crash("front-1", BAD, number)
+        for number in range(MAX_CRASHES):
+            self.cluster.crash_later("front-1", BAD, 100 + number)
+        self.cluster.run(1.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), ALL)
+
     def test_attempts_of_one_call_count_each(self) -> None:
         """Guards against a call whose crashes pass for a common cause."""
         for number in range(MAX_CRASHES):
@@ -316,14 +326,14 @@
         )
         await store.close()
         system, store = self.open()
-        self.assertEqual(system.suspects, {})
+        self.assertEqual(system.suspects.rows, {})
         await store.close()
 
     async def test_damaged_file_does_not_stop_a_voter(self) -> None:
         """Guards against a program that does not start for its bans."""
         (self.folder / FILE_NAME).write_bytes(b"x" * 100)
         system, store = self.open()
-        self.assertEqual(system.suspects, {})
+        self.assertEqual(system.suspects.rows, {})
         self.report(system, MAX_CRASHES)
         await store.close()
         system, store = self.open()
@@ -367,7 +377,7 @@
             cluster.answer("front-1", f"beside-{number}")
         cluster.run(REPEATS + 2)
         self.assertEqual(cluster.sent - sent, len(VOTERS) * (1 + REPEATS))
-        self.assertEqual(cluster.systems["core-1"].suspects, {})
+        self.assertEqual(cluster.systems["core-1"].suspects.rows, {})
 
     def test_fronts_do_not_hear_of_single_crashes(self) -> None:
         """Guards against a flood to all VMs at each crash."""
@@ -375,7 +385,7 @@
         for number in range(100):
             cluster.crash("front-1", f"beside-{number}", 0)
         cluster.run(REPEATS + 2)
-        self.assertEqual(cluster.systems["front-2"].suspects, {})
+        self.assertEqual(cluster.systems["front-2"].suspects.rows, {})
         self.assertEqual(cluster.sent, len(VOTERS) * (1 + REPEATS))
 
 
--- a/rattanroute/tests/test_gateway_crashes.py
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -6,7 +6,7 @@
 from rattanroute.http1.servers import Exchange
 from rattanroute.systems.crashbans import BAN_SECONDS
 from rattanroute.systems.crashbans import MAX_CRASHES
-from rattanroute.systems.crashbans import SAME_CAUSE_SECONDS
+from rattanroute.tables.suspects import SAME_CAUSE_SECONDS
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import GatewayTestCase
@@ -184,4 +184,4 @@
         self.assertEqual(len(self.bans.suspects), 1)
         await self.add_target("good", answer)
         self.assertEqual((await self.call("/once/x")).status, 200)
-        self.assertEqual(self.bans.suspects, {})
+        self.assertEqual(self.bans.suspects.rows, {})
