Count crashes late in a run in part; heed crashed replicas in the soak's stops

Engines in a row crashed under another request, and it moved from one to the next.

Cause: all that ran on a target when it crashed counted alike. A request that crashes its targets does so early in its run.

Repair: a run that went on for 0.3 s after its first event counts in part, so that six such crashes ban. A test fails with equal weights.

The check leaves out attempts during which a replica recorded a crash, and still sees a cut beside an earlier one (test).

--- a/rattanroute/control/crashban_stores.py
+++ b/rattanroute/control/crashban_stores.py
@@ -31,12 +31,14 @@
         incarnation: Its incarnation.
         request_id: The call that it ran.
         at: Time of day of the crash, in seconds.
+        early: Whether the target had only just begun to run it.
     """
 
     target_id: str
     incarnation: int
     request_id: str
     at: float
+    early: bool = True
 
 
 class StoredSuspect(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -110,6 +112,7 @@
                         # The time of day may have been set back.
                         at=min(x.at - offset, now),
                         request_id=x.request_id,
+                        early=x.early,
                     )
                     for x in stored.crashes
                 },
@@ -138,6 +141,7 @@
                     incarnation=crash.incarnation,
                     request_id=event.request_id,
                     at=event.at + offset,
+                    early=event.early,
                 )
                 for crash, event in row.crashes.items()
             ),
--- a/rattanroute/gateway/crashes.py
+++ b/rattanroute/gateway/crashes.py
@@ -29,6 +29,8 @@
 VERDICT_SECONDS = 8.0
 # A crash of a full target loses about a hundred attempts of one VM.
 MAX_LOST = 512
+# A run that went on for longer probably did not cause the crash.
+EARLY_SECONDS = 0.3
 # A machine refuses a connection within milliseconds, and inspections of a
 # crashed engine take two messages.
 SUSPECT_WAIT_SECONDS = 0.3
@@ -46,6 +48,7 @@
         fingerprint: What the request has in common with its repetitions.
         reports: Reports of its targets at the time of the attempt.
         lost_at: Time of the end.
+        early: Whether the run had only just begun.
         verdict: Set to the report of the target that crashed; to None when
             none was found in time.
     """
@@ -54,6 +57,7 @@
     fingerprint: str
     reports: tuple[TargetReport, ...]
     lost_at: float
+    early: bool
     verdict: asyncio.Future[TargetReport | None]
 
 
@@ -146,6 +150,7 @@
             fingerprint=call.fingerprint,
             reports=reports,
             lost_at=loop.time(),
+            early=outcome.progress_s < EARLY_SECONDS,
             verdict=loop.create_future(),
         )
         self.open.append(lost)
@@ -156,6 +161,7 @@
             target=reports[0].target_id,
             incarnation=reports[0].incarnation,
             reason=outcome.reason,
+            early=lost.early,
         )
         # A target that only takes too long needs no further connection.
         if not outcome.timed_out:
@@ -248,5 +254,7 @@
             seconds=now - lost.lost_at,
         )
         crash = CrashKey(crashed.target_id, crashed.incarnation)
-        event = CrashEvent(at=lost.lost_at, request_id=lost.request_id)
+        event = CrashEvent(
+            at=lost.lost_at, request_id=lost.request_id, early=lost.early
+        )
         self.bans.note_crash(lost.fingerprint, crash, event, now)
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -36,10 +36,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Unknown:
-    """The request may have run."""
+    """The request may have run.
+
+    Attributes:
+        reason: What is known of the end.
+        timed_out: Whether its time ended.
+        progress_s: Seconds from the first event of a stream to the end.
+    """
 
     reason: str
     timed_out: bool = False
+    progress_s: float = 0.0
 
 
 Outcome = Answered | NotRun | Unknown
--- a/rattanroute/gateway/streams.py
+++ b/rattanroute/gateway/streams.py
@@ -249,6 +249,9 @@
             if connection.sink is sink:
                 connection.cancel()
         self.note_health(call, chain, sink, outcome, avoided)
+        if isinstance(outcome, Unknown):
+            progress_s = sink.measure_progress()
+            return dataclasses.replace(outcome, progress_s=progress_s)
         return outcome
 
     def note_terms(self, target_id: str) -> Callable[[AnswerTerms], None]:
--- a/rattanroute/gateway/streamsinks.py
+++ b/rattanroute/gateway/streamsinks.py
@@ -58,6 +58,7 @@
         on_terms: Gets what the answer of the target says about itself.
         ended: Gets the outcome of the attempt; None after a whole stream.
         event_at: Time of the latest event, or of the start.
+        began_at: Time of the first event; None before it.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.is_stream = False
         self.events = 0
         self.event_at = self.loop.time()
+        self.began_at: float | None = None
         self.ended: asyncio.Future[Outcome | None] = self.loop.create_future()
 
     def finish(self, outcome: Outcome | None) -> None:
@@ -148,6 +150,14 @@
             gap = now - self.state.event_at
             call.longest_gap_s = max(call.longest_gap_s, gap)
         self.event_at = self.state.event_at = now
+        if self.began_at is None:
+            self.began_at = now
+
+    def measure_progress(self) -> float:
+        """Returns the seconds since the first event; 0 before it."""
+        if self.began_at is None:
+            return 0.0
+        return self.loop.time() - self.began_at
 
     def accept(self, event_id: bytes) -> bool:
         """Whether an event is the next one for the caller."""
--- a/rattanroute/messages/crashbans.py
+++ b/rattanroute/messages/crashbans.py
@@ -13,6 +13,7 @@
         request_id: The call that the target ran; the attempts of one call
             follow each other.
         age_s: Seconds since the crash.
+        early: Whether the target had only just begun to run it.
     """
 
     fingerprint: str
@@ -20,6 +21,7 @@
     incarnation: int
     request_id: str
     age_s: float
+    early: bool = True
 
 
 class SeenCrashes(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -87,7 +87,8 @@
 
     Attributes:
         at: Time of the system's monotonic clock, in seconds.
-        event: `arrival`, `run`, `chain`, `order`, `overload` or `notice`.
+        event: `arrival`, `run`, `chain`, `order`, `overload`, `notice` or
+            `crash`.
         request_id: Identifier of the request.
         replica_id: The replica.
         service: Its service.
@@ -248,6 +249,7 @@
         self.record("run", request_id=request_id)
         marker = self.settings.crash_marker
         if marker and marker.encode() in body:
+            self.record("crash", request_id=request_id)
             os._exit(CRASH_STATUS)
 
     def refuse(
--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -11,8 +11,8 @@
 VMs are told of a request before it is refused, so that they know of which
 answers the voters must hear. Targets that crash at the same moment under calls
 for the same count once, as a common cause is more likely: what many ask for
-runs on all targets of a service. A ban is short at first and grows with each
-crash after it, so that a wrong one ends soon.
+runs on all targets of a service. A crash late in a run counts in part. A ban is
+short at first and grows with each crash after it, so that a wrong one ends soon.
 
 Unlike the quarantine, this system does not keep suspects apart, for which each
 VM would have to hear of each run at all others.
@@ -232,7 +232,11 @@
         """Counts crashes that another VM saw."""
         for seen in message.crashes:
             crash = CrashKey(seen.target_id, seen.incarnation)
-            event = CrashEvent(at=now - seen.age_s, request_id=seen.request_id)
+            event = CrashEvent(
+                at=now - seen.age_s,
+                request_id=seen.request_id,
+                early=seen.early,
+            )
             if not self.add(seen.fingerprint, crash, event, now):
                 continue
             if self.is_watched(seen.fingerprint, now):
@@ -393,4 +397,5 @@
         incarnation=sighting.crash.incarnation,
         request_id=sighting.event.request_id,
         age_s=now - sighting.event.at,
+        early=sighting.event.early,
     )
--- a/rattanroute/tables/suspects.py
+++ b/rattanroute/tables/suspects.py
@@ -7,6 +7,7 @@
 # Crashes of different calls within this time count once, as when a rack loses
 # its power.
 SAME_CAUSE_SECONDS = 0.5
+LATE_WEIGHT = 0.5
 # Crashes kept of one request.
 MAX_EVENTS = 16
 # Bounds the memory for requests that ran beside crashes.
@@ -20,10 +21,13 @@
     Attributes:
         at: Time of the crash.
         request_id: The call that the target ran.
+        early: Whether it had only just begun to run it. A request that
+            crashes its targets mostly does so early.
     """
 
     at: float
     request_id: str
+    early: bool = True
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -50,9 +54,12 @@
             del self.crashes[next(iter(self.crashes))]
         self.crashes[crash] = event
 
-    def count(self) -> int:
-        """Returns the crashes that do not seem to have a common cause."""
-        count = 0
+    def count(self) -> float:
+        """Returns the crashes that do not seem to have a common cause.
+
+        Those that came late in a run count in part.
+        """
+        count = 0.0
         last: CrashEvent | None = None
         for event in sorted(self.crashes.values(), key=lambda x: x.at):
             if (
@@ -60,7 +67,7 @@
                 or event.request_id == last.request_id
                 or event.at - last.at > SAME_CAUSE_SECONDS
             ):
-                count += 1
+                count += 1.0 if event.early else LATE_WEIGHT
                 last = event
         return count
 
--- a/rattanroute/tests/integration/test_soak_seeds.py
+++ b/rattanroute/tests/integration/test_soak_seeds.py
@@ -40,6 +40,10 @@
         """Guards against an older manifest after all programs have ended."""
         await self.assert_mended(2021)
 
+    async def test_seed_2031(self) -> None:
+        """Guards against findings on what a crashed replica broke off."""
+        await self.assert_mended(2031)
+
     async def test_seed_1510155370(self) -> None:
         """Guards against callers that wait on, and against a slow return."""
         await self.assert_mended(1510155370)
--- a/rattanroute/tests/soak_support.py
+++ b/rattanroute/tests/soak_support.py
@@ -71,6 +71,15 @@
             "after its start, while the core elected a leader."
         ),
     ),
+    FailedSeed(
+        seed=2031,
+        seconds=20.0,
+        cause=(
+            "The check of planned stops counted answers that a replica broke "
+            "off which another request had crashed; a stream beside three "
+            "crashes was refused like their cause."
+        ),
+    ),
     FailedSeed(
         seed=1510155370,
         seconds=20.0,
--- a/rattanroute/tests/test_crashbans.py
+++ b/rattanroute/tests/test_crashbans.py
@@ -187,6 +187,23 @@
         self.cluster.run(1.0)
         self.assertEqual(self.cluster.list_refusing(BAD), ALL)
 
+    def test_streams_beside_three_crashes_are_not_banned(self) -> None:
+        """Crashes in a row: guards against a ban of streams under way.
+
+        They move from one crashed engine to the next; the cause of the
+        crashes never gets far.
+        """
+        for number in range(MAX_CRASHES):
+            self.cluster.run(1.0)
+            event = CrashEvent(
+                at=self.cluster.now, request_id=f"r{number}", early=False
+            )
+            self.cluster.systems["front-1"].note_crash(
+                BAD, build_crash(number), event, self.cluster.now
+            )
+        self.cluster.run(1.0)
+        self.assertEqual(self.cluster.list_refusing(BAD), [])
+
     def test_attempts_of_one_call_count_each(self) -> None:
         """Guards against a call whose crashes pass for a common cause."""
         for number in range(MAX_CRASHES):
--- a/rattanroute/tests/test_gateway_crashes.py
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+from rattanroute.gateway.crashes import EARLY_SECONDS
 from rattanroute.gateway.crashes import LostAttempt
 from rattanroute.http1.servers import Exchange
 from rattanroute.systems.crashbans import BAN_SECONDS
 from rattanroute.systems.crashbans import MAX_CRASHES
 from rattanroute.tables.suspects import SAME_CAUSE_SECONDS
+from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import GatewayTestCase
@@ -94,6 +96,33 @@
         await asyncio.sleep(0.1)
         self.assertEqual(self.pool.opened, 1)
 
+    async def test_stream_that_went_on_for_a_while_is_lost_late(self) -> None:
+        """Guards against streams under way that pass for a cause."""
+
+        async def crash_later(target: FakeTarget, exchange: Exchange) -> None:
+            exchange.start(build_head(exchange))
+            for number in range(1, 6):
+                exchange.write(build_events(number, number + 1))
+                await asyncio.sleep(EARLY_SECONDS / 4)
+            exchange.abort()
+
+        await self.add_target("t1", crash_later, service=SERVICE)
+        self.assertFalse((await self.lose("/single/x")).early)
+
+    async def test_stream_that_ends_its_target_at_once_is_lost_early(
+        self,
+    ) -> None:
+        """Guards against a cause of crashes that passes for a neighbour."""
+
+        async def crash_soon(target: FakeTarget, exchange: Exchange) -> None:
+            exchange.start(build_head(exchange))
+            exchange.write(build_events(1, 2))
+            await asyncio.sleep(0.05)
+            exchange.abort()
+
+        await self.add_target("t1", crash_soon, service=SERVICE)
+        self.assertTrue((await self.lose("/single/x")).early)
+
     async def test_old_refusal_does_not_count_for_a_new_incarnation(
         self,
     ) -> None:
--- a/rattanroute/tests/test_soak_checks.py
+++ b/rattanroute/tests/test_soak_checks.py
@@ -89,6 +89,18 @@
         log = build_log(attempts=attempts, disturbances=[stop, killed])
         self.assertEqual(list_broken(log), set())
 
+    def test_stop_beside_a_crashed_replica(self) -> None:
+        """Guards against findings on answers that a replica broke off."""
+        stop = disturb(Action.STOP, 9.0, 12.0)
+        cut = build_attempt(ending=Ending.BROKEN, sent_at=10.0, ended_at=10.4)
+        for at, broken in ((10.2, set()), (9.9, {"check_stops"})):
+            log = build_log(
+                attempts=[cut, build_attempt(request_id="r2")],
+                disturbances=[stop],
+                records=[build_record("crash", at=at)],
+            )
+            self.assertEqual(list_broken(log), broken)
+
     def test_nothing_served_after_the_last_fault(self) -> None:
         """Guards against a deployment that stays down."""
         refused = build_attempt(ending=Ending.REFUSED, status=504)
--- a/rattanroute/tools/soak_checks.py
+++ b/rattanroute/tools/soak_checks.py
@@ -113,9 +113,11 @@
     """A planned stop cuts no request.
 
     Only requests count that were sent while the front took some, and while
-    nothing else was disturbed.
+    nothing else was disturbed, a replica that crashed included: it may have
+    broken off the answer.
     """
     cut = []
+    crashes = [x.at for x in log.records if x.event == "crash"]
     stops = [
         x
         for x in log.disturbances
@@ -129,6 +131,8 @@
             sent = stop.start - timeout_s(x.kind) <= x.sent_at
             if not sent or x.sent_at > stop.start + ROTATION_SECONDS:
                 continue
+            if any(x.sent_at <= at <= x.ended_at for at in crashes):
+                continue
             others = [
                 y
                 for y in log.disturbances
