--- a/rattanroute/systems/crashbans.py
+++ b/rattanroute/systems/crashbans.py
@@ -11,8 +11,9 @@
 VMs are told of a request before it is refused, so that they know of which
 answers the voters must hear. Targets that crash at the same moment under calls
 for the same count once, as a common cause is more likely: what many ask for
-runs on all targets of a service. A crash late in a run counts in part. A ban is
-short at first and grows with each crash after it, so that a wrong one ends soon.
+runs on all targets of a service. A crash late in a run counts in part. A ban
+is short at first and grows with each crash after it, so that a wrong one ends
+soon.
 
 Unlike the quarantine, this system does not keep suspects apart, for which each
 VM would have to hear of each run at all others.
