Let the target of a test leave before its attempt is lost

The test marked the departure after the call had returned, while the probe that finds the crash was under way: which came first was left to chance. The target now gives its notice before it ends; the test still fails when planned ends count as crashes.

--- a/rattanroute/tests/test_gateway_crashes.py
+++ b/rattanroute/tests/test_gateway_crashes.py
@@ -78,9 +78,13 @@
 
     async def test_planned_end_is_no_crash(self) -> None:
         """Guards against requests that are blamed for a departure."""
-        await self.add_target("t1", crash)
+
+        async def leave(target: FakeTarget, exchange: Exchange) -> None:
+            self.targets.get("t1").report.leaving = True
+            await crash(target, exchange)
+
+        await self.add_target("t1", leave)
         lost = await self.lose()
-        self.targets.get("t1").report.leaving = True
         await asyncio.sleep(0.1)
         self.crashes.check()
         self.assertFalse(lost.verdict.done())
