Log who ended a stream around a planned stop

Every call now ends in a line with its events and the seconds since the front started to stop; the reason names the side that closed the connection. New lines tell of suspected engines, of pipelined requests that a closing connection drops, and of answers that were not flushed.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -27,6 +27,7 @@
         sends: Attempts so far, including those that did not run.
         may_have_run: Whether a target may have run the request.
         possible_runners: Targets that may have run the request.
+        events: Events of a stream that were passed to the client.
         waited_s: Seconds spent in the wait queue.
         first_event_s: Seconds until the first event of a stream.
         longest_gap_s: Longest time between two events, in seconds.
@@ -49,6 +50,7 @@
     sends: int = 0
     may_have_run: bool = False
     possible_runners: set[str] = dataclasses.field(default_factory=set)
+    events: int = 0
     waited_s: float = 0.0
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -1,5 +1,8 @@
 """Outcomes of attempts and the end of calls."""
 
+import asyncio
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import random as randoms
 
@@ -86,7 +89,7 @@
         """
         exchange = call.exchange
         if exchange.disconnected:
-            self.log(call, 0, "caller left")
+            self.log_disconnect(call)
             return
         if exchange.started:
             exchange.abort()
@@ -121,6 +124,19 @@
             seconds = max(seconds, available_at - now + spread)
         return seconds
 
+    @contextlib.contextmanager
+    def log_disconnects(self, call: Call) -> Iterator[None]:
+        """Logs the call if its task is cancelled, as a disconnect does."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            self.log_disconnect(call)
+            raise
+
+    def log_disconnect(self, call: Call) -> None:
+        """Logs a call whose connection closed before its answer ended."""
+        self.log(call, 0, call.exchange.connection.disconnect_reason)
+
     def log(self, call: Call, status: int, reason: str) -> None:
         """Logs the outcome of a call."""
         now = call.exchange.connection.loop.time()
@@ -136,6 +152,8 @@
             targets=",".join(call.targets),
             failures=";".join(call.failures),
             parts=",".join(call.metadata.shared_parts),
+            events=call.events,
+            draining=call.exchange.draining_s,
             waited=call.waited_s,
             first_event=call.first_event_s,
             longest_gap=call.longest_gap_s,
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -63,6 +63,11 @@
     async def forward(self, call: Call) -> None:
         """Sends a call to targets and answers the client."""
         call.exchange.on_disconnect = asyncio.current_task().cancel
+        with self.finisher.log_disconnects(call):
+            await self.send_until_answered(call)
+
+    async def send_until_answered(self, call: Call) -> None:
+        """Sends a call to targets until one answers or none may be tried."""
         loop = asyncio.get_running_loop()
         excluded: set[str] = set()
         failed: Answered | None = None
--- a/rattanroute/gateway/stall_inspectors.py
+++ b/rattanroute/gateway/stall_inspectors.py
@@ -56,7 +56,7 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 state = await self.engine_control.fetch_state(first.address)
         except (RouterError, TimeoutError) as error:
-            call.failures.append(f"no engine state: {error}")
+            call.failures.append(f"no engine state: {error or 'timed out'}")
             self.selector.note_failure(first.target_id, now=now, crashed=True)
             return [first.target_id]
         by_address = {hop.address: hop.target_id for hop in chain}
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -28,6 +28,7 @@
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
+from rattanroute.logs import get_logger
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import RequestDemand
 from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
@@ -46,6 +47,8 @@
 # engine's stall time, a target of its chain has failed rather than being full.
 STALL_FRACTION = 0.8
 
+log = get_logger(__name__)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StreamForwarder:
@@ -86,6 +89,11 @@
     async def forward(self, call: Call) -> None:
         """Sends a call to engines and answers the client."""
         call.exchange.on_disconnect = asyncio.current_task().cancel
+        with self.finisher.log_disconnects(call):
+            await self.send_until_answered(call)
+
+    async def send_until_answered(self, call: Call) -> None:
+        """Sends a call over chains until a stream ends or none may be tried."""
         loop = asyncio.get_running_loop()
         state = StreamState(call=call)
         avoided: set[str] = set()
@@ -332,6 +340,14 @@
                     started=sink.events > 0,
                 )
                 if stalled and not sink.ended.done():
+                    log.info(
+                        "stream seems stalled",
+                        request_id=call.metadata.request_id,
+                        targets=",".join(stalled),
+                        events=call.events,
+                        silent=loop.time() - sink.event_at,
+                        draining=call.exchange.draining_s,
+                    )
                     avoided.update(stalled)
                     return Unknown(reason="stalled at " + "+".join(stalled))
                 continue
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -145,6 +145,7 @@
         if self.ended.done():
             return
         self.start_answer()
+        self.state.call.events += len(forwarded)
         self.state.call.exchange.write(b"".join(forwarded))
         if not self.state.call.exchange.writable:
             self.connection.pause()
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -34,13 +34,20 @@
     CLOSE = "close"
 
 
+class Disconnect(enum.StrEnum):
+    """Why a connection closed before the response ended."""
+
+    CALLER = "caller left"
+    HALF_CLOSE = "caller closed its sending direction"
+    STOP = "cut at the end of the stop"
+
+
 class Exchange:
     """A request of a caller and the response to it.
 
     Attributes:
         request: The request.
-        disconnected: Whether the caller closed the connection before the
-            response ended.
+        disconnected: Whether the connection closed before the response ended.
         started: Whether the head of the response was sent.
         ended: Whether the response is complete or was aborted.
         on_disconnect: Called once when the caller closes the connection.
@@ -107,8 +114,16 @@
         self.ended = True
         self.connection.finish_exchange(self)
 
+    @property
+    def draining_s(self) -> float:
+        """Seconds since the server started to drain; 0 if it does not."""
+        started_at = self.connection.server.draining_at
+        if started_at is None:
+            return 0.0
+        return self.connection.loop.time() - started_at
+
     def handle_disconnect(self) -> None:
-        """Handles a connection that the caller closed."""
+        """Handles a connection that closed before the response ended."""
         if self.ended or self.disconnected:
             return
         self.disconnected = True
@@ -133,6 +148,8 @@
         progress_at: Time at which its body last grew.
         progress_bytes: Size of its body at that time.
         request_error: Error of the request that cannot be read.
+        disconnect_reason: Why the connection closed, if it closes before the
+            response to its open request ends.
     """
 
     def __init__(self, *, server: "HttpServer") -> None:
@@ -150,6 +167,7 @@
         self.progress_at = self.active_at
         self.progress_bytes = 0
         self.request_error: ProtocolError | None = None
+        self.disconnect_reason = Disconnect.CALLER
 
     # Callbacks of the transport.
 
@@ -188,6 +206,7 @@
 
     def eof_received(self) -> bool:
         """Lets the transport close the connection."""
+        self.disconnect_reason = Disconnect.HALF_CLOSE
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -196,8 +215,18 @@
         self.closing = True
         if self.exchange is not None:
             self.exchange.handle_disconnect()
+        self.log_dropped_requests()
         self.server.check_empty()
 
+    def log_dropped_requests(self) -> None:
+        """Logs requests that were read but will not be handled."""
+        if self.parser.requests:
+            log.info(
+                "pipelined requests dropped",
+                requests=len(self.parser.requests),
+                draining=self.server.draining,
+            )
+
     def pause_writing(self) -> None:
         """Marks the write buffer as full."""
         self.writable = False
@@ -291,6 +320,12 @@
         self.exchange = None
         self.close()
 
+    def log_unsent(self) -> None:
+        """Logs bytes of responses that the caller has not received yet."""
+        unsent = self.transport.get_write_buffer_size()
+        if unsent:
+            log.info("closing with unsent bytes", bytes=unsent)
+
     def is_too_slow(self, now: float) -> bool:
         """Returns whether the incomplete request arrives too slowly.
 
@@ -331,6 +366,8 @@
 
     Attributes:
         connections: Open connections.
+        draining_at: Time of the event loop at which draining started; None
+            before that.
         draining: Whether connections close after their next response.
         closing_idle: Whether connections without a request are closed.
         empty: Set after `stop_accepting` once no connection is open.
@@ -341,6 +378,7 @@
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.draining = False
+        self.draining_at: float | None = None
         self.closing_idle = False
         self.empty = asyncio.Event()
         self.loop = asyncio.get_running_loop()
@@ -380,6 +418,7 @@
     def start_draining(self) -> None:
         """Makes each connection close after its next response."""
         self.draining = True
+        self.draining_at = self.loop.time()
 
     def stop_accepting(self) -> None:
         """Closes the listener and the idle connections.
@@ -402,4 +441,6 @@
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
+            connection.log_unsent()
+            connection.disconnect_reason = Disconnect.STOP
             connection.close()
