Test: streams whose engine is silent for a while

Eight tests fail: a begun stream ends after two of six events (status 502 before the first event) when its engine sends nothing for 1.7 s, a state query is answered late, or an inspection finds the engine unreachable, and no other chain takes over (none, full, broken, no budget, not resumable).

--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -59,6 +59,7 @@
         seen: Requests that arrived, without state queries.
         disconnected: Set when a client closes its connection before the answer.
         report: Body of the answer to state queries.
+        report_delay_s: Delay of that answer, in seconds.
     """
 
     def __init__(self, *, target_id: str, script: Script) -> None:
@@ -67,6 +68,7 @@
         self.seen: list[Exchange] = []
         self.disconnected = asyncio.Event()
         self.report = b"{}"
+        self.report_delay_s = 0.0
 
     async def start(self) -> None:
         """Opens the listener."""
@@ -78,6 +80,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answers a request."""
         if exchange.request.head.path == b"/rattanroute/report":
+            await asyncio.sleep(self.report_delay_s)
             exchange.send(ResponseHead(status=200), self.report)
             return
         exchange.on_disconnect = self.disconnected.set
--- /dev/null
+++ b/rattanroute/tests/test_silent_streams.py
@@ -0,0 +1,114 @@
+"""Tests of streams whose engine sends nothing for a while."""
+
+import asyncio
+
+from rattanroute.http1.servers import Exchange
+from rattanroute.tests.gateway_hosts import build_events
+from rattanroute.tests.gateway_hosts import build_head
+from rattanroute.tests.gateway_hosts import FakeTarget
+from rattanroute.tests.gateway_hosts import GatewayTestCase
+from rattanroute.tests.gateway_hosts import Script
+from rattanroute.tests.gateway_support import SERVICE
+
+EVENTS = 6
+ALL_EVENTS = build_events(1, EVENTS + 1)
+# Longer than the time after which a front suspects an engine, and shorter than
+# the two seconds after which callers leave.
+SILENCE_SECONDS = 1.7
+DEADLINE_MS = 10_000
+
+
+async def pause(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends two events, then the others after a silence."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(1, 3))
+    await asyncio.sleep(SILENCE_SECONDS)
+    exchange.write(build_events(3, EVENTS + 1))
+    exchange.end()
+
+
+async def start_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends nothing for a while, then all events."""
+    await asyncio.sleep(SILENCE_SECONDS)
+    exchange.start(build_head(exchange))
+    exchange.write(ALL_EVENTS)
+    exchange.end()
+
+
+async def reject(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request without running it."""
+    exchange.send(build_head(exchange, 503, stamped=False, not_run=True))
+
+
+async def fail(target: FakeTarget, exchange: Exchange) -> None:
+    """Closes the connection without an answer."""
+    exchange.abort()
+
+
+class SilentStreamTest(GatewayTestCase):
+    """Guards against a stream that is cut because its engine was silent.
+
+    A silence is no proof of a failure: the engine may preempt the request, or
+    its machine may pause.
+    """
+
+    async def add_engines(self, silent: Script, other: Script | None) -> None:
+        """Starts a silent engine that is chosen first, and another one."""
+        self.silent = await self.add_target("t1", silent, service=SERVICE)
+        self.targets.get("t1").report.data_centre = "dc-a"
+        if other is not None:
+            self.other = await self.add_target("t2", other, service=SERVICE)
+
+    async def check_whole_stream(self, path: str = "/stream/") -> None:
+        """Checks that a call gets all events."""
+        answer = await self.call(path, deadline_ms=DEADLINE_MS)
+        self.assertEqual((answer.status, answer.body), (200, ALL_EVENTS))
+        self.assertTrue(answer.complete)
+
+    async def test_no_other_engine(self) -> None:
+        """Guards against an abort when layers seem to be missing."""
+        await self.add_engines(pause, None)
+        await self.check_whole_stream()
+
+    async def test_other_engine_rejects_the_request(self) -> None:
+        """Guards against an abort when the other chains are full."""
+        await self.add_engines(pause, reject)
+        await self.check_whole_stream()
+
+    async def test_other_engine_breaks_off(self) -> None:
+        """Guards against an abort when both permitted engines were tried."""
+        await self.add_engines(pause, fail)
+        await self.check_whole_stream()
+
+    async def test_stream_that_is_not_resumable(self) -> None:
+        """Guards against an abort of a stream that must not be repeated."""
+        await self.add_engines(pause, None)
+        await self.check_whole_stream("/single/")
+        self.assertEqual(len(self.silent.seen), 1)
+
+    async def test_no_budget_to_repeat(self) -> None:
+        """Guards against an abort when the retry budget is used up."""
+        await self.add_engines(pause, pause)
+        self.streams.budget.retry_budget.extra = 0
+        self.streams.budget.retry_budget.ratio = 0
+        await self.check_whole_stream()
+
+    async def test_late_state_of_the_engine(self) -> None:
+        """Guards against an abort when the engine answers no state query."""
+        await self.add_engines(pause, reject)
+        self.silent.report_delay_s = SILENCE_SECONDS
+        await self.check_whole_stream()
+
+    async def test_engine_that_seems_unreachable(self) -> None:
+        """Guards against an abort after an inspection that failed."""
+        await self.add_engines(pause, None)
+        call = asyncio.create_task(self.check_whole_stream())
+        await asyncio.sleep(0.1)
+        self.targets.get("t1").reachable = False
+        self.streams.end_attempts_at("t1")
+        await call
+
+    async def test_late_start(self) -> None:
+        """Guards against a failure although the engine is at work."""
+        await self.add_engines(start_late, reject)
+        await self.check_whole_stream()
