Keep a silent stream open until another engine continues it

Callers saw a begun stream end without its last event although its engine went on. A suspicion (no event for 0.4 s and a late state query, no event for 1.2 s, an inspection that found a target unreachable) ended the attempt at once. Where the next chain was full or broken, layers seemed to be missing, the budget of repeats was used up, or the route allowed no repeat, the front then aborted the answer. Such a verdict is a guess: on a busy machine the front, the engine and the inspector pause together.

A suspected attempt now stays open beside its replacement. The first one that sends an event continues the stream, and the others end in the same step, so that no event of two runs is mixed. Before the first event the front waits for the engine's own answer (its stall time); after it, until the deadline. An engine that breaks off still ends the wait at once.

--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -52,7 +52,12 @@
     progress_s: float = 0.0
 
 
-Outcome = Answered | NotRun | Unknown
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Superseded:
+    """Another attempt of the same request delivers the answer."""
+
+
+Outcome = Answered | NotRun | Unknown | Superseded
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- /dev/null
+++ b/rattanroute/gateway/stream_attempts.py
@@ -0,0 +1,155 @@
+"""Attempts of one stream, of which the first to send an event continues it.
+
+An attempt whose engine is silent is only suspected: its connection stays open
+until another attempt has sent an event. A silence is no proof of a failure,
+and a stream that has no other chain still gets its answer if the engine goes
+on.
+"""
+
+import asyncio
+import dataclasses
+
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.header_codecs import ChainHop
+from rattanroute.gateway.outcomes import Answered
+from rattanroute.gateway.stream_sinks import StreamSink
+from rattanroute.gateway.stream_sinks import StreamState
+from rattanroute.systems.crash_bans import Ban
+from rattanroute.tables.targets import TargetReport
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class StreamAttempt:
+    """A request that was sent over a chain.
+
+    Attributes:
+        chain: The chain.
+        sink: Receives the answer.
+        tokens: Tokens of the prompt and the answer, counted as load.
+        reports: Reports of the chain's targets when the request was sent.
+        sent_at: Time at which it was sent, in seconds.
+        checked_at: Time of the latest inspection, or of the start, in
+            seconds.
+        suspected: Whether its engine is silent or seems unreachable.
+        lost: Whether it has been recorded as lost.
+    """
+
+    chain: tuple[ChainHop, ...]
+    sink: StreamSink
+    tokens: int
+    sent_at: float
+    checked_at: float
+    reports: tuple[TargetReport, ...] = ()
+    suspected: bool = False
+    lost: bool = False
+
+    @property
+    def target_ids(self) -> tuple[str, ...]:
+        """Identifiers of the chain's targets."""
+        return tuple(hop.target_id for hop in self.chain)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class StreamRun:
+    """A call with its open attempts.
+
+    At most one open attempt is not suspected.
+
+    Attributes:
+        call: The call.
+        state: What the client has received.
+        avoided: Targets that the next attempt avoids.
+        attempts: Open attempts, oldest first.
+        reason: Why the latest attempt failed, or why there is no other one.
+        ban: Ban that forbids further attempts.
+        failure: Error answer of a target, which ends the search for others.
+        waiter: Wakes the task that waits for a change of the attempts.
+        changed: Whether they have changed since that task last waited.
+    """
+
+    call: Call
+    state: StreamState
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    attempts: list[StreamAttempt] = dataclasses.field(default_factory=list)
+    reason: str = ""
+    ban: Ban | None = None
+    failure: Answered | None = None
+    waiter: asyncio.Future[None] | None = None
+    changed: bool = False
+
+    @property
+    def trusted(self) -> StreamAttempt | None:
+        """The attempt that is not suspected; None if there is none."""
+        for attempt in self.attempts:
+            if not attempt.suspected:
+                return attempt
+        return None
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether no other attempt is needed now."""
+        return self.trusted is not None or any(
+            x.sink.ended.done() and x.sink.ended.result() is None
+            for x in self.attempts
+        )
+
+    @property
+    def may_start(self) -> bool:
+        """Whether another attempt may be started."""
+        return self.ban is None and self.failure is None
+
+    def note_failure(self, reason: str) -> None:
+        """Records why an attempt failed."""
+        self.reason = reason
+        self.call.failures.append(reason)
+
+    def add(self, attempt: StreamAttempt) -> None:
+        """Adds an attempt that was just sent."""
+        self.attempts.append(attempt)
+        attempt.sink.on_progress = lambda: self.claim(attempt)
+        attempt.sink.ended.add_done_callback(lambda _: self.wake())
+
+    def claim(self, attempt: StreamAttempt) -> None:
+        """Ends all other attempts, as this one has sent an event."""
+        if not attempt.suspected and len(self.attempts) == 1:
+            return
+        if attempt.suspected:
+            attempt.suspected = False
+            self.avoided.difference_update(attempt.target_ids)
+        for other in self.attempts:
+            if other is not attempt:
+                other.sink.supersede()
+        self.wake()
+
+    def resume_reading(self) -> None:
+        """Resumes reading of all attempts once a slow client has caught up."""
+        for attempt in self.attempts:
+            attempt.sink.connection.resume()
+
+    def wake(self) -> None:
+        """Wakes the task that waits for a change."""
+        self.changed = True
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def wait(
+        self, seconds: float, task: asyncio.Task[object] | None = None
+    ) -> None:
+        """Waits for a change of the attempts.
+
+        Args:
+            seconds: Longest wait in seconds.
+            task: A task whose end also ends the wait.
+        """
+        if not self.changed:
+            self.waiter = asyncio.get_running_loop().create_future()
+            tasks = {self.waiter} if task is None else {self.waiter, task}
+            try:
+                await asyncio.wait(
+                    tasks,
+                    timeout=seconds,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                self.waiter = None
+        self.changed = False
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -20,6 +20,8 @@
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.send_budgets import SendBudget
 from rattanroute.gateway.stall_inspectors import StallInspector
+from rattanroute.gateway.stream_attempts import StreamAttempt
+from rattanroute.gateway.stream_attempts import StreamRun
 from rattanroute.gateway.stream_sinks import OK
 from rattanroute.gateway.stream_sinks import Shortage
 from rattanroute.gateway.stream_sinks import StreamSink
@@ -46,6 +48,10 @@
 # If a target states that a request did not run only after this fraction of the
 # engine's stall time, a target of its chain has failed rather than being full.
 STALL_FRACTION = 0.8
+# From an engine's stall time to its answer.
+STALL_MARGIN_SECONDS = 0.25
+# Interval of the search for another chain while all attempts are suspected.
+SEARCH_INTERVAL_SECONDS = 0.2
 
 log = get_logger(__name__)
 
@@ -64,7 +70,7 @@
         inspector: Finds the target at which a stream stalls.
         crashes: Detects requests that crash targets.
         queue: Calls that wait for capacity.
-        open_attempts: Chains and sinks of the running attempts.
+        runs: Open calls with their attempts.
     """
 
     codec: HeaderCodec
@@ -76,71 +82,110 @@
     inspector: StallInspector
     crashes: CrashDetector
     queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
-    open_attempts: set[tuple[tuple[ChainHop, ...], StreamSink]] = (
-        dataclasses.field(default_factory=set)
-    )
+    runs: set[StreamRun] = dataclasses.field(default_factory=set)
 
-    def end_attempts_at(self, target_id: str) -> None:
-        """Ends the attempts whose chain contains a target that is gone."""
-        for chain, sink in list(self.open_attempts):
-            if any(hop.target_id == target_id for hop in chain):
-                sink.finish(Unknown(reason=f"target {target_id} is gone"))
+    def suspect_attempts_at(self, target_id: str) -> None:
+        """Looks for other chains for the streams at an unreachable target."""
+        for run in self.runs:
+            for attempt in run.attempts:
+                if target_id in attempt.target_ids:
+                    reason = f"target {target_id} is gone"
+                    self.suspect(run, attempt, [target_id], reason)
 
     async def forward(self, call: Call) -> None:
         """Sends a call to engines and answers the client."""
         call.exchange.on_disconnect = asyncio.current_task().cancel
-        with self.finisher.log_disconnects(call):
-            await self.send_until_answered(call)
+        run = StreamRun(call=call, state=StreamState(call=call))
+        call.exchange.on_writable = run.resume_reading
+        self.runs.add(run)
+        try:
+            with self.finisher.log_disconnects(call):
+                await self.send_until_answered(run)
+        finally:
+            self.runs.discard(run)
+            for attempt in run.attempts:
+                self.release(run, attempt)
+
+    async def send_until_answered(self, run: StreamRun) -> None:
+        """Sends a call over chains until a stream ends or none may be tried.
+
+        A suspected attempt ends only when another one has sent an event, or
+        by itself.
+        """
+        while True:
+            if run.trusted is None and run.may_start:
+                await self.start_replacement(run)
+            if not run.attempts:
+                break
+            await self.watch(run)
+            if self.collect(run):
+                return
+        if run.failure is not None:
+            self.answer_failure(run.call, run.failure)
+        else:
+            self.refuse(run)
 
-    async def send_until_answered(self, call: Call) -> None:
-        """Sends a call over chains until a stream ends or none may be tried."""
+    def refuse(self, run: StreamRun) -> None:
+        """Ends a call that no engine answered."""
+        now = asyncio.get_running_loop().time()
+        call = run.call
+        available_at = run.ban.until if run.ban is not None else None
+        if available_at is None and run.state.shortage is Shortage.LAYERS:
+            available_at = self.selector.find_pause_end(call.service.name, now)
+        self.finisher.refuse(
+            call,
+            run.reason,
+            timed_out=call.time_left(now) <= 0,
+            available_at=available_at,
+        )
+
+    async def start_replacement(self, run: StreamRun) -> None:
+        """Starts an attempt, unless a suspected one goes on or ends first."""
+        if not run.attempts:
+            await self.start_attempt(run)
+            return
+        search = asyncio.create_task(self.start_attempt(run))
+        try:
+            while not search.done() and not run.is_answered:
+                await run.wait(SEARCH_INTERVAL_SECONDS, search)
+        finally:
+            if not search.cancel():
+                search.result()
+
+    async def start_attempt(self, run: StreamRun) -> None:
+        """Sends a call over the next chain; sets `reason` if there is none."""
+        call = run.call
         loop = asyncio.get_running_loop()
-        state = StreamState(call=call)
-        avoided: set[str] = set()
-        reason = ""
-        ban = None
         while self.may_send(call, loop.time()):
-            ban = await self.crashes.find_ban(call)
-            chain = () if ban else await self.find_chain(call, state, avoided)
+            run.ban = await self.crashes.find_ban(call)
+            chain = () if run.ban else await self.find_chain(run)
             # The request may have been banned while it waited for a chain.
-            ban = ban or self.crashes.check_ban(call)
-            if ban is not None:
-                reason = BANNED_REASON
-                break
+            run.ban = run.ban or self.crashes.check_ban(call)
+            if run.ban is not None:
+                run.reason = BANNED_REASON
+                return
             if not chain:
-                reason = reason or state.shortage
-                break
-            if not self.budget.take(call, loop.time()):
-                reason = f"no budget to repeat after {reason}"
-                break
-            outcome = await self.attempt(call, state, chain, avoided)
-            if outcome is None:
-                self.finisher.log(call, OK, "answered")
-                self.crashes.note_answered(call)
+                run.reason = run.reason or run.state.shortage
                 return
-            if isinstance(outcome, Answered):
-                self.answer_failure(call, outcome)
+            if not self.budget.take(call, loop.time()):
+                run.reason = f"no budget to repeat after {call.failures[-1]}"
                 return
-            reason = outcome.reason
-            call.failures.append(reason)
-        timed_out = call.time_left(loop.time()) <= 0
-        available_at = ban.until if ban is not None else None
-        if available_at is None and state.shortage is Shortage.LAYERS:
-            available_at = self.selector.find_pause_end(
-                call.service.name, loop.time()
-            )
-        self.finisher.refuse(
-            call, reason, timed_out=timed_out, available_at=available_at
-        )
+            connection = await self.connect(run, chain)
+            if connection is None:
+                continue
+            if run.is_answered:
+                self.pool.put(connection)
+            else:
+                self.send(run, chain, connection)
+            return
 
-    async def find_chain(
-        self, call: Call, state: StreamState, avoided: set[str]
-    ) -> tuple[ChainHop, ...]:
+    async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a chain with capacity, waiting for a short time if needed.
 
         A call does not wait if some layers are held by no usable target.
         """
         now = asyncio.get_running_loop().time()
+        call, state, avoided = run.call, run.state, run.avoided
 
         def choose() -> tuple[ChainHop, ...]:
             return self.choose_chain(call, avoided)
@@ -186,28 +231,6 @@
             return False
         return call.route.repeatable or not call.may_have_run
 
-    async def attempt(
-        self,
-        call: Call,
-        state: StreamState,
-        chain: tuple[ChainHop, ...],
-        avoided: set[str],
-    ) -> Outcome | None:
-        """Sends a call over a chain and counts its load during the attempt."""
-        loop = asyncio.get_running_loop()
-        call.sends += 1
-        call.targets.append("+".join(hop.target_id for hop in chain))
-        tokens = build_demand(call).tokens
-        reports = self.crashes.list_reports(hop.target_id for hop in chain)
-        self.count_load(chain, tokens, 1, loop.time())
-        try:
-            outcome = await self.exchange(call, state, chain, avoided)
-        finally:
-            self.count_load(chain, tokens, -1, loop.time())
-        if isinstance(outcome, Unknown):
-            self.crashes.note_lost(call, reports, outcome)
-        return outcome
-
     def count_load(
         self, chain: tuple[ChainHop, ...], tokens: int, sign: int, now: float
     ) -> None:
@@ -230,18 +253,18 @@
             else:
                 targets.note_end(hop.target_id, now)
 
-    async def exchange(
-        self,
-        call: Call,
-        state: StreamState,
-        chain: tuple[ChainHop, ...],
-        avoided: set[str],
-    ) -> Outcome | None:
-        """Sends a call to the first target and follows the stream."""
+    async def connect(
+        self, run: StreamRun, chain: tuple[ChainHop, ...]
+    ) -> ClientConnection | None:
+        """Connects to the first target of a chain; None if that fails."""
+        call = run.call
         loop = asyncio.get_running_loop()
         first = chain[0]
+        call.sends += 1
+        call.targets.append("+".join(hop.target_id for hop in chain))
+        self.count_load(chain, build_demand(call).tokens, 1, loop.time())
         try:
-            connection = await self.pool.take(
+            return await self.pool.take(
                 first.address,
                 timeout_s=min(
                     CONNECT_TIMEOUT_SECONDS, call.time_left(loop.time())
@@ -251,31 +274,11 @@
             self.selector.note_failure(
                 first.target_id, now=loop.time(), crashed=True
             )
-            avoided.add(first.target_id)
-            return NotRun(reason=str(error))
-        sink = StreamSink(
-            state=state,
-            codec=self.codec,
-            connection=connection,
-            on_metadata=self.record_metadata(first.target_id),
-            on_begun=functools.partial(self.crashes.note_begun, call),
-        )
-        call.exchange.on_writable = connection.resume
-        try:
-            self.open_attempts.add((chain, sink))
-            self.send(call, state, chain, connection, sink)
-            outcome = await self.follow(call, chain, sink, avoided)
+            run.avoided.add(first.target_id)
+            run.note_failure(str(error))
+            return None
         finally:
-            self.open_attempts.discard((chain, sink))
-            # A complete answer has already returned the connection to the
-            # pool, and another call may be using it.
-            if connection.sink is sink:
-                connection.cancel()
-        self.note_health(call, chain, sink, outcome, avoided)
-        if isinstance(outcome, Unknown):
-            progress_s = sink.measure_progress()
-            return dataclasses.replace(outcome, progress_s=progress_s)
-        return outcome
+            self.count_load(chain, build_demand(call).tokens, -1, loop.time())
 
     def record_metadata(
         self, target_id: str
@@ -294,115 +297,217 @@
 
     def send(
         self,
-        call: Call,
-        state: StreamState,
+        run: StreamRun,
         chain: tuple[ChainHop, ...],
         connection: ClientConnection,
-        sink: StreamSink,
     ) -> None:
         """Sends the request to the first target of a chain."""
+        call = run.call
+        now = connection.loop.time()
+        sink = StreamSink(
+            state=run.state,
+            codec=self.codec,
+            connection=connection,
+            on_metadata=self.record_metadata(chain[0].target_id),
+            on_begun=functools.partial(self.crashes.note_begun, call),
+        )
+        attempt = StreamAttempt(
+            chain=chain,
+            sink=sink,
+            tokens=build_demand(call).tokens,
+            sent_at=now,
+            checked_at=now,
+        )
+        attempt.reports = self.crashes.list_reports(attempt.target_ids)
         request = call.exchange.request
         head = self.codec.build_request(
             request.head,
             UpstreamMetadata(
                 target_id=chain[0].target_id,
-                time_left_s=call.time_left(sink.loop.time()),
+                time_left_s=call.time_left(now),
                 workspace=call.workspace,
-                last_event_id=state.last_event_id,
+                last_event_id=run.state.last_event_id,
                 chain=chain,
             ),
         )
+        self.count_load(chain, attempt.tokens, 1, now)
+        run.add(attempt)
         connection.send(head, request.body, sink)
 
-    async def follow(
-        self,
-        call: Call,
-        chain: tuple[ChainHop, ...],
-        sink: StreamSink,
-        avoided: set[str],
-    ) -> Outcome | None:
-        """Waits for the end of an attempt and inspects long pauses."""
-        loop = asyncio.get_running_loop()
-        end = call.deadline + DEADLINE_MARGIN_SECONDS
-        checked_at = sink.event_at
-        while not sink.ended.done():
-            now = loop.time()
+    def release(self, run: StreamRun, attempt: StreamAttempt) -> None:
+        """Closes the connection of an attempt and subtracts its load."""
+        connection = attempt.sink.connection
+        # A complete answer has already returned the connection to the pool,
+        # and another call may be using it.
+        if connection.sink is attempt.sink:
+            connection.cancel()
+        now = connection.loop.time()
+        self.count_load(attempt.chain, attempt.tokens, -1, now)
+
+    async def watch(self, run: StreamRun) -> None:
+        """Waits for a change of the attempts and inspects long pauses."""
+        if any(attempt.sink.ended.done() for attempt in run.attempts):
+            return
+        now = asyncio.get_running_loop().time()
+        end = run.call.deadline + DEADLINE_MARGIN_SECONDS
+        if now >= end:
+            for attempt in run.attempts:
+                attempt.sink.finish(Unknown(reason="deadline", timed_out=True))
+            return
+        attempt = run.trusted
+        if attempt is None:
+            end = min(end, self.find_hold_end(run))
             if now >= end:
-                return Unknown(reason="deadline", timed_out=True)
-            limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
-            due = max(sink.event_at, checked_at) + limit
-            if now >= due and call.exchange.writable:
-                checked_at = now
-                stalled = await self.inspector.find_stalled(
-                    call,
-                    chain,
-                    silent_s=now - sink.event_at,
-                    started=sink.events > 0,
-                )
-                if stalled and not sink.ended.done():
-                    log.info(
-                        "stream seems stalled",
-                        request_id=call.metadata.request_id,
-                        targets=",".join(stalled),
-                        events=call.events,
-                        silent=loop.time() - sink.event_at,
-                        draining=call.exchange.draining_s,
-                    )
-                    avoided.update(stalled)
-                    return Unknown(reason="stalled at " + "+".join(stalled))
-                continue
-            wait = max(0.01, min(end, max(due, now + 0.01)) - now)
-            await asyncio.wait((sink.ended,), timeout=wait)
-        return sink.ended.result()
+                for attempt in run.attempts:
+                    attempt.sink.finish(Unknown(reason=run.reason))
+                return
+            await run.wait(min(end - now, SEARCH_INTERVAL_SECONDS))
+            return
+        sink = attempt.sink
+        limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
+        due = max(sink.event_at, attempt.checked_at) + limit
+        if now < due:
+            await run.wait(min(end, due) - now)
+        elif not run.call.exchange.writable:
+            attempt.checked_at = now
+        else:
+            attempt.checked_at = now
+            await self.inspect(run, attempt)
 
-    def note_health(
+    def find_hold_end(self, run: StreamRun) -> float:
+        """Returns until when suspected attempts may still send an event.
+
+        An engine whose chain has failed says so after its stall time, or
+        breaks off. A client that has a part of the answer cannot get the rest
+        otherwise.
+        """
+        if run.call.exchange.started:
+            return run.call.deadline
+        stall_s = run.call.service.engine.stall_s + STALL_MARGIN_SECONDS
+        return max(attempt.sent_at for attempt in run.attempts) + stall_s
+
+    async def inspect(self, run: StreamRun, attempt: StreamAttempt) -> None:
+        """Suspects an attempt whose engine is silent for a wrong reason."""
+        sink = attempt.sink
+        event_at = sink.event_at
+        stalled = await self.inspector.find_stalled(
+            run.call,
+            attempt.chain,
+            silent_s=attempt.checked_at - event_at,
+            started=sink.events > 0,
+        )
+        if stalled and sink.event_at == event_at and not sink.ended.done():
+            reason = "stalled at " + "+".join(stalled)
+            self.suspect(run, attempt, stalled, reason)
+
+    def suspect(
         self,
-        call: Call,
-        chain: tuple[ChainHop, ...],
-        sink: StreamSink,
-        outcome: Outcome | None,
-        avoided: set[str],
+        run: StreamRun,
+        attempt: StreamAttempt,
+        target_ids: list[str],
+        reason: str,
     ) -> None:
-        """Updates health and the targets that the next attempt avoids."""
-        now = sink.loop.time()
-        if outcome is None:
-            for hop in chain:
-                self.selector.note_success(hop.target_id, now)
+        """Marks an attempt, so that another one is started beside it."""
+        if attempt.suspected or attempt.sink.ended.done():
             return
-        if isinstance(outcome, NotRun):
-            self.note_not_run(call, chain, sink, avoided)
-            return
-        call.may_have_run = True
-        call.possible_runners.add(chain[0].target_id)
-        if isinstance(outcome, Answered) or outcome.timed_out:
+        attempt.suspected = True
+        call = run.call
+        log.info(
+            "stream is suspected",
+            request_id=call.metadata.request_id,
+            reason=reason,
+            events=call.events,
+            silent=attempt.sink.loop.time() - attempt.sink.event_at,
+            draining=call.exchange.draining_s,
+        )
+        run.avoided.update(target_ids)
+        run.note_failure(reason)
+        self.note_possible_run(run, attempt)
+        self.note_lost(run, attempt, Unknown(reason=reason))
+        run.wake()
+
+    def note_possible_run(self, run: StreamRun, attempt: StreamAttempt) -> None:
+        """Records that the first target of an attempt may run the request."""
+        run.call.may_have_run = True
+        run.call.possible_runners.add(attempt.chain[0].target_id)
+
+    def note_lost(
+        self, run: StreamRun, attempt: StreamAttempt, outcome: Unknown
+    ) -> None:
+        """Records once that an attempt may have crashed its targets."""
+        if attempt.lost:
             return
-        gone = [hop.target_id for hop in chain if self.is_gone(hop)]
-        avoided.update(gone)
-        if avoided.isdisjoint(hop.target_id for hop in chain):
-            avoided.add(chain[0].target_id)
-            self.selector.note_failure(chain[0].target_id, now=now)
+        attempt.lost = True
+        progress_s = attempt.sink.measure_progress()
+        outcome = dataclasses.replace(outcome, progress_s=progress_s)
+        self.crashes.note_lost(run.call, attempt.reports, outcome)
+
+    def collect(self, run: StreamRun) -> bool:
+        """Handles the attempts that have ended.
+
+        Returns:
+            Whether the client has the complete answer.
+        """
+        complete = False
+        for attempt in list(run.attempts):
+            if not attempt.sink.ended.done():
+                continue
+            run.attempts.remove(attempt)
+            self.release(run, attempt)
+            outcome = attempt.sink.ended.result()
+            if outcome is None:
+                complete = True
+                self.finisher.log(run.call, OK, "answered")
+                self.crashes.note_answered(run.call)
+            self.note_health(run, attempt, outcome)
+        return complete
+
+    def note_health(
+        self, run: StreamRun, attempt: StreamAttempt, outcome: Outcome | None
+    ) -> None:
+        """Updates health and the targets that the next attempt avoids."""
+        now = attempt.sink.loop.time()
+        match outcome:
+            case None:
+                for target_id in attempt.target_ids:
+                    self.selector.note_success(target_id, now)
+            case NotRun():
+                run.note_failure(outcome.reason)
+                self.note_not_run(run, attempt)
+            case Answered():
+                self.note_possible_run(run, attempt)
+                run.failure = outcome
+            case Unknown():
+                run.note_failure(outcome.reason)
+                self.note_possible_run(run, attempt)
+                if not outcome.timed_out:
+                    self.avoid_gone(run, attempt)
+                self.note_lost(run, attempt, outcome)
 
     def is_gone(self, hop: ChainHop) -> bool:
         """Returns whether a target of a chain is unknown or unreachable."""
         target = self.selector.targets.get(hop.target_id)
         return target is None or not target.reachable
 
-    def note_not_run(
-        self,
-        call: Call,
-        chain: tuple[ChainHop, ...],
-        sink: StreamSink,
-        avoided: set[str],
-    ) -> None:
+    def avoid_gone(self, run: StreamRun, attempt: StreamAttempt) -> None:
+        """Avoids the targets of a failed attempt that caused the failure."""
+        gone = [hop.target_id for hop in attempt.chain if self.is_gone(hop)]
+        run.avoided.update(gone)
+        if run.avoided.isdisjoint(attempt.target_ids):
+            first = attempt.chain[0].target_id
+            run.avoided.add(first)
+            self.selector.note_failure(first, now=attempt.sink.loop.time())
+
+    def note_not_run(self, run: StreamRun, attempt: StreamAttempt) -> None:
         """Backs off from the target that rejected or caused the rejection."""
+        sink, chain = attempt.sink, attempt.chain
         now = sink.loop.time()
         address = sink.metadata.faulty_address or chain[0].address
         by_address = {hop.address: hop.target_id for hop in chain}
         target_id = by_address.get(address, chain[0].target_id)
         waited_s = now - sink.event_at
-        failed = waited_s >= STALL_FRACTION * call.service.engine.stall_s
-        if failed:
-            avoided.add(target_id)
+        if waited_s >= STALL_FRACTION * run.call.service.engine.stall_s:
+            run.avoided.add(target_id)
             self.selector.note_failure(target_id, now=now, crashed=True)
         else:
             self.selector.note_full(target_id, now)
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -12,6 +12,7 @@
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import NotRun
 from rattanroute.gateway.outcomes import Outcome
+from rattanroute.gateway.outcomes import Superseded
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.service_forwarders import MISDIRECTED
 from rattanroute.gateway.service_forwarders import NOT_RUN_STATUSES
@@ -25,6 +26,10 @@
 OK = 200
 
 
+def do_nothing() -> None:
+    """Stands for a callback that is not set."""
+
+
 class Shortage(enum.StrEnum):
     """Why no chain is available for a stream."""
 
@@ -58,6 +63,7 @@
     Attributes:
         on_metadata: Called with the metadata of the answer.
         on_begun: Called at the first event of the attempt.
+        on_progress: Called before events are passed to the client.
         unframed: Whether the end of the connection is the end of the answer.
         ended: Resolves to the outcome of the attempt; to None after a
             complete stream.
@@ -77,6 +83,7 @@
     ) -> None:
         self.on_metadata = on_metadata
         self.on_begun = on_begun
+        self.on_progress: Callable[[], None] = do_nothing
         self.loop = asyncio.get_running_loop()
         self.state = state
         self.codec = codec
@@ -98,6 +105,10 @@
         if not self.ended.done():
             self.ended.set_result(outcome)
 
+    def supersede(self) -> None:
+        """Ends the attempt, as another one continues the stream."""
+        self.finish(Superseded())
+
     def receive_head(self, head: ResponseHead) -> None:
         """Checks whether the answer is the requested stream."""
         self.head = head
@@ -142,8 +153,9 @@
                 continue
             forwarded.append(event.data)
             self.events += 1
-        if self.ended.done():
+        if self.ended.done() or not forwarded:
             return
+        self.on_progress()
         self.start_answer()
         self.state.call.events += len(forwarded)
         self.state.call.exchange.write(b"".join(forwarded))
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -86,7 +86,7 @@
         self.startup_done = asyncio.Event()
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
-        self.inspections.on_unreachable = self.end_attempts_at
+        self.inspections.on_unreachable = self.suspect_attempts_at
 
     def build_handler(self) -> GatewayHandler:
         """Builds the request handler with its selectors and forwarders."""
@@ -146,10 +146,10 @@
             startup_done=self.startup_done,
         )
 
-    def end_attempts_at(self, target_id: str) -> None:
-        """Ends the attempts of streams at an unreachable target."""
+    def suspect_attempts_at(self, target_id: str) -> None:
+        """Looks for other chains for the streams at an unreachable target."""
         log.info("target unreachable", target=target_id)
-        self.streams.end_attempts_at(target_id)
+        self.streams.suspect_attempts_at(target_id)
 
     def announce_departure(self, report: TargetReport) -> None:
         """Announces the departure that a target stated in an answer."""
--- a/rattanroute/tests/test_gateway_stream_forwarders.py
+++ b/rattanroute/tests/test_gateway_stream_forwarders.py
@@ -314,7 +314,7 @@
         await asyncio.sleep(0.1)
         await self.add_engine("t2", stream)
         self.targets.get("t1").reachable = False
-        self.streams.end_attempts_at("t1")
+        self.streams.suspect_attempts_at("t1")
         answered = await task
         self.assertEqual(answered.body, ALL_EVENTS)
         self.assertTrue(answered.complete)
--- a/rattanroute/tests/test_silent_streams.py
+++ b/rattanroute/tests/test_silent_streams.py
@@ -16,6 +16,8 @@
 # the two seconds after which callers leave.
 SILENCE_SECONDS = 1.7
 DEADLINE_MS = 10_000
+# Within this time an engine must learn that nobody needs its answer.
+LEAVE_SECONDS = 0.5
 
 
 async def pause(target: FakeTarget, exchange: Exchange) -> None:
@@ -45,12 +47,36 @@
     exchange.abort()
 
 
-class SilentStreamTest(GatewayTestCase):
-    """Guards against a stream that is cut because its engine was silent.
+async def stream_rest(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends the events after the one that the request names."""
+    last = int(target.header(-1, b"last-event-id") or 0)
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(last + 1, EVENTS + 1))
+    exchange.end()
 
-    A silence is no proof of a failure: the engine may preempt the request, or
-    its machine may pause.
-    """
+
+async def stay_silent(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends two events and then nothing."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(1, 3))
+    await asyncio.sleep(DEADLINE_MS / 1000)
+
+
+async def never_begin(target: FakeTarget, exchange: Exchange) -> None:
+    """Accepts the request and sends nothing."""
+    await asyncio.sleep(DEADLINE_MS / 1000)
+
+
+async def break_off(target: FakeTarget, exchange: Exchange) -> None:
+    """Closes the connection after two events and a silence."""
+    exchange.start(build_head(exchange))
+    exchange.write(build_events(1, 3))
+    await asyncio.sleep(0.6)
+    exchange.abort()
+
+
+class SilentEngineTestCase(GatewayTestCase):
+    """A test case with an engine that falls silent."""
 
     async def add_engines(self, silent: Script, other: Script | None) -> None:
         """Starts a silent engine that is chosen first, and another one."""
@@ -65,6 +91,14 @@
         self.assertEqual((answer.status, answer.body), (200, ALL_EVENTS))
         self.assertTrue(answer.complete)
 
+
+class SilentStreamTest(SilentEngineTestCase):
+    """Guards against a stream that is cut because its engine was silent.
+
+    A silence is no proof of a failure: the engine may preempt the request, or
+    its machine may pause.
+    """
+
     async def test_no_other_engine(self) -> None:
         """Guards against an abort when layers seem to be missing."""
         await self.add_engines(pause, None)
@@ -105,10 +139,62 @@
         call = asyncio.create_task(self.check_whole_stream())
         await asyncio.sleep(0.1)
         self.targets.get("t1").reachable = False
-        self.streams.end_attempts_at("t1")
+        self.streams.suspect_attempts_at("t1")
         await call
 
     async def test_late_start(self) -> None:
         """Guards against a failure although the engine is at work."""
         await self.add_engines(start_late, reject)
         await self.check_whole_stream()
+
+
+class ReplacedStreamTest(SilentEngineTestCase):
+    """Guards against two engines that write one answer."""
+
+    async def test_other_engine_continues(self) -> None:
+        """Guards against an engine that works on after it was replaced."""
+        await self.add_engines(pause, stream_rest)
+        await self.check_whole_stream()
+        self.assertEqual(self.other.header(0, b"last-event-id"), b"2")
+        async with asyncio.timeout(LEAVE_SECONDS):
+            await self.silent.disconnected.wait()
+        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+
+    async def test_first_engine_goes_on(self) -> None:
+        """Guards against events of an engine that is no longer needed."""
+        await self.add_engines(pause, never_begin)
+        await self.check_whole_stream()
+        async with asyncio.timeout(LEAVE_SECONDS):
+            await self.other.disconnected.wait()
+        self.assertEqual(len(self.silent.seen), 1)
+        self.assertEqual(len(self.other.seen), 1)
+        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+
+    async def test_client_leaves_two_engines(self) -> None:
+        """Guards against engines that work on for a client that has left."""
+        await self.add_engines(stay_silent, never_begin)
+        await self.call("/stream/", deadline_ms=DEADLINE_MS, leave_after=1.7)
+        async with asyncio.timeout(LEAVE_SECONDS):
+            await self.silent.disconnected.wait()
+            await self.other.disconnected.wait()
+        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.runs, set())
+
+    async def test_engine_that_breaks_off_is_not_waited_for(self) -> None:
+        """Guards against a client that waits although nothing is at work."""
+        await self.add_engines(break_off, None)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.call("/stream/", deadline_ms=DEADLINE_MS)
+        self.assertFalse(answer.complete)
+        self.assertLess(loop.time() - started, SILENCE_SECONDS)
+
+    async def test_engine_that_never_begins(self) -> None:
+        """Guards against a request that is held until its deadline."""
+        await self.add_engines(never_begin, None)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.call("/stream/", deadline_ms=DEADLINE_MS)
+        self.assertEqual(answer.status, 502)
+        stall_s = self.table.services[SERVICE].engine.stall_s
+        self.assertLess(loop.time() - started, stall_s + 1.0)
