Refuse a request as not run when its suspected engine says so

A request whose engine was silent before its first event counted as possibly run from then on. When the engine then answered that it had not run it, as it does after its stall time, the client got 502 instead of 503 with Retry-After.

What may have run is now kept by attempt and follows its outcome. test_engine_that_rejects_late failed before (502).

--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -60,6 +60,7 @@
         state: What the client has received.
         avoided: Targets that the next attempt avoids.
         attempts: Open attempts, oldest first.
+        possible_runs: Suspected or ended attempts that may have run.
         reason: Why the latest attempt failed, or why there is no other one.
         ban: Ban that forbids further attempts.
         failure: Error answer of a target, which ends the search for others.
@@ -71,6 +72,7 @@
     state: StreamState
     avoided: set[str] = dataclasses.field(default_factory=set)
     attempts: list[StreamAttempt] = dataclasses.field(default_factory=list)
+    possible_runs: set[StreamAttempt] = dataclasses.field(default_factory=set)
     reason: str = ""
     ban: Ban | None = None
     failure: Answered | None = None
@@ -98,6 +100,25 @@
         """Whether another attempt may be started."""
         return self.ban is None and self.failure is None
 
+    def note_possible_run(self, attempt: StreamAttempt) -> None:
+        """Records that an attempt's first target may run the request."""
+        self.possible_runs.add(attempt)
+        self.update_call()
+
+    def note_not_run(self, attempt: StreamAttempt) -> None:
+        """Records that an attempt's request certainly did not run."""
+        if attempt in self.possible_runs:
+            self.possible_runs.remove(attempt)
+            self.update_call()
+
+    def update_call(self) -> None:
+        """Updates what the call knows about its runs."""
+        call = self.call
+        call.may_have_run = bool(self.possible_runs)
+        call.possible_runners = {
+            attempt.chain[0].target_id for attempt in self.possible_runs
+        }
+
     def note_failure(self, reason: str) -> None:
         """Records why an attempt failed."""
         self.reason = reason
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -422,15 +422,10 @@
         )
         run.avoided.update(target_ids)
         run.note_failure(reason)
-        self.note_possible_run(run, attempt)
+        run.note_possible_run(attempt)
         self.note_lost(run, attempt, Unknown(reason=reason))
         run.wake()
 
-    def note_possible_run(self, run: StreamRun, attempt: StreamAttempt) -> None:
-        """Records that the first target of an attempt may run the request."""
-        run.call.may_have_run = True
-        run.call.possible_runners.add(attempt.chain[0].target_id)
-
     def note_lost(
         self, run: StreamRun, attempt: StreamAttempt, outcome: Unknown
     ) -> None:
@@ -473,13 +468,14 @@
                     self.selector.note_success(target_id, now)
             case NotRun():
                 run.note_failure(outcome.reason)
+                run.note_not_run(attempt)
                 self.note_not_run(run, attempt)
             case Answered():
-                self.note_possible_run(run, attempt)
+                run.note_possible_run(attempt)
                 run.failure = outcome
             case Unknown():
                 run.note_failure(outcome.reason)
-                self.note_possible_run(run, attempt)
+                run.note_possible_run(attempt)
                 if not outcome.timed_out:
                     self.avoid_gone(run, attempt)
                 self.note_lost(run, attempt, outcome)
--- a/rattanroute/tests/test_silent_streams.py
+++ b/rattanroute/tests/test_silent_streams.py
@@ -75,6 +75,12 @@
     exchange.abort()
 
 
+async def reject_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request after a silence, as after a stall of its chain."""
+    await asyncio.sleep(SILENCE_SECONDS)
+    await reject(target, exchange)
+
+
 class SilentEngineTestCase(GatewayTestCase):
     """A test case with an engine that falls silent."""
 
@@ -198,3 +204,10 @@
         self.assertEqual(answer.status, 502)
         stall_s = self.table.services[SERVICE].engine.stall_s
         self.assertLess(loop.time() - started, stall_s + 1.0)
+
+    async def test_engine_that_rejects_late(self) -> None:
+        """Guards against a failure that does not say "not run"."""
+        await self.add_engines(reject_late, None)
+        answer = await self.call("/stream/", deadline_ms=DEADLINE_MS)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
