Free the room of a stream whose chain accepts no connection

Suspected targets are now probed by a connection. A kernel accepts connections for a busy or paused process, so a refusal or a timeout tells a lost target from a slow one. Such an attempt no longer counts as load and ends when its replacement is sent; without a replacement it still stays open until its engine breaks off. The crash detector uses the same probes.

--- a/rattanroute/gateway/crash_detectors.py
+++ b/rattanroute/gateway/crash_detectors.py
@@ -9,13 +9,14 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
+import functools
 
 from aioprometheus import Counter
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.outcomes import Unknown
-from rattanroute.http1.clients import ConnectError
-from rattanroute.http1.clients import ConnectionPool
+from rattanroute.gateway.target_probes import ProbeResult
+from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.logs import get_logger
 from rattanroute.systems.crash_bans import Ban
 from rattanroute.systems.crash_bans import CrashBanSystem
@@ -26,7 +27,6 @@
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
 
-CONNECT_TIMEOUT_SECONDS = 0.25
 CHECK_INTERVAL_SECONDS = 0.2
 # A crashed target restarts and reports again within a few seconds.
 VERDICT_TIMEOUT_SECONDS = 8.0
@@ -77,7 +77,7 @@
     """Decides whether lost attempts were crashes and looks up banned requests.
 
     Args:
-        pool: Connections to targets.
+        probes: Checks hosts for refused connections.
         targets: All known targets.
         bans: Suspect and banned requests, shared by all VMs.
         lost_attempts: Counts lost attempts by verdict.
@@ -86,17 +86,16 @@
     def __init__(
         self,
         *,
-        pool: ConnectionPool,
+        probes: TargetProbes,
         targets: TargetTable,
         bans: CrashBanSystem,
         lost_attempts: Counter,
     ) -> None:
-        self.pool = pool
         self.targets = targets
         self.bans = bans
         self.lost_attempts = lost_attempts
         self.unresolved: list[LostAttempt] = []
-        self.probes: dict[str, asyncio.Task[None]] = {}
+        self.probes = probes
         self.refused_at: dict[str, float] = {}
 
     async def find_ban(self, call: Call) -> Ban | None:
@@ -240,28 +239,16 @@
         )
         # A timeout says nothing about a crash, and a probe adds to the load.
         if not outcome.timed_out:
-            self.probe(reports[0].address)
-
-    def probe(self, address: str) -> None:
-        """Starts a connection attempt to a target unless one is running."""
-        if address not in self.probes:
-            task = asyncio.create_task(self.connect(address))
-            self.probes[address] = task
-            task.add_done_callback(lambda _: self.probes.pop(address))
-
-    async def connect(self, address: str) -> None:
-        """Checks whether a target's host refuses connections."""
-        try:
-            connection = await self.pool.take(
-                address, timeout_s=CONNECT_TIMEOUT_SECONDS, fresh=True
+            address = reports[0].address
+            self.probes.probe(address).add_done_callback(
+                functools.partial(self.note_probe, address)
             )
-        except ConnectError as error:
-            if error.refused:
-                now = asyncio.get_running_loop().time()
-                self.refused_at[address] = now
-                self.check()
-            return
-        self.pool.put(connection)
+
+    def note_probe(self, address: str, task: asyncio.Task[ProbeResult]) -> None:
+        """Records that a host refuses connections."""
+        if not task.cancelled() and task.result() is ProbeResult.REFUSED:
+            self.refused_at[address] = asyncio.get_running_loop().time()
+            self.check()
 
     def check(self) -> None:
         """Sets the verdicts that are due; called at an interval."""
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -31,6 +31,9 @@
         checked_at: Time of the latest inspection, or of the start, in
             seconds.
         suspected: Whether its engine is silent or seems unreachable.
+        unreachable: Whether a suspected target of its chain also accepts no
+            connection.
+        loaded: Whether its load is counted.
         lost: Whether it has been recorded as lost.
     """
 
@@ -41,6 +44,8 @@
     checked_at: float
     reports: tuple[TargetReport, ...] = ()
     suspected: bool = False
+    unreachable: bool = False
+    loaded: bool = False
     lost: bool = False
 
     @property
@@ -135,7 +140,7 @@
         if not attempt.suspected and len(self.attempts) == 1:
             return
         if attempt.suspected:
-            attempt.suspected = False
+            attempt.suspected = attempt.unreachable = False
             self.avoided.difference_update(attempt.target_ids)
         for other in self.attempts:
             if other is not attempt:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -26,6 +26,8 @@
 from rattanroute.gateway.stream_sinks import Shortage
 from rattanroute.gateway.stream_sinks import StreamSink
 from rattanroute.gateway.stream_sinks import StreamState
+from rattanroute.gateway.target_probes import ProbeResult
+from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
@@ -69,6 +71,7 @@
         finisher: Refuses calls without an answer and logs outcomes.
         inspector: Finds the target at which a stream stalls.
         crashes: Detects requests that crash targets.
+        probes: Checks whether suspected targets accept connections.
         queue: Calls that wait for capacity.
         runs: Open calls with their attempts.
     """
@@ -81,6 +84,7 @@
     finisher: CallFinisher
     inspector: StallInspector
     crashes: CrashDetector
+    probes: TargetProbes
     queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
     runs: set[StreamRun] = dataclasses.field(default_factory=set)
 
@@ -104,7 +108,7 @@
         finally:
             self.runs.discard(run)
             for attempt in run.attempts:
-                self.release(run, attempt)
+                self.release(attempt)
 
     async def send_until_answered(self, run: StreamRun) -> None:
         """Sends a call over chains until a stream ends or none may be tried.
@@ -330,19 +334,40 @@
                 chain=chain,
             ),
         )
-        self.count_load(chain, attempt.tokens, 1, now)
+        for other in [x for x in run.attempts if x.unreachable]:
+            self.drop(run, other)
         run.add(attempt)
+        self.add_load(attempt)
         connection.send(head, request.body, sink)
 
-    def release(self, run: StreamRun, attempt: StreamAttempt) -> None:
+    def add_load(self, attempt: StreamAttempt) -> None:
+        """Counts the load of an attempt unless it is counted already."""
+        if not attempt.loaded:
+            attempt.loaded = True
+            now = attempt.sink.loop.time()
+            self.count_load(attempt.chain, attempt.tokens, 1, now)
+
+    def subtract_load(self, attempt: StreamAttempt) -> None:
+        """Subtracts the load of an attempt if it is counted."""
+        if attempt.loaded:
+            attempt.loaded = False
+            now = attempt.sink.loop.time()
+            self.count_load(attempt.chain, attempt.tokens, -1, now)
+
+    def drop(self, run: StreamRun, attempt: StreamAttempt) -> None:
+        """Ends an attempt that will not be needed."""
+        run.attempts.remove(attempt)
+        attempt.sink.supersede()
+        self.release(attempt)
+
+    def release(self, attempt: StreamAttempt) -> None:
         """Closes the connection of an attempt and subtracts its load."""
         connection = attempt.sink.connection
         # A complete answer has already returned the connection to the pool,
         # and another call may be using it.
         if connection.sink is attempt.sink:
             connection.cancel()
-        now = connection.loop.time()
-        self.count_load(attempt.chain, attempt.tokens, -1, now)
+        self.subtract_load(attempt)
 
     async def watch(self, run: StreamRun) -> None:
         """Waits for a change of the attempts and inspects long pauses."""
@@ -363,6 +388,7 @@
                 return
             await run.wait(min(end - now, SEARCH_INTERVAL_SECONDS))
             return
+        self.add_load(attempt)
         sink = attempt.sink
         limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
         due = max(sink.event_at, attempt.checked_at) + limit
@@ -424,8 +450,33 @@
         run.note_failure(reason)
         run.note_possible_run(attempt)
         self.note_lost(run, attempt, Unknown(reason=reason))
+        for hop in attempt.chain:
+            if hop.target_id in target_ids:
+                self.probes.probe(hop.address).add_done_callback(
+                    functools.partial(self.note_probe, run, attempt)
+                )
         run.wake()
 
+    def note_probe(
+        self,
+        run: StreamRun,
+        attempt: StreamAttempt,
+        task: asyncio.Task[ProbeResult],
+    ) -> None:
+        """Makes room for the replacement of an attempt that cannot go on.
+
+        Its chain has lost a target. Until it breaks off, its memory and its
+        slot would be taken twice.
+        """
+        if task.cancelled() or task.result() is ProbeResult.CONNECTED:
+            return
+        if attempt not in run.attempts or not attempt.suspected:
+            return
+        attempt.unreachable = True
+        self.subtract_load(attempt)
+        if len(run.attempts) > 1:
+            self.drop(run, attempt)
+
     def note_lost(
         self, run: StreamRun, attempt: StreamAttempt, outcome: Unknown
     ) -> None:
@@ -448,7 +499,7 @@
             if not attempt.sink.ended.done():
                 continue
             run.attempts.remove(attempt)
-            self.release(run, attempt)
+            self.release(attempt)
             outcome = attempt.sink.ended.result()
             if outcome is None:
                 complete = True
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -13,6 +13,7 @@
 from rattanroute.gateway.service_forwarders import ServiceForwarder
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_forwarders import StreamForwarder
+from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import RequestLimits
@@ -104,8 +105,9 @@
             retry_budget=self.retry_budget, vms=self.control.count_serving_vms
         )
         finisher = CallFinisher(codec=codec, random=self.random)
+        probes = TargetProbes(pool=self.pool)
         self.crashes = CrashDetector(
-            pool=self.pool,
+            probes=probes,
             targets=self.targets,
             bans=self.bans,
             lost_attempts=self.metrics.lost_attempts,
@@ -136,6 +138,7 @@
                 engine_control=self.engine_control, selector=selector
             ),
             crashes=self.crashes,
+            probes=probes,
         )
         return GatewayHandler(
             codec=codec,
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -15,6 +15,7 @@
 from rattanroute.gateway.service_forwarders import ServiceForwarder
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_forwarders import StreamForwarder
+from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import find_header
@@ -198,8 +199,9 @@
             ),
             random=random.Random(1),
         )
+        probes = TargetProbes(pool=self.pool)
         self.crashes = CrashDetector(
-            pool=self.pool,
+            probes=probes,
             targets=self.targets,
             bans=self.bans,
             lost_attempts=MetricsRegistry().lost_attempts,
@@ -220,6 +222,7 @@
         )
         self.streams = StreamForwarder(
             **shared,
+            probes=probes,
             chooser=ChainChooser(
                 data_centre="dc-a",
                 targets=self.targets,
--- a/rattanroute/tests/test_silent_streams.py
+++ b/rattanroute/tests/test_silent_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from rattanroute.gateway.target_probes import ProbeResult
 from rattanroute.http1.servers import Exchange
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
@@ -55,6 +56,12 @@
     exchange.end()
 
 
+async def stream_rest_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Sends the events after the one that the request names, after a while."""
+    await asyncio.sleep(LEAVE_SECONDS)
+    await stream_rest(target, exchange)
+
+
 async def stay_silent(target: FakeTarget, exchange: Exchange) -> None:
     """Sends two events and then nothing."""
     exchange.start(build_head(exchange))
@@ -211,3 +218,35 @@
         answer = await self.call("/stream/", deadline_ms=DEADLINE_MS)
         self.assertEqual(answer.status, 503)
         self.assertIn(b"retry-after", answer.headers)
+
+    async def test_chain_that_lost_a_target(self) -> None:
+        """Guards against a stream that takes memory on two chains.
+
+        The first engine reports a stall, and its host accepts no connection.
+        """
+        await self.add_engines(stay_silent, stream_rest_late)
+        self.silent.report = (
+            b'{"stalled":[{"id":"r1","address":"%b"}]}'
+            % self.silent.address.encode()
+        )
+        self.probe_result = ProbeResult.REFUSED
+        self.streams.probes.connect = self.give_probe_result
+        call = asyncio.create_task(self.check_whole_stream())
+        async with asyncio.timeout(SILENCE_SECONDS):
+            await self.silent.disconnected.wait()
+        self.assertFalse(call.done())
+        await call
+
+    async def test_chain_that_lost_a_target_and_has_no_replacement(
+        self,
+    ) -> None:
+        """Guards against a cut before the engine itself breaks off."""
+        await self.add_engines(pause, None)
+        self.probe_result = ProbeResult.TIMED_OUT
+        self.streams.probes.connect = self.give_probe_result
+        await self.check_whole_stream()
+        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+
+    async def give_probe_result(self, address: str) -> ProbeResult:
+        """Stands for a probe with a chosen result."""
+        return self.probe_result
