Answer each request that was read before a draining connection closes

Callers saw a closed connection in place of an answer: two requests in one write, or a second one sent while the first was answered, and SIGTERM during the first answer. The connection closed after the response that was open when draining began, whatever had been read behind it.

A connection now closes after the response whose head says so (RFC 9112, section 9.6). On a draining connection that is the one behind which no request has been read, wholly or in part. A response whose head went out before draining announces nothing; its connection stays open until idle connections are closed.

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -8,6 +8,7 @@
 
 from rattanroute.http1.heads import encode_response_head
 from rattanroute.http1.heads import Request
+from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
@@ -50,6 +51,7 @@
         disconnected: Whether the connection closed before the response ended.
         started: Whether the head of the response was sent.
         ended: Whether the response is complete or was aborted.
+        last: Whether its head announced that the connection closes.
         on_disconnect: Called once when the caller closes the connection.
         on_writable: Called when the write buffer of a slow caller has drained.
     """
@@ -63,6 +65,7 @@
         self.disconnected = False
         self.started = False
         self.ended = False
+        self.last = False
         self.on_disconnect: Callable[[], None] | None = None
         self.on_writable: Callable[[], None] | None = None
         self.framing = Framing.LENGTH
@@ -72,7 +75,7 @@
         if self.disconnected or self.ended:
             return
         framing = [(b"Content-Length", b"%d" % len(body))]
-        framing += self.connection.build_connection_headers(self.request.head)
+        framing += self.build_connection_headers()
         self.started = True
         self.connection.write(encode_response_head(head, framing) + body)
         self.finish()
@@ -84,9 +87,18 @@
         self.started = True
         self.framing = Framing.CHUNKED
         framing = [(b"Transfer-Encoding", b"chunked")]
-        framing += self.connection.build_connection_headers(self.request.head)
+        framing += self.build_connection_headers()
         self.connection.write(encode_response_head(head, framing))
 
+    def build_connection_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns `Connection: close` if this is the last response.
+
+        A response that says so is the last one of its connection (RFC 9112,
+        section 9.6); until then each request that was read is answered.
+        """
+        self.last = self.connection.closes_after(self.request.head)
+        return [(b"Connection", b"close")] if self.last else []
+
     def write(self, data: bytes) -> None:
         """Sends a chunk of the body."""
         if data and not (self.disconnected or self.ended):
@@ -286,21 +298,27 @@
             return
         self.exchange = None
         self.active_at = self.loop.time()
-        if self.server.draining or not exchange.request.head.keep_alive:
+        if exchange.last:
             self.close()
             return
         if self.paused:
             self.paused = False
             self.transport.resume_reading()
         self.start_next_request()
+        if self.server.closing_idle:
+            self.sweep(self.active_at)
 
-    def build_connection_headers(
-        self, head: object
-    ) -> list[tuple[bytes, bytes]]:
-        """Returns `Connection: close` if the connection does not stay open."""
-        if self.server.draining or not head.keep_alive:
-            return [(b"Connection", b"close")]
-        return []
+    def closes_after(self, head: RequestHead) -> bool:
+        """Returns whether the response to the open request is the last one.
+
+        On a draining connection this is the response after which no request
+        is left that has been read, wholly or in part.
+        """
+        if not head.keep_alive:
+            return True
+        if not self.server.draining:
+            return False
+        return not (self.parser.requests or self.parser.is_reading)
 
     # Output.
 
@@ -368,7 +386,8 @@
         connections: Open connections.
         draining_at: Time of the event loop at which draining started; None
             before that.
-        draining: Whether connections close after their next response.
+        draining: Whether connections close once the requests that were read
+            are answered.
         closing_idle: Whether connections without a request are closed.
         empty: Set after `stop_accepting` once no connection is open.
     """
@@ -416,7 +435,7 @@
             self.empty.set()
 
     def start_draining(self) -> None:
-        """Makes each connection close after its next response."""
+        """Makes each connection close once its requests are answered."""
         self.draining = True
         self.draining_at = self.loop.time()
 
--- a/rattanroute/tests/test_http1_servers.py
+++ b/rattanroute/tests/test_http1_servers.py
@@ -9,6 +9,7 @@
 from rattanroute.http1.servers import HttpServer
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+BEGUN_REQUEST = b"GET /begun HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class ServerTestCase(unittest.IsolatedAsyncioTestCase):
@@ -91,6 +92,87 @@
         self.assertEqual(self.arrived, 0)
 
 
+class PipelinedShutdownTest(ServerTestCase):
+    """Guards against requests that were read and get no answer in a stop."""
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Starts the answer to `/begun` at once, ends it with the gate."""
+        self.arrived += 1
+        if exchange.request.head.target == b"/begun":
+            exchange.start(ResponseHead(status=200))
+            await self.gate.wait()
+            exchange.write(b"done")
+            exchange.end()
+            return
+        await self.gate.wait()
+        exchange.send(ResponseHead(status=200), b"done")
+
+    async def finish(self, reader: asyncio.StreamReader) -> bytes:
+        """Sets the gate; returns the bytes up to the end of the connection."""
+        self.gate.set()
+        async with asyncio.timeout(3):
+            return await reader.read()
+
+    async def test_requests_in_one_write(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(REQUEST * 3)
+        await self.wait_for_arrivals(1)
+        self.server.start_draining()
+        self.server.stop_accepting()
+        data = await self.finish(reader)
+        self.assertEqual(data.count(b"done"), 3)
+        heads = data.split(b"done")[:3]
+        closes = [b"Connection: close" in head for head in heads]
+        self.assertEqual(closes, [False, False, True])
+
+    async def test_request_that_arrives_while_draining(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.wait_for_arrivals(1)
+        self.server.start_draining()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        self.server.stop_accepting()
+        data = await self.finish(reader)
+        self.assertEqual(data.count(b"done"), 2)
+
+    async def test_request_behind_an_answer_that_began_before(self) -> None:
+        """Guards against closing although no head announced the close."""
+        reader, writer = await self.connect()
+        writer.write(BEGUN_REQUEST)
+        await self.wait_for_arrivals(1)
+        self.server.start_draining()
+        self.server.stop_accepting()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        data = await self.finish(reader)
+        self.assertEqual(data.count(b"done"), 2)
+        self.assertEqual(data.count(b"Connection: close"), 1)
+
+    async def test_request_behind_the_announced_last_answer(self) -> None:
+        """Guards against running a request whose answer cannot be sent."""
+        reader, writer = await self.connect()
+        self.server.start_draining()
+        writer.write(BEGUN_REQUEST)
+        await self.wait_for_arrivals(1)
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        data = await self.finish(reader)
+        self.assertEqual(data.count(b"done"), 1)
+        self.assertEqual(self.arrived, 1)
+
+    async def test_rest_of_a_request_behind_an_open_one(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(REQUEST + REQUEST[:10])
+        await self.wait_for_arrivals(1)
+        self.server.start_draining()
+        self.gate.set()
+        await asyncio.sleep(0.05)
+        writer.write(REQUEST[10:])
+        data = await self.finish(reader)
+        self.assertEqual(data.count(b"done"), 2)
+
+
 class LimitsTest(ServerTestCase):
     """Guards against callers that occupy connections without a request."""
 
