End a stop before SIGKILL and answer what is open by then

Callers saw closed connections in place of an answer at the end of the grace time: plain calls and streams that had not begun were cut like begun streams. The time counted from the end of the start, not from the signal.

The times of a stop are now in one pure module and count from the signal. 0.7 s before SIGKILL the handlers end: a request without a begun answer gets an honest refusal (503 with Retry-After if it certainly did not run, 502 otherwise), begun streams are cut. The answers are flushed, all listeners close, and only then the process leaves the cluster, with 0.3 s to spare at the latest.

--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -131,11 +131,16 @@
 
     @contextlib.contextmanager
     def log_disconnects(self, call: Call) -> Iterator[None]:
-        """Logs the call if its task is cancelled, as a disconnect does."""
+        """Logs the call if its task is cancelled, as a disconnect does.
+
+        A task that is cancelled at the end of a planned stop still refuses the
+        call if no part of an answer was sent.
+        """
         try:
             yield
         except asyncio.CancelledError:
-            self.log_disconnect(call)
+            reason = call.exchange.connection.disconnect_reason
+            self.refuse(call, reason, timed_out=False)
             raise
 
     def log_disconnect(self, call: Call) -> None:
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -192,6 +192,9 @@
                 await sink.done
         except TimeoutError:
             return Unknown(reason="no answer in time", timed_out=True)
+        except asyncio.CancelledError:
+            call.may_have_run = True
+            raise
         except RouterError as error:
             return Unknown(reason=error.message)
         finally:
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from rattanroute.gateway.calls import Call
@@ -110,6 +112,16 @@
         self.possible_runs.add(attempt)
         self.update_call()
 
+    @contextlib.contextmanager
+    def note_open_attempts(self) -> Iterator[None]:
+        """Records that open attempts may have run if the task is cancelled."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            for attempt in self.attempts:
+                self.note_possible_run(attempt)
+            raise
+
     def note_not_run(self, attempt: StreamAttempt) -> None:
         """Records that an attempt's request certainly did not run."""
         if attempt in self.possible_runs:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -103,7 +103,7 @@
         call.exchange.on_writable = run.resume_reading
         self.runs.add(run)
         try:
-            with self.finisher.log_disconnects(call):
+            with self.finisher.log_disconnects(call), run.note_open_attempts():
                 await self.send_until_answered(run)
         finally:
             self.runs.discard(run)
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -52,7 +52,9 @@
         started: Whether the head of the response was sent.
         ended: Whether the response is complete or was aborted.
         last: Whether its head announced that the connection closes.
-        on_disconnect: Called once when the caller closes the connection.
+        on_disconnect: Called once when the caller closes the connection, or
+            when the response must end at once; only in the first case is
+            `disconnected` set before.
         on_writable: Called when the write buffer of a slow caller has drained.
     """
 
@@ -134,6 +136,18 @@
             return 0.0
         return self.connection.loop.time() - started_at
 
+    def end_early(self) -> None:
+        """Makes the handler end the response at once.
+
+        It may still refuse the request if it has not started a response.
+        """
+        if self.ended or self.disconnected:
+            return
+        if self.on_disconnect is None:
+            self.abort()
+        else:
+            self.on_disconnect()
+
     def handle_disconnect(self) -> None:
         """Handles a connection that closed before the response ended."""
         if self.ended or self.disconnected:
@@ -338,6 +352,12 @@
         self.exchange = None
         self.close()
 
+    def end_request(self) -> None:
+        """Ends the open request at the end of a stop."""
+        self.disconnect_reason = Disconnect.STOP
+        if self.exchange is not None:
+            self.exchange.end_early()
+
     def log_unsent(self) -> None:
         """Logs bytes of responses that the caller has not received yet."""
         unsent = self.transport.get_write_buffer_size()
@@ -451,6 +471,21 @@
             connection.sweep(self.loop.time())
         self.check_empty()
 
+    async def wait_until_empty(self, until: float) -> None:
+        """Waits until no connection is open after `stop_accepting`.
+
+        Args:
+            until: End of the wait, on the event loop's clock.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await self.empty.wait()
+
+    def end_requests(self) -> None:
+        """Makes all handlers refuse or break off their open requests."""
+        for connection in list(self.connections):
+            connection.end_request()
+
     async def close(self) -> None:
         """Stops the sweep task; closes the listener and all connections."""
         if self.sweeper is not None:
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -90,12 +90,17 @@
         )
         self.control.set_status(ready=True, draining=False)
 
-    async def stop(self) -> None:
-        """Drains open requests, hands leadership over and closes everything."""
+    async def stop(self, *, signalled_at: float) -> None:
+        """Drains open requests, hands leadership over and closes everything.
+
+        Args:
+            signalled_at: Time of the signal, on the event loop's clock.
+        """
+        schedule = self.plan_shutdown(signalled_at)
         self.stopping = True
         log.info("planned stop", open_requests=self.request_server.busy)
         self.control.set_status(ready=False, draining=True)
         self.request_server.start_draining()
         self.request_server.stop_accepting()
-        await self.close()
+        await self.close(schedule)
         await self.ban_store.close()
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -1,5 +1,6 @@
 """Base of the platform's programs: `core` and `front`."""
 
+import asyncio
 import functools
 import pathlib
 import random as randoms
@@ -30,6 +31,7 @@
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
+from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.tables.targets import TargetTable
 
 log = get_logger(__name__)
@@ -42,8 +44,12 @@
         """Opens the listeners and starts the periodic tasks."""
         ...
 
-    async def stop(self) -> None:
-        """Shuts down gracefully."""
+    async def stop(self, *, signalled_at: float) -> None:
+        """Shuts down gracefully before the end of the grace time.
+
+        Args:
+            signalled_at: Time of the signal, on the event loop's clock.
+        """
         ...
 
     def reload(self) -> None:
@@ -174,10 +180,24 @@
         log.info("settings reloaded", seeds=",".join(boot.seeds))
         self.boot = boot
 
-    async def close(self) -> None:
-        """Leaves the cluster and closes all listeners and connections."""
-        await self.control.stop()
+    def plan_shutdown(self, signalled_at: float) -> ShutdownSchedule:
+        """Returns the times of a stop from the time of its signal."""
+        return ShutdownSchedule(
+            signalled_at=signalled_at, grace_s=self.boot.bounds.grace_s
+        )
+
+    async def close(self, schedule: ShutdownSchedule) -> None:
+        """Closes all listeners and connections and leaves the cluster.
+
+        The callers' connections close first: a step of leaving that takes too
+        long must not cost an answer.
+        """
         for server in self.servers:
             await server.close()
+        try:
+            async with asyncio.timeout_at(schedule.leave_until):
+                await self.control.stop()
+        except TimeoutError:
+            log.warning("cluster not left in time", node=self.boot.node)
         self.pool.close()
         log.info("daemon stopped", node=self.boot.node)
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -1,7 +1,6 @@
 """The `front` program: the gateway for client requests."""
 
 import asyncio
-import contextlib
 import pathlib
 import time
 
@@ -33,11 +32,6 @@
 from rattanroute.tables.targets import TargetReport
 
 READY_PATH = b"/rattanroute/ready"
-# The load balancer checks readiness each second and removes a front after two
-# failed checks; the rest is a margin for connections being established.
-LEAVE_ROTATION_SECONDS = 2.5
-# A stopping process closes its open requests this long before SIGKILL.
-EXIT_MARGIN_SECONDS = 0.6
 STATUS_INTERVAL_SECONDS = 0.1
 # Counting the usable targets takes time proportional to their number.
 TARGET_LOG_INTERVAL_SECONDS = 1.0
@@ -249,19 +243,23 @@
         status = 404 if not is_ready_path else 200 if self.ready else 503
         exchange.send(ResponseHead(status=status))
 
-    async def stop(self) -> None:
-        """Leaves the load balancer's rotation, then drains open requests."""
+    async def stop(self, *, signalled_at: float) -> None:
+        """Leaves the load balancer's rotation, then drains open requests.
+
+        Args:
+            signalled_at: Time of the signal, on the event loop's clock.
+        """
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.boot.bounds.grace_s - EXIT_MARGIN_SECONDS
+        schedule = self.plan_shutdown(signalled_at)
         self.stopping = True
         self.ready = False
         self.request_server.start_draining()
         self.control.set_status(ready=False, draining=True)
         log.info("planned stop", open_requests=self.request_server.busy)
-        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        await asyncio.sleep(schedule.accept_until - loop.time())
         self.request_server.stop_accepting()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(end):
-                await self.request_server.empty.wait()
+        await self.request_server.wait_until_empty(schedule.answer_until)
         log.info("requests ended", open_requests=self.request_server.busy)
-        await self.close()
+        self.request_server.end_requests()
+        await self.request_server.wait_until_empty(schedule.flush_until)
+        await self.close(schedule)
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -93,13 +93,17 @@
         RouterError: If the daemon cannot start.
     """
     loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
+    signalled: asyncio.Future[float] = loop.create_future()
+
+    def note_signal() -> None:
+        if not signalled.done():
+            signalled.set_result(loop.time())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(number, note_signal)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     await daemon.start()
     if reload_requests:
         daemon.reload()
     freeze_startup_objects()
-    await stopped.wait()
-    await daemon.stop()
+    await daemon.stop(signalled_at=await signalled)
--- /dev/null
+++ b/rattanroute/systems/shutdown_schedules.py
@@ -0,0 +1,46 @@
+"""Times of a planned stop: when to accept, answer and leave until."""
+
+import dataclasses
+
+# The load balancer checks readiness each second and removes a front after two
+# failed checks; the rest is a margin for connections being established.
+LEAVE_ROTATION_SECONDS = 2.5
+# Before SIGKILL, a stopping process needs time to refuse what is left, to leave
+# the cluster (two ticks) and to end, on a busy machine too.
+ANSWER_MARGIN_SECONDS = 0.7
+FLUSH_MARGIN_SECONDS = 0.6
+EXIT_MARGIN_SECONDS = 0.3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShutdownSchedule:
+    """Times of a planned stop, in seconds of the clock of `signalled_at`.
+
+    Attributes:
+        signalled_at: Time of the signal.
+        grace_s: Seconds from the signal until the process is killed.
+    """
+
+    signalled_at: float
+    grace_s: float
+
+    @property
+    def accept_until(self) -> float:
+        """Until when new connections are accepted."""
+        leave_at = self.signalled_at + LEAVE_ROTATION_SECONDS
+        return min(leave_at, self.answer_until)
+
+    @property
+    def answer_until(self) -> float:
+        """Until when open requests are answered."""
+        return self.signalled_at + self.grace_s - ANSWER_MARGIN_SECONDS
+
+    @property
+    def flush_until(self) -> float:
+        """Until when answers are flushed to slow readers."""
+        return self.signalled_at + self.grace_s - FLUSH_MARGIN_SECONDS
+
+    @property
+    def leave_until(self) -> float:
+        """Until when the process may take to leave the cluster."""
+        return self.signalled_at + self.grace_s - EXIT_MARGIN_SECONDS
