Answer the open control calls of a core machine that stops

Operators and replicas saw a closed connection when their call was open as a core machine got SIGTERM: the server stopped accepting, but nothing waited for the open calls. A change could also be in progress while leadership was handed over.

--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -101,6 +101,11 @@
         log.info("planned stop", open_requests=self.request_server.busy)
         self.control.set_status(ready=False, draining=True)
         self.request_server.start_draining()
+        # An operator sends a change again without an answer, but only a change
+        # that is committed before the hand-over certainly gets one.
         self.request_server.stop_accepting()
+        await self.request_server.wait_until_empty(schedule.control_until)
+        log.info("requests ended", open_requests=self.request_server.busy)
+        self.request_server.end_requests()
         await self.close(schedule)
         await self.ban_store.close()
--- a/rattanroute/systems/shutdown_schedules.py
+++ b/rattanroute/systems/shutdown_schedules.py
@@ -5,6 +5,9 @@
 # The load balancer checks readiness each second and removes a front after two
 # failed checks; the rest is a margin for connections being established.
 LEAVE_ROTATION_SECONDS = 2.5
+# A control call is answered within a second. The rest of the grace time is for
+# the hand-over of leadership.
+CONTROL_CALL_SECONDS = 2.0
 # Before SIGKILL, a stopping process needs time to refuse what is left, to leave
 # the cluster (two ticks) and to end, on a busy machine too.
 ANSWER_MARGIN_SECONDS = 0.7
@@ -35,6 +38,12 @@
         """Until when open requests are answered."""
         return self.signalled_at + self.grace_s - ANSWER_MARGIN_SECONDS
 
+    @property
+    def control_until(self) -> float:
+        """Until when open calls of operators and replicas are answered."""
+        end = self.signalled_at + CONTROL_CALL_SECONDS
+        return min(end, self.answer_until)
+
     @property
     def flush_until(self) -> float:
         """Until when answers are flushed to slow readers."""
--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -1,10 +1,13 @@
 """Tests of the operator interface: metrics, signals, settings and options."""
 
 import asyncio
+import itertools
+import json
 import signal
 import sys
 
 from rattanroute.platform.trial_deployments import build_configuration
+from rattanroute.platform.trial_deployments import Machine
 from rattanroute.platform.trial_deployments import PEER_PORT
 from rattanroute.tests.integration.platform_support import PlatformTestCase
 
@@ -12,6 +15,7 @@
 # during the imports.
 SIGNAL_DELAY_SECONDS = 0.2
 METRICS_PORT = PEER_PORT + 1
+SEND_INTERVAL_SECONDS = 0.02
 
 
 class PlatformProgramTest(PlatformTestCase):
@@ -91,3 +95,39 @@
                 stderr=asyncio.subprocess.DEVNULL,
             )
             self.assertEqual(await process.wait(), code)
+
+
+class ControlCallTest(PlatformTestCase):
+    """Guards against changes that are lost or refused in a hand-over."""
+
+    async def send_changes(self, machine: Machine) -> None:
+        """Sends changes to a machine; stores their answers."""
+        while not self.stopped:
+            version = next(self.versions)
+            status = await self.put(machine, build_configuration(version))
+            self.statuses.add(status)
+            if status == 200:
+                self.acknowledged.append(version)
+            await asyncio.sleep(SEND_INTERVAL_SECONDS)
+
+    async def test_changes_while_core_machines_stop(self) -> None:
+        """Each change is acknowledged or gets no clear answer."""
+        await self.start_fleet()
+        self.versions = itertools.count(2)
+        self.statuses: set[int] = set()
+        self.acknowledged: list[int] = []
+        self.stopped = False
+        machines = self.fleet.core
+        async with asyncio.TaskGroup() as group:
+            for machine in [*machines, *machines]:
+                group.create_task(self.send_changes(machine))
+            for machine in machines:
+                self.assertEqual(await self.fleet.stop(machine.name), 0)
+                await self.fleet.restart(machine.name)
+                await self.wait_for_success(machine.configuration_url)
+            self.stopped = True
+        self.assertLessEqual(self.statuses, {0, 200, 503})
+        body = await self.wait_for_success(machines[0].configuration_url)
+        self.assertGreaterEqual(
+            json.loads(body)["version"], max(self.acknowledged)
+        )
--- a/rattanroute/tests/test_planned_stops.py
+++ b/rattanroute/tests/test_planned_stops.py
@@ -6,10 +6,12 @@
 import os
 import pathlib
 import signal
+import tempfile
 import unittest
 
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
+from rattanroute.platform.cores import CoreDaemon
 from rattanroute.platform.fronts import FrontDaemon
 from rattanroute.platform.programs import run_daemon
 from rattanroute.platform.settings import BootSettings
@@ -39,32 +41,40 @@
 
 
 class DaemonTestCase(unittest.IsolatedAsyncioTestCase):
-    """Runs a front inside the test, without other machines."""
+    """Runs a program inside the test, without other machines."""
+
+    program: type[FrontDaemon] | type[CoreDaemon] = FrontDaemon
 
     async def asyncSetUp(self) -> None:
-        """Starts the front."""
+        """Starts the program."""
         lock, network = reserve_network()
         self.addCleanup(lock.close)
-        address = f"{network}.1.1"
         self.loop = asyncio.get_running_loop()
-        self.daemon = FrontDaemon(
-            path=pathlib.Path("unused"),
-            boot=BootSettings(
-                node="front-1",
-                ip=address,
-                zone="zone-a",
-                listen=ListenSettings(
-                    front=f"{address}:0", ready=f"{address}:0"
-                ),
-                internal_port_range=(PEER_PORT, PEER_PORT + 1),
-                bounds=DeploymentLimits(grace_s=GRACE_SECONDS),
-            ),
+        self.daemon = self.program(
+            path=pathlib.Path("unused"), boot=self.build_boot(f"{network}.1.1")
         )
         self.daemon.handler = HandlerStub(self.answer)
         await self.daemon.start()
         server = self.daemon.request_server
         self.address = server.listener.sockets[0].getsockname()
 
+    def build_boot(self, address: str) -> BootSettings:
+        """Builds the settings of a machine whose core is only itself."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        listen = f"{address}:0"
+        return BootSettings(
+            node="machine-1",
+            ip=address,
+            zone="zone-a",
+            listen=ListenSettings(front=listen, ready=listen, control=listen),
+            internal_port_range=(PEER_PORT, PEER_PORT + 1),
+            seeds=[listen] if self.program is CoreDaemon else [],
+            bootstrap=True,
+            data_dir=folder.name if self.program is CoreDaemon else None,
+            bounds=DeploymentLimits(grace_s=GRACE_SECONDS),
+        )
+
     async def answer(self, exchange: Exchange) -> None:
         """Starts an answer that never ends."""
         exchange.start(ResponseHead(status=200))
@@ -126,6 +136,54 @@
         self.assertLess(self.loop.time(), schedule.accept_until + 0.4)
 
 
+class CoreStopTest(DaemonTestCase):
+    """Guards against control calls that a stop of a core machine cuts."""
+
+    program = CoreDaemon
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answers while the core machine stops."""
+        self.arrived.set()
+        await self.gate.wait()
+        exchange.send(ResponseHead(status=200), b"done")
+
+    async def send_request(self) -> asyncio.Task[bytes]:
+        """Sends a request; returns a task with the bytes of its answer."""
+        self.arrived = asyncio.Event()
+        self.gate = asyncio.Event()
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST)
+        await self.arrived.wait()
+        return asyncio.create_task(reader.read())
+
+    async def test_open_call_is_answered_before_the_hand_over(self) -> None:
+        """Guards against a change that fails as leadership is handed over."""
+        left = []
+        leave = self.daemon.control.stop
+
+        async def note_leave() -> None:
+            left.append(self.gate.is_set())
+            await leave()
+
+        self.daemon.control.stop = note_leave
+        answer = await self.send_request()
+        self.loop.call_later(0.3, self.gate.set)
+        await self.stop(self.loop.time())
+        self.assertTrue((await answer).endswith(b"done"))
+        self.assertEqual(left, [True])
+
+    async def test_call_without_an_end(self) -> None:
+        """Guards against a core machine that is killed as one call lasts."""
+        answer = await self.send_request()
+        seconds = await self.stop(self.loop.time())
+        self.assertLess(seconds, GRACE_SECONDS - EXIT_SECONDS)
+        self.assertEqual(await answer, b"")
+
+    async def test_nothing_is_open(self) -> None:
+        self.assertLess(await self.stop(self.loop.time()), 0.5)
+
+
 class DaemonStub:
     """A daemon that receives SIGTERM during its start.
 
