Refuse a late request that may not end before a stopping front

A request that was complete only after the listener of a stopping front had closed (a slow upload, or one behind another on its connection) was passed on, and a long stream was then cut at the end of the grace time.

A request that is complete later than that is passed on only if its deadline leaves time; otherwise the caller gets 503 with Retry-After and Connection: close at once. The decision is a method of the pure schedule of a stop.

Evidence: test_long_stream_is_refused and test_long_plain_call_is_refused failed before the check (502 and 200, the target had got the request); a short call is served before and after.

--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -12,6 +12,7 @@
 from rattanroute.gateway.header_codecs import RequestMetadata
 from rattanroute.http1.servers import Exchange
 from rattanroute.logs import get_logger
+from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.tables.routes import Route
 from rattanroute.tables.routes import RouteKind
 from rattanroute.tables.routes import RoutingTable
@@ -47,6 +48,7 @@
         streams: Forwards requests to engines.
         random: Selects among the services of a split route.
         startup_done: Set once a manifest and targets are known.
+        shutdown: Returns the times of the planned stop; None before it.
     """
 
     codec: HeaderCodec
@@ -55,6 +57,7 @@
     streams: Forwarder
     random: randoms.Random
     startup_done: asyncio.Event
+    shutdown: Callable[[], ShutdownSchedule | None] = lambda: None
 
     async def handle(self, exchange: Exchange) -> None:
         """Routes, authenticates and forwards a request."""
@@ -75,11 +78,22 @@
             self.refuse(exchange, metadata, 401, "unknown key", table.revision)
             return
         call = self.build_call(exchange, metadata, table, route, owner)
+        if not self.may_finish(call):
+            self.refuse(exchange, metadata, 503, "stopping", table.revision)
+            return
         if route.kind is RouteKind.STREAM and call.service.engine is not None:
             await self.streams.forward(call)
         else:
             await self.services.forward(call)
 
+    def may_finish(self, call: Call) -> bool:
+        """Returns whether a planned stop, if any, leaves time for a call."""
+        schedule = self.shutdown()
+        now = asyncio.get_running_loop().time()
+        return schedule is None or schedule.admits(
+            deadline=call.deadline, now=now
+        )
+
     async def wait_for_start(self, metadata: RequestMetadata) -> None:
         """Waits until a process that has just started can serve.
 
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -27,6 +27,7 @@
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.retry_budgets import COUNTS_EXPIRY_SECONDS
 from rattanroute.systems.retry_budgets import RetryBudget
+from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
@@ -78,6 +79,7 @@
         self.limits = RequestLimits()
         self.configured_at: float | None = None
         self.ready = False
+        self.shutdown: ShutdownSchedule | None = None
         self.startup_done = asyncio.Event()
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
@@ -141,6 +143,7 @@
             streams=streams,
             random=self.random,
             startup_done=self.startup_done,
+            shutdown=lambda: self.shutdown,
         )
 
     def suspect_attempts_at(self, target_id: str) -> None:
@@ -250,7 +253,7 @@
             signalled_at: Time of the signal, on the event loop's clock.
         """
         loop = asyncio.get_running_loop()
-        schedule = self.plan_shutdown(signalled_at)
+        self.shutdown = schedule = self.plan_shutdown(signalled_at)
         self.stopping = True
         self.ready = False
         self.request_server.start_draining()
--- a/rattanroute/systems/shutdown_schedules.py
+++ b/rattanroute/systems/shutdown_schedules.py
@@ -13,6 +13,8 @@
 ANSWER_MARGIN_SECONDS = 0.7
 FLUSH_MARGIN_SECONDS = 0.6
 EXIT_MARGIN_SECONDS = 0.3
+# A forwarder may answer a call this long after its deadline.
+LATE_ANSWER_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,3 +55,18 @@
     def leave_until(self) -> float:
         """Until when the process may take to leave the cluster."""
         return self.signalled_at + self.grace_s - EXIT_MARGIN_SECONDS
+
+    def admits(self, *, deadline: float, now: float) -> bool:
+        """Returns whether a request that is complete now is passed on.
+
+        As long as connections are accepted, each one is. A later one, such as
+        a slow upload or one behind another on its connection, must end before
+        the process does.
+
+        Args:
+            deadline: Time at which its answer is due.
+            now: Current time.
+        """
+        if now <= self.accept_until:
+            return True
+        return deadline + LATE_ANSWER_SECONDS <= self.answer_until
--- a/rattanroute/tests/test_planned_stops.py
+++ b/rattanroute/tests/test_planned_stops.py
@@ -17,6 +17,7 @@
 from rattanroute.platform.settings import BootSettings
 from rattanroute.platform.settings import DeploymentLimits
 from rattanroute.platform.settings import ListenSettings
+from rattanroute.systems.shutdown_schedules import ANSWER_MARGIN_SECONDS
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
@@ -27,6 +28,7 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 GRACE_SECONDS = 1.5
+LONG_GRACE_SECONDS = 8.0
 # A process that ends less than this before SIGKILL may be killed instead.
 EXIT_SECONDS = 0.2
 PEER_PORT = 7340
@@ -266,3 +268,48 @@
         answer = await self.call_until_the_end("/stream/x")
         self.assertEqual(answer.status, 200)
         self.assertFalse(answer.complete)
+
+
+class LateRequestTest(GatewayTestCase):
+    """Guards against requests that are complete too late to be answered."""
+
+    async def answer(self, target: FakeTarget, exchange: Exchange) -> None:
+        """Answers at once."""
+        exchange.send(build_head(exchange), b"done")
+
+    def stop_listening(self, left_s: float) -> None:
+        """Plays a stop after its listener has closed.
+
+        Args:
+            left_s: Seconds until the requests end.
+        """
+        elapsed_s = LONG_GRACE_SECONDS - ANSWER_MARGIN_SECONDS - left_s
+        schedule = ShutdownSchedule(
+            signalled_at=self.server.loop.time() - elapsed_s,
+            grace_s=LONG_GRACE_SECONDS,
+        )
+        self.handler.shutdown = lambda: schedule
+        self.server.start_draining()
+
+    async def test_long_stream_is_refused(self) -> None:
+        target = await self.add_target("t1", self.answer, service=SERVICE)
+        self.stop_listening(left_s=2.0)
+        answer = await self.call("/stream/x", deadline_ms=3_000)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.headers)
+        self.assertEqual(answer.headers[b"connection"], b"close")
+        self.assertEqual(target.seen, [])
+
+    async def test_long_plain_call_is_refused(self) -> None:
+        """Guards against an unknown outcome of a call that may not repeat."""
+        target = await self.add_target("t1", self.answer)
+        self.stop_listening(left_s=2.0)
+        answer = await self.call("/once/x", deadline_ms=3_000)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(target.seen, [])
+
+    async def test_short_plain_call_is_served(self) -> None:
+        await self.add_target("t1", self.answer)
+        self.stop_listening(left_s=2.0)
+        answer = await self.call("/once/x", deadline_ms=1_000)
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
