--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -1,7 +1,6 @@
 """The `front` program: the gateway for client requests."""
 
 import asyncio
-import contextlib
 import pathlib
 import time
 
@@ -28,16 +27,12 @@
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.retry_budgets import COUNTS_EXPIRY_SECONDS
 from rattanroute.systems.retry_budgets import RetryBudget
+from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
 
 READY_PATH = b"/rattanroute/ready"
-# The load balancer checks readiness each second and removes a front after two
-# failed checks; the rest is a margin for connections being established.
-LEAVE_ROTATION_SECONDS = 2.5
-# A stopping process closes its open requests this long before SIGKILL.
-EXIT_MARGIN_SECONDS = 0.6
 STATUS_INTERVAL_SECONDS = 0.1
 # Counting the usable targets takes time proportional to their number.
 TARGET_LOG_INTERVAL_SECONDS = 1.0
@@ -84,6 +79,7 @@
         self.limits = RequestLimits()
         self.configured_at: float | None = None
         self.ready = False
+        self.shutdown: ShutdownSchedule | None = None
         self.startup_done = asyncio.Event()
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
@@ -147,6 +143,7 @@
             streams=streams,
             random=self.random,
             startup_done=self.startup_done,
+            shutdown=lambda: self.shutdown,
         )
 
     def suspect_attempts_at(self, target_id: str) -> None:
@@ -249,19 +246,23 @@
         status = 404 if not is_ready_path else 200 if self.ready else 503
         exchange.send(ResponseHead(status=status))
 
-    async def stop(self) -> None:
-        """Leaves the load balancer's rotation, then drains open requests."""
+    async def stop(self, *, signalled_at: float) -> None:
+        """Leaves the load balancer's rotation, then drains open requests.
+
+        Args:
+            signalled_at: Time of the signal, on the event loop's clock.
+        """
         loop = asyncio.get_running_loop()
-        end = loop.time() + self.boot.bounds.grace_s - EXIT_MARGIN_SECONDS
+        self.shutdown = schedule = self.plan_shutdown(signalled_at)
         self.stopping = True
         self.ready = False
         self.request_server.start_draining()
         self.control.set_status(ready=False, draining=True)
         log.info("planned stop", open_requests=self.request_server.busy)
-        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        await asyncio.sleep(schedule.accept_until - loop.time())
         self.request_server.stop_accepting()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(end):
-                await self.request_server.empty.wait()
+        await self.request_server.wait_until_empty(schedule.answer_until)
         log.info("requests ended", open_requests=self.request_server.busy)
-        await self.close()
+        self.request_server.end_requests()
+        await self.request_server.wait_until_empty(schedule.flush_until)
+        await self.close(schedule)
