Read on from a connection whose slow reader has its whole answer

A connection to an engine was paused while the caller read slowly. If the rest of the answer had already arrived, it returned to the pool paused, and the next request or state query on it got no byte: the engine looked silent, was ejected, and its streams were suspected.

Evidence: both tests of test_slow_readers failed before (502 instead of 200, and a state query that timed out).

--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -155,6 +155,8 @@
         self.usable &= (
             self.parser.keep_alive and not self.parser.unexpected_data
         )
+        # A slow reader of this response must not delay the next one.
+        self.resume()
         if self.pool is not None:
             self.pool.put(self)
         if sink is not None:
