Read what has arrived before a reply counts as missing

When the front itself did not run for a moment, as on a busy machine, its timers ended together: a state query, a connection attempt or an answer counted as missing although it lay unread in the socket. The engine was ejected for it, and a begun stream could be cut for want of another chain.

A wait whose timer fires late goes on for 0.1 s.

--- a/rattanroute/gateway/inspectors.py
+++ b/rattanroute/gateway/inspectors.py
@@ -13,6 +13,7 @@
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
+from rattanroute.tasks import wait_for_reply
 
 # A healthy target of the same data centre answers within a few milliseconds.
 ANSWER_TIMEOUT_SECONDS = 0.3
@@ -58,8 +59,10 @@
         report = target.report
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-                state = await self.engine_control.fetch_state(report.address)
+            state = await wait_for_reply(
+                self.engine_control.fetch_state(report.address),
+                ANSWER_TIMEOUT_SECONDS,
+            )
         except TargetPausedError as error:
             self.system.postpone(report.target_id, until=error.until)
             actions = []
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -24,6 +24,7 @@
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
+from rattanroute.tasks import wait_for_reply
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -188,8 +189,7 @@
         sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
         try:
             connection.send(head, request.body, sink)
-            async with asyncio.timeout(wait):
-                await sink.done
+            await wait_for_reply(sink.done, wait)
         except TimeoutError:
             return Unknown(reason="no answer in time", timed_out=True)
         except asyncio.CancelledError:
--- a/rattanroute/gateway/stall_inspectors.py
+++ b/rattanroute/gateway/stall_inspectors.py
@@ -8,6 +8,7 @@
 from rattanroute.gateway.engine_control_clients import EngineControlClient
 from rattanroute.gateway.header_codecs import ChainHop
 from rattanroute.gateway.target_selectors import TargetSelector
+from rattanroute.tasks import wait_for_reply
 
 # A healthy target answers within a few milliseconds plus the link delay.
 ANSWER_TIMEOUT_SECONDS = 0.25
@@ -53,8 +54,10 @@
         if self.selector.is_paused(first.target_id, now):
             return []
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-                state = await self.engine_control.fetch_state(first.address)
+            state = await wait_for_reply(
+                self.engine_control.fetch_state(first.address),
+                ANSWER_TIMEOUT_SECONDS,
+            )
         except (RouterError, TimeoutError) as error:
             call.failures.append(f"no engine state: {error or 'timed out'}")
             self.selector.note_failure(first.target_id, now=now, crashed=True)
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -16,6 +16,7 @@
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import ResponseParser
 from rattanroute.logs import get_logger
+from rattanroute.tasks import wait_for_reply
 
 # Assumed idle timeout of a target that sends no `Keep-Alive: timeout`.
 DEFAULT_IDLE_TIMEOUT_SECONDS = 3.0
@@ -238,10 +239,12 @@
         loop = asyncio.get_running_loop()
         self.connect_attempts += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
+            _, connection = await wait_for_reply(
+                loop.create_connection(
                     lambda: ClientConnection(address=address), host, int(port)
-                )
+                ),
+                timeout_s,
+            )
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectError(
                 step="connect",
--- a/rattanroute/tasks.py
+++ b/rattanroute/tasks.py
@@ -1,14 +1,51 @@
 """Helpers for asyncio tasks."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+from typing import TypeVar
 
 from rattanroute.logs import get_logger
 
+# A timer that fires later than this shows that the process did not run.
+LATE_TIMER_SECONDS = 0.02
+# Time to read what arrived while the process did not run.
+CATCH_UP_SECONDS = 0.1
+
+T = TypeVar("T")
+
 log = get_logger(__name__)
 
 
+async def wait_for_reply(reply: Awaitable[T], timeout_s: float) -> T:
+    """Waits for a reply of another process.
+
+    If this process did not run when the time ended, the reply may have arrived
+    unread; a timeout then says nothing about the other process. Such a wait
+    goes on for a moment.
+
+    Args:
+        reply: The reply; cancelled at the end of the wait.
+        timeout_s: Longest wait in seconds.
+
+    Raises:
+        TimeoutError: If there is no reply in time.
+    """
+    loop = asyncio.get_running_loop()
+    task = asyncio.ensure_future(reply)
+    due = loop.time() + timeout_s
+    try:
+        await asyncio.wait((task,), timeout=timeout_s)
+        if not task.done() and loop.time() - due > LATE_TIMER_SECONDS:
+            await asyncio.wait((task,), timeout=CATCH_UP_SECONDS)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
+        task.cancel()
+
+
 async def run_concurrently(
     *coroutines: Coroutine[None, None, None], until: str
 ) -> None:
