Let a broken stream wait when the queue is full

A begun answer was cut at once when 24 requests without an answer were waiting for room. Streams that broke are few, are served first, and their callers have a part already; only requests without an answer count against the limit.

--- a/rattanroute/systems/wait_queues.py
+++ b/rattanroute/systems/wait_queues.py
@@ -28,8 +28,9 @@
 # Requests that may wait even if no recent one got capacity, so that its return
 # is noticed.
 MIN_WAITING = 2
-# A front of a site with 20 fronts receives two to three requests per second,
-# and ten in a burst.
+# Requests beyond this number are refused; broken streams always wait. A front
+# of a site with 20 fronts receives two to three requests per second, and ten in
+# a burst.
 MAX_WAITING = 24
 # Time from finding a chain to the first event.
 START_DELAY_SECONDS = 0.15
@@ -112,9 +113,12 @@
             The waiting request, or None if it must be refused.
         """
         wait = max_wait_s if underway else min(MAX_WAIT_SECONDS, max_wait_s)
-        if wait <= 0 or len(self.requests) >= MAX_WAITING:
+        if wait <= 0:
             return None
-        if not underway and self.estimate_wait(service, now) > wait:
+        if not underway and (
+            len(self.requests) >= MAX_WAITING
+            or self.estimate_wait(service, now) > wait
+        ):
             return None
         request = WaitingRequest(
             service=service,
