End a stream at once that no further target may run

After a stream had broken off at as many first targets as its route allows, it still waited up to 1.7 s for a chain that it could not get. Calls of the same service waited behind it, or were refused, although an engine was idle.

--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -186,7 +186,8 @@
     async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a chain with capacity, waiting for a short time if needed.
 
-        A call does not wait if some layers are held by no usable target.
+        A call does not wait if some layers are held by no usable target, or if
+        all targets that may still run it are avoided.
         """
         now = asyncio.get_running_loop().time()
         call, state, avoided = run.call, run.state, run.avoided
@@ -194,6 +195,10 @@
         def choose() -> tuple[ChainHop, ...]:
             return self.choose_chain(call, avoided)
 
+        first_targets = find_first_targets(call)
+        if first_targets is not None and first_targets <= avoided:
+            state.shortage = Shortage.TARGETS
+            return ()
         service = call.service
         if not self.queue.wait_queue.has_waiting(service.name):
             chain = choose()
@@ -218,14 +223,11 @@
         """Returns a chain that has capacity now; empty if there is none."""
         now = asyncio.get_running_loop().time()
         self.selector.detections.end_backoffs(now)
-        first_targets = None
-        if len(call.possible_runners) >= call.route.max_attempts:
-            first_targets = frozenset(call.possible_runners)
         return self.chooser.choose(
             call.service,
             build_demand(call),
             excluded=frozenset(avoided),
-            first_targets=first_targets,
+            first_targets=find_first_targets(call),
             now=now,
         )
 
@@ -571,6 +573,13 @@
         self.finisher.log(call, outcome.head.status, "failed at the target")
 
 
+def find_first_targets(call: Call) -> frozenset[str] | None:
+    """Returns the only targets that may still run a call; None if any may."""
+    if len(call.possible_runners) < call.route.max_attempts:
+        return None
+    return frozenset(call.possible_runners)
+
+
 def build_demand(call: Call) -> RequestDemand:
     """Returns the token counts of a call, with estimates if not stated."""
     metadata = call.metadata
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -35,6 +35,7 @@
 
     ROOM = "no chain has room"
     LAYERS = "layers are missing"
+    TARGETS = "no further target may run the request"
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
