Let an engine that leaves finish a stream that was suspected

An engine that leaves as planned refuses new connections but finishes its open streams. A suspected attempt there counted as lost and ended when its replacement was sent; if that one was rejected, the begun answer was cut.

--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -455,7 +455,7 @@
         for hop in attempt.chain:
             if hop.target_id in target_ids:
                 self.probes.probe(hop.address).add_done_callback(
-                    functools.partial(self.note_probe, run, attempt)
+                    functools.partial(self.note_probe, run, attempt, hop)
                 )
         run.wake()
 
@@ -463,15 +463,19 @@
         self,
         run: StreamRun,
         attempt: StreamAttempt,
+        hop: ChainHop,
         task: asyncio.Task[ProbeResult],
     ) -> None:
         """Makes room for the replacement of an attempt that cannot go on.
 
         Its chain has lost a target. Until it breaks off, its memory and its
-        slot would be taken twice.
+        slot would be taken twice. A target that leaves as planned closes its
+        listener, but finishes its open requests.
         """
         if task.cancelled() or task.result() is ProbeResult.CONNECTED:
             return
+        if self.selector.is_leaving(hop.target_id):
+            return
         if attempt not in run.attempts or not attempt.suspected:
             return
         attempt.unreachable = True
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -76,6 +76,13 @@
             return False
         return self.is_current(target, now)
 
+    def is_leaving(self, target_id: str) -> bool:
+        """Returns whether a target leaves, or has left, as planned."""
+        target = self.targets.get(target_id)
+        if target is None:
+            return True
+        return target.report.leaving or self.has_departed(target.report)
+
     def is_backing_off(self, target: Target, now: float) -> bool:
         """Returns whether a back-off or a requested pause is running."""
         return max(target.blocked_until, target.paused_until) > now
