Count a superseded attempt among the targets that ran a request

A replacement that was no longer needed did not count against max_attempts, so that a later attempt could run the request on one target more than its route allows.

--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -156,6 +156,7 @@
             self.avoided.difference_update(attempt.target_ids)
         for other in self.attempts:
             if other is not attempt:
+                self.note_possible_run(other)
                 other.sink.supersede()
         self.wake()
 
