Do not take an empty replacement for the end of a stream

An answer without a length that ends before its first event may be complete when a stream is resumed after its last event. While the first engine is still at work it is not: the caller got a complete answer with two of six events.

--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -145,6 +145,7 @@
         """Adds an attempt that was just sent."""
         self.attempts.append(attempt)
         attempt.sink.on_progress = lambda: self.claim(attempt)
+        attempt.sink.is_only_attempt = lambda: len(self.attempts) == 1
         attempt.sink.ended.add_done_callback(lambda _: self.wake())
 
     def claim(self, attempt: StreamAttempt) -> None:
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -26,10 +26,6 @@
 OK = 200
 
 
-def do_nothing() -> None:
-    """Stands for a callback that is not set."""
-
-
 class Shortage(enum.StrEnum):
     """Why no chain is available for a stream."""
 
@@ -65,6 +61,7 @@
         on_metadata: Called with the metadata of the answer.
         on_begun: Called at the first event of the attempt.
         on_progress: Called before events are passed to the client.
+        is_only_attempt: Returns whether no other attempt is open.
         unframed: Whether the end of the connection is the end of the answer.
         ended: Resolves to the outcome of the attempt; to None after a
             complete stream.
@@ -84,7 +81,8 @@
     ) -> None:
         self.on_metadata = on_metadata
         self.on_begun = on_begun
-        self.on_progress: Callable[[], None] = do_nothing
+        self.on_progress: Callable[[], None] = lambda: None
+        self.is_only_attempt: Callable[[], bool] = lambda: True
         self.loop = asyncio.get_running_loop()
         self.state = state
         self.codec = codec
@@ -177,14 +175,15 @@
             self.first_event_at = now
             self.on_begun()
 
-    @property
-    def is_resumed(self) -> bool:
-        """Whether the client has received events of earlier attempts.
+    def may_be_empty(self) -> bool:
+        """Whether nothing may be left to send.
 
-        Nothing may be left to send then.
+        The client has received events of earlier attempts then, and none of
+        these is still at work.
         """
         call = self.state.call
-        return bool(self.state.last_event_id or call.metadata.last_event_id)
+        resumed = self.state.last_event_id or call.metadata.last_event_id
+        return bool(resumed) and self.is_only_attempt()
 
     def measure_progress(self) -> float:
         """Returns the seconds since the first event; 0 before it."""
@@ -224,7 +223,7 @@
             self.finish(self.classify_failure())
         elif self.splitter.incomplete:
             self.finish(Unknown(reason="last event is incomplete"))
-        elif self.unframed and not self.events and not self.is_resumed:
+        elif self.unframed and not self.events and not self.may_be_empty():
             self.finish(Unknown(reason="the stream ended without an event"))
         else:
             self.start_answer()
