Do not suspect an engine that asked for a pause in a state query

An engine that answers a state query with 503 and Retry-After is not asked again for that time. Its streams were suspected then and the engine ejected as if it had not answered.

--- a/rattanroute/gateway/stall_inspectors.py
+++ b/rattanroute/gateway/stall_inspectors.py
@@ -6,6 +6,7 @@
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.engine_control_clients import EngineControlClient
+from rattanroute.gateway.engine_control_clients import TargetPausedError
 from rattanroute.gateway.header_codecs import ChainHop
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.tasks import wait_for_reply
@@ -58,6 +59,9 @@
                 self.engine_control.fetch_state(first.address),
                 ANSWER_TIMEOUT_SECONDS,
             )
+        except TargetPausedError:
+            # The target answered a query of this VM.
+            return []
         except (RouterError, TimeoutError) as error:
             call.failures.append(f"no engine state: {error or 'timed out'}")
             self.selector.note_failure(first.target_id, now=now, crashed=True)
