Replace a stalled chain that begins at the same engine

An engine that reports a stall of its chain is itself at work, and the next chain often begins there. The suspected attempt still held its slot and counted as load, so that the replacement found no room (the stream waited until its caller left), and an engine that had room got one request identifier twice.

The load of such an attempt is no longer counted, and it ends when a replacement is sent to the same first engine.

--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -50,6 +50,11 @@
     loaded: bool = False
     lost: bool = False
 
+    @property
+    def first_id(self) -> str:
+        """Identifier of the target that received the request."""
+        return self.chain[0].target_id
+
     @property
     def target_ids(self) -> tuple[str, ...]:
         """Identifiers of the chain's targets."""
@@ -133,7 +138,7 @@
         call = self.call
         call.may_have_run = bool(self.possible_runs)
         call.possible_runners = {
-            attempt.chain[0].target_id for attempt in self.possible_runs
+            attempt.first_id for attempt in self.possible_runs
         }
 
     def note_failure(self, reason: str) -> None:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -336,8 +336,10 @@
                 chain=chain,
             ),
         )
-        for other in [x for x in run.attempts if x.unreachable]:
-            self.drop(run, other)
+        for other in list(run.attempts):
+            # An engine runs a request identifier once.
+            if other.unreachable or other.first_id == attempt.first_id:
+                self.drop(run, other)
         run.add(attempt)
         self.add_load(attempt)
         connection.send(head, request.body, sink)
@@ -452,6 +454,10 @@
         run.note_failure(reason)
         run.note_possible_run(attempt)
         self.note_lost(run, attempt, Unknown(reason=reason))
+        if attempt.first_id not in target_ids:
+            # The first engine itself says that it waits. Another chain may
+            # begin there.
+            self.subtract_load(attempt)
         for hop in attempt.chain:
             if hop.target_id in target_ids:
                 self.probes.probe(hop.address).add_done_callback(
