Take back what was assumed of a suspected engine that goes on

A suspicion ejected the engine and recorded the attempt as lost. When the engine went on, both stayed: the engine got no new stream until one of its streams had ended, a later crash under the request was not counted against it, and a crash after the complete answer was. An inspection that ended after the next event ejected the engine without any suspicion.

The engine is restored and the record retracted at the next event. Inspections only report; the forwarder applies the finding if the engine is still silent. A suspected attempt that really breaks is probed again.

--- a/rattanroute/gateway/crash_detectors.py
+++ b/rattanroute/gateway/crash_detectors.py
@@ -202,17 +202,20 @@
 
     def note_lost(
         self, call: Call, reports: tuple[TargetReport, ...], outcome: Unknown
-    ) -> None:
-        """Records an attempt that ended for an unknown reason.
+    ) -> LostAttempt | None:
+        """Records an attempt that ended, or seems to end, without an answer.
 
         Args:
             call: The call.
             reports: Reports of its targets when it was sent. The first one
                 belongs to the target that received the request.
             outcome: How the attempt ended.
+
+        Returns:
+            The record; None if there is none.
         """
         if not reports or len(self.unresolved) >= MAX_LOST_ATTEMPTS:
-            return
+            return None
         loop = asyncio.get_running_loop()
         lost = LostAttempt(
             request_id=call.metadata.request_id,
@@ -239,10 +242,20 @@
         )
         # A timeout says nothing about a crash, and a probe adds to the load.
         if not outcome.timed_out:
-            address = reports[0].address
-            self.probes.probe(address).add_done_callback(
-                functools.partial(self.note_probe, address)
-            )
+            self.probe(reports[0].address)
+        return lost
+
+    def probe(self, address: str) -> None:
+        """Checks whether a target's host refuses connections."""
+        self.probes.probe(address).add_done_callback(
+            functools.partial(self.note_probe, address)
+        )
+
+    def retract(self, lost: LostAttempt) -> None:
+        """Removes the record of an attempt that goes on after all."""
+        if lost in self.unresolved:
+            self.unresolved.remove(lost)
+            lost.verdict.set_result(None)
 
     def note_probe(self, address: str, task: asyncio.Task[ProbeResult]) -> None:
         """Records that a host refuses connections."""
--- a/rattanroute/gateway/stall_inspectors.py
+++ b/rattanroute/gateway/stall_inspectors.py
@@ -18,6 +18,19 @@
 HANG_SECONDS = 1.2
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Stall:
+    """What an inspection found.
+
+    Attributes:
+        target_ids: Targets that stall the request; empty if it only waits.
+        crashed: Whether they seem to have failed, rather than to be slow.
+    """
+
+    target_ids: tuple[str, ...] = ()
+    crashed: bool = False
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StallInspector:
     """Asks the first target of a chain which other target it waits for.
@@ -37,8 +50,8 @@
         *,
         silent_s: float,
         started: bool,
-    ) -> list[str]:
-        """Returns the targets that stall a request; empty if it only waits.
+    ) -> Stall:
+        """Finds the targets that stall a request.
 
         Args:
             call: The call.
@@ -47,13 +60,13 @@
             started: Whether this chain has delivered an event.
 
         Returns:
-            Target identifiers; only the first target of the chain if it does
-            not answer. A paused target is not queried.
+            The finding; only the first target of the chain if it does not
+            answer. A paused target is not queried.
         """
         now = asyncio.get_running_loop().time()
         first = chain[0]
         if self.selector.is_paused(first.target_id, now):
-            return []
+            return Stall()
         try:
             state = await wait_for_reply(
                 self.engine_control.fetch_state(first.address),
@@ -61,20 +74,20 @@
             )
         except TargetPausedError:
             # The target answered a query of this VM.
-            return []
+            return Stall()
         except (RouterError, TimeoutError) as error:
             call.failures.append(f"no engine state: {error or 'timed out'}")
-            self.selector.note_failure(first.target_id, now=now, crashed=True)
-            return [first.target_id]
+            return Stall(target_ids=(first.target_id,), crashed=True)
         by_address = {hop.address: hop.target_id for hop in chain}
-        found = []
-        for item in state.stalled:
-            target_id = by_address.get(item.address)
-            if item.request_id == call.metadata.request_id and target_id:
-                self.selector.note_failure(target_id, now=now, crashed=True)
-                found.append(target_id)
-        if found or silent_s < HANG_SECONDS or (state.queued and not started):
-            return found
+        found = [
+            by_address[item.address]
+            for item in state.stalled
+            if item.request_id == call.metadata.request_id
+            and item.address in by_address
+        ]
+        if found:
+            return Stall(target_ids=tuple(found), crashed=True)
+        if silent_s < HANG_SECONDS or (state.queued and not started):
+            return Stall()
         # The engine reports no stall but sends no events either.
-        self.selector.note_failure(first.target_id, now=now)
-        return [first.target_id]
+        return Stall(target_ids=(first.target_id,))
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -12,6 +12,7 @@
 import dataclasses
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.crash_detectors import LostAttempt
 from rattanroute.gateway.header_codecs import ChainHop
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.stream_sinks import StreamSink
@@ -36,7 +37,9 @@
         unreachable: Whether a suspected target of its chain also accepts no
             connection.
         loaded: Whether its load is counted.
-        lost: Whether it has been recorded as lost.
+        lost: Its record as a lost attempt; None if there is none.
+        resumed: Whether it has sent an event since it was suspected; reset
+            once that has been handled.
     """
 
     chain: tuple[ChainHop, ...]
@@ -48,7 +51,8 @@
     suspected: bool = False
     unreachable: bool = False
     loaded: bool = False
-    lost: bool = False
+    lost: LostAttempt | None = None
+    resumed: bool = False
 
     @property
     def first_id(self) -> str:
@@ -159,6 +163,7 @@
             return
         if attempt.suspected:
             attempt.suspected = attempt.unreachable = False
+            attempt.resumed = True
             self.avoided.difference_update(attempt.target_ids)
         for other in self.attempts:
             if other is not attempt:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import functools
 
@@ -375,6 +376,9 @@
 
     async def watch(self, run: StreamRun) -> None:
         """Waits for a change of the attempts and inspects long pauses."""
+        for attempt in run.attempts:
+            if attempt.resumed:
+                self.note_resumed(attempt)
         if any(attempt.sink.ended.done() for attempt in run.attempts):
             return
         now = asyncio.get_running_loop().time()
@@ -392,7 +396,6 @@
                 return
             await run.wait(min(end - now, SEARCH_INTERVAL_SECONDS))
             return
-        self.add_load(attempt)
         sink = attempt.sink
         limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
         due = max(sink.event_at, attempt.checked_at) + limit
@@ -420,21 +423,29 @@
         """Suspects an attempt whose engine is silent for a wrong reason."""
         sink = attempt.sink
         event_at = sink.event_at
-        stalled = await self.inspector.find_stalled(
+        stall = await self.inspector.find_stalled(
             run.call,
             attempt.chain,
             silent_s=attempt.checked_at - event_at,
             started=sink.events > 0,
         )
-        if stalled and sink.event_at == event_at and not sink.ended.done():
-            reason = "stalled at " + "+".join(stalled)
-            self.suspect(run, attempt, stalled, reason)
+        # It may have gone on during the inspection.
+        if not stall.target_ids or sink.event_at != event_at:
+            return
+        if sink.ended.done():
+            return
+        for target_id in stall.target_ids:
+            self.selector.note_failure(
+                target_id, now=sink.loop.time(), crashed=stall.crashed
+            )
+        reason = "stalled at " + "+".join(stall.target_ids)
+        self.suspect(run, attempt, stall.target_ids, reason)
 
     def suspect(
         self,
         run: StreamRun,
         attempt: StreamAttempt,
-        target_ids: list[str],
+        target_ids: Collection[str],
         reason: str,
     ) -> None:
         """Marks an attempt, so that another one is started beside it."""
@@ -493,12 +504,25 @@
         self, run: StreamRun, attempt: StreamAttempt, outcome: Unknown
     ) -> None:
         """Records once that an attempt may have crashed its targets."""
-        if attempt.lost:
+        if attempt.lost is not None:
+            self.crashes.probe(attempt.reports[0].address)
             return
-        attempt.lost = True
         progress_s = attempt.sink.measure_progress()
         outcome = dataclasses.replace(outcome, progress_s=progress_s)
-        self.crashes.note_lost(run.call, attempt.reports, outcome)
+        attempt.lost = self.crashes.note_lost(
+            run.call, attempt.reports, outcome
+        )
+
+    def note_resumed(self, attempt: StreamAttempt) -> None:
+        """Takes back what was assumed of an attempt that goes on."""
+        attempt.resumed = False
+        now = attempt.sink.loop.time()
+        self.add_load(attempt)
+        for target_id in attempt.target_ids:
+            self.selector.note_resumed(target_id, now)
+        if attempt.lost is not None:
+            self.crashes.retract(attempt.lost)
+            attempt.lost = None
 
     def collect(self, run: StreamRun) -> bool:
         """Handles the attempts that have ended.
@@ -510,6 +534,8 @@
         for attempt in list(run.attempts):
             if not attempt.sink.ended.done():
                 continue
+            if attempt.resumed:
+                self.note_resumed(attempt)
             run.attempts.remove(attempt)
             self.release(attempt)
             outcome = attempt.sink.ended.result()
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -168,6 +168,13 @@
             row.rejections = 0
             self.detections.note_success(row, now)
 
+    def note_resumed(self, target_id: str, now: float) -> None:
+        """Records that a target goes on with a suspected attempt."""
+        row = self.targets.get(target_id)
+        if row is not None:
+            row.rejections = 0
+            self.detections.restore(row, now)
+
     def note_full(self, target_id: str, now: float) -> None:
         """Backs off from a full target and requests an inspection of it.
 
--- a/rattanroute/systems/outlier_detections.py
+++ b/rattanroute/systems/outlier_detections.py
@@ -83,6 +83,12 @@
         self.ejected.get(row.report.model, set()).discard(row.report.target_id)
         self.targets.update_open_sets(row)
 
+    def restore(self, row: Target, now: float) -> None:
+        """Ends an ejection, as the attempt that caused it goes on."""
+        if row.health is TargetHealth.EJECTED:
+            row.blocked_until = now
+        self.note_success(row, now)
+
     def note_duration(
         self, row: Target, *, seconds: float, expected: float, now: float
     ) -> None:
--- a/rattanroute/tests/test_suspected_attempts.py
+++ b/rattanroute/tests/test_suspected_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from rattanroute.gateway.crash_detectors import SUSPECT_WAIT_SECONDS
 from rattanroute.gateway.crash_detectors import VERDICT_TIMEOUT_SECONDS
 from rattanroute.http1.servers import Exchange
 from rattanroute.tests.gateway_hosts import build_events
@@ -56,6 +57,20 @@
         self.crashes.check()
         self.assertEqual(len(self.bans.suspects), 1)
 
+    async def test_crash_soon_after_the_suspicion(self) -> None:
+        """Guards against a late verdict on a host that refuses connections.
+
+        The host was probed at the suspicion and not when the stream broke.
+        Retries of the request may crash other engines meanwhile.
+        """
+        self.crash_due = asyncio.Event()
+        self.crash_due.set()
+        await self.add_engines(self.go_on_and_crash, None)
+        await self.call("/stream/", **REQUEST)
+        await asyncio.sleep(SUSPECT_WAIT_SECONDS)
+        self.crashes.check()
+        self.assertEqual(len(self.bans.suspects), 1)
+
     async def test_crash_after_the_answer(self) -> None:
         """Guards against blaming a request that the engine has answered."""
         await self.add_engines(pause, None)
