Return a final error answer while another attempt is silent

A replacement that said that the request is wrong (4xx) was held back until the silent engine had failed too, 2.3 s later. Further findings of the review: attempts that end during a search give up their room at once, a ban found by a search is forgotten when the engine goes on, and a suspected stream ends at its deadline like any other.

test_error_answer_of_the_replacement failed before (2.27 s, 1.35 allowed).

--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -107,10 +107,13 @@
     def is_answered(self) -> bool:
         """Whether no other attempt is needed now."""
         return self.trusted is not None or any(
-            x.sink.ended.done() and x.sink.ended.result() is None
-            for x in self.attempts
+            x.sink.ended.result() is None for x in self.list_ended()
         )
 
+    def list_ended(self) -> list[StreamAttempt]:
+        """Returns the open attempts whose outcome is known."""
+        return [x for x in self.attempts if x.sink.ended.done()]
+
     @property
     def may_start(self) -> bool:
         """Whether another attempt may be started."""
@@ -164,6 +167,7 @@
         if attempt.suspected:
             attempt.suspected = attempt.unreachable = False
             attempt.resumed = True
+            self.ban = None
             self.avoided.difference_update(attempt.target_ids)
         for other in self.attempts:
             if other is not attempt:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 import dataclasses
 import functools
+import math
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.chain_queues import ChainQueue
@@ -20,6 +21,7 @@
 from rattanroute.gateway.outcomes import Outcome
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.send_budgets import SendBudget
+from rattanroute.gateway.service_forwarders import FIRST_FAILURE_STATUS
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
@@ -153,6 +155,9 @@
         try:
             while not search.done() and not run.is_answered:
                 await run.wait(SEARCH_INTERVAL_SECONDS, search)
+                for attempt in run.list_ended():
+                    # Its room may be what the search waits for.
+                    self.release(attempt)
         finally:
             if not search.cancel():
                 search.result()
@@ -365,6 +370,14 @@
         attempt.sink.supersede()
         self.release(attempt)
 
+    def drop_others(self, run: StreamRun) -> None:
+        """Ends the open attempts of a request that a target found wrong."""
+        if run.call.exchange.started:
+            return
+        for attempt in list(run.attempts):
+            if not attempt.sink.ended.done():
+                self.drop(run, attempt)
+
     def release(self, attempt: StreamAttempt) -> None:
         """Closes the connection of an attempt and subtracts its load."""
         connection = attempt.sink.connection
@@ -379,7 +392,7 @@
         for attempt in run.attempts:
             if attempt.resumed:
                 self.note_resumed(attempt)
-        if any(attempt.sink.ended.done() for attempt in run.attempts):
+        if run.list_ended():
             return
         now = asyncio.get_running_loop().time()
         end = run.call.deadline + DEADLINE_MARGIN_SECONDS
@@ -415,7 +428,7 @@
         otherwise.
         """
         if run.call.exchange.started:
-            return run.call.deadline
+            return math.inf
         stall_s = run.call.service.engine.stall_s + STALL_MARGIN_SECONDS
         return max(attempt.sent_at for attempt in run.attempts) + stall_s
 
@@ -531,9 +544,7 @@
             Whether the client has the complete answer.
         """
         complete = False
-        for attempt in list(run.attempts):
-            if not attempt.sink.ended.done():
-                continue
+        for attempt in run.list_ended():
             if attempt.resumed:
                 self.note_resumed(attempt)
             run.attempts.remove(attempt)
@@ -562,6 +573,8 @@
             case Answered():
                 run.note_possible_run(attempt)
                 run.failure = outcome
+                if outcome.head.status < FIRST_FAILURE_STATUS:
+                    self.drop_others(run)
             case Unknown():
                 run.note_failure(outcome.reason)
                 run.note_possible_run(attempt)
--- a/rattanroute/tests/test_replaced_streams.py
+++ b/rattanroute/tests/test_replaced_streams.py
@@ -4,6 +4,8 @@
 import dataclasses
 import time
 
+from rattanroute.gateway.stall_inspectors import ANSWER_TIMEOUT_SECONDS
+from rattanroute.gateway.stream_forwarders import FIRST_EVENT_SECONDS
 from rattanroute.http1.servers import Exchange
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
@@ -22,6 +24,7 @@
 
 # Longer than the connect timeout of a probe.
 FRONT_PAUSE_SECONDS = 0.35
+BAD_REQUEST = 400
 
 
 async def close_listener_and_pause(
@@ -42,6 +45,11 @@
     exchange.abort()
 
 
+async def answer_with_an_error(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers that the request is wrong."""
+    exchange.send(build_head(exchange, BAD_REQUEST), b"wrong")
+
+
 class SuspectedAttemptTest(SilentEngineTestCase):
     """Guards against an attempt that is ended before another one goes on."""
 
@@ -190,3 +198,17 @@
         self.targets.get("t2").report.address = target.address
         await self.check_whole_stream()
         self.assertEqual(target.requests, 1)
+
+    async def test_error_answer_of_the_replacement(self) -> None:
+        """Guards against a final error answer that waits for a silent engine.
+
+        Nothing has been sent to the caller yet.
+        """
+        await self.add_engines(never_begin, answer_with_an_error)
+        self.silent.report_delay_s = DEADLINE_MS / 1000
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await self.call("/stream/", deadline_ms=DEADLINE_MS)
+        self.assertEqual(answer.status, BAD_REQUEST)
+        suspected_s = FIRST_EVENT_SECONDS + ANSWER_TIMEOUT_SECONDS
+        self.assertLess(loop.time() - started, suspected_s + 0.5)
