Test: requests that become complete while a front as a process stops

Two requests in one write, one behind a begun stream, and a slow upload that ends 3.2 s after SIGTERM each get a complete answer.

--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -6,16 +6,23 @@
 import signal
 import sys
 
+from rattanroute.http1.heads import encode_request
+from rattanroute.platform.trial_deployments import build_call
 from rattanroute.platform.trial_deployments import build_configuration
+from rattanroute.platform.trial_deployments import CallKind
 from rattanroute.platform.trial_deployments import Machine
 from rattanroute.platform.trial_deployments import PEER_PORT
+from rattanroute.platform.trial_deployments import timeout_s
 from rattanroute.tests.integration.platform_support import PlatformTestCase
+from rattanroute.tests.integration.platform_support import POLL_SECONDS
+from rattanroute.tests.integration.platform_support import START_SECONDS
 
 # Less than a program takes to import its modules, so that the signal arrives
 # during the imports.
 SIGNAL_DELAY_SECONDS = 0.2
 METRICS_PORT = PEER_PORT + 1
 SEND_INTERVAL_SECONDS = 0.02
+LAST_CHUNK = b"\r\n0\r\n\r\n"
 
 
 class PlatformProgramTest(PlatformTestCase):
@@ -97,6 +104,67 @@
             self.assertEqual(await process.wait(), code)
 
 
+class FrontStopTest(PlatformTestCase):
+    """Guards against requests that a stopping front reads and drops."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a deployment whose front serves streams."""
+        await self.start_fleet()
+        self.front = self.fleet.fronts[0]
+        await self.wait_for_success(self.front.ready_url)
+        async with asyncio.timeout(START_SECONDS):
+            while (
+                await self.call(self.front, CallKind.STREAM, b"first", "first")
+                != 200
+            ):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection to the front."""
+        host, _, port = self.front.front_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    def build_stream(self, request_id: str, events: int) -> bytes:
+        """Builds a request for a stream of 0.04 s for each event."""
+        head = build_call(
+            request_id,
+            f"/{CallKind.STREAM.value}/x",
+            time_left_s=timeout_s(CallKind.STREAM),
+            answer_tokens=events,
+        )
+        return encode_request(head, b"x" * 100)
+
+    async def test_requests_that_are_complete_during_a_stop(self) -> None:
+        begun_reader, begun_writer = await self.connect()
+        begun_writer.write(self.build_stream("begun", 100))
+        twin_reader, twin_writer = await self.connect()
+        twin_writer.write(self.build_stream("one", 10))
+        twin_writer.write(self.build_stream("two", 10))
+        await asyncio.sleep(0.2)
+        stop = asyncio.create_task(self.fleet.stop(self.front.name))
+        await asyncio.sleep(1.7)
+        begun_writer.write(self.build_stream("behind", 10))
+        slow_reader, slow_writer = await self.connect()
+        slow_request = self.build_stream("slow", 10)
+        slow_writer.write(slow_request[:-50])
+        await asyncio.sleep(1.5)
+        slow_writer.write(slow_request[-50:])
+        begun, twin, slow = await asyncio.gather(
+            begun_reader.read(), twin_reader.read(), slow_reader.read()
+        )
+        self.assertEqual(twin.count(LAST_CHUNK), 2)
+        # Its turn comes after the listener has closed.
+        self.assertEqual(begun.count(LAST_CHUNK), 1)
+        self.assertEqual(begun.count(b"HTTP/1.1 503 "), 1)
+        self.assertTrue(slow.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Connection: close", slow)
+        self.assertEqual(await stop, 0)
+
+
 class ControlCallTest(PlatformTestCase):
     """Guards against changes that are lost or refused in a hand-over."""
 
