Close a connection in two steps after its last response

A close with unread bytes resets the connection. Callers lost the end of an answer that was already written: a refusal of a body that is too long (413), and an answer on a draining connection behind which they had sent more.

After its last response the server now sends the end of the stream, discards what arrives for half a second and 8 MiB at most, and then closes (RFC 9112, section 9.6). A caller that closes its side ends the wait. A reader that makes no progress for 15 s loses the rest; before, it held its connection for good.

Further tests bound the time and the bytes, and show that a caller which half-closes after its answer was written gets all of it, before and after.

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -10,6 +10,7 @@
 from rattanroute.http1.heads import encode_response_head
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.lingering_closes import LingeringClose
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import RequestParser
@@ -38,6 +39,7 @@
         task: Task of the latest request's handler.
         writable: Whether the write buffer is below its limit.
         closing: Whether the connection is closing; further bytes are ignored.
+        linger: Close in progress after the last response; None before it.
         paused: Whether reading is paused because of pipelined requests.
         active_at: Time of the event loop of the latest bytes or response.
         reading_since: Time at which the incomplete request started.
@@ -57,6 +59,7 @@
         self.transport: asyncio.Transport | None = None
         self.writable = True
         self.closing = False
+        self.linger: LingeringClose | None = None
         self.paused = False
         self.active_at = self.loop.time()
         self.reading_since: float | None = None
@@ -75,6 +78,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the caller and starts the next request."""
+        if self.linger is not None:
+            self.linger.discard(len(data))
         if self.closing or self.request_error is not None:
             return
         now = self.loop.time()
@@ -109,6 +114,8 @@
         """Notifies the open exchange that its caller has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
+        if self.linger is not None:
+            self.linger.cancel()
         if self.exchange is not None:
             self.exchange.handle_disconnect()
         self.log_dropped_requests()
@@ -174,7 +181,7 @@
         head = ResponseHead(status=status)
         framing = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.write(encode_response_head(head, framing))
-        self.close()
+        self.close_after_response()
 
     def finish_exchange(self, exchange: Exchange) -> None:
         """Starts the next request, or closes the connection."""
@@ -183,7 +190,7 @@
         self.exchange = None
         self.active_at = self.loop.time()
         if exchange.last:
-            self.close()
+            self.close_after_response()
             return
         if self.paused:
             self.paused = False
@@ -208,9 +215,15 @@
 
     def write(self, data: bytes) -> None:
         """Writes bytes unless the connection is closing."""
-        if self.transport is not None and not self.transport.is_closing():
+        if not (self.closing or self.transport.is_closing()):
             self.transport.write(data)
 
+    def close_after_response(self) -> None:
+        """Closes the connection so that the caller gets the whole response."""
+        if not (self.closing or self.transport.is_closing()):
+            self.closing = True
+            self.linger = LingeringClose(transport=self.transport)
+
     def close(self) -> None:
         """Closes the connection after the buffered bytes are sent."""
         self.closing = True
