Ignore signals between the end of the event loop and of the process

A program that got SIGHUP or a second SIGTERM in the last milliseconds of a stop ended with -1 or -15 in place of 0: closing the event loop restores the default actions. The signals are now blocked and ignored once the daemon has stopped.

--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -27,6 +27,7 @@
 }
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 log = get_logger(__name__)
 
@@ -63,7 +64,7 @@
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
         daemon = build_daemon(path=path, boot=boot)
-        uvloop.run(run_daemon(daemon, reload_requests))
+        uvloop.run(run_process(daemon, reload_requests))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
         wrong = isinstance(error, SettingsError)
@@ -79,6 +80,31 @@
     start(obj=reload_requests)
 
 
+async def run_process(
+    daemon: PlatformDaemon, reload_requests: list[int]
+) -> None:
+    """Runs a daemon, then ignores signals until the process has ended.
+
+    The end of the event loop restores the default actions, and a signal would
+    change the exit code of a complete stop.
+
+    Args:
+        daemon: The daemon.
+        reload_requests: SIGHUPs that arrived before this call.
+
+    Raises:
+        RouterError: If the daemon cannot start.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        await run_daemon(daemon, reload_requests)
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        for number in SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
+
 async def run_daemon(
     daemon: PlatformDaemon, reload_requests: list[int]
 ) -> None:
--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -1,8 +1,10 @@
 """Tests of the operator interface: metrics, signals, settings and options."""
 
 import asyncio
+import contextlib
 import itertools
 import json
+import os
 import signal
 import sys
 
@@ -20,6 +22,7 @@
 # Less than a program takes to import its modules, so that the signal arrives
 # during the imports.
 SIGNAL_DELAY_SECONDS = 0.2
+SIGNAL_INTERVAL_SECONDS = 0.001
 METRICS_PORT = PEER_PORT + 1
 SEND_INTERVAL_SECONDS = 0.02
 LAST_CHUNK = b"\r\n0\r\n\r\n"
@@ -60,6 +63,20 @@
         self.assertIsNone(self.fleet.processes[self.front.name].returncode)
         await self.wait_for_success(self.front.ready_url)
 
+    async def test_signals_in_a_series_until_the_end(self) -> None:
+        """Guards against a stop that a late signal turns into a failure."""
+        for machine in (self.front, self.fleet.core[0]):
+            # Unlike `Popen.send_signal`, does not reap a process that ended.
+            descriptor = os.pidfd_open(self.fleet.processes[machine.name].pid)
+            self.addCleanup(os.close, descriptor)
+            stop = asyncio.create_task(self.fleet.stop(machine.name))
+            numbers = itertools.cycle((signal.SIGHUP, signal.SIGTERM))
+            with contextlib.suppress(ProcessLookupError):
+                while not stop.done():
+                    await asyncio.sleep(SIGNAL_INTERVAL_SECONDS)
+                    signal.pidfd_send_signal(descriptor, next(numbers))
+            self.assertEqual(await stop, 0)
+
     async def test_wrong_settings_do_not_stop_a_program(self) -> None:
         """Guards against a malformed settings file that ends a program."""
         path = self.fleet.folder / f"{self.front.name}.json"
