Apply changed limits only to requests that begin after the change

A configuration that lowers the limits of requests took effect for requests that were being read: a caller that had kept within the limits got 431, 413 or 408, or lost a kept connection earlier than it could know. Each request is now judged by the larger one of the limits at its start and the present ones, an idle connection by those at the end of its last request.

--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -117,6 +117,9 @@
         limits: Limits of requests; may change while the connection is open.
 
     Attributes:
+        first_limits: Limits at the start of the current request, or at the end
+            of the one before. A request is refused only if it exceeds these
+            and the present ones, as its client cannot know of a change.
         requests: Complete requests that the server has not taken yet.
         expects_continue: Whether the client waits for a 100 response.
         head_complete: Whether the head of the current request is complete.
@@ -136,6 +139,7 @@
 
     def reset(self) -> None:
         """Resets the state of the current request."""
+        self.first_limits = dataclasses.replace(self.limits)
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
@@ -193,9 +197,29 @@
             ProtocolError: If the head is too long.
         """
         self.head_bytes += size
-        if self.head_bytes > self.limits.max_head_bytes:
+        if self.head_bytes > self.max_head_bytes:
             raise build_request_error(431, "the head is too long")
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Largest head of the current request."""
+        return max(self.first_limits.max_head_bytes, self.limits.max_head_bytes)
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body of the current request."""
+        return max(self.first_limits.max_body_bytes, self.limits.max_body_bytes)
+
+    @property
+    def head_timeout_s(self) -> float:
+        """Longest time without progress of the current request."""
+        return max(self.first_limits.head_timeout_s, self.limits.head_timeout_s)
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Longest time without a request."""
+        return max(self.first_limits.idle_timeout_s, self.limits.idle_timeout_s)
+
     # Callbacks of the C parser.
 
     def on_message_begin(self) -> None:
@@ -217,7 +241,7 @@
         size = len(self.target) + sum(
             len(name) + len(value) + 4 for name, value in self.headers
         )
-        if size > self.limits.max_head_bytes:
+        if size > self.max_head_bytes:
             raise build_request_error(431, "the head is too long")
         self.head_complete = True
         self.expects_continue = any(
@@ -227,7 +251,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body; checks its size."""
-        if len(self.body) + len(data) > self.limits.max_body_bytes:
+        if len(self.body) + len(data) > self.max_body_bytes:
             raise build_request_error(413, "the body is too long")
         self.body += data
         self.total_body_bytes += len(data)
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -253,7 +253,7 @@
         A head has a fixed timeout. A body must not stop growing for that
         time, and must keep `MIN_BODY_BYTES_PER_SECOND` on average.
         """
-        seconds = self.server.limits.head_timeout_s
+        seconds = self.parser.head_timeout_s
         elapsed = now - self.reading_since
         if not self.parser.head_complete:
             return elapsed > seconds
@@ -264,7 +264,6 @@
         """Closes the connection if it is idle or its request is too slow."""
         if self.exchange is not None or self.closing:
             return
-        limits = self.server.limits
         if self.reading_since is not None:
             if self.is_too_slow(now):
                 self.request_error = self.request_error or ProtocolError(
@@ -272,7 +271,7 @@
                 )
                 self.reject_request(self.request_error.status)
         elif (
-            now - self.active_at > limits.idle_timeout_s
+            now - self.active_at > self.parser.idle_timeout_s
             or self.server.closing_idle
         ):
             self.close()
--- a/rattanroute/tests/test_http1_parsers.py
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -83,6 +83,28 @@
         head = b"POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\n"
         self.check_status(413, head, b"a" * 30)
 
+    def test_limits_that_become_smaller(self) -> None:
+        """Guards against refusing a request that began under larger ones."""
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nX-Long: %b\r\n" % (b"x" * 300)
+        request = head + b"Content-Length: 20\r\n\r\n" + b"x" * 20
+        self.parser.feed(request[:30])
+        self.parser.limits.max_head_bytes = 200
+        self.parser.limits.max_body_bytes = 10
+        self.parser.feed(request[30:])
+        self.assertEqual(len(self.parser.requests), 1)
+        self.check_status(431, request)
+
+    def test_limits_that_become_larger(self) -> None:
+        """Guards against refusing a request that began under smaller ones."""
+        request = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\n"
+            + b"x" * 30
+        )
+        self.parser.feed(request[:30])
+        self.parser.limits.max_body_bytes = 30
+        self.parser.feed(request[30:])
+        self.assertEqual(len(self.parser.requests), 1)
+
     def test_trailers_are_dropped(self) -> None:
         """Guards against a trailer that overrides a validated header."""
         self.parser.feed(
--- a/rattanroute/tests/test_http1_servers.py
+++ b/rattanroute/tests/test_http1_servers.py
@@ -218,6 +218,33 @@
         self.assertIn(b" 408 ", data)
         self.assertEqual(self.arrived, 0)
 
+    async def test_timeout_that_becomes_shorter(self) -> None:
+        """Guards against refusing a request that began under a longer one."""
+        self.gate.set()
+        self.limits.head_timeout_s = 3.0
+        reader, writer = await self.connect()
+        writer.write(REQUEST[:10])
+        await asyncio.sleep(0.1)
+        self.limits.head_timeout_s = 0.2
+        await asyncio.sleep(1.0)
+        writer.write(REQUEST[10:])
+        async with asyncio.timeout(3):
+            self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_idle_time_that_becomes_shorter(self) -> None:
+        """Guards against closing a connection that its caller may still use."""
+        self.gate.set()
+        self.limits.idle_timeout_s = 10.0
+        reader, writer = await self.connect()
+        for _ in range(2):
+            writer.write(REQUEST)
+            async with asyncio.timeout(3):
+                self.assertTrue(await reader.readuntil(b"done"))
+            self.limits.idle_timeout_s = 0.2
+            await asyncio.sleep(1.0)
+        # The second request was sent under the new limit.
+        self.assertEqual(await reader.read(), b"")
+
     async def test_idle_connection_is_closed(self) -> None:
         reader, _ = await self.connect()
         async with asyncio.timeout(3):
