Cancel a request at once when its caller closes its sending direction

The request of a caller that closed its sending direction and read nothing went on until its deadline: the server waited for its write buffer to drain before it noticed.

Evidence: test_half_close_of_a_caller_that_reads_nothing failed before (not cancelled within 0.5 s). A caller that half-closes after its answer was written still gets all of it (test_half_close_after_the_answer_was_written).

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -106,8 +106,14 @@
         self.progress_bytes = received
 
     def eof_received(self) -> bool:
-        """Lets the transport close the connection."""
+        """Cancels the open request and lets the transport close.
+
+        A caller that left cannot be told from one that closed its sending
+        direction only. The bytes that were written are still sent.
+        """
         self.disconnect_reason = Disconnect.HALF_CLOSE
+        if self.exchange is not None:
+            self.exchange.handle_disconnect()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/rattanroute/tests/test_http1_closes.py
+++ b/rattanroute/tests/test_http1_closes.py
@@ -22,6 +22,8 @@
 ANSWER = b"x" * 300_000
 MAX_BODY_BYTES = 100_000
 READ_SECONDS = 5.0
+# Within this time a request is cancelled after its caller has left.
+LEAVE_SECONDS = 0.5
 
 
 class CloseTest(unittest.TestCase):
@@ -114,6 +116,30 @@
         data = await self.read(client, pause_s=0.005)
         self.assertTrue(data.endswith(ANSWER))
 
+    def test_half_close_of_a_caller_that_reads_nothing(self) -> None:
+        """Guards against work for callers that left while bytes wait."""
+        self.run_test(self.half_close_during_the_answer)
+
+    async def half_close_during_the_answer(self) -> None:
+        self.server.handler = self.stream
+        client = await self.connect()
+        await self.loop.sock_sendall(client, REQUEST)
+        await self.arrived.wait()
+        client.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(LEAVE_SECONDS):
+            await self.left.wait()
+
+    async def stream(self, exchange: Exchange) -> None:
+        """Starts an answer that the caller's buffers cannot hold."""
+        self.left = asyncio.Event()
+        exchange.on_disconnect = self.left.set
+        exchange.start(ResponseHead(status=200))
+        while exchange.writable:
+            exchange.write(ANSWER)
+            await asyncio.sleep(0)
+        self.arrived.set()
+        await self.left.wait()
+
     def test_caller_resets_during_the_answer(self) -> None:
         """Guards against an error that leaves the connection open."""
         self.run_test(self.reset_during_the_answer)
