Bound what is read behind an invalid request

Bytes that followed an invalid request were read and ignored until the answer to the request before it had ended, however many came. Reading now pauses after 8 MiB; the open answer and the refusal of the invalid request are still sent.

Evidence: test_endless_bytes_behind_an_open_request failed before (2.1 GB read in a second).

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -11,6 +11,7 @@
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.lingering_closes import LingeringClose
+from rattanroute.http1.lingering_closes import MAX_DISCARDED_BYTES
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import RequestParser
@@ -40,12 +41,14 @@
         writable: Whether the write buffer is below its limit.
         closing: Whether the connection is closing; further bytes are ignored.
         linger: Close in progress after the last response; None before it.
-        paused: Whether reading is paused because of pipelined requests.
+        paused: Whether reading is paused because of pipelined requests or of
+            bytes behind an invalid one.
         active_at: Time of the event loop of the latest bytes or response.
         reading_since: Time at which the incomplete request started.
         progress_at: Time at which its body last grew.
         progress_bytes: Size of its body at that time.
         request_error: Error of the request that cannot be read.
+        ignored_bytes: Bytes that arrived behind it.
         disconnect_reason: Why the connection closed, if it closes before the
             response to its open request ends.
     """
@@ -66,6 +69,7 @@
         self.progress_at = self.active_at
         self.progress_bytes = 0
         self.request_error: ProtocolError | None = None
+        self.ignored_bytes = 0
         self.disconnect_reason = Disconnect.CALLER
 
     # Callbacks of the transport.
@@ -80,7 +84,10 @@
         """Parses bytes from the caller and starts the next request."""
         if self.linger is not None:
             self.linger.discard(len(data))
-        if self.closing or self.request_error is not None:
+        if self.closing:
+            return
+        if self.request_error is not None:
+            self.ignore(len(data))
             return
         now = self.loop.time()
         self.active_at = now
@@ -94,6 +101,16 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.start_next_request()
 
+    def ignore(self, size: int) -> None:
+        """Counts bytes behind an invalid request; stops reading at a limit.
+
+        The response to the request before it may still be open.
+        """
+        self.ignored_bytes += size
+        if self.ignored_bytes > MAX_DISCARDED_BYTES and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
     def update_progress(self, now: float) -> None:
         """Records when the incomplete request started and last grew."""
         if not self.parser.is_reading:
--- a/rattanroute/tests/test_http1_closes.py
+++ b/rattanroute/tests/test_http1_closes.py
@@ -190,6 +190,27 @@
         self.assertLess(sent, 2 * MAX_DISCARDED_BYTES)
         self.assertLess(self.loop.time() - started_at, 2 * LINGER_SECONDS)
 
+    def test_endless_bytes_behind_an_open_request(self) -> None:
+        """Guards against reading invalid bytes until the answer ends."""
+        self.run_test(self.send_garbage)
+
+    async def send_garbage(self) -> None:
+        client = await self.connect()
+        await self.loop.sock_sendall(client, REQUEST)
+        sent = 0
+        part = b"\xff" * 65_536
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1):
+                while True:
+                    await self.loop.sock_sendall(client, part)
+                    sent += len(part)
+        self.assertLess(sent, 2 * MAX_DISCARDED_BYTES)
+        self.gate.set()
+        # A part of `part` may have been sent when the time was over.
+        data = await self.read(client)
+        self.assertIn(ANSWER, data)
+        self.assertEqual(data.count(b"HTTP/1.1 400 "), 1)
+
     async def wait_until_closed(self, seconds: float) -> None:
         """Waits until the server has no connection."""
         async with asyncio.timeout(seconds):
