--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -4,12 +4,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import enum
 
+from rattanroute.http1.exchanges import Disconnect
+from rattanroute.http1.exchanges import Exchange
 from rattanroute.http1.heads import encode_response_head
-from rattanroute.http1.heads import Request
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.lingering_closes import LingeringClose
+from rattanroute.http1.lingering_closes import MAX_DISCARDED_BYTES
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import RequestParser
@@ -27,136 +29,6 @@
 log = get_logger(__name__)
 
 
-class Framing(enum.StrEnum):
-    """How the end of a response is marked."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
-class Disconnect(enum.StrEnum):
-    """Why a connection closed before the response ended."""
-
-    CALLER = "caller left"
-    HALF_CLOSE = "caller closed its sending direction"
-    STOP = "cut at the end of the stop"
-
-
-class Exchange:
-    """A request of a caller and the response to it.
-
-    Attributes:
-        request: The request.
-        disconnected: Whether the connection closed before the response ended.
-        started: Whether the head of the response was sent.
-        ended: Whether the response is complete or was aborted.
-        last: Whether its head announced that the connection closes.
-        on_disconnect: Called once when the caller closes the connection, or
-            when the response must end at once; only in the first case is
-            `disconnected` set before.
-        on_writable: Called when the write buffer of a slow caller has drained.
-    """
-
-    def __init__(
-        self, *, request: Request, connection: "ServerConnection"
-    ) -> None:
-        self.request = request
-        self.connection = connection
-        self.received_at = connection.loop.time()
-        self.disconnected = False
-        self.started = False
-        self.ended = False
-        self.last = False
-        self.on_disconnect: Callable[[], None] | None = None
-        self.on_writable: Callable[[], None] | None = None
-        self.framing = Framing.LENGTH
-
-    def send(self, head: ResponseHead, body: bytes = b"") -> None:
-        """Sends a complete response."""
-        if self.disconnected or self.ended:
-            return
-        framing = [(b"Content-Length", b"%d" % len(body))]
-        framing += self.build_connection_headers()
-        self.started = True
-        self.connection.write(encode_response_head(head, framing) + body)
-        self.finish()
-
-    def start(self, head: ResponseHead) -> None:
-        """Sends the head of a response whose body follows in chunks."""
-        if self.disconnected or self.ended:
-            return
-        self.started = True
-        self.framing = Framing.CHUNKED
-        framing = [(b"Transfer-Encoding", b"chunked")]
-        framing += self.build_connection_headers()
-        self.connection.write(encode_response_head(head, framing))
-
-    def build_connection_headers(self) -> list[tuple[bytes, bytes]]:
-        """Returns `Connection: close` if this is the last response.
-
-        A response that says so is the last one of its connection (RFC 9112,
-        section 9.6); until then each request that was read is answered.
-        """
-        self.last = self.connection.closes_after(self.request.head)
-        return [(b"Connection", b"close")] if self.last else []
-
-    def write(self, data: bytes) -> None:
-        """Sends a chunk of the body."""
-        if data and not (self.disconnected or self.ended):
-            self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-    def end(self) -> None:
-        """Sends the end of the chunked body."""
-        if not (self.disconnected or self.ended):
-            self.connection.write(b"0\r\n\r\n")
-            self.finish()
-
-    def abort(self) -> None:
-        """Closes the connection, so that the response stays incomplete."""
-        if not self.ended:
-            self.ended = True
-            self.connection.abort()
-
-    @property
-    def writable(self) -> bool:
-        """Whether the write buffer has room."""
-        return self.connection.writable
-
-    def finish(self) -> None:
-        """Marks the response as complete and ends the exchange."""
-        self.ended = True
-        self.connection.finish_exchange(self)
-
-    @property
-    def draining_s(self) -> float:
-        """Seconds since the server started to drain; 0 if it does not."""
-        started_at = self.connection.server.draining_at
-        if started_at is None:
-            return 0.0
-        return self.connection.loop.time() - started_at
-
-    def end_early(self) -> None:
-        """Makes the handler end the response at once.
-
-        It may still refuse the request if it has not started a response.
-        """
-        if self.ended or self.disconnected:
-            return
-        if self.on_disconnect is None:
-            self.abort()
-        else:
-            self.on_disconnect()
-
-    def handle_disconnect(self) -> None:
-        """Handles a connection that closed before the response ended."""
-        if self.ended or self.disconnected:
-            return
-        self.disconnected = True
-        if self.on_disconnect is not None:
-            self.on_disconnect()
-
-
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
@@ -168,12 +40,15 @@
         task: Task of the latest request's handler.
         writable: Whether the write buffer is below its limit.
         closing: Whether the connection is closing; further bytes are ignored.
-        paused: Whether reading is paused because of pipelined requests.
+        linger: Close in progress after the last response; None before it.
+        paused: Whether reading is paused because of pipelined requests or of
+            bytes behind an invalid one.
         active_at: Time of the event loop of the latest bytes or response.
         reading_since: Time at which the incomplete request started.
         progress_at: Time at which its body last grew.
         progress_bytes: Size of its body at that time.
         request_error: Error of the request that cannot be read.
+        ignored_bytes: Bytes that arrived behind it.
         disconnect_reason: Why the connection closed, if it closes before the
             response to its open request ends.
     """
@@ -187,12 +62,14 @@
         self.transport: asyncio.Transport | None = None
         self.writable = True
         self.closing = False
+        self.linger: LingeringClose | None = None
         self.paused = False
         self.active_at = self.loop.time()
         self.reading_since: float | None = None
         self.progress_at = self.active_at
         self.progress_bytes = 0
         self.request_error: ProtocolError | None = None
+        self.ignored_bytes = 0
         self.disconnect_reason = Disconnect.CALLER
 
     # Callbacks of the transport.
@@ -205,7 +82,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the caller and starts the next request."""
-        if self.closing or self.request_error is not None:
+        if self.linger is not None:
+            self.linger.discard(len(data))
+        if self.closing:
+            return
+        if self.request_error is not None:
+            self.ignore(len(data))
             return
         now = self.loop.time()
         self.active_at = now
@@ -219,6 +101,16 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.start_next_request()
 
+    def ignore(self, size: int) -> None:
+        """Counts bytes behind an invalid request; stops reading at a limit.
+
+        The response to the request before it may still be open.
+        """
+        self.ignored_bytes += size
+        if self.ignored_bytes > MAX_DISCARDED_BYTES and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
     def update_progress(self, now: float) -> None:
         """Records when the incomplete request started and last grew."""
         if not self.parser.is_reading:
@@ -231,14 +123,22 @@
         self.progress_bytes = received
 
     def eof_received(self) -> bool:
-        """Lets the transport close the connection."""
+        """Cancels the open request and lets the transport close.
+
+        A caller that left cannot be told from one that closed its sending
+        direction only. The bytes that were written are still sent.
+        """
         self.disconnect_reason = Disconnect.HALF_CLOSE
+        if self.exchange is not None:
+            self.exchange.handle_disconnect()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies the open exchange that its caller has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
+        if self.linger is not None:
+            self.linger.cancel()
         if self.exchange is not None:
             self.exchange.handle_disconnect()
         self.log_dropped_requests()
@@ -304,7 +204,7 @@
         head = ResponseHead(status=status)
         framing = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.write(encode_response_head(head, framing))
-        self.close()
+        self.close_after_response()
 
     def finish_exchange(self, exchange: Exchange) -> None:
         """Starts the next request, or closes the connection."""
@@ -313,7 +213,7 @@
         self.exchange = None
         self.active_at = self.loop.time()
         if exchange.last:
-            self.close()
+            self.close_after_response()
             return
         if self.paused:
             self.paused = False
@@ -338,9 +238,15 @@
 
     def write(self, data: bytes) -> None:
         """Writes bytes unless the connection is closing."""
-        if self.transport is not None and not self.transport.is_closing():
+        if not (self.closing or self.transport.is_closing()):
             self.transport.write(data)
 
+    def close_after_response(self) -> None:
+        """Closes the connection so that the caller gets the whole response."""
+        if not (self.closing or self.transport.is_closing()):
+            self.closing = True
+            self.linger = LingeringClose(transport=self.transport)
+
     def close(self) -> None:
         """Closes the connection after the buffered bytes are sent."""
         self.closing = True
@@ -370,7 +276,7 @@
         A head has a fixed timeout. A body must not stop growing for that
         time, and must keep `MIN_BODY_BYTES_PER_SECOND` on average.
         """
-        seconds = self.server.limits.head_timeout_s
+        seconds = self.parser.head_timeout_s
         elapsed = now - self.reading_since
         if not self.parser.head_complete:
             return elapsed > seconds
@@ -381,7 +287,6 @@
         """Closes the connection if it is idle or its request is too slow."""
         if self.exchange is not None or self.closing:
             return
-        limits = self.server.limits
         if self.reading_since is not None:
             if self.is_too_slow(now):
                 self.request_error = self.request_error or ProtocolError(
@@ -389,7 +294,7 @@
                 )
                 self.reject_request(self.request_error.status)
         elif (
-            now - self.active_at > limits.idle_timeout_s
+            now - self.active_at > self.parser.idle_timeout_s
             or self.server.closing_idle
         ):
             self.close()
