Send written answers to slow callers before a stopping daemon exits

A caller that read slowly while its VM was stopped got an answer without its end: the connection closed before the declared length. The handler of an answer returns while up to 64 KB of it are in the connection's buffer, the runner then closes the connection in the background, and the process exited a fraction of a second later with the rest of the buffer. Answers whose writing took longer than the runner's two timeouts were cut, too.

A listener now tracks its open connections and the requests whose answers are not yet written; its close waits until callers have received their answers, at most for the rest of the grace, and aborts what is left.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -34,9 +34,7 @@
 from rattanroute.security import DaemonCredentials
 from rattanroute.security import protect_server
 from rattanroute.servers.callers import CallersServer
-from rattanroute.servers.listeners import ConnectionGuard
-from rattanroute.servers.listeners import convert_client_errors
-from rattanroute.servers.listeners import GuardedSite
+from rattanroute.servers.listeners import HttpListener
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
@@ -65,6 +63,8 @@
 # Time for the load balancer to notice that the VM is not ready before the
 # listeners close; requests that still arrive are refused as not run.
 DRAIN_NOTICE_SECONDS = 1.0
+# Time for callers to receive written answers after the grace has ended.
+MIN_FLUSH_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
 log = get_logger(__name__)
@@ -136,7 +136,7 @@
         for subsystem in self.list_subsystems():
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
-        self.runners: list[web.AppRunner] = []
+        self.listeners: list[HttpListener] = []
         self.servers: list[Server] = []
 
     def build_membership(self) -> MembershipSystem:
@@ -357,21 +357,10 @@
         self, application: web.Application, address: str
     ) -> None:
         """Opens an HTTP interface."""
-        guard = ConnectionGuard()
-        application.middlewares.extend(
-            [guard.middleware, convert_client_errors]
-        )
-        runner = web.AppRunner(
-            application,
-            handler_cancellation=True,
-            shutdown_timeout=self.settings.limits.shutdown_grace_s,
-        )
-        await runner.setup()
-        host, port = parse_address(address)
-        self.runners.append(runner)
-        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        listener = HttpListener(application=application, address=address)
+        self.listeners.append(listener)
         try:
-            await site.start()
+            await listener.open()
         except OSError as error:
             raise build_listen_error(address, error) from error
 
@@ -447,6 +436,7 @@
         self.publish_status()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
                 await self.sessions.empty.wait()
@@ -455,12 +445,17 @@
         await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
         await asyncio.sleep(2 * SUBSYSTEM_TICK_SECONDS)
-        await self.close()
+        await self.close(grace_s=grace_ends - time.monotonic())
 
-    async def close(self) -> None:
-        """Closes listeners, links and tasks."""
-        for runner in self.runners:
-            await runner.cleanup()
+    async def close(self, *, grace_s: float = 0.0) -> None:
+        """Closes listeners, links and tasks.
+
+        Args:
+            grace_s: Time for callers to receive answers that are already
+                written, in seconds.
+        """
+        for listener in self.listeners:
+            await listener.close(grace_s=max(MIN_FLUSH_SECONDS, grace_s))
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 
 from aiohttp import web
 
+from rattanroute.addresses import parse_address
 from rattanroute.requests.bodies import build_invalid_refusal
 from rattanroute.requests.refusals import build_refusal_response
 from rattanroute.requests.refusals import INTERNAL
@@ -15,6 +18,9 @@
 # without a request must not exhaust the file descriptors.
 FIRST_REQUEST_TIMEOUT_SECONDS = 10.0
 KEEPALIVE_TIMEOUT_SECONDS = 30.0
+# Longest wait for handlers that are still running when a listener closes.
+# Before that, a planned stop waits for them and ends those that are left.
+HANDLER_END_SECONDS = 1.0
 
 
 def build_error_response(status: int, message: str) -> web.Response:
@@ -40,9 +46,43 @@
 
 
 class JsonRequestHandler(web.RequestHandler):
-    """Answers requests that cannot be parsed with a JSON error."""
+    """Answers requests that cannot be parsed with a JSON error.
 
-    __slots__ = ()
+    Attributes:
+        guard: Registers the connection while it is open.
+    """
+
+    __slots__ = ("guard",)
+
+    def __init__(
+        self,
+        manager: web.Server,
+        *,
+        guard: "ConnectionGuard",
+        **options: object,
+    ) -> None:
+        super().__init__(manager, **options)
+        self.guard = guard
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Registers the connection."""
+        super().connection_made(transport)
+        self.guard.add(self, transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Removes the connection; its buffered data has been sent or lost."""
+        self.guard.remove(self)
+        super().connection_lost(exc)
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Writes a response, which takes a while if the caller reads slowly."""
+        with self.guard.count_request():
+            return await super().finish_response(request, resp, start_time)
 
     def handle_error(
         self,
@@ -95,46 +135,148 @@
         )
 
     def open_connection(self) -> asyncio.Protocol:
-        """Returns the protocol of a new connection and starts its timeout."""
-        protocol = JsonRequestHandler(
+        """Returns the protocol of a new connection."""
+        return JsonRequestHandler(
             self._runner.server,
+            guard=self.guard,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
             access_log=None,
         )
-        self.guard.watch(protocol)
-        return protocol
 
 
 class ConnectionGuard:
-    """Aborts connections whose first request does not arrive in time.
+    """Tracks the connections and unanswered requests of a listener.
+
+    It aborts connections whose first request does not arrive in time.
 
     Attributes:
+        transports: Transports of the open connections. A connection that is
+            being closed stays open until its buffered data is sent.
+        closed: Set while no connection is open.
         waiting: Connections that have not sent a request yet.
+        requests: Number of requests whose heads have arrived and whose
+            answers are not yet written.
+        idle: Set while there are none.
     """
 
     def __init__(self) -> None:
+        self.transports: dict[asyncio.Protocol, asyncio.BaseTransport] = {}
+        self.closed = asyncio.Event()
+        self.closed.set()
         self.waiting: set[asyncio.Protocol] = set()
+        self.requests = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
 
     @web.middleware
     async def middleware(
         self, http_request: web.Request, handler: object
     ) -> web.StreamResponse:
-        """Marks a connection as having sent a request."""
+        """Counts the request and marks its connection as used."""
         self.waiting.discard(http_request.protocol)
-        return await handler(http_request)
+        with self.count_request():
+            return await handler(http_request)
+
+    @contextlib.contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Counts a request while it is handled or its answer is written."""
+        self.requests += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.requests -= 1
+            if not self.requests:
+                self.idle.set()
 
-    def watch(self, protocol: asyncio.Protocol) -> None:
-        """Starts the timeout of a new connection."""
+    def add(
+        self, protocol: asyncio.Protocol, transport: asyncio.BaseTransport
+    ) -> None:
+        """Registers a new connection and starts its timeout."""
+        self.transports[protocol] = transport
+        self.closed.clear()
         self.waiting.add(protocol)
         asyncio.get_running_loop().call_later(
             FIRST_REQUEST_TIMEOUT_SECONDS, self.check, protocol
         )
 
+    def remove(self, protocol: asyncio.Protocol) -> None:
+        """Removes a connection that has closed."""
+        self.waiting.discard(protocol)
+        self.transports.pop(protocol, None)
+        if not self.transports:
+            self.closed.set()
+
     def check(self, protocol: asyncio.Protocol) -> None:
         """Aborts a connection that has not sent a request."""
         if protocol not in self.waiting:
             return
         self.waiting.discard(protocol)
-        if protocol.transport is not None:
-            protocol.transport.abort()
+        self.transports[protocol].abort()
+
+    def abort_all(self) -> None:
+        """Aborts all connections; their buffered data is lost."""
+        for transport in list(self.transports.values()):
+            transport.abort()
+
+
+class HttpListener:
+    """Serves an application on an address.
+
+    Args:
+        application: The application; its middlewares are extended.
+        address: Listening address as `IP:port`.
+    """
+
+    def __init__(self, *, application: web.Application, address: str) -> None:
+        self.address = address
+        self.guard = ConnectionGuard()
+        application.middlewares.extend(
+            [self.guard.middleware, convert_client_errors]
+        )
+        self.runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            shutdown_timeout=HANDLER_END_SECONDS,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port on which the listener accepts connections."""
+        return self.runner.addresses[0][1]
+
+    async def open(self) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: If the address cannot be used.
+        """
+        await self.runner.setup()
+        host, port = parse_address(self.address)
+        site = GuardedSite(
+            runner=self.runner, guard=self.guard, host=host, port=port
+        )
+        await site.start()
+
+    async def wait_until_idle(self) -> None:
+        """Waits until all requests are answered."""
+        # The answer of a request is counted after the event of its handler.
+        while self.guard.requests:
+            await self.guard.idle.wait()
+
+    async def close(self, *, grace_s: float) -> None:
+        """Stops listening and closes all connections.
+
+        A written answer may still be in the buffer of its connection, which
+        closes once the caller has read it.
+
+        Args:
+            grace_s: Time for callers to receive the answers, in seconds;
+                connections that are still open then are aborted.
+        """
+        await self.runner.cleanup()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace_s):
+                await self.guard.closed.wait()
+        self.guard.abort_all()
