Wait in a planned stop for requests whose body has not arrived

A request that a VM had accepted before SIGTERM and whose body arrived later than 1.2 s after it was answered 408 "body did not arrive" ten seconds later, although the body had arrived. The stop waited only for requests with a session, and a session starts after the body. The runner was then shut down, which drops further data of its connections; the VM had also handed over its claims and left the cluster.

test_body_that_arrives_during_the_shutdown failed with status 408 for all six streams and four records. The stop now waits until every request whose head has arrived is answered, and leaves the cluster afterwards. Requests that arrive later are refused as before, so that the wait ends.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -437,16 +437,33 @@
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
-                await self.sessions.empty.wait()
-        await asyncio.gather(*self.running_tasks, return_exceptions=True)
+        await self.drain()
         await self.claims.hand_over()
         await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
         await asyncio.sleep(2 * SUBSYSTEM_TICK_SECONDS)
         await self.close(grace_s=grace_ends - time.monotonic())
 
+    async def drain(self) -> None:
+        """Waits for the open requests, at most for the grace.
+
+        A request is open from its head to the end of its answer. One whose
+        body has not arrived has no session yet. Until all have ended, the VM
+        remains a member, as they need the targets' reports, the shares and
+        the claims.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
+                await self.wait_for_requests()
+
+    async def wait_for_requests(self) -> None:
+        """Waits until all requests and their tasks have ended."""
+        for listener in self.listeners:
+            await listener.wait_until_idle()
+        await self.sessions.empty.wait()
+        while self.running_tasks:
+            await asyncio.wait(self.running_tasks)
+
     async def close(self, *, grace_s: float = 0.0) -> None:
         """Closes listeners, links and tasks.
 
--- a/rattanroute/tests/integration/test_stops.py
+++ b/rattanroute/tests/integration/test_stops.py
@@ -5,9 +5,12 @@
 import time
 
 import aiohttp
+import msgspec
 
 from rattanroute.tests.integration.cluster_support import ClientAnswer
 from rattanroute.tests.integration.cluster_support import ClusterTestCase
+from rattanroute.tools.demo_configuration import NOTES_KEY
+from rattanroute.tools.demo_configuration import SERVICE
 
 ENGINES = {"engine-a": "dc-a", "engine-b": "dc-b"}
 SERVICES = {"records-a": "dc-a", "records-b": "dc-b"}
@@ -15,6 +18,10 @@
 TOKENS = 160
 READINESS_INTERVAL_SECONDS = 0.2
 CALL_SECONDS = 15.0
+# Longer than a VM takes to leave the cluster if no request is open, and than
+# the age at which it no longer uses a target's report; shorter than the
+# daemon's limit for a body.
+BODY_PAUSE_SECONDS = 5.0
 
 
 class GracefulShutdownTest(ClusterTestCase):
@@ -144,6 +151,77 @@
         self.assertEqual(await stopped, 0)
         self.assertEqual(await self.count_runs(), dict.fromkeys(keys, 1))
 
+    async def send_slowly(
+        self, vm: str, path: str, body: dict[str, object], *headers: str
+    ) -> tuple[int, bytes]:
+        """Sends a request whose body ends `BODY_PAUSE_SECONDS` after its head.
+
+        Returns:
+            The status and the body of the answer; 0 if there is none.
+        """
+        host, port = self.cluster.vms[vm].callers_url[7:].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = msgspec.json.encode(body)
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: h",
+            f"Authorization: Bearer {NOTES_KEY}",
+            f"Content-Length: {len(data)}",
+            "Connection: close",
+            *headers,
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data[:10])
+        await asyncio.sleep(BODY_PAUSE_SECONDS)
+        writer.write(data[10:])
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                answer = await reader.read()
+        except ConnectionError:
+            answer = b""
+        finally:
+            writer.close()
+        head, _, content = answer.partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]) if head else 0, content
+
+    async def test_body_that_arrives_during_the_shutdown(self) -> None:
+        """Guards against a shutdown that does not wait for a request's body.
+
+        The VM has accepted such a request. If it leaves the cluster first, it
+        gets no more reports of targets, and its share of them runs out.
+        """
+        body = {
+            "model": "chat",
+            "stream": True,
+            "max_tokens": TOKENS,
+            "messages": [{"role": "user", "content": "a slow body"}],
+        }
+        requests = [
+            asyncio.create_task(
+                self.send_slowly("dc-a-2", "/v1/chat/completions", body)
+            )
+            for _ in range(6)
+        ]
+        keys = [f"dc-a/slow-{i}" for i in range(4)]
+        requests += [
+            asyncio.create_task(
+                self.send_slowly(
+                    "dc-a-2",
+                    f"/v1/services/{SERVICE}/record",
+                    {"key": key},
+                    f"Idempotency-Key: {key}",
+                )
+            )
+            for key in keys
+        ]
+        await asyncio.sleep(0.2)
+        stopped = asyncio.create_task(self.cluster.stop("dc-a-2"))
+        answers = await asyncio.gather(*requests)
+        self.assertEqual([x[0] for x in answers], [200] * len(answers), answers)
+        for _, content in answers[:6]:
+            self.assertIn(b"[DONE]", content)
+        self.assertEqual(await stopped, 0)
+        self.assertEqual(await self.count_runs(), dict.fromkeys(keys, 1))
+
     async def test_rolling_restart_under_load(self) -> None:
         """Guards against requests that a rolling restart loses or repeats.
 
