Refuse requests that outlast the grace of a planned stop

A begun stream that was open at the end of the grace was closed without an error event, and the stop waited without a bound for calls that run at most once, until the program gave up all of them. The design allows neither: a broken stream ends in an error event.

ShortGraceTest failed: the stream ended without an error event. The daemon now refuses the open requests with what is known about their execution before it closes the connections. The margin of the program covers the longest handover of claims, 10 s, with which the old one could end first.

--- a/rattanroute/__main__.py
+++ b/rattanroute/__main__.py
@@ -20,7 +20,9 @@
 
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
-STOP_MARGIN_SECONDS = 10.0
+# Refusals, the handover of claims and the end of all connections follow the
+# grace.
+STOP_MARGIN_SECONDS = 20.0
 
 
 class DaemonService(aiomisc.Service):
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -63,6 +63,8 @@
 # Time for the load balancer to notice that the VM is not ready before the
 # listeners close; requests that still arrive are refused as not run.
 DRAIN_NOTICE_SECONDS = 1.0
+# Time to send the refusals of requests that have not ended in a planned stop.
+REFUSAL_SECONDS = 2.0
 # Time for callers to receive written answers after the grace has ended.
 MIN_FLUSH_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
@@ -445,16 +447,22 @@
         await self.close(grace_s=grace_ends - time.monotonic())
 
     async def drain(self) -> None:
-        """Waits for the open requests, at most for the grace.
+        """Waits for the open requests; refuses those left after the grace.
 
         A request is open from its head to the end of its answer. One whose
         body has not arrived has no session yet. Until all have ended, the VM
         remains a member, as they need the targets' reports, the shares and
         the claims.
         """
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
                 await self.wait_for_requests()
+        except TimeoutError:
+            count = self.sessions.refuse_all()
+            log.warning("requests refused at a planned stop", requests=count)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REFUSAL_SECONDS):
+                    await self.wait_for_requests()
 
     async def wait_for_requests(self) -> None:
         """Waits until all requests and their tasks have ended."""
--- a/rattanroute/requests/sessions.py
+++ b/rattanroute/requests/sessions.py
@@ -30,6 +30,7 @@
 from rattanroute.requests.attempt_runs import AttemptRun
 from rattanroute.requests.attempt_runs import AttemptUsage
 from rattanroute.requests.refusals import RequestRefusedError
+from rattanroute.systems import refusals
 from rattanroute.tables.requests import Request
 from rattanroute.traces import TraceRecorder
 
@@ -93,6 +94,22 @@
         if not self.sessions:
             self.empty.set()
 
+    def refuse_all(self) -> int:
+        """Refuses the open requests at the end of a planned stop.
+
+        Returns:
+            Number of open requests.
+        """
+        for session in self.sessions.values():
+            request = session.request
+            session.receive(
+                Refuse(
+                    request_id=request.request_id,
+                    refusal=refusals.stopped(request),
+                )
+            )
+        return len(self.sessions)
+
     def deliver(self, action: Action) -> None:
         """Passes an action of the core to its session."""
         session = self.sessions.get(action.request_id)
--- a/rattanroute/systems/refusals.py
+++ b/rattanroute/systems/refusals.py
@@ -74,6 +74,18 @@
     )
 
 
+def stopped(request: Request) -> Refusal:
+    """Builds the refusal of a request that outlasts a planned stop."""
+    execution = execution_of(request)
+    return Refusal(
+        type="stopping",
+        message="this VM stopped before the answer was complete",
+        status=503,
+        execution=Execution.PARTIAL if request.begun else execution,
+        retry_after_s=MIN_RETRY_SECONDS,
+    )
+
+
 def outcome_unknown(request: Request) -> Refusal:
     """Builds the refusal of a non-repeatable call that may have run."""
     partial = request.tokens_out > 0
--- a/rattanroute/tests/integration/test_stops.py
+++ b/rattanroute/tests/integration/test_stops.py
@@ -244,3 +244,30 @@
         await asyncio.gather(checks, *workers)
         self.assertGreater(self.served, 100)
         self.assertEqual(set((await self.count_runs()).values()), {1})
+
+
+class ShortGraceTest(ClusterTestCase):
+    """A shutdown whose grace is shorter than the open requests."""
+
+    data_centres = {"dc-a": 1}
+    settings = {"limits": {"shutdown_grace_s": 1.0}}
+
+    async def start_targets(self) -> None:
+        await self.cluster.add_engine(
+            "engine-a", "dc-a", model="chat", tokens_per_second=20.0
+        )
+
+    async def test_stream_that_outlasts_the_grace_ends_with_an_error(
+        self,
+    ) -> None:
+        """Guards against a begun stream that is closed without a word."""
+        chat = asyncio.create_task(self.chat("dc-a-1", "long", tokens=TOKENS))
+        await asyncio.sleep(0.4)
+        stopped = asyncio.create_task(self.cluster.stop("dc-a-1"))
+        answer = await chat
+        self.assertGreater(len(answer.tokens), 0)
+        self.assertFalse(answer.done)
+        self.assertIsNotNone(answer.error, "closed without an error event")
+        self.assertEqual(answer.error["type"], "stopping")
+        self.assertEqual(answer.error["execution"], "partial")
+        self.assertEqual(await stopped, 0)
