Keep an attempt of the daemon open while its target is only silent

Callers lost begun streams whose engine paused for more than 3 s, and answers that took longer than expected: the attempt was closed first, and the request was refused if then no retry budget, no other target or no attempt was left. The daemon's engine client treated a silence as a failure, and so did the core for attempts without a first token in 3 s or four times the expected time, also for repeatable service calls.

Evidence, test_silent_attempts on the old code: a stream whose engine pauses is refused with "too many requests are being retried" without budget; a paused only engine is asked anew instead of waited for; the only target of a slow request is cancelled at 3.5 s; a failing second target ends a request whose first target is about to answer.

A silence now only makes an attempt suspected. The core starts another one beside it if a target, the budget and the bans allow that, and looks again later if no target is free. The first attempt to continue a stream, or to complete an answer, ends the others; a token of a cancelled attempt is never written. The deadline of the request bounds the wait. Superseded attempts do not count as failed ones.

--- a/rattanroute/clients/attempts.py
+++ b/rattanroute/clients/attempts.py
@@ -1,5 +1,6 @@
 """Parameters of attempts, the chunks they yield and the errors they raise."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -62,6 +63,8 @@
         priority: Priority; a higher one runs first.
         account: Account to which the target attributes the usage.
         trace_headers: Headers that continue the request's trace.
+        on_silence: Called when no token arrives in time; the attempt then
+            waits until the deadline. If None, the attempt fails instead.
     """
 
     request_id: str
@@ -76,6 +79,7 @@
     priority: int = 0
     account: str = ""
     trace_headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    on_silence: Callable[[], None] | None = None
 
     @property
     def headers(self) -> dict[str, str]:
--- a/rattanroute/clients/engines.py
+++ b/rattanroute/clients/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 
@@ -176,22 +177,35 @@
 
 
 class Watchdog:
-    """Raises a timeout in the reader of a body when no token arrives in time.
+    """Detects that no token arrives in time.
 
-    One timer serves the whole stream and is usually rescheduled only when it
-    fires; a timeout around each read would take a tenth of the relay's time.
+    It reports a silence, which ends with the next token, and raises a timeout
+    in the reader of the body at the deadline of the attempt, or at once if
+    nobody wants the report. One timer serves the whole stream and is usually
+    rescheduled only when it fires; a timeout around each read would take a
+    tenth of the relay's time.
 
     Attributes:
         content: The body.
         deadline: End of the current wait, on the event loop's clock.
+        final_deadline: Deadline of the attempt, on the same clock.
+        on_silence: Called when no token arrives in time; None to time out.
         due: Time at which the timer fires, at or before the deadline.
         waiting: Whether the router waits for the target; False while the
             caller consumes a token.
     """
 
-    def __init__(self, content: aiohttp.StreamReader, deadline: float) -> None:
+    def __init__(
+        self,
+        content: aiohttp.StreamReader,
+        deadline: float,
+        final_deadline: float,
+        on_silence: Callable[[], None] | None,
+    ) -> None:
         self.content = content
         self.deadline = deadline
+        self.final_deadline = final_deadline
+        self.on_silence = on_silence
         self.due = deadline
         self.waiting = True
         self.loop = asyncio.get_running_loop()
@@ -215,11 +229,19 @@
         now = self.loop.time()
         if not self.waiting:
             self.deadline = max(self.deadline, now + PAUSE_CHECK_S)
-        elif now >= self.deadline:
+        elif now >= self.deadline and not self.report_silence():
             self.content.set_exception(TimeoutError())
             return
         self.timer = self.schedule()
 
+    def report_silence(self) -> bool:
+        """Reports a silence; returns False if the attempt has to end."""
+        if self.on_silence is None or self.deadline >= self.final_deadline:
+            return False
+        self.deadline = self.final_deadline
+        self.on_silence()
+        return True
+
     def cancel(self) -> None:
         """Stops the timer."""
         self.timer.cancel()
@@ -252,9 +274,11 @@
         now = asyncio.get_running_loop().time()
         deadline = now + spec.deadline_s
         token_deadline = min(deadline, now + spec.first_token_timeout_s)
-        response = await self.send(spec, context, token_deadline)
+        response = await self.send(spec, context, token_deadline, deadline)
         content = response.content
-        watchdog = Watchdog(content, token_deadline)
+        if spec.on_silence is not None and self.has_passed(token_deadline):
+            token_deadline = deadline
+        watchdog = Watchdog(content, token_deadline, deadline, spec.on_silence)
         try:
             reader = StreamReader(spec, context)
             while not reader.done:
@@ -279,10 +303,31 @@
             watchdog.cancel()
             response.close()
 
+    def has_passed(self, deadline: float) -> bool:
+        """Returns whether a time on the event loop's clock has passed."""
+        return asyncio.get_running_loop().time() >= deadline
+
     async def send(
-        self, spec: AttemptSpec, context: AttemptContext, until: float
+        self,
+        spec: AttemptSpec,
+        context: AttemptContext,
+        until: float,
+        deadline: float,
     ) -> aiohttp.ClientResponse:
-        """Sends the request and returns the response if its status is 200."""
+        """Sends the request and returns the response if its status is 200.
+
+        Args:
+            spec: Parameters of the attempt.
+            context: Progress of the attempt.
+            until: Time at which a silence is reported, or ends the attempt if
+                nobody wants the report.
+            deadline: Deadline of the attempt.
+        """
+        timer: asyncio.TimerHandle | None = None
+        if spec.on_silence is not None and until < deadline:
+            loop = asyncio.get_running_loop()
+            timer = loop.call_at(until, spec.on_silence)
+            until = deadline
         body = dict(spec.body)
         body["stream"] = True
         if spec.resume_tokens:
@@ -299,6 +344,9 @@
                 )
         except EXCHANGE_ERRORS as error:
             raise context.convert_error("request", error) from error
+        finally:
+            if timer is not None:
+                timer.cancel()
         if response.status == 200:
             return response
         try:
--- a/rattanroute/events.py
+++ b/rattanroute/events.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptStarted:
-    """The first token or byte of an attempt arrived."""
+    """The first token of an attempt, or the first after a silence, arrived."""
 
     request_id: str
     attempt: int
@@ -76,6 +76,21 @@
     refusal: Refusal | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptSuspected:
+    """The target of an attempt is silent; the attempt goes on.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number.
+        target_id: The target.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StageDegraded:
     """A pipeline stage still works, but much slower than before.
@@ -103,6 +118,7 @@
     | AttemptStarted
     | AttemptSucceeded
     | AttemptFailed
+    | AttemptSuspected
     | StageDegraded
     | CallerDisconnected
 )
--- a/rattanroute/requests/attempt_runs.py
+++ b/rattanroute/requests/attempt_runs.py
@@ -49,7 +49,8 @@
             for a stream.
         unreported_tokens: Tokens since the last failure reported to the core.
         total_tokens: Tokens since the dispatch, over all replacements.
-        has_started: Whether the first token was reported to the core.
+        has_started: Whether a token was reported to the core, since the last
+            silence if there was one.
         replacements: Hops that replaced failed stages.
         replacement: The core's answer to the latest stage failure; None when
             it replaces no stage.
--- a/rattanroute/requests/chat_sessions.py
+++ b/rattanroute/requests/chat_sessions.py
@@ -18,6 +18,7 @@
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
+from rattanroute.events import AttemptSuspected
 from rattanroute.events import StageDegraded
 from rattanroute.logs import get_logger
 from rattanroute.requests.attempt_runs import AttemptRun
@@ -68,7 +69,9 @@
         """Runs one attempt; writes its tokens or buffers them until its end."""
         spec = self.build_spec(run, span)
         usage = Usage()
-        write_token = self.buffer_token if self.is_hedged else self.write_token
+        write_token = (
+            self.write_token if self.request.stream else self.buffer_token
+        )
         # Closing the run cancels the attempt on its targets immediately.
         async with contextlib.aclosing(self.open_run(spec, run)) as chunks:
             async for chunk in chunks:
@@ -80,6 +83,7 @@
         # answer of the first one is used.
         if not self.is_complete:
             self.is_complete = True
+            # Those of a stream were added when they were written.
             self.tokens += run.tokens
             self.usage = usage
         return AttemptSucceeded(
@@ -110,7 +114,9 @@
         The tokens are dropped when the answer is complete or another attempt
         is still running, as no attempt will then resume from them.
         """
-        if self.is_complete or (self.is_hedged and len(self.runs) > 1):
+        if self.request.stream:
+            return run.unreported_tokens
+        if self.is_complete or len(self.runs) > 1:
             return 0
         self.tokens += run.tokens
         return run.unreported_tokens
@@ -185,10 +191,37 @@
             priority=request.priority,
             account=self.host.open_account(request, dispatch.attempt),
             trace_headers=self.host.traces.inject(span),
+            on_silence=lambda: self.report_silence(run),
+        )
+
+    def report_silence(self, run: AttemptRun) -> None:
+        """Reports to the core that the target of an attempt is silent."""
+        log.warning(
+            "no token in time",
+            request_id=self.request.request_id,
+            attempt=run.attempt,
+            peer=run.first_target_id,
+            tokens=run.total_tokens,
+        )
+        # The next token is reported again.
+        run.has_started = False
+        self.host.handle(
+            AttemptSuspected(
+                request_id=self.request.request_id,
+                attempt=run.attempt,
+                target_id=run.first_target_id,
+            )
         )
 
     async def write_token(self, run: AttemptRun, text: str) -> None:
-        """Counts a token and writes it to the caller."""
+        """Counts a token and writes it to the caller.
+
+        Raises:
+            TimeoutError: If another attempt continues the stream. The attempt
+                may have read further tokens before it is interrupted.
+        """
+        if run.attempt in self.cancelled:
+            raise TimeoutError
         self.observe_token(run)
         self.tokens.append(text)
         await self.write(text)
--- a/rattanroute/requests/cores.py
+++ b/rattanroute/requests/cores.py
@@ -3,6 +3,10 @@
 Every request ends with exactly one `Finish` or `Refuse`, unless its caller
 has disconnected. The slots of a failed attempt are released before the core
 chooses the next step.
+
+A silent target is only suspected, as a silence is no proof of a failure: the
+attempt goes on beside the next one, and the first of them to continue a stream
+or to complete an answer ends the others.
 """
 
 from collections.abc import Collection
@@ -19,6 +23,7 @@
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
 from rattanroute.events import AttemptSucceeded
+from rattanroute.events import AttemptSuspected
 from rattanroute.events import CallerDisconnected
 from rattanroute.events import Event
 from rattanroute.events import Provenance
@@ -53,8 +58,8 @@
                 return self.handle_success(event, now)
             case AttemptFailed():
                 return self.handle_failure(event, now)
-            case StageDegraded():
-                return self.replace_slow_stage(event, now)
+            case AttemptSuspected() | StageDegraded():
+                return self.handle_slow_target(event, now)
             case CallerDisconnected():
                 return self.handle_caller_gone(event, now)
 
@@ -65,11 +70,15 @@
         stopped = self.quarantines.take_cancellations()
         actions += self.stop_suspects(stopped, "", now)
         for request_id, number in self.detections.unstarted(now):
-            actions += self.time_out_start(request_id, number, now)
+            actions += self.suspect_unstarted(request_id, number, now)
         actions += self.expire(now)
         for request_id in self.retries.release(now):
             request = self.requests.get(request_id)
-            if request is not None and not request.live:
+            if request is None or request.has_trusted_attempt:
+                continue
+            if request.live:
+                actions += self.supplement(request, now)
+            else:
                 # Requests on which targets have already spent work bypass the
                 # queue.
                 actions += self.try_start(request, now) or self.route(
@@ -176,14 +185,23 @@
         return [started, *messages]
 
     def handle_start(self, event: AttemptStarted, now: float) -> list[Action]:
-        """Records the first token of a running attempt."""
+        """Records a token of a running attempt: its first or after a silence.
+
+        The attempt that continues a stream ends all others.
+        """
         request, attempt = self.find_attempt(event.request_id, event.attempt)
-        if attempt is not None and attempt.started_at is None:
+        if attempt is None:
+            return []
+        attempt.suspected = False
+        if attempt.started_at is None:
             request.state = RequestState.STARTED
             attempt.started_at = now
             self.note_begun(request, now)
             self.attempts.note_started(request, attempt, now)
-        return []
+        if not request.stream or len(request.live) < 2:
+            return []
+        actions = self.cancel(request, now, kept=attempt)
+        return actions + self.start_waiting(request.pool, now)
 
     def note_begun(self, request: Request, now: float) -> None:
         """Records that an answer to a request has begun."""
@@ -211,6 +229,7 @@
         """Ends a failed attempt, then retries or refuses its request."""
         request, attempt = self.find_attempt(event.request_id, event.attempt)
         if attempt is None:
+            self.note_cancelled_tokens(request, event)
             return []
         if attempt.started_at is not None:
             # An attempt with a first token has run, whatever provenance the
@@ -227,8 +246,66 @@
         self.attempts.note_failure(event, now)
         if not request.live:
             actions += self.retry(request, attempt, event, now)
+        elif not request.has_trusted_attempt:
+            actions += self.supplement(request, now)
         return actions + self.start_waiting(request.pool, now)
 
+    def handle_slow_target(
+        self, event: AttemptSuspected | StageDegraded, now: float
+    ) -> list[Action]:
+        """Looks for a replacement of a silent or slow target."""
+        if isinstance(event, StageDegraded):
+            return self.replace_slow_stage(event, now)
+        return self.suspect(event, now)
+
+    def note_cancelled_tokens(
+        self, request: Request | None, event: AttemptFailed
+    ) -> None:
+        """Counts the tokens that the caller has from a cancelled attempt."""
+        if request is None or not 1 <= event.attempt <= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt - 1]
+        if not attempt.tokens_out:
+            attempt.tokens_out = event.tokens_out
+            request.tokens_out += event.tokens_out
+
+    def suspect(self, event: AttemptSuspected, now: float) -> list[Action]:
+        """Suspects an attempt with a silent target and starts another one.
+
+        A call that runs at most once has no other attempt; its target may
+        still answer until the deadline.
+        """
+        request, attempt = self.find_attempt(event.request_id, event.attempt)
+        if attempt is None or attempt.suspected or not request.repeatable:
+            return []
+        attempt.suspected = True
+        self.attempts.note_silence(event.target_id, now)
+        if request.has_trusted_attempt:
+            return []
+        return self.supplement(request, now)
+
+    def supplement(self, request: Request, now: float) -> list[Action]:
+        """Starts an attempt beside suspected ones, or tries again later.
+
+        Nothing is lost if no other attempt may be started.
+        """
+        fingerprint = request.fingerprint
+        if self.bans.find_part_ban(fingerprint, request.part_fingerprints, now):
+            return []
+        chain = None
+        if self.may_start(request, now):
+            chain = self.selections.select(request, now)
+        names = {hop.target_id for hop in chain or ()}
+        if chain is None or names & request.tried:
+            self.retries.delay(
+                request.request_id, failures=len(request.attempts), now=now
+            )
+            return []
+        banned = self.banned_for(request, now)
+        if not self.retries.may_supplement(request, banned=banned):
+            return []
+        return self.dispatch(request, chain, now)
+
     def note_crash(
         self,
         attempt: Attempt,
@@ -370,7 +447,8 @@
     ) -> list[Action]:
         """Replaces a slow stage if other targets can run its layers."""
         request, attempt = self.find_attempt(event.request_id, event.attempt)
-        if attempt is None:
+        # A replacement refers to the latest chain.
+        if attempt is None or attempt is not request.current:
             return []
         hops = self.selections.replacement(
             request, failed_target_id=event.target_id, now=now
@@ -392,10 +470,15 @@
         actions = self.cancel(request, now)
         return actions + self.start_waiting(request.pool, now)
 
-    def cancel(self, request: Request, now: float) -> list[Action]:
-        """Cancels all running attempts of a request."""
+    def cancel(
+        self, request: Request, now: float, *, kept: Attempt | None = None
+    ) -> list[Action]:
+        """Cancels all running attempts of a request, except a kept one."""
         actions: list[Action] = []
         for attempt in request.live:
+            if attempt is kept:
+                continue
+            attempt.superseded = kept is not None
             actions.append(
                 CancelAttempt(
                     request_id=request.request_id, attempt=attempt.number
@@ -421,22 +504,19 @@
         attempt = request.attempts[number - 1]
         return request, attempt if attempt.live else None
 
-    def time_out_start(
+    def suspect_unstarted(
         self, request_id: str, number: int, now: float
     ) -> list[Action]:
-        """Fails an attempt without a first token within the expected time."""
+        """Suspects an attempt without a first token in the expected time."""
         _, attempt = self.find_attempt(request_id, number)
         if attempt is None or attempt.started_at is not None:
             return []
-        cancel = CancelAttempt(request_id=request_id, attempt=number)
-        unstarted = AttemptFailed(
+        silent = AttemptSuspected(
             request_id=request_id,
             attempt=number,
             target_id=attempt.chain[0].target_id,
-            provenance=Provenance.UNKNOWN,
-            reason="no answer within the expected time",
         )
-        return [cancel, *self.handle_failure(unstarted, now)]
+        return self.suspect(silent, now)
 
     def stop_suspects(
         self, fingerprints: Collection[str], crashed: str, now: float
--- a/rattanroute/requests/sessions.py
+++ b/rattanroute/requests/sessions.py
@@ -140,13 +140,13 @@
         self.route: list[str] = []
 
     @property
-    def is_hedged(self) -> bool:
+    def runs_concurrently(self) -> bool:
         """Whether two attempts may run concurrently.
 
-        The tokens of a stream are forwarded immediately, so only repeatable
-        requests without streaming may run on two targets.
+        Two attempts of a stream run only while the target of one is silent;
+        the first of them that continues the stream ends the other.
         """
-        return self.request.repeatable and not self.request.stream
+        return self.request.repeatable
 
     def receive(self, action: Action) -> None:
         """Queues an action; interrupts the attempts that it ends."""
@@ -178,8 +178,10 @@
             while not isinstance(action := await self.inbox.get(), Finish):
                 await self.execute_action(action)
         finally:
-            for task in self.tasks:
+            tasks = list(self.tasks)
+            for task in tasks:
                 task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             # The core ignores this event if the request has ended.
             self.host.handle(
                 CallerDisconnected(request_id=self.request.request_id)
@@ -199,7 +201,7 @@
         # An attempt may be cancelled while its dispatch is in the inbox.
         if action.attempt in self.cancelled:
             return
-        if not self.is_hedged:
+        if not self.runs_concurrently:
             await self.run_attempt(action)
             return
         task = asyncio.create_task(self.run_attempt(action))
@@ -214,6 +216,8 @@
 
     async def run_attempt(self, dispatch: Dispatch) -> None:
         """Runs one attempt and reports its end to the core."""
+        if dispatch.attempt in self.cancelled:
+            return
         run = AttemptRun(dispatch=dispatch, attempt=dispatch.attempt)
         self.runs.append(run)
         if not self.route:
--- a/rattanroute/systems/attempts.py
+++ b/rattanroute/systems/attempts.py
@@ -184,6 +184,14 @@
                 row, seconds=now - attempt.dispatched_at, now=now
             )
 
+    def note_silence(self, target_id: str, now: float) -> None:
+        """Reports a silent target to failure detection."""
+        row = self.targets.get(target_id)
+        if row is not None:
+            self.detections.note_failure(
+                row, crashed=False, retry_after_s=None, now=now
+            )
+
     def note_failure(self, event: AttemptFailed, now: float) -> None:
         """Reports a failed attempt to failure detection."""
         row = self.targets.get(event.target_id)
--- a/rattanroute/systems/retries.py
+++ b/rattanroute/systems/retries.py
@@ -95,11 +95,7 @@
             return refusals.outcome_unknown(request)
         if banned:
             return refusals.quarantined(request, banned)
-        # Attempts that delivered tokens made progress and do not count.
-        unproductive = [row for row in request.attempts if not row.tokens_out]
-        ran = sum(not attempt.never_dispatched for attempt in unproductive)
-        tries = len(unproductive)
-        if ran >= self.max_attempts or tries >= self.max_attempts * 3 // 2:
+        if self.is_exhausted(request):
             return refusals.attempts_exhausted(request)
         # A refused connection costs the target nothing. Retries that follow
         # an overload response are charged, as they add to the overload.
@@ -108,6 +104,31 @@
             return refusals.retry_budget_exhausted(request)
         return None
 
+    def is_exhausted(self, request: Request) -> bool:
+        """Returns whether a request has had all attempts that it may have."""
+        # Attempts that delivered tokens made progress, and superseded ones
+        # did not fail; they do not count.
+        unproductive = [
+            row
+            for row in request.attempts
+            if not row.tokens_out and not row.superseded
+        ]
+        ran = sum(not attempt.never_dispatched for attempt in unproductive)
+        tries = len(unproductive)
+        return ran >= self.max_attempts or tries >= self.max_attempts * 3 // 2
+
+    def may_supplement(self, request: Request, *, banned: float) -> bool:
+        """Decides whether an attempt may run beside suspected ones.
+
+        Args:
+            request: A request whose running attempts are all suspected.
+            banned: Seconds for which the request is quarantined; 0 if it is
+                not.
+        """
+        if banned or not request.repeatable or self.is_exhausted(request):
+            return False
+        return self.budget.spend()
+
     def delay(self, request_id: str, *, failures: int, now: float) -> float:
         """Delays a request with jittered exponential back-off.
 
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -37,6 +37,9 @@
         dispatched_at: Time of dispatch, in seconds of the host's clock.
         started_at: Time of the first token; None before it.
         live: Whether the attempt is running.
+        suspected: Whether its target is silent. The attempt goes on, beside
+            another one if there is a target for it.
+        superseded: Whether another attempt continued the answer instead.
         never_dispatched: Whether it certainly failed before any target
             received it.
         incarnations: Incarnation of each target of the chain at dispatch.
@@ -48,6 +51,8 @@
     dispatched_at: float
     started_at: float | None = None
     live: bool = True
+    suspected: bool = False
+    superseded: bool = False
     never_dispatched: bool = False
     incarnations: tuple[int, ...] = ()
     tokens_out: int = 0
@@ -110,9 +115,14 @@
 
     @property
     def live(self) -> list[Attempt]:
-        """The running attempts; more than one during a hedged request."""
+        """The running attempts; more than one if hedged or suspected."""
         return [attempt for attempt in self.attempts if attempt.live]
 
+    @property
+    def has_trusted_attempt(self) -> bool:
+        """Whether a running attempt is not suspected."""
+        return any(x.live and not x.suspected for x in self.attempts)
+
     @property
     def begun(self) -> bool:
         """Whether an attempt has delivered a token."""
--- /dev/null
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -0,0 +1,319 @@
+"""Tests of attempts whose target is silent for a while but still works."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from rattanroute.actions import CancelAttempt
+from rattanroute.actions import Dispatch
+from rattanroute.actions import Finish
+from rattanroute.actions import Refuse
+from rattanroute.clients.engines import EngineClient
+from rattanroute.events import AttemptFailed
+from rattanroute.events import AttemptStarted
+from rattanroute.events import AttemptSucceeded
+from rattanroute.events import AttemptSuspected
+from rattanroute.events import Provenance
+from rattanroute.events import RequestArrived
+from rattanroute.requests import chat_sessions
+from rattanroute.requests.chat_sessions import ChatSession
+from rattanroute.requests.cores import RequestCore
+from rattanroute.requests.refusals import RequestRefusedError
+from rattanroute.standins.engine import StandinEngine
+from rattanroute.standins.reference_models import reference_tokens
+from rattanroute.standins.settings import FaultSettings
+from rattanroute.tables.targets import TargetHealth
+from rattanroute.tests.standin_support import build_body
+from rattanroute.tests.standin_support import StandinTestCase
+from rattanroute.tests.support import build_core
+from rattanroute.tests.support import build_report
+from rattanroute.tests.support import build_request
+from rattanroute.tests.test_chat_sessions import FakeHost
+
+TOKENS = 12
+PROMPT = "one two three"
+EXPECTED = reference_tokens(PROMPT, 8, TOKENS)
+TOKEN_TIMEOUT_SECONDS = 0.1
+# Several times the timeout.
+SILENCE_SECONDS = 0.5
+LIMIT_SECONDS = 5.0
+# Longer than the time within which an attempt must start.
+UNSTARTED_SECONDS = 3.5
+
+
+class SilentStreamTest(StandinTestCase):
+    """Guards against begun answers that end because their engine pauses."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.host = FakeHost()
+        for name in ("t1", "t2"):
+            self.host.targets.remove(name)
+        self.host.engines = EngineClient(session=self.session)
+        self.engines: dict[str, StandinEngine] = {}
+        self.written: list[str] = []
+        self.freeze_after: dict[int, str] = {}
+        patch = mock.patch.object(
+            chat_sessions, "TOKEN_TIMEOUT_SECONDS", TOKEN_TIMEOUT_SECONDS
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def add_engine(self, name: str) -> None:
+        """Starts an engine and records its report."""
+        engine = await self.start_engine(name, tokens_per_second=100.0)
+        self.engines[name] = engine
+        self.host.targets.record(
+            report=build_report(name, address=engine.address),
+            observer="vm-1",
+            received_at=time.monotonic() + LIMIT_SECONDS,
+        )
+
+    def set_frozen(self, name: str, frozen: bool) -> None:
+        """Freezes or thaws an engine; its connections stay open."""
+        self.engines[name].faults = FaultSettings(freeze=frozen)
+
+    async def write(self, text: str) -> None:
+        """Records a token; freezes an engine after some of them."""
+        self.written.append(text)
+        name = self.freeze_after.pop(len(self.written), None)
+        if name is not None:
+            self.set_frozen(name, True)
+
+    def open_session(self, **changes: object) -> ChatSession:
+        """Builds the session of a request."""
+        now = time.monotonic()
+        values: dict[str, object] = {"stream": True, "max_tokens": TOKENS}
+        values.update(changes)
+        return ChatSession(
+            host=self.host,
+            request=build_request(
+                arrived_at=now, deadline=now + LIMIT_SECONDS, **values
+            ),
+            span=self.host.traces.start("entry", request_id="r1"),
+            body=build_body(PROMPT, TOKENS),
+            write=self.write,
+        )
+
+    async def run_session(self, session: ChatSession) -> None:
+        """Runs a session beside the ticks of the core."""
+        run = asyncio.create_task(session.run())
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while not run.done():
+                now = time.monotonic()
+                self.host.deliver(self.host.core.tick(now=now))
+                await asyncio.sleep(0.01)
+        await run
+
+    def thaw_later(self, name: str) -> None:
+        """Thaws an engine after the silence."""
+        asyncio.get_running_loop().call_later(
+            SILENCE_SECONDS, self.set_frozen, name, False
+        )
+
+    def in_flight(self) -> int:
+        """Returns the number of attempts that the core counts as running."""
+        return sum(row.in_flight for row in self.host.targets)
+
+    async def test_only_engine_pauses(self) -> None:
+        """Guards against a pause that uses up the attempts of a stream."""
+        await self.add_engine("t1")
+        self.freeze_after = {3: "t1"}
+        self.thaw_later("t1")
+        session = self.open_session()
+        await self.run_session(session)
+        self.assertEqual(self.written, EXPECTED)
+        self.assertEqual(len(session.request.attempts), 1)
+        self.assertEqual(self.in_flight(), 0)
+
+    async def test_no_budget_for_another_attempt(self) -> None:
+        """Guards against pauses on a busy machine that end many streams."""
+        for name in ("t1", "t2"):
+            await self.add_engine(name)
+        self.host.core.retries.budget.tokens = 0.0
+        session = self.open_session()
+
+        async def freeze(text: str) -> None:
+            self.written.append(text)
+            if len(self.written) == 3:
+                name = session.request.attempts[0].chain[0].target_id
+                self.set_frozen(name, True)
+                self.thaw_later(name)
+
+        session.write = freeze
+        await self.run_session(session)
+        self.assertEqual(self.written, EXPECTED)
+        self.assertEqual(len(session.request.attempts), 1)
+
+    async def test_replacement_is_silent_too(self) -> None:
+        """Guards against closing the first engine before the second works."""
+        for name in ("t1", "t2"):
+            await self.add_engine(name)
+        session = self.open_session()
+
+        async def freeze(text: str) -> None:
+            self.written.append(text)
+            if len(self.written) == 3:
+                first = session.request.attempts[0].chain[0].target_id
+                for name in self.engines:
+                    self.set_frozen(name, True)
+                self.thaw_later(first)
+
+        session.write = freeze
+        await self.run_session(session)
+        self.assertEqual(self.written, EXPECTED)
+        self.assertEqual(len(session.request.attempts), 2)
+        self.assertEqual(self.in_flight(), 0)
+
+    async def test_replacement_continues_and_ends_the_silent_attempt(
+        self,
+    ) -> None:
+        """Guards against mixed tokens and attempts that are left over."""
+        for name in ("t1", "t2"):
+            await self.add_engine(name)
+        session = self.open_session()
+
+        async def freeze(text: str) -> None:
+            self.written.append(text)
+            if len(self.written) == 3:
+                first = session.request.attempts[0].chain[0].target_id
+                self.set_frozen(first, True)
+                self.thaw_later(first)
+
+        session.write = freeze
+        await self.run_session(session)
+        await asyncio.sleep(SILENCE_SECONDS)
+        self.assertEqual(self.written, EXPECTED)
+        self.assertEqual(len(session.request.attempts), 2)
+        self.assertEqual(self.in_flight(), 0)
+        self.assertEqual(
+            sum(usage.tokens_out for usage in self.host.usages), TOKENS
+        )
+
+    async def test_refusal_after_the_deadline_is_partial(self) -> None:
+        """Guards against a wrong statement about a stream that never ends."""
+        await self.add_engine("t1")
+        self.freeze_after = {3: "t1"}
+        session = self.open_session()
+        session.request.deadline = time.monotonic() + 1.0
+        with self.assertRaises(RequestRefusedError) as caught:
+            await self.run_session(session)
+        self.assertEqual(caught.exception.refusal.type, "deadline_exceeded")
+        self.assertEqual(caught.exception.refusal.execution.value, "partial")
+
+
+class SilentAttemptTest(unittest.TestCase):
+    """Guards against refusals of requests whose target is only slow."""
+
+    def start(
+        self, *names: str, **changes: object
+    ) -> tuple[RequestCore, list[object]]:
+        """Starts a request; lets the time for its first token pass."""
+        core = build_core(*map(build_report, names))
+        request = build_request(**changes)
+        [first] = core.handle(RequestArrived(request=request), now=0.0)
+        self.first = first
+        self.refresh(core, UNSTARTED_SECONDS)
+        return core, core.tick(now=UNSTARTED_SECONDS)
+
+    def refresh(self, core: RequestCore, now: float) -> None:
+        """Makes the reports of all targets recent."""
+        for row in core.targets:
+            row.received_at = now
+
+    def succeed(self, core: RequestCore, now: float, attempt: int = 1) -> list:
+        """Completes an attempt."""
+        event = AttemptSucceeded(request_id="r1", attempt=attempt, tokens_out=5)
+        return core.handle(event, now=now)
+
+    def fail_attempt(self, core: RequestCore, now: float, attempt: int) -> list:
+        """Fails an attempt after its dispatch."""
+        event = AttemptFailed(
+            request_id="r1",
+            attempt=attempt,
+            target_id=core.requests.get("r1")
+            .attempts[attempt - 1]
+            .chain[0]
+            .target_id,
+            provenance=Provenance.UNKNOWN,
+        )
+        return core.handle(event, now=now)
+
+    def test_slow_answer_of_the_only_target(self) -> None:
+        """Guards against an answer that is given up for nothing."""
+        core, actions = self.start("t1")
+        self.assertEqual(actions, [])
+        self.refresh(core, 8.0)
+        self.assertEqual(core.tick(now=8.0), [])
+        [finish, *_] = self.succeed(core, 9.0)
+        self.assertIsInstance(finish, Finish)
+
+    def test_second_target_fails(self) -> None:
+        """Guards against a lost answer after a replacement that fails."""
+        core, [second] = self.start("t1", "t2")
+        self.assertIsInstance(second, Dispatch)
+        self.assertNotEqual(second.chain, self.first.chain)
+        self.assertEqual(self.fail_attempt(core, 4.0, 2), [])
+        [finish, *_] = self.succeed(core, 5.0)
+        self.assertIsInstance(finish, Finish)
+
+    def test_first_complete_answer_cancels_the_other_attempt(self) -> None:
+        """Guards against attempts that run on after the answer."""
+        core, _ = self.start("t1", "t2")
+        finish, *rest = self.succeed(core, 4.0, 2)
+        self.assertIsInstance(finish, Finish)
+        cancelled = [x.attempt for x in rest if isinstance(x, CancelAttempt)]
+        self.assertEqual(cancelled, [1])
+
+    def test_first_token_of_a_stream_cancels_the_other_attempt(self) -> None:
+        """Guards against two engines that continue one stream."""
+        core, _ = self.start("t1", "t2", stream=True)
+        event = AttemptStarted(request_id="r1", attempt=2)
+        actions = core.handle(event, now=4.0)
+        cancelled = [x.attempt for x in actions if isinstance(x, CancelAttempt)]
+        self.assertEqual(cancelled, [1])
+        self.assertEqual(core.handle(event, now=4.1), [])
+
+    def test_all_attempts_fail(self) -> None:
+        """Guards against a request without an end."""
+        core, _ = self.start("t1", "t2")
+        self.fail_attempt(core, 4.0, 2)
+        core.retries.budget.tokens = 0.0
+        [refuse] = self.fail_attempt(core, 5.0, 1)
+        self.assertIsInstance(refuse, Refuse)
+
+    def test_superseded_attempts_do_not_use_up_the_attempts(self) -> None:
+        """Guards against a stream that ends after a few pauses."""
+        core, _ = self.start("t1", "t2", stream=True)
+        request = core.requests.get("r1")
+        for number in range(1, 7):
+            event = AttemptStarted(request_id="r1", attempt=1)
+            core.handle(event, now=4.0)
+            self.assertEqual(len(request.live), 1)
+            silent = AttemptSuspected(
+                request_id="r1",
+                attempt=1,
+                target_id=self.first.chain[0].target_id,
+            )
+            core.handle(silent, now=4.0)
+            for row in core.targets:
+                row.blocked_until = 0.0
+                row.health = TargetHealth.HEALTHY
+            self.refresh(core, 4.0 + number)
+            core.tick(now=4.0 + number)
+        self.assertFalse(core.retries.is_exhausted(request))
+
+    def test_another_target_appears_later(self) -> None:
+        """Guards against a silent target that is never replaced."""
+        core, _ = self.start("t1")
+        core.targets.record(
+            report=build_report("t2"), observer="vm-1", received_at=5.0
+        )
+        self.refresh(core, 5.0)
+        [second] = core.tick(now=5.0)
+        self.assertEqual(second.chain[0].target_id, "t2")
+
+
+if __name__ == "__main__":
+    unittest.main()
