Move a chain without a first token only to another chain that runs

A request on a chain of layer ranges whose first token took longer than 3 s was refused although its chain worked, after 15 s without any running attempt. The core cancelled the attempt and returned a replacement of its first stage, which a session without a running attempt drops: nobody ran the new attempt, and the core timed it out like the first one. Without a spare stage, the working chain was cancelled and started again.

Shown on the old core with the ticks of test_silent_attempts: CancelAttempt and ReplaceStage at 3.5, 7 and 11.5 s, Refuse at 15 s.

The attempt now goes on if no other stage is known, and is otherwise dispatched as a whole on the chain with the replacement.

--- a/rattanroute/requests/cores.py
+++ b/rattanroute/requests/cores.py
@@ -508,9 +508,11 @@
         self, request_id: str, number: int, now: float
     ) -> list[Action]:
         """Suspects an attempt without a first token in the expected time."""
-        _, attempt = self.find_attempt(request_id, number)
+        request, attempt = self.find_attempt(request_id, number)
         if attempt is None or attempt.started_at is not None:
             return []
+        if len(attempt.chain) > 1:
+            return self.move_unstarted(request, attempt, now)
         silent = AttemptSuspected(
             request_id=request_id,
             attempt=number,
@@ -518,6 +520,35 @@
         )
         return self.suspect(silent, now)
 
+    def move_unstarted(
+        self, request: Request, attempt: Attempt, now: float
+    ) -> list[Action]:
+        """Moves an attempt on several targets to a chain without the first.
+
+        The chains share targets, which run one attempt of a request at a
+        time. The attempt therefore ends, but only if there is another chain.
+        """
+        first = attempt.chain[0].target_id
+        self.attempts.note_silence(first, now)
+        hops = self.selections.replacement(
+            request, failed_target_id=first, now=now
+        )
+        banned = self.banned_for(request, now)
+        if (
+            hops is None
+            or attempt is not request.current
+            or not self.retries.may_supplement(request, banned=banned)
+        ):
+            self.detections.schedule_start_check(
+                request_id=request.request_id,
+                attempt=attempt.number,
+                expected=0.0,
+                now=now,
+            )
+            return []
+        actions = self.cancel(request, now)
+        return actions + self.dispatch(request, hops + attempt.chain[1:], now)
+
     def stop_suspects(
         self, fingerprints: Collection[str], crashed: str, now: float
     ) -> list[Action]:
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -23,6 +23,8 @@
 from rattanroute.standins.engine import StandinEngine
 from rattanroute.standins.reference_models import reference_tokens
 from rattanroute.standins.settings import FaultSettings
+from rattanroute.systems.pipelines import PipelinePlanner
+from rattanroute.tables.links import LinkTable
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.standin_support import build_body
 from rattanroute.tests.standin_support import StandinTestCase
@@ -304,6 +306,34 @@
             core.tick(now=4.0 + number)
         self.assertFalse(core.retries.is_exhausted(request))
 
+    def test_silent_chain_moves_only_to_another_chain(self) -> None:
+        """Guards against a chain that ends although it is the only one.
+
+        Without a first token it is not known which of its targets is silent.
+        """
+        halves = {"t1": (0, 3), "t2": (4, 7), "t3": (0, 3)}
+        reports = {
+            name: build_report(name, first_layer=first, last_layer=last)
+            for name, (first, last) in halves.items()
+        }
+        core = build_core(reports["t1"], reports["t2"])
+        core.selections.planner = PipelinePlanner(
+            data_centre="dc-a", links=LinkTable(), eligible=lambda *_: True
+        )
+        event = RequestArrived(request=build_request())
+        [first] = core.handle(event, now=0.0)
+        self.assertEqual([x.target_id for x in first.chain], ["t1", "t2"])
+        self.refresh(core, UNSTARTED_SECONDS)
+        self.assertEqual(core.tick(now=UNSTARTED_SECONDS), [])
+        core.targets.record(
+            report=reports["t3"], observer="vm-1", received_at=8.0
+        )
+        self.refresh(core, 8.0)
+        cancel, second = core.tick(now=8.0)
+        self.assertIsInstance(cancel, CancelAttempt)
+        self.assertIsInstance(second, Dispatch)
+        self.assertEqual([x.target_id for x in second.chain], ["t3", "t2"])
+
     def test_another_target_appears_later(self) -> None:
         """Guards against a silent target that is never replaced."""
         core, _ = self.start("t1")
