Keep a late attempt of a repeatable request open beside the next one

A lookup whose target took longer than 0.4 of the time left was refused with 502 or 504, or got the error of another target, although the first target was about to answer. The attempt was closed before another target had answered, even when there was no other target, no retry budget or a ban. When the machine is busy, both targets are slow.

test_gateway_service_forwarders failed: with an only target that answers at 0.9 of 1.5 s the client got 504; with a second target that hangs up, breaks off, answers another request, rejects the call, fails or is silent it got 502, 502, 502, 504, 500 and 504; after a late refusal by the only target it got 504 instead of 503 with a retry delay.

The fraction now only says when another target is tried as well. The first complete answer wins and ends the other attempt; an error answer is returned when no attempt is left or at the deadline. The bounds on targets that may run a request, sends and retries are counted as before, and the late attempt is reported to health and crash detection at the same time.

--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -16,20 +16,21 @@
 from rattanroute.gateway.outcomes import Outcome
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.send_budgets import SendBudget
+from rattanroute.gateway.service_attempts import ServiceAttempt
+from rattanroute.gateway.service_attempts import ServiceRun
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import CollectingSink
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
-from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_SENDS = 4
-# Fraction of the time left that the first attempt of a repeatable request may
-# take, so that there is time for a retry.
+# Fraction of the time left after which a repeatable request is sent to another
+# target as well, so that there is time for its answer.
 FIRST_ATTEMPT_FRACTION = 0.4
 MAX_ANSWER_BYTES = 16_777_216
 ANSWER_AFTER_DEADLINE_SECONDS = 0.05
@@ -68,51 +69,104 @@
 
     async def send_until_answered(self, call: Call) -> None:
         """Sends a call to targets until one answers or none may be tried."""
+        run = ServiceRun(call=call)
+        try:
+            outcome = await self.run_attempts(run)
+        finally:
+            run.cancel()
+        if outcome is not None:
+            self.answer(call, outcome)
+        else:
+            self.refuse(run)
+
+    async def run_attempts(self, run: ServiceRun) -> Answered | None:
+        """Runs attempts until one has answered; returns the best answer."""
         loop = asyncio.get_running_loop()
-        excluded: set[str] = set()
-        failed: Answered | None = None
-        timed_out = False
-        reason = "no target"
-        ban = None
-        while self.may_send(call, loop.time()):
-            ban = await self.crashes.find_ban(call)
-            if ban is not None:
-                reason = BANNED_REASON
-                break
-            target = self.selector.choose(
-                call.service.name, excluded=excluded, now=loop.time()
-            )
-            if target is None or not self.budget.take(call, loop.time()):
-                break
-            excluded.add(target.report.target_id)
-            outcome = await self.attempt(call, target)
-            if isinstance(outcome, Answered):
-                if outcome.head.status < FIRST_FAILURE_STATUS or not (
-                    call.route.repeatable
-                ):
-                    self.answer(call, outcome)
-                    return
-                failed = outcome
-                reason = f"status {outcome.head.status}"
-            else:
-                reason = outcome.reason
-                if isinstance(outcome, Unknown):
-                    timed_out = outcome.timed_out
-            call.failures.append(reason)
-        if failed is not None:
-            self.answer(call, failed)
+        while True:
+            if run.needs_attempt:
+                self.start(run)
+            if not run.attempts:
+                return run.failed
+            left = run.call.time_left(loop.time())
+            if run.failed is not None and left <= 0:
+                return run.failed
+            await run.wait(left if run.failed is not None else None)
+            for answered in [self.collect(run, x) for x in run.take_ended()]:
+                if answered is not None:
+                    return answered
+
+    def start(self, run: ServiceRun) -> None:
+        """Starts an attempt at a target that is still to be chosen."""
+        if not self.may_send(run.call, asyncio.get_running_loop().time()):
+            run.exhausted = True
             return
-        available_at = ban.until if ban is not None else None
+        attempt = ServiceAttempt()
+        attempt.task = asyncio.create_task(self.try_target(run, attempt))
+        run.add(attempt)
+
+    def collect(
+        self, run: ServiceRun, attempt: ServiceAttempt
+    ) -> Answered | None:
+        """Records the end of an attempt; returns an answer for the client."""
+        outcome = attempt.task.result()
+        if outcome is None:
+            run.exhausted = True
+            return None
+        self.record(run, attempt, outcome)
+        if isinstance(outcome, Answered):
+            is_failure = outcome.head.status >= FIRST_FAILURE_STATUS
+            if not is_failure or not run.call.route.repeatable:
+                return outcome
+            run.failed = outcome
+            run.note_failure(f"status {outcome.head.status}")
+            return None
+        if isinstance(outcome, Unknown):
+            run.timed_out = outcome.timed_out
+        run.note_failure(outcome.reason)
+        return None
+
+    def refuse(self, run: ServiceRun) -> None:
+        """Refuses a call that no target answered."""
+        call = run.call
+        now = asyncio.get_running_loop().time()
+        available_at = run.ban.until if run.ban is not None else None
         if available_at is None and not self.selector.has_usable(
-            call.service.name, loop.time()
+            call.service.name, now
         ):
-            available_at = self.selector.find_pause_end(
-                call.service.name, loop.time()
-            )
+            available_at = self.selector.find_pause_end(call.service.name, now)
         self.finisher.refuse(
-            call, reason, timed_out=timed_out, available_at=available_at
+            call,
+            run.reason,
+            timed_out=run.timed_out,
+            available_at=available_at,
         )
 
+    async def try_target(
+        self, run: ServiceRun, attempt: ServiceAttempt
+    ) -> Outcome | None:
+        """Chooses a target and sends the call to it.
+
+        Returns:
+            The outcome; None if no target may be tried.
+        """
+        call = run.call
+        loop = asyncio.get_running_loop()
+        run.ban = await self.crashes.find_ban(call)
+        if run.ban is not None:
+            run.reason = BANNED_REASON
+            return None
+        target = self.selector.choose(
+            call.service.name, excluded=run.excluded, now=loop.time()
+        )
+        # The wait for a verdict may have taken the rest of the time.
+        if target is None or not self.may_send(call, loop.time()):
+            return None
+        if not self.budget.take(call, loop.time()):
+            return None
+        run.excluded.add(target.report.target_id)
+        attempt.report = target.report
+        return await self.attempt(run, attempt)
+
     def may_send(self, call: Call, now: float) -> bool:
         """Returns whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
@@ -121,26 +175,53 @@
             return False
         return call.route.repeatable or not call.may_have_run
 
-    async def attempt(self, call: Call, target: Target) -> Outcome:
-        """Sends a call to a target and records the outcome."""
+    async def attempt(
+        self, run: ServiceRun, attempt: ServiceAttempt
+    ) -> Outcome:
+        """Sends a call to a target while it counts as running there."""
+        call = run.call
         targets = self.selector.targets
-        report = target.report
-        target_id = report.target_id
+        target_id = attempt.report.target_id
         loop = asyncio.get_running_loop()
         call.sends += 1
         call.targets.append(target_id)
         targets.note_dispatch(target_id, loop.time())
         try:
-            outcome = await self.exchange(call, target)
+            return await self.exchange(run, attempt)
         finally:
             targets.note_end(target_id, loop.time())
-        self.note_health(target_id, outcome, loop.time())
-        if not isinstance(outcome, NotRun):
-            call.possible_runners.add(target_id)
-            call.may_have_run = True
+
+    def record(
+        self, run: ServiceRun, attempt: ServiceAttempt, outcome: Outcome
+    ) -> None:
+        """Records the outcome of an attempt for later decisions."""
+        report = attempt.report
+        if isinstance(outcome, NotRun):
+            run.note_not_run(report)
+        else:
+            run.note_possible_run(report)
+        if attempt.late and isinstance(outcome, Unknown) and outcome.timed_out:
+            # Recorded when the attempt became late.
+            return
+        now = asyncio.get_running_loop().time()
+        self.note_health(report.target_id, outcome, now)
         if isinstance(outcome, Unknown):
-            self.crashes.note_lost(call, (report,), outcome)
-        return outcome
+            self.crashes.note_lost(run.call, (report,), outcome)
+
+    def note_late(self, run: ServiceRun, attempt: ServiceAttempt) -> None:
+        """Records that an attempt has no answer in its part of the time.
+
+        It goes on, beside the attempt at another target.
+        """
+        attempt.late = True
+        outcome = Unknown(reason="no answer in time", timed_out=True)
+        run.timed_out = True
+        run.note_failure(outcome.reason)
+        run.note_possible_run(attempt.report)
+        now = asyncio.get_running_loop().time()
+        self.note_health(attempt.report.target_id, outcome, now)
+        self.crashes.note_lost(run.call, (attempt.report,), outcome)
+        run.changed.set()
 
     def note_health(self, target_id: str, outcome: Outcome, now: float) -> None:
         """Updates the health of a target from the outcome of an attempt."""
@@ -154,10 +235,13 @@
             case Unknown():
                 self.selector.note_failure(target_id, now=now)
 
-    async def exchange(self, call: Call, target: Target) -> Outcome:
+    async def exchange(
+        self, run: ServiceRun, attempt: ServiceAttempt
+    ) -> Outcome:
         """Sends a call over a connection and waits for the answer."""
+        call = run.call
         loop = asyncio.get_running_loop()
-        report = target.report
+        report = attempt.report
         remaining_s = call.time_left(loop.time())
         repeatable = call.route.repeatable
         try:
@@ -179,22 +263,27 @@
         )
         request = call.exchange.request
         head = self.codec.build_request(request.head, upstream)
-        wait = remaining_s + ANSWER_AFTER_DEADLINE_SECONDS
+        sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
+        timer: asyncio.TimerHandle | None = None
         if (
             repeatable
             and len(call.possible_runners) + 1 < call.route.max_attempts
         ):
-            wait = max(call.route.goal_s, FIRST_ATTEMPT_FRACTION * remaining_s)
-        sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
+            part = max(call.route.goal_s, FIRST_ATTEMPT_FRACTION * remaining_s)
+            timer = loop.call_later(part, self.note_late, run, attempt)
         try:
             connection.send(head, request.body, sink)
-            async with asyncio.timeout(wait):
+            async with asyncio.timeout(
+                remaining_s + ANSWER_AFTER_DEADLINE_SECONDS
+            ):
                 await sink.done
         except TimeoutError:
             return Unknown(reason="no answer in time", timed_out=True)
         except RouterError as error:
             return Unknown(reason=error.message)
         finally:
+            if timer is not None:
+                timer.cancel()
             release(connection, sink)
             self.record_metadata(report, sink)
         return self.classify_answer(call, connection, sink)
--- a/rattanroute/tests/test_gateway_service_forwarders.py
+++ b/rattanroute/tests/test_gateway_service_forwarders.py
@@ -3,11 +3,14 @@
 import asyncio
 import dataclasses
 
+from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
+from rattanroute.tables.targets import Target
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import GatewayTestCase
+from rattanroute.tests.gateway_hosts import Script
 
 
 async def answer(target: FakeTarget, exchange: Exchange) -> None:
@@ -71,6 +74,44 @@
     await asyncio.sleep(30)
 
 
+LATE_DEADLINE_MS = 1500
+# More than the time after which another target is tried.
+LATE_SECONDS = 0.9
+
+
+async def answer_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Answers well before the deadline, but later than others."""
+    await asyncio.sleep(LATE_SECONDS)
+    exchange.send(build_head(exchange), b"late")
+
+
+async def reject_late(target: FakeTarget, exchange: Exchange) -> None:
+    """Rejects the request late, without having run it."""
+    await asyncio.sleep(LATE_SECONDS)
+    await reject(target, exchange)
+
+
+class OrderedSelector:
+    """A selector that chooses the target t1 first.
+
+    Attributes:
+        selector: Makes all other decisions.
+    """
+
+    def __init__(self, selector: TargetSelector) -> None:
+        self.selector = selector
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.selector, name)
+
+    def choose(
+        self, service: str, *, excluded: set[str], now: float
+    ) -> Target | None:
+        """Returns t1 unless it is excluded, otherwise any other target."""
+        names = excluded if "t1" in excluded else {"t2"}
+        return self.selector.choose(service, excluded=names, now=now)
+
+
 class AtMostOnceTest(GatewayTestCase):
     """Guards against duplicate execution and false "not run" statements."""
 
@@ -165,6 +206,65 @@
             answered = await self.call("/safe/", deadline_ms=1500)
             self.assertEqual(answered.status, 200)
 
+    async def test_late_answer_of_the_only_target(self) -> None:
+        """Guards against a lookup that is given up without another target."""
+        target = await self.add_target("t1", answer_late)
+        answered = await self.call("/safe/", deadline_ms=LATE_DEADLINE_MS)
+        self.assertEqual((answered.status, answered.body), (200, b"late"))
+        self.assertEqual(len(target.seen), 1)
+
+    async def test_late_answer_after_the_second_target_failed(self) -> None:
+        """Guards against closing the first attempt before the second answers.
+
+        The first target is about to answer when the second one fails.
+        """
+        for script in (hang_up, break_off_body, fail, reject, answer_another):
+            with self.subTest(script=script.__name__):
+                await self.asyncSetUp()
+                targets = await self.add_late_first(script)
+                answered = await self.call(
+                    "/safe/", deadline_ms=LATE_DEADLINE_MS
+                )
+                self.assertEqual(
+                    (answered.status, answered.body), (200, b"late")
+                )
+                self.assertEqual([len(x.seen) for x in targets], [1, 1])
+                await self.asyncTearDown()
+        await self.asyncSetUp()
+
+    async def test_late_answer_while_the_second_target_is_silent(self) -> None:
+        """Guards against closing the first attempt for a silent second one."""
+        targets = await self.add_late_first(stay_silent)
+        answered = await self.call("/safe/", deadline_ms=LATE_DEADLINE_MS)
+        self.assertEqual((answered.status, answered.body), (200, b"late"))
+        async with asyncio.timeout(0.5):
+            await targets[1].disconnected.wait()
+
+    async def test_late_refusal_leaves_the_call_not_run(self) -> None:
+        """Guards against a wrong statement after a late refusal."""
+        await self.add_target("t1", reject_late)
+        answered = await self.call("/safe/", deadline_ms=LATE_DEADLINE_MS)
+        self.assertEqual(answered.status, 503)
+        self.assertIn(b"retry-after", answered.headers)
+
+    async def test_answer_ends_the_late_attempt(self) -> None:
+        """Guards against attempts that are left over."""
+        targets = await self.add_late_first(answer)
+        answered = await self.call("/safe/", deadline_ms=LATE_DEADLINE_MS)
+        self.assertEqual((answered.status, answered.body), (200, b"body of t2"))
+        async with asyncio.timeout(0.5):
+            await targets[0].disconnected.wait()
+
+    async def add_late_first(self, script: Script) -> list[FakeTarget]:
+        """Adds two targets, of which the one that answers late is first."""
+        targets = [
+            await self.add_target("t1", answer_late),
+            await self.add_target("t2", script),
+        ]
+        services = self.handler.services
+        services.selector = OrderedSelector(services.selector)
+        return targets
+
     async def test_client_disconnect_ends_the_attempt(self) -> None:
         target = await self.add_target("t1", stay_silent)
         await self.call("/safe/", leave_after=0.1)
