Wait for a silent pipeline stage unless another target can replace it

A begun stream over a chain of layer ranges was refused when one stage paused for more than 3 s and no spare stage, or no retry budget, was left. The connection to the stage was closed and the attempt reported as failed before it was known whether there was a replacement.

Evidence: test_silent_stage_without_a_spare_goes_on and test_silent_stage_is_replaced_when_a_spare_appears failed with AttemptError "run stage (middle): timeout: no answer in time" after a silence of 0.1 s.

A silent stage is now reported like a degraded one, which stays in use unless it is replaced, within the budget and the bans of retries. The run then goes on waiting for the same answer, asks again after each further timeout, and ends at the deadline. Tokens before a replacement are counted for the request, so that a later refusal states that it ran in part.

--- a/rattanroute/clients/stage_sockets.py
+++ b/rattanroute/clients/stage_sockets.py
@@ -148,6 +148,8 @@
     ) -> list[bytes]:
         """Runs consecutive positions and returns their outputs.
 
+        After a timeout, `receive_outputs` may go on waiting for them.
+
         Raises:
             StageError: If the stage fails or its answer does not match.
         """
@@ -155,10 +157,26 @@
         try:
             async with asyncio.timeout(max(0.0, until - time.monotonic())):
                 await self.socket.send_bytes(ENCODER.encode(frame))
+        except EXCHANGE_ERRORS as error:
+            raise convert_error(error) from error
+        return await self.receive_outputs(
+            position=position, count=len(inputs), until=until
+        )
+
+    async def receive_outputs(
+        self, *, position: int, count: int, until: float
+    ) -> list[bytes]:
+        """Waits for the outputs of the frame that was just sent.
+
+        Raises:
+            StageError: If the stage fails or its answer does not match.
+        """
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
                 answer = await self.receive()
         except EXCHANGE_ERRORS as error:
             raise convert_error(error) from error
-        self.check(answer, position, len(inputs))
+        self.check(answer, position, count)
         return answer.outputs
 
     async def receive(self) -> StageAnswer:
--- a/rattanroute/clients/stages.py
+++ b/rattanroute/clients/stages.py
@@ -49,8 +49,8 @@
         request_id: The request.
         attempt: Attempt number of the stage.
         hop: The stage.
-        kind: Kind of the failure; a DEGRADED stage stays in use unless it is
-            replaced.
+        kind: Kind of the failure; a DEGRADED stage, and one that is silent
+            (TIMEOUT), stay in use unless they are replaced.
         error: The error that the attempt raises if the stage is not replaced.
     """
 
@@ -61,6 +61,17 @@
     error: AttemptError
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class StageReplacedError(Exception):
+    """Raised when a silent stage is to be replaced.
+
+    Attributes:
+        action: The replacement.
+    """
+
+    action: ReplaceStage
+
+
 FailureCallback = Callable[[StageFailure], Awaitable[ReplaceStage | None]]
 
 
@@ -249,6 +260,8 @@
                 index += 1
             except StageError as error:
                 await self.recover(self.stages[index], error)
+            except StageReplacedError as error:
+                await self.apply_replacement(error.action, copy=False)
         return values
 
     async def catch_up(self, index: int) -> bool:
@@ -275,7 +288,12 @@
         return True
 
     async def exchange(self, stage: Stage, values: list[bytes]) -> list[bytes]:
-        """Runs positions on a stage and returns their outputs."""
+        """Runs positions on a stage and returns their outputs.
+
+        Raises:
+            StageError: If the stage fails.
+            StageReplacedError: If it is silent and there is another target.
+        """
         spec = self.spec
         limit = spec.token_timeout_s
         if len(values) > 1 or stage.socket is None:
@@ -292,14 +310,55 @@
             )
         self.sent = True
         started = time.monotonic()
-        outputs = await stage.socket.exchange(
-            position=stage.positions_run, inputs=values, until=until
-        )
+        try:
+            outputs = await stage.socket.exchange(
+                position=stage.positions_run, inputs=values, until=until
+            )
+        except StageError as error:
+            outputs = await self.wait_for_silent(
+                stage, len(values), limit, error
+            )
         if len(values) == 1:
             stage.monitor.record(time.monotonic() - started)
         stage.positions_run += len(values)
         return outputs
 
+    async def wait_for_silent(
+        self, stage: Stage, count: int, limit: float, error: StageError
+    ) -> list[bytes]:
+        """Goes on waiting for a stage whose answer did not arrive in time.
+
+        A silence is no proof of a failure. Without another target, the stage
+        may still answer until the deadline of the attempt.
+
+        Args:
+            stage: The stage.
+            count: Number of outputs to wait for.
+            limit: Seconds between two requests for a replacement.
+            error: Why there are no outputs.
+
+        Raises:
+            StageError: If the stage has failed or the deadline has passed.
+            StageReplacedError: If there is another target.
+        """
+        while error.kind is FailureKind.TIMEOUT:
+            if time.monotonic() >= self.deadline:
+                break
+            if self.recoveries < MAX_RECOVERIES:
+                failure = self.build_failure(stage, error)
+                action = await self.request_replacement(failure)
+                if action is not None:
+                    self.recoveries += 1
+                    raise StageReplacedError(action=action)
+            until = min(self.deadline, time.monotonic() + limit)
+            try:
+                return await stage.socket.receive_outputs(
+                    position=stage.positions_run, count=count, until=until
+                )
+            except StageError as later:
+                error = later
+        raise error
+
     def record_inputs(self, index: int, values: list[bytes]) -> None:
         """Adds a block's inputs to a stage's journal unless it has them."""
         stage = self.stages[index]
--- a/rattanroute/events.py
+++ b/rattanroute/events.py
@@ -93,17 +93,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StageDegraded:
-    """A pipeline stage still works, but much slower than before.
+    """A pipeline stage is much slower than before, or silent.
 
     Attributes:
         request_id: The request.
         attempt: Attempt number.
         target_id: The target of the stage.
+        silent: Whether its answer did not arrive in time.
+        tokens_out: Tokens of this attempt that the client has received.
     """
 
     request_id: str
     attempt: int
     target_id: str
+    silent: bool = False
+    tokens_out: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/rattanroute/requests/chat_sessions.py
+++ b/rattanroute/requests/chat_sessions.py
@@ -159,9 +159,13 @@
         """Builds the event that reports a failed or slow stage to the core."""
         request_id = self.request.request_id
         target_id = failure.hop.target_id
-        if failure.kind is FailureKind.DEGRADED:
+        if failure.kind in (FailureKind.DEGRADED, FailureKind.TIMEOUT):
             return StageDegraded(
-                request_id=request_id, attempt=run.attempt, target_id=target_id
+                request_id=request_id,
+                attempt=run.attempt,
+                target_id=target_id,
+                silent=failure.kind is FailureKind.TIMEOUT,
+                tokens_out=run.unreported_tokens,
             )
         return AttemptFailed(
             request_id=request_id,
--- a/rattanroute/requests/cores.py
+++ b/rattanroute/requests/cores.py
@@ -289,9 +289,6 @@
 
         Nothing is lost if no other attempt may be started.
         """
-        fingerprint = request.fingerprint
-        if self.bans.find_part_ban(fingerprint, request.part_fingerprints, now):
-            return []
         chain = None
         if self.may_start(request, now):
             chain = self.selections.select(request, now)
@@ -301,11 +298,20 @@
                 request.request_id, failures=len(request.attempts), now=now
             )
             return []
-        banned = self.banned_for(request, now)
-        if not self.retries.may_supplement(request, banned=banned):
+        if not self.may_supplement(request, now):
             return []
         return self.dispatch(request, chain, now)
 
+    def may_supplement(self, request: Request, now: float) -> bool:
+        """Decides whether another attempt may run, and charges it."""
+        ban = self.bans.find_part_ban(
+            request.fingerprint, request.part_fingerprints, now
+        )
+        banned = self.banned_for(request, now)
+        return ban is None and self.retries.may_supplement(
+            request, banned=banned
+        )
+
     def note_crash(
         self,
         attempt: Attempt,
@@ -450,11 +456,17 @@
         # A replacement refers to the latest chain.
         if attempt is None or attempt is not request.current:
             return []
+        if event.silent:
+            self.attempts.note_silence(event.target_id, now)
         hops = self.selections.replacement(
             request, failed_target_id=event.target_id, now=now
         )
         if hops is None:
             return []
+        if event.silent and not self.may_supplement(request, now):
+            return []
+        attempt.tokens_out = event.tokens_out
+        request.tokens_out += event.tokens_out
         actions = self.attempts.end(request, attempt, now)
         return actions + self.replace(request, attempt, event, hops, now)
 
@@ -533,11 +545,10 @@
         hops = self.selections.replacement(
             request, failed_target_id=first, now=now
         )
-        banned = self.banned_for(request, now)
         if (
             hops is None
             or attempt is not request.current
-            or not self.retries.may_supplement(request, banned=banned)
+            or not self.may_supplement(request, now)
         ):
             self.detections.schedule_start_check(
                 request_id=request.request_id,
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -9,6 +9,7 @@
 from rattanroute.actions import Dispatch
 from rattanroute.actions import Finish
 from rattanroute.actions import Refuse
+from rattanroute.actions import ReplaceStage
 from rattanroute.clients.engines import EngineClient
 from rattanroute.events import AttemptFailed
 from rattanroute.events import AttemptStarted
@@ -16,6 +17,7 @@
 from rattanroute.events import AttemptSuspected
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
+from rattanroute.events import StageDegraded
 from rattanroute.requests import chat_sessions
 from rattanroute.requests.chat_sessions import ChatSession
 from rattanroute.requests.cores import RequestCore
@@ -306,6 +308,40 @@
             core.tick(now=4.0 + number)
         self.assertFalse(core.retries.is_exhausted(request))
 
+    def test_silent_stage_is_replaced_within_the_budget(self) -> None:
+        """Guards against a silent stage that ends its begun request.
+
+        The caller has tokens of the request, whatever happens later.
+        """
+        halves = {"t1": (0, 3), "t2": (4, 7), "t3": (0, 3)}
+        core = build_core(
+            *(
+                build_report(name, first_layer=first, last_layer=last)
+                for name, (first, last) in halves.items()
+            )
+        )
+        core.selections.planner = PipelinePlanner(
+            data_centre="dc-a", links=LinkTable(), eligible=lambda *_: True
+        )
+        request = build_request(stream=True)
+        [first] = core.handle(RequestArrived(request=request), now=0.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=0.1)
+        event = StageDegraded(
+            request_id="r1",
+            attempt=1,
+            target_id=first.chain[0].target_id,
+            silent=True,
+            tokens_out=5,
+        )
+        core.retries.budget.tokens = 0.0
+        self.assertEqual(core.handle(event, now=1.0), [])
+        self.assertEqual([x.number for x in request.live], [1])
+        core.retries.budget.tokens = 1.0
+        [replaced] = core.handle(event, now=2.0)
+        self.assertIsInstance(replaced, ReplaceStage)
+        self.assertEqual(request.tokens_out, 5)
+        self.assertEqual(core.retries.budget.tokens, 0.0)
+
     def test_silent_chain_moves_only_to_another_chain(self) -> None:
         """Guards against a chain that ends although it is the only one.
 
--- a/rattanroute/tests/test_stages.py
+++ b/rattanroute/tests/test_stages.py
@@ -219,6 +219,54 @@
         kind = self.failures[0].kind
         self.assertEqual(kind, stages.FailureKind.TIMEOUT)
 
+    async def test_silent_stage_without_a_spare_goes_on(self) -> None:
+        """Guards against a begun answer that a pause of one stage ends."""
+        run = self.open_run(token_timeout_s=0.1)
+        faults = self.hosts["middle"].faults
+        async with asyncio.timeout(5), contextlib.aclosing(run.run()) as items:
+            async for item in items:
+                if isinstance(item, stages.TokenChunk):
+                    self.texts.append(item.text)
+                    if len(self.texts) == 3:
+                        faults.freeze = True
+                        asyncio.get_running_loop().call_later(
+                            0.5, setattr, faults, "freeze", False
+                        )
+        self.assert_complete()
+        self.assertEqual(self.attempts_of("middle"), {1})
+        kinds = {failure.kind for failure in self.failures}
+        self.assertEqual(kinds, {stages.FailureKind.TIMEOUT})
+
+    async def test_silent_stage_is_replaced_when_a_spare_appears(self) -> None:
+        """Guards against waiting until the deadline despite a spare."""
+        run = self.open_run(token_timeout_s=0.1)
+        async with asyncio.timeout(5), contextlib.aclosing(run.run()) as items:
+            async for item in items:
+                if isinstance(item, stages.TokenChunk):
+                    self.texts.append(item.text)
+                    if len(self.texts) == 3:
+                        self.hosts["middle"].faults.freeze = True
+                        asyncio.get_running_loop().call_later(
+                            0.4,
+                            self.replacements.update,
+                            {"middle": (self.hop("spare-middle", 3, 5),)},
+                        )
+        self.assert_complete()
+        self.assertGreater(len(self.failures), 1)
+
+    async def test_silent_stage_ends_the_attempt_at_the_deadline(self) -> None:
+        """Guards against a wait without a bound."""
+        run = self.open_run(token_timeout_s=0.1, deadline_s=1.0)
+        with self.assertRaises(AttemptError) as caught:
+            async with (
+                asyncio.timeout(5),
+                contextlib.aclosing(run.run()) as items,
+            ):
+                async for _ in items:
+                    self.hosts["middle"].faults.freeze = True
+        self.assertEqual(caught.exception.provenance, Provenance.STARTED)
+        self.assertEqual(caught.exception.peer, "middle")
+
     async def test_cache_of_a_leaving_stage_is_copied(self) -> None:
         """Guards against a replay when the cache can be copied."""
         run = self.open_run()
