Close the targets' interface before a stopping VM leaves the cluster

A target announces itself to one VM at a time. While a VM that had left the cluster still closed its connections to callers, up to the whole grace, it accepted heartbeats that it could no longer pass on; after 2.5 s the other VMs treated these targets as silent and gave them no work.

test_targets_move_to_another_vm_before_the_vm_leaves failed: the interface accepted connections when the VM left. It now closes after the last open request, which may need the reports, and before the VM leaves, so that the targets move to another VM at once.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -291,7 +291,7 @@
         application = callers.build_application()
         ServicesServer(host=self, callers=callers).add_routes(application)
         await self.open_http(application, self.settings.listen.callers)
-        await self.open_http(
+        self.targets_listener = await self.open_http(
             self.build_targets_server().build_application(),
             self.settings.listen.targets,
         )
@@ -357,7 +357,7 @@
 
     async def open_http(
         self, application: web.Application, address: str
-    ) -> None:
+    ) -> HttpListener:
         """Opens an HTTP interface."""
         listener = HttpListener(application=application, address=address)
         self.listeners.append(listener)
@@ -365,6 +365,7 @@
             await listener.open()
         except OSError as error:
             raise build_listen_error(address, error) from error
+        return listener
 
     def build_targets_server(self) -> TargetsServer:
         """Builds the interface on which targets announce themselves."""
@@ -440,6 +441,9 @@
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
         await self.drain()
+        # Targets move to another VM of their data centre at once. This VM
+        # could no longer pass their reports on to the other members.
+        await self.targets_listener.close(grace_s=MIN_FLUSH_SECONDS)
         await self.claims.hand_over()
         await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
