Send the usage of the last requests before a stopping VM leaves

Usage of attempts that ended in the last half second before a planned stop was lost with the VM, also statements of targets that the VM had just acknowledged and that the targets had therefore deleted.

test_usage_is_sent_before_the_vm_leaves failed with one unconfirmed item. The margin of the program covers all waits after the grace.

--- a/rattanroute/__main__.py
+++ b/rattanroute/__main__.py
@@ -20,9 +20,9 @@
 
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
-# Refusals, the handover of claims and the end of all connections follow the
-# grace.
-STOP_MARGIN_SECONDS = 20.0
+# Refusals, unsent usage, the handover of claims and the end of all connections
+# follow the grace.
+STOP_MARGIN_SECONDS = 25.0
 
 
 class DaemonService(aiomisc.Service):
--- a/rattanroute/control/ledger_hosts.py
+++ b/rattanroute/control/ledger_hosts.py
@@ -1,11 +1,13 @@
 """Runs the ledger system: writes its file and reports the accounts."""
 
+import asyncio
 import collections
 from collections.abc import Callable
 import time
 
 from rattanroute.actions import Action
 from rattanroute.actions import PersistUsages
+from rattanroute.logs import get_logger
 from rattanroute.requests.attempt_runs import AttemptUsage
 from rattanroute.servers.operator_sources import AccountTotal
 from rattanroute.servers.operator_sources import ShareUse
@@ -26,6 +28,11 @@
 from rattanroute.tables.usages import Usage
 
 MILLISECONDS_PER_SECOND = 1000
+# A batch is sent every 0.5 s, and again after 2 s if a holder does not confirm.
+FLUSH_LIMIT_SECONDS = 3.0
+FLUSH_POLL_SECONDS = 0.05
+
+log = get_logger(__name__)
 
 
 class LedgerHost:
@@ -211,6 +218,20 @@
             for state, amounts in self.system.count_states().items()
         ]
 
+    async def flush(self) -> None:
+        """Waits until the holders have this VM's items, for a limited time.
+
+        Afterwards they could be lost with this VM. Targets delete the
+        statements that it has acknowledged.
+        """
+        ends_at = time.monotonic() + FLUSH_LIMIT_SECONDS
+        sender = self.system.sender
+        while sender.pending and sender.holders:
+            if time.monotonic() >= ends_at:
+                log.warning("usage not confirmed", items=len(sender.pending))
+                return
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+
     async def close(self) -> None:
         """Closes the ledger file."""
         if self.journal is not None:
--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -444,6 +444,7 @@
         # Targets move to another VM of their data centre at once. This VM
         # could no longer pass their reports on to the other members.
         await self.targets_listener.close(grace_s=MIN_FLUSH_SECONDS)
+        await self.ledger.flush()
         await self.claims.hand_over()
         await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
--- a/rattanroute/tests/test_daemon_stops.py
+++ b/rattanroute/tests/test_daemon_stops.py
@@ -5,12 +5,15 @@
 import pathlib
 import socket
 import tempfile
+import time
 import unittest
 from unittest import mock
 
 from rattanroute import daemons
 from rattanroute.daemons import Daemon
+from rattanroute.requests.attempt_runs import AttemptUsage
 from rattanroute.settings import DaemonSettings
+from rattanroute.tests.support import build_request
 
 LISTENERS = ("callers", "targets", "peers", "operators")
 VM_ID = "vm-1"
@@ -61,6 +64,7 @@
         self.daemon = Daemon(settings=settings)
         await self.daemon.start()
         self.accepting: dict[str, bool] = {}
+        self.unsent: int | None = None
 
     async def watch_stop(self) -> None:
         """Stops the daemon and notes its state when it leaves the cluster."""
@@ -73,6 +77,7 @@
                 self.accepting[name] = await is_accepting(self.addresses[name])
 
         def note_leave(now: float) -> list[object]:
+            self.unsent = len(self.daemon.ledger.system.sender.pending)
             checks.append(asyncio.create_task(check()))
             return leave(now)
 
@@ -90,6 +95,29 @@
         await self.watch_stop()
         self.assertEqual(self.accepting, {"callers": True, "targets": False})
 
+    async def test_usage_is_sent_before_the_vm_leaves(self) -> None:
+        """Guards against usage that is lost with the VM.
+
+        A target deletes a statement that the VM has acknowledged.
+        """
+        self.daemon.record_usage(
+            AttemptUsage(
+                request=build_request(),
+                attempt=1,
+                target_ids=("t1",),
+                tokens_in=1,
+                tokens_out=2,
+                seconds=0.1,
+                layers=8,
+                outcome="done",
+            )
+        )
+        self.assertEqual(len(self.daemon.ledger.system.sender.pending), 1)
+        started = time.monotonic()
+        await self.watch_stop()
+        self.assertEqual(self.unsent, 0)
+        self.assertLess(time.monotonic() - started, 5.0)
+
 
 if __name__ == "__main__":
     unittest.main()
