--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -34,9 +34,7 @@
 from rattanroute.security import DaemonCredentials
 from rattanroute.security import protect_server
 from rattanroute.servers.callers import CallersServer
-from rattanroute.servers.listeners import ConnectionGuard
-from rattanroute.servers.listeners import convert_client_errors
-from rattanroute.servers.listeners import GuardedSite
+from rattanroute.servers.listeners import HttpListener
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
 from rattanroute.servers.peers import PeersServer
@@ -65,6 +63,10 @@
 # Time for the load balancer to notice that the VM is not ready before the
 # listeners close; requests that still arrive are refused as not run.
 DRAIN_NOTICE_SECONDS = 1.0
+# Time to send the refusals of requests that have not ended in a planned stop.
+REFUSAL_SECONDS = 2.0
+# Time for callers to receive written answers after the grace has ended.
+MIN_FLUSH_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
 
 log = get_logger(__name__)
@@ -136,7 +138,7 @@
         for subsystem in self.list_subsystems():
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
-        self.runners: list[web.AppRunner] = []
+        self.listeners: list[HttpListener] = []
         self.servers: list[Server] = []
 
     def build_membership(self) -> MembershipSystem:
@@ -289,7 +291,7 @@
         application = callers.build_application()
         ServicesServer(host=self, callers=callers).add_routes(application)
         await self.open_http(application, self.settings.listen.callers)
-        await self.open_http(
+        self.targets_listener = await self.open_http(
             self.build_targets_server().build_application(),
             self.settings.listen.targets,
         )
@@ -355,25 +357,15 @@
 
     async def open_http(
         self, application: web.Application, address: str
-    ) -> None:
+    ) -> HttpListener:
         """Opens an HTTP interface."""
-        guard = ConnectionGuard()
-        application.middlewares.extend(
-            [guard.middleware, convert_client_errors]
-        )
-        runner = web.AppRunner(
-            application,
-            handler_cancellation=True,
-            shutdown_timeout=self.settings.limits.shutdown_grace_s,
-        )
-        await runner.setup()
-        host, port = parse_address(address)
-        self.runners.append(runner)
-        site = GuardedSite(runner=runner, guard=guard, host=host, port=port)
+        listener = HttpListener(application=application, address=address)
+        self.listeners.append(listener)
         try:
-            await site.start()
+            await listener.open()
         except OSError as error:
             raise build_listen_error(address, error) from error
+        return listener
 
     def build_targets_server(self) -> TargetsServer:
         """Builds the interface on which targets announce themselves."""
@@ -447,20 +439,53 @@
         self.publish_status()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
-                await self.sessions.empty.wait()
-        await asyncio.gather(*self.running_tasks, return_exceptions=True)
+        grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
+        await self.drain()
+        # Targets move to another VM of their data centre at once. This VM
+        # could no longer pass their reports on to the other members.
+        await self.targets_listener.close(grace_s=MIN_FLUSH_SECONDS)
+        await self.ledger.flush()
         await self.claims.hand_over()
         await self.configurations.hand_over()
         self.subsystems.execute(self.membership.leave(time.monotonic()))
         await asyncio.sleep(2 * SUBSYSTEM_TICK_SECONDS)
-        await self.close()
+        await self.close(grace_s=grace_ends - time.monotonic())
+
+    async def drain(self) -> None:
+        """Waits for the open requests; refuses those left after the grace.
 
-    async def close(self) -> None:
-        """Closes listeners, links and tasks."""
-        for runner in self.runners:
-            await runner.cleanup()
+        A request is open from its head to the end of its answer. One whose
+        body has not arrived has no session yet. Until all have ended, the VM
+        remains a member, as they need the targets' reports, the shares and
+        the claims.
+        """
+        try:
+            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
+                await self.wait_for_requests()
+        except TimeoutError:
+            count = self.sessions.refuse_all()
+            log.warning("requests refused at a planned stop", requests=count)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REFUSAL_SECONDS):
+                    await self.wait_for_requests()
+
+    async def wait_for_requests(self) -> None:
+        """Waits until all requests and their tasks have ended."""
+        for listener in self.listeners:
+            await listener.wait_until_idle()
+        await self.sessions.empty.wait()
+        while self.running_tasks:
+            await asyncio.wait(self.running_tasks)
+
+    async def close(self, *, grace_s: float = 0.0) -> None:
+        """Closes listeners, links and tasks.
+
+        Args:
+            grace_s: Time for callers to receive answers that are already
+                written, in seconds.
+        """
+        for listener in self.listeners:
+            await listener.close(grace_s=max(MIN_FLUSH_SECONDS, grace_s))
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/rattanroute/events.py
+++ b/rattanroute/events.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptStarted:
-    """The first token or byte of an attempt arrived."""
+    """The first token of an attempt, or the first after a silence, arrived."""
 
     request_id: str
     attempt: int
@@ -76,19 +76,38 @@
     refusal: Refusal | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptSuspected:
+    """The target of an attempt is silent; the attempt goes on.
+
+    Attributes:
+        request_id: The request.
+        attempt: Attempt number.
+        target_id: The target.
+    """
+
+    request_id: str
+    attempt: int
+    target_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StageDegraded:
-    """A pipeline stage still works, but much slower than before.
+    """A pipeline stage is much slower than before, or silent.
 
     Attributes:
         request_id: The request.
         attempt: Attempt number.
         target_id: The target of the stage.
+        silent: Whether its answer did not arrive in time.
+        tokens_out: Tokens of this attempt that the client has received.
     """
 
     request_id: str
     attempt: int
     target_id: str
+    silent: bool = False
+    tokens_out: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,6 +122,7 @@
     | AttemptStarted
     | AttemptSucceeded
     | AttemptFailed
+    | AttemptSuspected
     | StageDegraded
     | CallerDisconnected
 )
