Charge work in the lent slice to it, not to the neighbour's own slice

What callers saw: after a burst at an idle VM the next requests waited 0.5 to 1 s although engines had free slots (test_accounts: none of eight reached an engine within 0.5 s). A VM could also start any amount of work while its lent slice had a little left.

Cause: the name of the lent slice is the empty string, and start() replaced it by the neighbour's name ("x or y"). Lent work put the neighbour's own slice into debt (traced: eight starts at 1.4 s of lent work, then -4.0 in both own slices, lent slice untouched). When the lent slice ended with the first demand, nothing could start until the debt was paid.

A start is now charged to the slice that admitted it. From the end of its prepaid second on, a request is charged to its neighbour, whose rates count it as demand; otherwise the lent slice would sink without end (test_long_work_is_charged_to_its_neighbour failed before that: 1 != 21). test_work_in_the_lent_slice_is_charged_to_it failed before: 40 starts, at most 9.9 are allowed.

test_accounts waited 0.5 s and took it for granted that all streams run by then, although they need all slots of the data centre, half of which the other VM holds.

--- a/rattanroute/systems/shares.py
+++ b/rattanroute/systems/shares.py
@@ -106,7 +106,8 @@
     """A running request.
 
     Attributes:
-        name: The slice that is charged.
+        name: The slice that is charged: the one that admitted it for the
+            prepaid work, then that of its neighbour.
         neighbour: The neighbour of the request.
         started_at: Start time, in seconds.
         metered: Whether its prepaid work is used up, so that it is charged
@@ -210,7 +211,10 @@
     def start(self, neighbour: str, *, request_id: str, now: float) -> None:
         """Charges the prepaid work of a request that starts."""
         self.advance(now)
-        name = self.find_available_slice(neighbour) or neighbour
+        name = self.find_available_slice(neighbour)
+        # The name of the slice for any neighbour is empty.
+        if name is None:
+            name = neighbour
         self.buckets.setdefault(name, Bucket()).level -= PREPAID_SECONDS
         self.end(request_id, now=now)
         self.runs[request_id] = RunningRequest(
@@ -279,8 +283,11 @@
             run = self.runs.get(request_id)
             if run is None or run.started_at + PREPAID_SECONDS != due:
                 continue
+            # The rates of its neighbour count this request as demand from the
+            # first renewal on; the lent slice may have ended since.
             run.metered = True
-            bucket = self.buckets[run.name]
+            run.name = run.neighbour
+            bucket = self.buckets.setdefault(run.name, Bucket())
             bucket.running += 1
             # Offsets the loop below, which charges from `updated_at` on.
             bucket.level += max(0.0, due - self.updated_at)
--- a/rattanroute/tests/integration/test_accounts.py
+++ b/rattanroute/tests/integration/test_accounts.py
@@ -5,6 +5,9 @@
 import json
 
 from rattanroute.clients.attempts import prompt_words
+from rattanroute.systems.share_allocators import LEASE_SECONDS
+from rattanroute.systems.shares import BURST_SECONDS
+from rattanroute.tests.integration.cluster_support import ClientAnswer
 from rattanroute.tests.integration.cluster_support import ClusterTestCase
 from rattanroute.tools.demo_configuration import ADVICE_KEY
 from rattanroute.tools.demo_configuration import build_workspace
@@ -14,6 +17,10 @@
 ACCOUNTS_TIMEOUT_SECONDS = 20.0
 TOKENS = 12
 LONG_TOKENS = 200
+# The streams need all slots of the data centre, part of which the other VM
+# holds for one lease; a second of work is then started each second. No stream
+# has ended by then.
+START_TIMEOUT_SECONDS = LEASE_SECONDS + BURST_SECONDS
 KEYS = {"notes": NOTES_KEY, "advice": ADVICE_KEY}
 PROMPT = "how much is this"
 PROMPT_WORDS = len(prompt_words([{"role": "user", "content": PROMPT}]))
@@ -73,19 +80,34 @@
         )
         for answer in answers:
             self.assert_complete(answer, PROMPT, TOKENS)
+        begun: set[int] = set()
         streams = [
-            asyncio.create_task(
-                self.chat("dc-a-2", PROMPT, tokens=LONG_TOKENS, key=KEYS[name])
-            )
-            for name in workspaces
+            asyncio.create_task(self.send_long(number, KEYS[name], begun))
+            for number, name in enumerate(workspaces)
         ]
-        await asyncio.sleep(0.5)
+
+        async def have_begun() -> bool:
+            return len(begun) == len(streams)
+
+        await self.wait_for(have_begun, seconds=START_TIMEOUT_SECONDS)
         await self.cluster.kill("dc-a-2")
         for answer in await asyncio.gather(*streams):
             self.assertFalse(answer.done)
         await asyncio.sleep(1.0)
         await self.check_accounts(len(workspaces))
 
+    async def send_long(
+        self, number: int, key: str, begun: set[int]
+    ) -> ClientAnswer:
+        """Sends a long stream; its first token adds its number to `begun`."""
+
+        async def note_token(count: int) -> None:
+            begun.add(number)
+
+        return await self.chat(
+            "dc-a-2", PROMPT, tokens=LONG_TOKENS, key=key, on_token=note_token
+        )
+
     async def check_accounts(self, count: int) -> None:
         """Compares the accounts with what the engines ran.
 
--- a/rattanroute/tests/test_shares.py
+++ b/rattanroute/tests/test_shares.py
@@ -10,9 +10,12 @@
 
 from rattanroute.events import CallerDisconnected
 from rattanroute.events import RequestArrived
+from rattanroute.systems.share_allocators import ANY_NEIGHBOUR
 from rattanroute.systems.share_allocators import divide_capacity
 from rattanroute.systems.share_allocators import LEASE_SECONDS
+from rattanroute.systems.shares import BURST_SECONDS
 from rattanroute.systems.shares import FLOOR_FRACTION
+from rattanroute.systems.shares import PREPAID_SECONDS
 from rattanroute.systems.shares import ShareSystem
 from rattanroute.tables.configurations import Configuration
 from rattanroute.tables.configurations import Neighbour
@@ -339,6 +342,51 @@
         self.assertLess(peak, 0.3 * CAPACITY * 1.2 + 2 * 5)
         self.assertGreater(peak, 0.3 * CAPACITY * 0.9)
 
+    def test_work_in_the_lent_slice_is_charged_to_it(self) -> None:
+        """Guards against a burst without limit and debts for lent capacity.
+
+        A VM that starts work only in its own slice of a neighbour may start
+        any amount while the lent slice has some work left, and the neighbour
+        then cannot use its own share until the debt is paid.
+        """
+        network = Network(5, seed=1)
+        network.run(6.0)
+        system = network.systems["vm-4"]
+        rates = {name: row.rate for name, row in system.buckets.items()}
+        usable = rates["a"] + rates[ANY_NEIGHBOUR]
+        started = 0
+        while started < CAPACITY and system.admits("a", now=network.now):
+            system.start("a", request_id=f"r{started}", now=network.now)
+            started += 1
+        # The limit: a second of work at its rates and one request a slice.
+        self.assertLessEqual(started, usable * BURST_SECONDS + 2)
+        self.assertGreaterEqual(started, usable * BURST_SECONDS)
+        for name in ("a", ANY_NEIGHBOUR):
+            self.assertGreater(system.buckets[name].level, -1.0 - 1e-9, name)
+
+    def test_long_work_is_charged_to_its_neighbour(self) -> None:
+        """Guards against debts of the lent slice for requests that run on.
+
+        The running requests of a neighbour count as its demand, and it gets
+        rates for them. If they were charged to the lent slice, the neighbour
+        could start as much work again.
+        """
+        network = Network(2, seed=1)
+        network.run(6.0)
+        system = network.systems["vm-1"]
+        started = 0
+        while started < CAPACITY and system.admits("a", now=network.now):
+            system.start("a", request_id=f"r{started}", now=network.now)
+            started += 1
+        self.assertGreater(started, 0.4 * CAPACITY)
+        network.run(PREPAID_SECONDS + 1.0)
+        self.assertEqual(system.buckets["a"].running, started)
+        network.run(4.0)
+        self.assertGreater(system.buckets[ANY_NEIGHBOUR].level, -1.0 - 1e-9)
+        for number in range(started):
+            system.end(f"r{number}", now=network.now)
+        self.assertFalse(any(b.running for b in system.buckets.values()))
+
     def test_first_demand_does_not_lower_the_rates(self) -> None:
         """Guards against a renewal that takes the rates of a busy VM.
 
