--- a/rattanroute/tests/integration/test_platform_programs.py
+++ b/rattanroute/tests/integration/test_platform_programs.py
@@ -5,8 +5,10 @@
 import itertools
 import json
 import os
+import pathlib
 import signal
 import sys
+import tomllib
 
 from rattanroute.http1.heads import encode_request
 from rattanroute.platform.trial_deployments import build_call
@@ -26,6 +28,7 @@
 METRICS_PORT = PEER_PORT + 1
 SEND_INTERVAL_SECONDS = 0.02
 LAST_CHUNK = b"\r\n0\r\n\r\n"
+DEPLOY_FILE = pathlib.Path(__file__).parents[3] / "deploy" / "system.toml"
 
 
 class PlatformProgramTest(PlatformTestCase):
@@ -77,6 +80,29 @@
                     signal.pidfd_send_signal(descriptor, next(numbers))
             self.assertEqual(await stop, 0)
 
+    async def test_handler_is_installed_before_packages_are_found(self) -> None:
+        """Guards against a long first part of the start that SIGHUP ends.
+
+        The deploy file's command is run, as its options decide what the
+        interpreter does before the first line of the program.
+        """
+        path = self.fleet.folder / f"{self.front.name}.json"
+        roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"]
+        words = roles["front"]["run"].split()
+        options = ("-X", "importtime")
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, *options, *words[1:]),
+            *("--config", str(path), "--check"),
+            cwd=DEPLOY_FILE.parent.parent,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        output, errors = await process.communicate()
+        self.assertEqual(process.returncode, 0, output)
+        lines = errors.decode().splitlines()
+        modules = [line.rpartition("|")[2].strip() for line in lines]
+        self.assertNotIn("site", modules[: modules.index("signal")])
+
     async def test_wrong_settings_do_not_stop_a_program(self) -> None:
         """Guards against a malformed settings file that ends a program."""
         path = self.fleet.folder / f"{self.front.name}.json"
