--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import os
 import pathlib
 import signal
@@ -15,13 +16,11 @@
 import click
 import msgspec
 import uvloop
-import xxhash
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.engine_control_clients import EngineControlClient
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import find_header
-from rattanroute.http1.heads import Request
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import RequestLimits
@@ -33,6 +32,12 @@
 from rattanroute.platform.replica_codecs import READY
 from rattanroute.platform.replica_codecs import ReplicaCodec
 from rattanroute.platform.replica_codecs import STATE_PATH
+from rattanroute.platform.standin_records import build_answer
+from rattanroute.platform.standin_records import build_event
+from rattanroute.platform.standin_records import draw_pause
+from rattanroute.platform.standin_records import ReplicaRecord
+from rattanroute.platform.standin_records import RunEnd
+from rattanroute.platform.standin_records import StandInSettings
 
 MEMBER_CHECK_PATH = b"/standin/member"
 MISDIRECTED = 421
@@ -43,86 +48,18 @@
 # A replica exits after this time if its leave notice is not acknowledged.
 NOTICE_TIMEOUT_SECONDS = 4.0
 STALL_TIMEOUT_SECONDS = 2.0
+# A member that has not answered for this long is reported as stalled. A sound
+# one answers within a few milliseconds plus the link delay.
+STALL_REPORT_SECONDS = 0.3
+# A leaving engine waits for this long after the last check of a chain that it
+# belongs to; longer than the pause of a stream.
+MEMBER_IDLE_SECONDS = 2.5
 EVENT_INTERVAL_SECONDS = 0.04
 LAYER_LOAD_SECONDS = 0.2
 # Exit code of a process that a request crashed.
 CRASH_EXIT_CODE = 70
 
 
-class StandInSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of a stand-in replica.
-
-    Attributes:
-        replica_id: Identifier of this process; a restart gets a new one.
-        listen: Listen address, as `IP:port`.
-        advertise: Address that other processes dial; may be that of a proxy.
-        control: Addresses that accept liveness reports.
-        records: Path of the file for the records.
-        kind: Kind of accelerator; empty for a plain service.
-        layers: Layers of the model; 0 for a plain service.
-        max_layers: Layers that fit into the memory.
-        slots: Requests that run concurrently.
-        work_s: Seconds that a call of a plain service takes.
-        drain_s: Seconds for which the replica serves after its leave notice
-            is acknowledged.
-        crash_marker: Text in a request body that crashes the process once the
-            request starts to run; empty for none.
-        crash_part: Identifier of a shared part of a prompt that crashes the
-            process once it begins to write an answer; empty for none.
-    """
-
-    replica_id: str
-    listen: str
-    advertise: str
-    control: list[str]
-    records: str
-    service: str
-    zone: str
-    kind: str = ""
-    layers: int = 0
-    max_layers: int = 0
-    slots: int = 16
-    work_s: float = 0.02
-    drain_s: float = 2.0
-    crash_marker: str = ""
-    crash_part: str = ""
-
-
-class ReplicaRecord(
-    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
-):
-    """A recorded event at a replica.
-
-    Attributes:
-        at: Time of the system's monotonic clock, in seconds.
-        event: `arrival`, `run`, `chain`, `order`, `overload`, `notice` or
-            `crash`.
-        request_id: Identifier of the request.
-        replica_id: The replica.
-        service: Its service.
-        chain: Layers of each target of a chain, or of an order, as first
-            layer and exclusive end.
-    """
-
-    at: float
-    event: str
-    request_id: str = ""
-    replica_id: str = ""
-    service: str = ""
-    chain: list[tuple[int, int]] = []
-
-
-def build_answer(request_id: str, body: bytes) -> bytes:
-    """Returns the body of a plain service's answer."""
-    return f"{request_id}:{xxhash.xxh3_64_hexdigest(body)}".encode()
-
-
-def build_event(body: bytes, number: int) -> bytes:
-    """Returns an event of a streamed answer."""
-    digest = xxhash.xxh3_64_hexdigest(body)
-    return b"id: %d\ndata: %s-%d\n\n" % (number, digest.encode(), number)
-
-
 class StandInReplica:
     """A replica that is a plain service or an engine.
 
@@ -146,6 +83,10 @@
         self.active = 0
         self.draining = False
         self.stalled: dict[str, str] = {}
+        # Open runs by number, with the identifiers of their requests.
+        self.open_runs: dict[int, str] = {}
+        self.runs = 0
+        self.member_checked_at = float("-inf")
         self.server = HttpServer(handler=self.handle, limits=RequestLimits())
 
     def record(self, event: str, **values: object) -> None:
@@ -226,6 +167,7 @@
 
     def handle_member_check(self, exchange: Exchange) -> None:
         """Answers whether this target holds its layers of a chain."""
+        self.member_checked_at = time.monotonic()
         first, _, end = exchange.request.body.partition(b"-")
         if not self.holds_layers(int(first), int(end)):
             exchange.send(ResponseHead(status=MISDIRECTED))
@@ -259,9 +201,20 @@
         finally:
             self.active -= 1
 
-    def start_execution(self, request_id: str, request: Request) -> None:
-        """Records the start of a request, which may end the process."""
-        self.record("run", request_id=request_id)
+    def start_execution(self, request_id: str, exchange: Exchange) -> int:
+        """Records the start of a request, which may end the process.
+
+        Returns:
+            The number of the run.
+        """
+        request = exchange.request
+        self.runs += 1
+        run = self.runs
+        self.open_runs[run] = request_id
+        self.record("run", request_id=request_id, run=run)
+        exchange.on_disconnect = functools.partial(
+            self.end_execution, run, RunEnd.LEFT
+        )
         marker = self.settings.crash_marker
         parts = find_header(request.head.headers, headers.PROMPT_PARTS.lower())
         shared = headers.parse_shared_parts(parts or b"")
@@ -270,6 +223,16 @@
         ):
             self.record("crash", request_id=request_id)
             os._exit(CRASH_EXIT_CODE)
+        return run
+
+    def end_execution(self, run: int, reason: RunEnd, detail: str = "") -> None:
+        """Records the end of a run, unless it has ended before."""
+        request_id = self.open_runs.pop(run, None)
+        if request_id is None:
+            return
+        self.record(
+            "end", request_id=request_id, run=run, reason=reason, detail=detail
+        )
 
     def refuse(
         self, exchange: Exchange, status: int, request_id: str, at: str = ""
@@ -302,10 +265,11 @@
 
     async def answer(self, exchange: Exchange, request_id: str) -> None:
         """Runs a request of a plain service."""
-        self.start_execution(request_id, exchange.request)
+        run = self.start_execution(request_id, exchange)
         await asyncio.sleep(self.settings.work_s)
         body = build_answer(request_id, exchange.request.body)
         exchange.send(self.build_head(request_id), body)
+        self.end_execution(run, RunEnd.FINISHED)
 
     async def stream(self, exchange: Exchange, request_id: str) -> None:
         """Streams events while all targets of the chain answer."""
@@ -324,20 +288,46 @@
             status, address = failed
             self.refuse(exchange, status, request_id, address)
             return
+        run = self.start_execution(request_id, exchange)
+        exchange.start(self.build_head(request_id))
+        failed = await self.write_events(exchange, request_id, chain[1:])
+        if failed:
+            status, address = failed
+            self.end_execution(run, RunEnd.BROKEN, f"{address} {status}")
+            exchange.abort()
+            return
+        exchange.end()
+        self.end_execution(run, RunEnd.FINISHED)
+
+    async def write_events(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        members: list[tuple[str, int, int]],
+    ) -> tuple[int, str] | None:
+        """Writes the events of a stream until its caller disconnects.
+
+        Returns:
+            Status and address of a member that ended the stream, if any.
+        """
+        values = exchange.request.head.headers
         last = find_header(values, headers.LAST_EVENT.lower()) or b"0"
         tokens = find_header(values, headers.TOKENS.lower()) or b"0,0"
+        first = int(last) + 1
         count = int(tokens.partition(b",")[2])
-        self.start_execution(request_id, exchange.request)
-        exchange.start(self.build_head(request_id))
-        for number in range(int(last) + 1, count + 1):
+        pause = draw_pause(self.settings, request_id, first, count)
+        for number in range(first, count + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            if number == pause.number:
+                await asyncio.sleep(pause.seconds)
             if exchange.disconnected:
-                return
-            if await self.check_members(request_id, chain[1:]):
-                exchange.abort()
-                return
+                return None
+            if (number - first) % self.settings.member_check_events == 0:
+                failed = await self.check_members(request_id, members)
+                if failed:
+                    return failed
             exchange.write(build_event(exchange.request.body, number))
-        exchange.end()
+        return None
 
     def read_chain(
         self, values: list[tuple[bytes, bytes]]
@@ -357,12 +347,19 @@
         self, request_id: str, members: list[tuple[str, int, int]]
     ) -> tuple[int, str] | None:
         """Returns status and address of the first target that fails, if any."""
+        loop = asyncio.get_running_loop()
         for address, first, end in members:
-            self.stalled[request_id] = address
+            report = loop.call_later(
+                STALL_REPORT_SECONDS,
+                self.stalled.__setitem__,
+                request_id,
+                address,
+            )
             try:
                 status = await self.check_member(address, first, end)
             finally:
-                del self.stalled[request_id]
+                report.cancel()
+                self.stalled.pop(request_id, None)
             if status != 200:
                 return status, address
         return None
@@ -381,6 +378,11 @@
             return UNAVAILABLE
         return answer.status
 
+    def is_member(self) -> bool:
+        """Whether the replica belongs to the chain of an open stream."""
+        idle_s = time.monotonic() - self.member_checked_at
+        return idle_s < MEMBER_IDLE_SECONDS
+
     async def send_liveness_report(self) -> bool:
         """Sends a liveness report and returns whether it was acknowledged."""
         settings = self.settings
@@ -439,6 +441,8 @@
             except TimeoutError:
                 continue
         await self.leave()
+        for run in list(self.open_runs):
+            self.end_execution(run, RunEnd.CLOSED)
 
     async def leave(self) -> None:
         """Announces the shutdown, drains open requests and leaves."""
@@ -452,7 +456,7 @@
         self.record("notice")
         # A leaving replica serves for `drain_s` and finishes open requests.
         await asyncio.sleep(self.settings.drain_s + 1.0)
-        while self.active:
+        while self.active or self.is_member():
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
         await self.call_control(b"DELETE", b"")
 
--- a/rattanroute/platform/trial_deployments.py
+++ b/rattanroute/platform/trial_deployments.py
@@ -33,8 +33,11 @@
 READY_PATH = "/rattanroute/ready"
 # Number of latest versions whose own routes a configuration contains.
 KEPT_VERSION_ROUTES = 6
+GRACE_SECONDS = 8.0
 TIMEOUT_MS = 3000
 STREAM_TIMEOUT_MS = 8000
+# Streams of 250 events take 10 s without a pause.
+LONG_STREAM_TIMEOUT_MS = 20_000
 PROMPT_TOKENS = 40
 # Statuses of the router which state that a request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -48,6 +51,51 @@
     STREAM = "streaming"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DeploymentShape:
+    """Size of the engines and of the streams of a deployment.
+
+    Attributes:
+        name: Name of the shape.
+        engines_per_zone: Number of engines in each zone.
+        max_layers: Layers that fit into the memory of an engine.
+        stream_timeout_ms: Time limit of the route for streams.
+        min_events: Fewest events of a stream.
+        max_events: Most events of a stream.
+        usual_events: Events of a typical stream.
+        slots: Streams that an engine runs at the same time.
+    """
+
+    name: str = "short streams"
+    engines_per_zone: int = 2
+    max_layers: int = MAX_LAYERS
+    stream_timeout_ms: int = STREAM_TIMEOUT_MS
+    min_events: int = 5
+    max_events: int = 40
+    usual_events: int = 20
+    slots: int = 16
+
+    def timeout_s(self, kind: CallKind) -> float:
+        """Returns the timeout of the route for a kind, in seconds."""
+        stream = kind is CallKind.STREAM
+        return (self.stream_timeout_ms if stream else TIMEOUT_MS) / 1000
+
+
+SHORT_STREAMS = DeploymentShape()
+# Streams that last longer than the grace time of a stop.
+LONG_STREAMS = DeploymentShape(
+    name="long streams",
+    stream_timeout_ms=LONG_STREAM_TIMEOUT_MS,
+    min_events=20,
+    max_events=250,
+    usual_events=135,
+)
+# The same over chains of three engines and more.
+LONG_CHAINS = dataclasses.replace(
+    LONG_STREAMS, name="long chains", engines_per_zone=4, max_layers=3
+)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Machine:
     """A machine of the trial deployment.
@@ -113,7 +161,7 @@
     contact_s: float = 4.0
     drain_s: float = 2.0
     recovery_s: float = 12.0
-    grace_s: float = 8.0
+    grace_s: float = GRACE_SECONDS
     answer_s: float = 0.5
     retry_ratio: float = 0.2
     retry_extra: float = 100.0
@@ -172,11 +220,17 @@
     )
 
 
-def build_configuration(version: int) -> bytes:
+def build_configuration(
+    version: int, shape: DeploymentShape = SHORT_STREAMS
+) -> bytes:
     """Builds the configuration of a version.
 
     Each version adds a route of its own and drops the route of the version
     that is `KEPT_VERSION_ROUTES` older.
+
+    Args:
+        version: Number of the version.
+        shape: Size of the engines and of the streams.
     """
     routes = [
         build_route(CallKind.REPEATABLE, PLAIN_SERVICE, maxAttempts=2),
@@ -187,7 +241,7 @@
             maxAttempts=2,
             resumable=True,
             gapTargetMs=500,
-            timeoutMs=STREAM_TIMEOUT_MS,
+            timeoutMs=shape.stream_timeout_ms,
         ),
     ]
     for number in range(max(1, version - KEPT_VERSION_ROUTES + 1), version + 1):
@@ -203,7 +257,7 @@
                 {
                     "name": ENGINE_SERVICE,
                     "maxConns": 200,
-                    "engine": build_engine(),
+                    "engine": build_engine(shape),
                 },
             ],
             "tenants": [{"name": "tenant", "apiKeys": [API_KEY]}],
@@ -233,10 +287,11 @@
     }
 
 
-def build_engine() -> dict[str, object]:
+def build_engine(shape: DeploymentShape) -> dict[str, object]:
     """Builds the document of the engines' performance figures."""
+    size_mb = shape.max_layers * LAYER_MB + 50
     return {
-        "slots": 16,
+        "slots": shape.slots,
         "step_ms": 1.0,
         "read_per_s": 100_000.0,
         "kvTokenBytes": 100_000,
@@ -245,8 +300,11 @@
         "layerMb": LAYER_MB,
         "activationBytes": 1000,
         "pipeMbps": 1000.0,
-        "usual": {"prompt": PROMPT_TOKENS, "answer": 20},
-        "kinds": [{"name": "card", "sizeMb": MAX_LAYERS * LAYER_MB + 50}],
+        "usual": {
+            "prompt": PROMPT_TOKENS,
+            "answer": shape.usual_events,
+        },
+        "kinds": [{"name": "card", "sizeMb": size_mb}],
         "models": [{"name": "m", "loadS": 1.0}],
         "stall_ms": 2000,
     }
@@ -258,9 +316,8 @@
 
 
 def timeout_s(kind: CallKind) -> float:
-    """Returns the timeout of the route for a kind, in seconds."""
-    stream = kind is CallKind.STREAM
-    return (STREAM_TIMEOUT_MS if stream else TIMEOUT_MS) / 1000
+    """Returns the timeout of a kind in a deployment of short streams."""
+    return SHORT_STREAMS.timeout_s(kind)
 
 
 def build_call(
--- a/rattanroute/tests/soak_support.py
+++ b/rattanroute/tests/soak_support.py
@@ -3,9 +3,10 @@
 import dataclasses
 import unittest
 
-from rattanroute.platform.standins import ReplicaRecord
+from rattanroute.platform.standin_records import ReplicaRecord
 from rattanroute.platform.trial_deployments import CallKind
 from rattanroute.platform.trial_deployments import Machine
+from rattanroute.tools.soak import SoakKind
 from rattanroute.tools.soak import SoakRun
 from rattanroute.tools.soak_records import Attempt
 from rattanroute.tools.soak_records import AttemptOutcome
@@ -116,9 +117,11 @@
     # CI keeps its output only, not the logs of a failed soak.
     maxDiff = None
 
-    async def assert_invariants_hold(self, seed: int, seconds: float) -> None:
+    async def assert_invariants_hold(
+        self, seed: int, seconds: float, kind: SoakKind = SoakKind.FAULTS
+    ) -> None:
         """Runs a soak and asserts that no check fails."""
-        soak = SoakRun(seed=seed, seconds=seconds)
+        soak = SoakRun(seed=seed, seconds=seconds, kind=kind)
         violations = await soak.run()
         self.assertEqual(
             violations, {}, f"{soak.describe()} logs: {soak.fleet.folder}"
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import collections
 import dataclasses
+import enum
 import random as randoms
 import secrets
 import signal
@@ -16,11 +18,15 @@
 import click
 import uvloop
 
+from rattanroute.platform.standin_records import RunEnd
+from rattanroute.platform.trial_deployments import DeploymentShape
+from rattanroute.platform.trial_deployments import LONG_CHAINS
+from rattanroute.platform.trial_deployments import LONG_STREAMS
+from rattanroute.platform.trial_deployments import SHORT_STREAMS
 from rattanroute.platform.trial_deployments import SoakBounds
 from rattanroute.tools.soak_checks import find_violations
 from rattanroute.tools.soak_clients import FrontSelector
 from rattanroute.tools.soak_clients import SoakClient
-from rattanroute.tools.soak_clients import SoakOperator
 from rattanroute.tools.soak_crashing_clients import CRASH_MARKER
 from rattanroute.tools.soak_crashing_clients import CRASH_PART
 from rattanroute.tools.soak_crashing_clients import CRASHING_CLIENT
@@ -32,13 +38,19 @@
 from rattanroute.tools.soak_fleets import FRONTS_PER_ZONE
 from rattanroute.tools.soak_fleets import SoakFleet
 from rattanroute.tools.soak_fleets import ZONES
+from rattanroute.tools.soak_operators import SoakOperator
+from rattanroute.tools.soak_planned_clients import build_planned_clients
+from rattanroute.tools.soak_planned_work import plan_planned_work
 from rattanroute.tools.soak_plans import plan_soak
 from rattanroute.tools.soak_plans import PlannedFault
 from rattanroute.tools.soak_plans import SoakPlan
 from rattanroute.tools.soak_records import AttemptOutcome
 from rattanroute.tools.soak_records import SoakLog
+from rattanroute.tools.soak_replicas import DEFAULT_REPLICA_OPTIONS
+from rattanroute.tools.soak_replicas import ReplicaOptions
 
 TRAFFIC_SECONDS = 20.0
+PLANNED_SECONDS = 60.0
 # Traffic after the recovery time; it must be served again.
 AFTER_RECOVERY_SECONDS = 3.0
 START_TIMEOUT_SECONDS = 30.0
@@ -46,8 +58,52 @@
 CLIENTS_PER_ZONE = 4
 MACHINES_DOWN_SECONDS = 1.0
 PAUSE_CHECK_SECONDS = 0.05
+# Engines of long streams check the targets of a chain less often, because each
+# check passes through the proxy.
+MEMBER_CHECK_EVENTS = 5
+PAUSE_PROBABILITY = 0.3
+# With the fewest slots, few chains have room beside a silent engine.
+PLANNED_SLOTS = (6, 16)
+# A planned end of a replica waits for its open streams.
+REPLICA_GRACE_SECONDS = 45.0
 SEED_BITS = 32
-MAX_SHOWN_VIOLATIONS = 5
+MAX_SHOWN_VIOLATIONS = 20
+
+
+class SoakKind(enum.StrEnum):
+    """Kinds of soaks.
+
+    Attributes:
+        FAULTS: Planned work and faults of processes, links and disks.
+        PLANNED: Planned work only, with long streams, slow readers and second
+            requests behind open ones.
+        PLANNED_SEQUENTIAL: The same without second requests.
+    """
+
+    FAULTS = "faults"
+    PLANNED = "planned"
+    PLANNED_SEQUENTIAL = "planned-sequential"
+
+
+def choose_shape(seed: int, kind: SoakKind) -> DeploymentShape:
+    """Returns the shape of a soak's deployment."""
+    if kind is SoakKind.FAULTS:
+        return SHORT_STREAMS
+    random = randoms.Random(f"{seed} shape")
+    shape = random.choice((LONG_STREAMS, LONG_CHAINS))
+    return dataclasses.replace(shape, slots=random.choice(PLANNED_SLOTS))
+
+
+def build_replica_options(seed: int, kind: SoakKind) -> ReplicaOptions:
+    """Returns the options of a soak's replicas."""
+    if kind is SoakKind.FAULTS:
+        return DEFAULT_REPLICA_OPTIONS
+    return ReplicaOptions(
+        member_check_events=MEMBER_CHECK_EVENTS,
+        pause_probability=PAUSE_PROBABILITY,
+        pause_seed=seed,
+        grace_s=REPLICA_GRACE_SECONDS,
+    )
 
 
 class SoakRun:
@@ -57,6 +113,7 @@
         seed: Seed of the faults and of the traffic.
         seconds: Duration of the traffic under faults, in seconds.
         fronts: Number of fronts in each zone.
+        kind: Kind of the soak.
 
     Attributes:
         longest_pause_s: Longest time for which this process got no processor
@@ -69,17 +126,23 @@
         seed: int,
         seconds: float,
         fronts: int = FRONTS_PER_ZONE,
+        kind: SoakKind = SoakKind.FAULTS,
     ) -> None:
         self.seed = seed
+        self.kind = kind
         self.bounds = SoakBounds()
         self.random = randoms.Random(seed)
+        self.shape = choose_shape(seed, kind)
         self.fleet = SoakFleet(
             bounds=self.bounds,
             fronts=fronts,
             crash_marker=CRASH_MARKER,
             crash_part=CRASH_PART,
+            shape=self.shape,
+            options=build_replica_options(seed, kind),
         )
-        self.plan: SoakPlan = plan_soak(
+        plan = plan_soak if kind is SoakKind.FAULTS else plan_planned_work
+        self.plan: SoakPlan = plan(
             seed,
             machines=list(self.fleet.machines.values()),
             replicas=list(self.fleet.replicas),
@@ -88,6 +151,7 @@
         self.log = SoakLog(
             fronts=[x.name for x in self.fleet.fronts],
             core=[x.name for x in self.fleet.core],
+            shape=self.shape,
         )
         self.front_selector = FrontSelector(
             fleet=self.fleet, random=self.random
@@ -95,41 +159,54 @@
         self.operator = SoakOperator(
             fleet=self.fleet, log=self.log, random=self.random
         )
-        self.clients = [
+        self.clients = self.build_clients()
+        self.finished = False
+        self.longest_pause_s = 0.0
+
+    def build_clients(self) -> list[SoakClient]:
+        """Builds the clients of this kind of soak."""
+        if self.kind is not SoakKind.FAULTS:
+            return build_planned_clients(
+                self.seed,
+                zones=ZONES,
+                front_selector=self.front_selector,
+                log=self.log,
+                pipelining=self.kind is SoakKind.PLANNED,
+            )
+        clients = [
             SoakClient(
                 name=f"{zone}-{i}",
                 zone=zone,
                 front_selector=self.front_selector,
                 log=self.log,
-                random=randoms.Random(f"{seed} {zone} {i}"),
+                random=randoms.Random(f"{self.seed} {zone} {i}"),
                 parts=(FIRST_PART,),
             )
             for zone in ZONES
             for i in range(CLIENTS_PER_ZONE)
         ]
-        self.clients.append(
+        clients.append(
             CrashingClient(
                 name=CRASHING_CLIENT,
                 zone=ZONES[0],
                 zones=ZONES,
                 front_selector=self.front_selector,
                 log=self.log,
-                random=randoms.Random(f"{seed} {CRASHING_CLIENT}"),
+                random=randoms.Random(f"{self.seed} {CRASHING_CLIENT}"),
             )
         )
-        self.clients.append(
+        clients.append(
             CrashingPartClient(
                 name=CRASHING_PART_CLIENT,
                 zone=ZONES[0],
                 zones=ZONES,
                 front_selector=self.front_selector,
                 log=self.log,
-                random=randoms.Random(f"{seed} {CRASHING_PART_CLIENT}"),
+                random=randoms.Random(f"{self.seed} {CRASHING_PART_CLIENT}"),
                 parts=(FIRST_PART, CRASH_PART),
             )
         )
-        self.finished = False
-        self.longest_pause_s = 0.0
+        return clients
 
     async def run(self) -> dict[str, list[str]]:
         """Runs the soak and returns the violations by check."""
@@ -240,10 +317,18 @@
         """Returns a one-line summary of the run."""
         attempts = self.log.attempts
         served = sum(x.outcome is AttemptOutcome.COMPLETE for x in attempts)
+        ends = collections.Counter(
+            x.reason for x in self.log.records if x.event == "end"
+        )
+        runs = ",".join(f"{x}:{ends[x]}" for x in RunEnd)
         return (
-            f"seed={self.seed} faults={len(self.plan.faults)} "
+            f"seed={self.seed} kind={self.kind} shape={self.shape.name!r} "
+            f"slots={self.shape.slots} "
+            f"faults={len(self.plan.faults)} "
             f"final_fault={self.plan.final_fault} attempts={len(attempts)} "
-            f"served={served} changes={len(self.log.acknowledgements)} "
+            f"served={served} runs={runs} "
+            f"changes={len(self.log.acknowledgements)} "
+            f"killed={','.join(self.fleet.killed_after_grace) or 'none'} "
             f"longest_pause={self.longest_pause_s:.2f}"
         )
 
@@ -257,12 +342,14 @@
         seconds: Duration of the traffic under faults, in seconds.
         jobs: Maximum number of concurrent soaks.
         fronts: Number of fronts in each zone.
+        kind: Kind of the soaks.
     """
 
     seeds: list[int]
     seconds: float
     jobs: int
     fronts: int
+    kind: SoakKind
 
 
 async def run_seeds(options: SoakOptions) -> int:
@@ -274,11 +361,15 @@
         nonlocal failed_seeds
         async with semaphore:
             soak = SoakRun(
-                seed=seed, seconds=options.seconds, fronts=options.fronts
+                seed=seed,
+                seconds=options.seconds,
+                fronts=options.fronts,
+                kind=options.kind,
             )
             violations = await soak.run()
         failed_seeds += bool(violations)
-        click.echo(f"{soak.describe()} broken={','.join(violations) or 'none'}")
+        broken = ",".join(f"{k}:{len(v)}" for k, v in violations.items())
+        click.echo(f"{soak.describe()} broken={broken or 'none'}")
         for name, messages in violations.items():
             for message in messages[:MAX_SHOWN_VIOLATIONS]:
                 click.echo(f"  {name}: {message}")
@@ -293,17 +384,25 @@
 @click.option("--seed", "seeds", multiple=True, type=int, help="Seed to run.")
 @click.option("--first", type=int, help="First of a series of seeds.")
 @click.option("--count", default=1, help="Number of seeds.")
-@click.option("--seconds", default=TRAFFIC_SECONDS, help="Traffic of each.")
+@click.option("--seconds", type=float, help="Traffic of each.")
 @click.option("--jobs", default=1, help="Soaks side by side.")
 @click.option("--fronts", default=FRONTS_PER_ZONE, help="Fronts of each zone.")
+@click.option("--planned", is_flag=True, help="Planned work only.")
+@click.option(
+    "--sequential",
+    is_flag=True,
+    help="With --planned: no second request behind an open one.",
+)
 def main(
     *,
     seeds: tuple[int, ...],
     first: int | None,
     count: int,
-    seconds: float,
+    seconds: float | None,
     jobs: int,
     fronts: int,
+    planned: bool,
+    sequential: bool,
 ) -> None:
     """Run soaks of the platform's programs.
 
@@ -317,8 +416,17 @@
         seeds_to_run = [secrets.randbits(SEED_BITS) for _ in range(count)]
     # SIGTERM raises KeyboardInterrupt, so that the child processes are ended.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
+    kind = SoakKind.FAULTS
+    if planned:
+        kind = SoakKind.PLANNED_SEQUENTIAL if sequential else SoakKind.PLANNED
+    if seconds is None:
+        seconds = PLANNED_SECONDS if planned else TRAFFIC_SECONDS
     options = SoakOptions(
-        seeds=seeds_to_run, seconds=seconds, jobs=jobs, fronts=fronts
+        seeds=seeds_to_run,
+        seconds=seconds,
+        jobs=jobs,
+        fronts=fronts,
+        kind=kind,
     )
     sys.exit(bool(uvloop.run(run_seeds(options))))
 
--- a/rattanroute/tools/soak_checks.py
+++ b/rattanroute/tools/soak_checks.py
@@ -9,13 +9,14 @@
 from rattanroute.platform.trial_deployments import LAYERS
 from rattanroute.platform.trial_deployments import NOT_RUN_STATUSES
 from rattanroute.platform.trial_deployments import SoakBounds
-from rattanroute.platform.trial_deployments import timeout_s
 from rattanroute.tools.soak_crashing_clients import CRASHING_CLIENT
 from rattanroute.tools.soak_crashing_clients import CRASHING_PART_CLIENT
-from rattanroute.tools.soak_plans import Action
 from rattanroute.tools.soak_records import AttemptOutcome
 from rattanroute.tools.soak_records import Probe
 from rattanroute.tools.soak_records import SoakLog
+from rattanroute.tools.soak_stop_checks import check_reloads
+from rattanroute.tools.soak_stop_checks import check_requests_behind
+from rattanroute.tools.soak_stop_checks import check_stops
 
 # Fraction of the requests that must be served after the recovery time.
 MIN_SERVED_FRACTION = 0.25
@@ -27,8 +28,6 @@
 MAX_PART_CRASHES = 5
 # Fewer streams do not show whether sound ones are served.
 MIN_SOUND_STREAMS = 20
-# A front still accepts new connections for this long after SIGTERM.
-ROTATION_SECONDS = 2.5
 
 
 def check_answers(log: SoakLog, bounds: SoakBounds) -> list[str]:
@@ -98,7 +97,8 @@
     """A front without faults answers within the route's timeout."""
     late = []
     for attempt in log.attempts:
-        due = attempt.sent_at + timeout_s(attempt.kind) + bounds.answer_s
+        limit_s = log.shape.timeout_s(attempt.kind) + bounds.answer_s
+        due = attempt.waiting_since + limit_s
         if attempt.ended_at <= due or attempt.outcome is AttemptOutcome.UNSENT:
             continue
         if log.is_fault_free(
@@ -114,45 +114,6 @@
     return late
 
 
-def check_stops(log: SoakLog, bounds: SoakBounds) -> list[str]:
-    """A graceful stop of a front interrupts no request.
-
-    Counts only requests that were sent while the front accepted connections
-    and that overlap no other fault. A replica crash also excludes a request,
-    because the crash may have interrupted the answer.
-    """
-    interrupted = []
-    crashes = [x.at for x in log.records if x.event == "crash"]
-    stops = [
-        x
-        for x in log.injected_faults
-        if x.action in (Action.STOP, Action.ROLL)
-        and not set(x.subjects).isdisjoint(log.fronts)
-    ]
-    for stop in stops:
-        for x in log.attempts:
-            if (
-                x.front not in stop.subjects
-                or x.outcome is not AttemptOutcome.BROKEN
-            ):
-                continue
-            sent = stop.start - timeout_s(x.kind) <= x.sent_at
-            if not sent or x.sent_at > stop.start + ROTATION_SECONDS:
-                continue
-            if any(x.sent_at <= at <= x.ended_at for at in crashes):
-                continue
-            others = [
-                y
-                for y in log.injected_faults
-                if y is not stop
-                and y.start <= x.ended_at
-                and x.sent_at <= y.end + bounds.contact_s
-            ]
-            if x.ended_at >= stop.start and not others:
-                interrupted.append(f"{x.front} cut {x.request_id} at its stop")
-    return interrupted
-
-
 def check_changes(log: SoakLog, bounds: SoakBounds) -> list[str]:
     """An acknowledged change is active on every connected front.
 
@@ -410,6 +371,8 @@
     check_memory,
     check_time,
     check_stops,
+    check_reloads,
+    check_requests_behind,
     check_changes,
     check_regress,
     check_readings,
--- a/rattanroute/tools/soak_clients.py
+++ b/rattanroute/tools/soak_clients.py
@@ -1,4 +1,4 @@
-"""Simulated clients, operators and probes of a soak."""
+"""Simulated clients of a soak."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,24 +16,19 @@
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.clients import ResponseSink
 from rattanroute.http1.heads import find_header
+from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
-from rattanroute.platform.standins import build_answer
-from rattanroute.platform.standins import build_event
+from rattanroute.platform.standin_records import build_answer
+from rattanroute.platform.standin_records import build_event
 from rattanroute.platform.trial_deployments import build_call
-from rattanroute.platform.trial_deployments import build_configuration
-from rattanroute.platform.trial_deployments import build_version_prefix
 from rattanroute.platform.trial_deployments import CallKind
 from rattanroute.platform.trial_deployments import is_signed
-from rattanroute.platform.trial_deployments import KEPT_VERSION_ROUTES
 from rattanroute.platform.trial_deployments import Machine
 from rattanroute.platform.trial_deployments import NOT_RUN_STATUSES
-from rattanroute.platform.trial_deployments import timeout_s
+from rattanroute.platform.trial_deployments import SHORT_STREAMS
 from rattanroute.tools.soak_fleets import SoakFleet
-from rattanroute.tools.soak_records import Acknowledgement
 from rattanroute.tools.soak_records import Attempt
 from rattanroute.tools.soak_records import AttemptOutcome
-from rattanroute.tools.soak_records import ConfigurationRead
-from rattanroute.tools.soak_records import Probe
 from rattanroute.tools.soak_records import SoakLog
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -44,20 +39,13 @@
 MAX_RETRY_DELAY_FRACTION = 1 / 3
 # Longest pause between requests, and the default retry delay.
 THINK_SECONDS = 0.15
-PROBE_INTERVAL_SECONDS = 0.3
-PROBE_TIMEOUT_SECONDS = 2.0
 # Interval and timeout of the readiness checks.
 READINESS_POLL_SECONDS = 1.0
 # Consecutive failed checks after which a front is not ready.
 UNREADY_FAILED_CHECKS = 2
-MAX_CHANGE_PAUSE_SECONDS = 1.2
-CONTROL_TIMEOUT_SECONDS = 1.0
-READ_PROBABILITY = 0.5
-MIN_EVENTS = 5
-MAX_EVENTS = 40
+MIN_EVENTS = SHORT_STREAMS.min_events
 KINDS = (CallKind.REPEATABLE, CallKind.ONCE, CallKind.STREAM)
 NOT_FOUND = 404
-UNAVAILABLE = 503
 
 
 class ClientSink(ResponseSink):
@@ -67,6 +55,7 @@
         self.head: ResponseHead | None = None
         self.body = bytearray()
         self.complete = False
+        self.ended_at = 0.0
         self.ended = asyncio.get_running_loop().create_future()
 
     def receive_head(self, head: ResponseHead) -> None:
@@ -89,6 +78,7 @@
     def finish(self) -> None:
         """Wakes the client that waits for the response."""
         if not self.ended.done():
+            self.ended_at = time.monotonic()
             self.ended.set_result(None)
 
 
@@ -127,6 +117,10 @@
             )
             await asyncio.sleep(READINESS_POLL_SECONDS)
 
+    def find_start_number(self, front: Machine) -> int:
+        """Returns the number of the last process start of a front."""
+        return self.fleet.start_counts[front.name]
+
     def choose(self, zone: str) -> Machine | None:
         """Returns a ready front, preferably in the given zone."""
         ready = [
@@ -151,8 +145,11 @@
         log: Records the attempts.
         random: Random number generator.
         parts: Shared parts of the prompts of its streams.
+        kinds: Kinds of its requests.
+        prefix: Start of the bodies of its requests.
         connection: Open connection, if any.
         front: Front of that connection.
+        start_number: Number of that front's process start.
         numbers: Sequence numbers of its request identifiers.
     """
 
@@ -162,8 +159,11 @@
     log: SoakLog
     random: randoms.Random
     parts: tuple[str, ...] = ()
+    kinds: tuple[CallKind, ...] = KINDS
+    prefix: bytes = b""
     connection: ClientConnection | None = None
     front: Machine | None = None
+    start_number: int = 0
     numbers: itertools.count = dataclasses.field(
         default_factory=itertools.count
     )
@@ -171,15 +171,16 @@
     async def run(self, is_finished: Callable[[], bool]) -> None:
         """Sends requests until the soak is over."""
         while not is_finished():
-            await self.send_with_retries(self.random.choice(KINDS))
+            await self.send_with_retries(self.random.choice(self.kinds))
             await asyncio.sleep(THINK_SECONDS * self.random.random())
 
     async def send_with_retries(self, kind: CallKind) -> None:
         """Sends a request and retries it where its kind allows that."""
-        body = f"{self.name} {self.random.random()}".encode()
-        events = self.random.randint(MIN_EVENTS, MAX_EVENTS)
+        body = self.build_body()
+        shape = self.log.shape
+        events = self.random.randint(shape.min_events, shape.max_events)
         expected_events = events if kind is CallKind.STREAM else 0
-        ends_at = time.monotonic() + timeout_s(kind)
+        ends_at = time.monotonic() + shape.timeout_s(kind)
         last_event = 0
         for _ in range(MAX_ATTEMPTS):
             time_left_s = ends_at - time.monotonic()
@@ -223,28 +224,12 @@
         connection = await self.connect()
         if connection is None:
             return None, None
-        attempt = Attempt(
-            request_id=f"{self.name}-{next(self.numbers)}",
-            kind=kind,
-            front=self.front.name,
-            sent_at=time.monotonic(),
-            expected_events=expected_events,
-            events=last_event,
-        )
-        head = build_call(
-            attempt.request_id,
-            f"/{kind.value}/x",
-            time_left_s=time_left_s,
-            answer_tokens=expected_events,
-            parts=self.list_parts(kind, body),
-        )
-        if last_event:
-            head.headers.append((b"Last-Event-Id", b"%d" % last_event))
+        attempt = self.start_attempt(kind, expected_events, time_left_s)
+        attempt.events = last_event
+        head = self.build_head(attempt, body)
         sink = ClientSink()
         connection.send(head, body, sink)
-        await asyncio.wait(
-            (sink.ended,), timeout=time_left_s + LATE_ANSWER_SECONDS
-        )
+        await self.wait_for_end(connection, sink, time_left_s)
         self.record_outcome(attempt, body, sink)
         self.log.attempts.append(attempt)
         if (
@@ -255,6 +240,44 @@
             connection.cancel()
         return attempt, sink
 
+    async def wait_for_end(
+        self, connection: ClientConnection, sink: ClientSink, seconds: float
+    ) -> None:
+        """Waits for the end of a response, a little past its time limit."""
+        del connection
+        await asyncio.wait((sink.ended,), timeout=seconds + LATE_ANSWER_SECONDS)
+
+    def build_body(self) -> bytes:
+        """Returns the body of a new request."""
+        return self.prefix + f"{self.name} {self.random.random()}".encode()
+
+    def start_attempt(
+        self, kind: CallKind, expected_events: int, time_left_s: float
+    ) -> Attempt:
+        """Returns an attempt that is sent now to the connected front."""
+        return Attempt(
+            request_id=f"{self.name}-{next(self.numbers)}",
+            kind=kind,
+            front=self.front.name,
+            sent_at=time.monotonic(),
+            expected_events=expected_events,
+            limit_s=min(time_left_s, self.log.shape.timeout_s(kind)),
+            start_number=self.start_number,
+        )
+
+    def build_head(self, attempt: Attempt, body: bytes) -> RequestHead:
+        """Returns the head of an attempt's request."""
+        head = build_call(
+            attempt.request_id,
+            f"/{attempt.kind.value}/x",
+            time_left_s=attempt.limit_s,
+            answer_tokens=attempt.expected_events,
+            parts=self.list_parts(attempt.kind, body),
+        )
+        if attempt.events:
+            head.headers.append((b"Last-Event-Id", b"%d" % attempt.events))
+        return head
+
     def list_parts(self, kind: CallKind, body: bytes) -> tuple[str, ...]:
         """Returns the parts of a prompt; the last one is the request's own."""
         if kind is not CallKind.STREAM:
@@ -269,20 +292,29 @@
         if self.front is None:
             await asyncio.sleep(THINK_SECONDS)
             return None
+        self.start_number = self.front_selector.find_start_number(self.front)
         try:
-            self.connection = await ConnectionPool().take(
-                self.front.front_address, timeout_s=CONNECT_TIMEOUT_SECONDS
-            )
-        except ConnectError:
+            self.connection = await self.open(self.front)
+        except (ConnectError, OSError, TimeoutError):
             await asyncio.sleep(THINK_SECONDS)
             return None
         return self.connection
 
+    async def open(self, front: Machine) -> ClientConnection:
+        """Opens a connection to a front.
+
+        Raises:
+            ConnectError: If it cannot be opened in time.
+        """
+        return await ConnectionPool().take(
+            front.front_address, timeout_s=CONNECT_TIMEOUT_SECONDS
+        )
+
     def record_outcome(
         self, attempt: Attempt, body: bytes, sink: ClientSink
     ) -> None:
         """Records the status, outcome and answer errors of an attempt."""
-        attempt.ended_at = time.monotonic()
+        attempt.ended_at = sink.ended_at or time.monotonic()
         if sink.head is not None:
             attempt.status = sink.head.status
         if not sink.ended.done():
@@ -330,135 +362,3 @@
     if sink.complete and (partial or attempt.events < attempt.expected_events):
         return f"complete after event {attempt.events}"
     return ""
-
-
-@dataclasses.dataclass(kw_only=True)
-class SoakOperator:
-    """Changes and reads the configuration, and probes it on the fronts.
-
-    Attributes:
-        fleet: The processes.
-        log: Records changes, reads and probes.
-        random: Random number generator.
-        version: Newest version sent.
-    """
-
-    fleet: SoakFleet
-    log: SoakLog
-    random: randoms.Random
-    version: int = 0
-
-    async def run(self, is_finished: Callable[[], bool]) -> None:
-        """Changes and reads the configuration until the soak is over."""
-        while not is_finished():
-            await self.change(is_finished)
-            if self.random.random() < READ_PROBABILITY:
-                await self.read(self.random.choice(self.fleet.core))
-            await asyncio.sleep(MAX_CHANGE_PAUSE_SECONDS * self.random.random())
-
-    async def change(self, is_finished: Callable[[], bool]) -> None:
-        """Sends the next version to core machines until one acknowledges it."""
-        self.version += 1
-        body = build_configuration(self.version)
-        for machine in itertools.cycle(self.fleet.core):
-            if is_finished():
-                return
-            if await self.put(machine, body):
-                self.log.acknowledgements.append(
-                    Acknowledgement(version=self.version, at=time.monotonic())
-                )
-                return
-            await asyncio.sleep(THINK_SECONDS)
-
-    async def put(self, machine: Machine, body: bytes) -> bool:
-        """Sends a configuration and returns whether it was acknowledged."""
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
-        try:
-            async with self.fleet.client.put(
-                machine.configuration_url, data=body, timeout=timeout
-            ) as response:
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
-
-    async def read(self, machine: Machine) -> int:
-        """Reads the configuration and returns its version, or 0 on failure."""
-        sent_at = time.monotonic()
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
-        try:
-            async with self.fleet.client.get(
-                machine.configuration_url, timeout=timeout
-            ) as response:
-                if response.status != 200:
-                    return 0
-                content = await response.read()
-        except (aiohttp.ClientError, TimeoutError):
-            return 0
-        version = identify_version(content, self.version)
-        self.log.configuration_reads.append(
-            ConfigurationRead(
-                machine=machine.name,
-                sent_at=sent_at,
-                version=version,
-                intact=version > 0,
-            )
-        )
-        return version
-
-    async def probe(self, front: Machine) -> None:
-        """Probes the routes of recent versions on a front until cancelled."""
-        for number in itertools.count():
-            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
-            acknowledged = self.log.acknowledgements
-            if not acknowledged:
-                continue
-            newest = acknowledged[-1].version
-            version = newest - number % (KEPT_VERSION_ROUTES + 1)
-            if version > 0:
-                await self.probe_version(front, version, number)
-
-    async def probe_version(
-        self, front: Machine, version: int, number: int
-    ) -> None:
-        """Sends a request on a version's route and records the result.
-
-        An unavailable front (no answer, or status 503) gives no result.
-        """
-        request_id = f"probe-{front.name}-{number}"
-        head = build_call(
-            request_id,
-            f"{build_version_prefix(version)}x",
-            time_left_s=PROBE_TIMEOUT_SECONDS,
-        )
-        start_number = self.fleet.start_counts[front.name]
-        sent_at = time.monotonic()
-        sink = ClientSink()
-        try:
-            connection = await ConnectionPool().take(
-                front.front_address, timeout_s=CONNECT_TIMEOUT_SECONDS
-            )
-        except ConnectError:
-            return
-        connection.send(head, b"", sink)
-        await asyncio.wait((sink.ended,), timeout=PROBE_TIMEOUT_SECONDS)
-        connection.cancel()
-        if sink.head is None or sink.head.status == UNAVAILABLE:
-            return
-        self.log.probes.append(
-            Probe(
-                front=front.name,
-                start_number=start_number,
-                version=version,
-                sent_at=sent_at,
-                ended_at=time.monotonic(),
-                served=sink.head.status != NOT_FOUND,
-            )
-        )
-
-
-def identify_version(content: bytes, newest: int) -> int:
-    """Returns the version with this configuration, or 0 if there is none."""
-    for version in range(newest, 0, -1):
-        if content == build_configuration(version):
-            return version
-    return 0
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import pathlib
 import resource
 import shutil
@@ -13,16 +12,17 @@
 import aiohttp
 import msgspec
 
+from rattanroute.platform.standin_records import ReplicaRecord
+from rattanroute.platform.standin_records import StandInSettings
 from rattanroute.platform.standins import CRASH_EXIT_CODE
-from rattanroute.platform.standins import ReplicaRecord
-from rattanroute.platform.standins import StandInSettings
 from rattanroute.platform.trial_deployments import build_boot
+from rattanroute.platform.trial_deployments import DeploymentShape
 from rattanroute.platform.trial_deployments import ENGINE_SERVICE
 from rattanroute.platform.trial_deployments import LAYERS
 from rattanroute.platform.trial_deployments import Machine
-from rattanroute.platform.trial_deployments import MAX_LAYERS
 from rattanroute.platform.trial_deployments import PLAIN_SERVICE
 from rattanroute.platform.trial_deployments import REPLICA_PORT
+from rattanroute.platform.trial_deployments import SHORT_STREAMS
 from rattanroute.platform.trial_deployments import SoakBounds
 from rattanroute.tools.processes import POLL_SECONDS
 from rattanroute.tools.processes import ProcessGroup
@@ -30,36 +30,23 @@
 from rattanroute.tools.proxies import Route
 from rattanroute.tools.soak_plans import Action
 from rattanroute.tools.soak_plans import PlannedFault
+from rattanroute.tools.soak_plans import RepeatedSignal
 from rattanroute.tools.soak_records import InjectedFault
+from rattanroute.tools.soak_replicas import DEFAULT_REPLICA_OPTIONS
+from rattanroute.tools.soak_replicas import ReplicaOptions
+from rattanroute.tools.soak_replicas import ReplicaSlot
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 FRONTS_PER_ZONE = 2
-ENGINES_PER_ZONE = 2
 FIRST_REPLICA_HOST = 200
 TARGET_PROXY_PORT = 9100
 FIRST_CONTROL_ROUTE_PORT = 30_000
 ROLE_MODULE = "rattanroute.platform"
 REPLICA_MODULE = "rattanroute.platform.standins"
+PLAIN_SLOTS = 16
 ROLL_PAUSE_SECONDS = 0.5
-
-
-@dataclasses.dataclass(kw_only=True)
-class ReplicaSlot:
-    """A replica slot; each start runs a new replica in it.
-
-    Attributes:
-        name: Name of the slot.
-        zone: Its zone.
-        address: IP address.
-        service: Service of the replicas.
-        starts: Number of replicas started in this slot so far.
-    """
-
-    name: str
-    zone: str
-    address: str
-    service: str
-    starts: int = 0
+# Time within which a process has started, also on a busy machine.
+START_SECONDS = 4.0
 
 
 class SoakFleet(ProcessGroup):
@@ -72,6 +59,8 @@
             for none.
         crash_part: Shared part of a prompt that crashes the replica that
             begins to write an answer; empty for none.
+        shape: Size of the engines and of the streams.
+        options: Options of the replicas.
     """
 
     def __init__(
@@ -81,12 +70,16 @@
         fronts: int = FRONTS_PER_ZONE,
         crash_marker: str = "",
         crash_part: str = "",
+        shape: DeploymentShape = SHORT_STREAMS,
+        options: ReplicaOptions = DEFAULT_REPLICA_OPTIONS,
     ) -> None:
         super().__init__()
         self.bounds = bounds
         self.crash_marker = crash_marker
         self.crash_part = crash_part
         self.fronts_per_zone = fronts
+        self.shape = shape
+        self.options = options
         # Faults overlap, and a start takes time.
         self.restart_locks = collections.defaultdict(asyncio.Lock)
         self.machines = {x.name: x for x in self.build_machines()}
@@ -103,9 +96,11 @@
                 )
             )
         self.start_counts = dict.fromkeys(self.machines, 0)
+        self.started_at = dict.fromkeys(self.machines, 0.0)
         self.injected_faults: list[InjectedFault] = []
         self.link_faults: list[tuple[Fault, ...]] = []
         self.process_failures: list[str] = []
+        self.killed_after_grace: list[str] = []
         self.expected_exits: set[asyncio.subprocess.Process] = set()
 
     @property
@@ -140,7 +135,9 @@
         """Builds the replica slots of all zones."""
         replicas = []
         for number, zone in enumerate(ZONES, start=1):
-            services = [PLAIN_SERVICE] + [ENGINE_SERVICE] * ENGINES_PER_ZONE
+            services = [PLAIN_SERVICE] + [
+                ENGINE_SERVICE
+            ] * self.shape.engines_per_zone
             for i, service in enumerate(services):
                 host = FIRST_REPLICA_HOST + i
                 replicas.append(
@@ -203,6 +200,7 @@
             )
         )
         self.start_counts[name] += 1
+        self.started_at[name] = time.monotonic()
         role = "core" if machine.core else "front"
         await self.spawn(name, ROLE_MODULE, role, "--config", str(path))
 
@@ -225,10 +223,14 @@
             zone=replica.zone,
             kind="card" if engine else "",
             layers=LAYERS if engine else 0,
-            max_layers=MAX_LAYERS if engine else 0,
+            max_layers=self.shape.max_layers if engine else 0,
+            slots=self.shape.slots if engine else PLAIN_SLOTS,
             drain_s=self.bounds.drain_s,
             crash_marker=self.crash_marker,
             crash_part=self.crash_part,
+            member_check_events=self.options.member_check_events,
+            pause_probability=self.options.pause_probability,
+            pause_seed=self.options.pause_seed,
         )
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -257,7 +259,7 @@
                     await self.stop_and_restart(name, 0.0)
                     await asyncio.sleep(ROLL_PAUSE_SECONDS)
             case Action.RELOAD:
-                self.signal_running(planned.subjects[0], signal.SIGHUP)
+                self.reload(planned)
             case _:
                 await self.inject_process_fault(planned)
         injected.end = time.monotonic()
@@ -285,7 +287,9 @@
                 await asyncio.sleep(planned.seconds)
                 self.signal_running(name, signal.SIGCONT)
             case Action.STOP:
-                await self.stop_and_restart(name, planned.seconds)
+                await self.stop_and_restart(
+                    name, planned.seconds, planned.repeated_signals
+                )
             case Action.REFUSE_WRITES:
                 await self.refuse_writes(name, planned.seconds)
             case _:
@@ -296,21 +300,86 @@
         if self.processes[name].returncode is None:
             self.signal(name, number)
 
-    async def stop_and_restart(self, name: str, seconds: float) -> None:
-        """Stops a process with SIGTERM, and SIGKILL after the grace time."""
+    def reload(self, planned: PlannedFault) -> None:
+        """Sends SIGHUP to a process."""
+        name = planned.subjects[0]
+        age_s = time.monotonic() - self.started_at[name]
+        if planned.needs_start and age_s < START_SECONDS:
+            return
+        self.record_signal(name, Action.RELOAD)
+        self.signal_running(name, signal.SIGHUP)
+
+    def record_signal(self, name: str, action: Action) -> InjectedFault:
+        """Records a signal to the running process of a name."""
+        now = time.monotonic()
+        injected = InjectedFault(
+            subjects=(name,),
+            action=action,
+            start=now,
+            end=now,
+            start_number=self.start_counts.get(name, 0),
+        )
+        self.injected_faults.append(injected)
+        return injected
+
+    async def stop_and_restart(
+        self,
+        name: str,
+        seconds: float,
+        repeated_signals: tuple[RepeatedSignal, ...] = (),
+    ) -> None:
+        """Stops a process with SIGTERM, and SIGKILL after the grace time.
+
+        Args:
+            name: Name of the process.
+            seconds: Time from its end to the restart.
+            repeated_signals: Further signals during the stop.
+        """
         process = self.processes[name]
         self.expected_exits.add(process)
+        injected = self.record_signal(name, Action.STOP)
         self.signal_running(name, signal.SIGTERM)
+        repeats = [
+            asyncio.create_task(self.repeat_signal(name, process, x))
+            for x in repeated_signals
+        ]
+        machine = name in self.machines
+        grace_s = self.bounds.grace_s if machine else self.options.grace_s
         try:
-            async with asyncio.timeout(self.bounds.grace_s):
+            async with asyncio.timeout(grace_s):
                 await process.wait()
         except TimeoutError:
+            self.killed_after_grace.append(name)
+            if not machine:
+                # The end of a replica before its work is done is unplanned.
+                self.record_signal(name, Action.KILL)
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
             await process.wait()
+        await asyncio.gather(*repeats)
+        injected.end = time.monotonic()
         await asyncio.sleep(seconds)
         await self.restart_once(name, process)
 
+    async def repeat_signal(
+        self,
+        name: str,
+        process: asyncio.subprocess.Process,
+        repeated: RepeatedSignal,
+    ) -> None:
+        """Sends another signal to a process that is still stopping."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(repeated.after_s):
+                await process.wait()
+        if process.returncode is not None:
+            return
+        self.record_signal(name, repeated.action)
+        number = signal.SIGTERM
+        if repeated.action is Action.RELOAD:
+            number = signal.SIGHUP
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+
     async def kill_and_restart(self, planned: PlannedFault) -> None:
         """Kills and restarts a process; LOSE_DISK also deletes its data."""
         name = planned.subjects[0]
--- a/rattanroute/tools/soak_plans.py
+++ b/rattanroute/tools/soak_plans.py
@@ -36,6 +36,23 @@
     LINKS = "links"
 
 
+# Work that operators plan; it must not interrupt a request.
+PLANNED_ACTIONS = frozenset({Action.RELOAD, Action.ROLL, Action.STOP})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RepeatedSignal:
+    """A signal to a process that is stopping.
+
+    Attributes:
+        after_s: Seconds after the first SIGTERM.
+        action: RELOAD for SIGHUP, STOP for another SIGTERM.
+    """
+
+    after_s: float
+    action: Action
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PlannedFault:
     """One fault of a plan.
@@ -46,6 +63,9 @@
         action: Kind of the fault.
         subjects: Names of the affected processes.
         faults: Faults of the proxy, for LINKS.
+        repeated_signals: Further signals during the stop, for STOP.
+        needs_start: Whether a process that may not have finished its start is
+            left alone, for RELOAD.
     """
 
     at: float
@@ -53,6 +73,8 @@
     action: Action
     subjects: tuple[str, ...]
     faults: tuple[Fault, ...] = ()
+    repeated_signals: tuple[RepeatedSignal, ...] = ()
+    needs_start: bool = False
 
     @property
     def end(self) -> float:
--- a/rattanroute/tools/soak_records.py
+++ b/rattanroute/tools/soak_records.py
@@ -7,8 +7,10 @@
 import dataclasses
 import enum
 
-from rattanroute.platform.standins import ReplicaRecord
+from rattanroute.platform.standin_records import ReplicaRecord
 from rattanroute.platform.trial_deployments import CallKind
+from rattanroute.platform.trial_deployments import DeploymentShape
+from rattanroute.platform.trial_deployments import SHORT_STREAMS
 from rattanroute.tools.soak_plans import Action
 
 
@@ -46,6 +48,12 @@
         build_error_response: Error in the answer; empty if it was correct.
         events: Number of the last valid event received.
         expected_events: Number of the last event of the complete stream.
+        limit_s: Seconds until the time limit of the client or of the route;
+            0 if unknown.
+        start_number: Number of the front's process start; 0 if unknown.
+        slow: Whether the client read slowly.
+        behind: Whether it was sent behind an open request of the connection.
+        turn_at: Time at which that request ended; 0 without one.
     """
 
     request_id: str
@@ -58,6 +66,16 @@
     build_error_response: str = ""
     events: int = 0
     expected_events: int = 0
+    limit_s: float = 0.0
+    start_number: int = 0
+    slow: bool = False
+    behind: bool = False
+    turn_at: float = 0.0
+
+    @property
+    def waiting_since(self) -> float:
+        """Time from which the time limits of the request count."""
+        return max(self.sent_at, self.turn_at)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -115,12 +133,15 @@
         action: Kind of the fault.
         start: Start time.
         end: End time; infinite while the fault lasts.
+        start_number: Number of the process start that got a signal; 0 if
+            unknown.
     """
 
     subjects: tuple[str, ...]
     action: str
     start: float
     end: float = float("inf")
+    start_number: int = 0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -140,6 +161,7 @@
             their log.
         faults_ended_at: End of the last fault.
         final_version: Newest version read at the end; 0 if no read succeeded.
+        shape: Shape of the deployment.
     """
 
     fronts: list[str] = dataclasses.field(default_factory=list)
@@ -159,6 +181,7 @@
     process_failures: list[str] = dataclasses.field(default_factory=list)
     faults_ended_at: float = 0.0
     final_version: int = 0
+    shape: DeploymentShape = SHORT_STREAMS
 
     def is_fault_free(
         self,
