Soak: planned work at a load that all chains have room for

All shapes have 16 slots again.

Two parts of the check (the rule of a rolling restart ends with the front's own SIGTERM; a request that ended before a stop) had no test that fails without them; test_soak_stop_checks has them now.

--- a/rattanroute/platform/trial_deployments.py
+++ b/rattanroute/platform/trial_deployments.py
@@ -63,7 +63,6 @@
         min_events: Fewest events of a stream.
         max_events: Most events of a stream.
         usual_events: Events of a typical stream.
-        slots: Streams that an engine runs at the same time.
     """
 
     name: str = "short streams"
@@ -73,7 +72,6 @@
     min_events: int = 5
     max_events: int = 40
     usual_events: int = 20
-    slots: int = 16
 
     def timeout_s(self, kind: CallKind) -> float:
         """Returns the timeout of the route for a kind, in seconds."""
@@ -291,7 +289,7 @@
     """Builds the document of the engines' performance figures."""
     size_mb = shape.max_layers * LAYER_MB + 50
     return {
-        "slots": shape.slots,
+        "slots": 16,
         "step_ms": 1.0,
         "read_per_s": 100_000.0,
         "kvTokenBytes": 100_000,
--- a/rattanroute/tests/test_soak_stop_checks.py
+++ b/rattanroute/tests/test_soak_stop_checks.py
@@ -125,6 +125,12 @@
         )
         self.assert_checks(True, attempt, [])
 
+    def test_request_before_a_stop(self) -> None:
+        """Guards against blaming a stop for an earlier end."""
+        for ended_at, counted in ((0.0, True), (-0.1, False)):
+            attempt = build_stream(ended_at=STOP_AT + ended_at)
+            self.assert_checks(counted, attempt, [])
+
     def test_end_of_the_time_after_a_stop(self) -> None:
         """Guards against a rule that ends with the grace time."""
         for ended_at, counted in ((8.9, True), (9.1, False)):
@@ -225,7 +231,7 @@
     faults = (
         build_fault(
             Action.ROLL,
-            STOP_AT - 8.0,
+            STOP_AT - 3.0,
             end=STOP_AT + 8.0,
             subjects=(OTHER_FRONT, FRONT),
             start_number=0,
@@ -236,14 +242,18 @@
     def test_request_before_the_own_sigterm(self) -> None:
         """Guards against requests that end while another front stops."""
         attempt = build_stream(
-            sent_at=STOP_AT - 6.0, ended_at=STOP_AT - 4.0, status=0
+            sent_at=STOP_AT - 2.5, ended_at=STOP_AT - 1.0, status=0
         )
         self.assert_checks(True, attempt, [])
 
     def test_end_of_the_own_grace_time(self) -> None:
         """Guards against a grace time that starts with the first front."""
-        cut = build_stream(ended_at=STOP_AT + 7.4)
-        self.assert_checks(False, cut, build_run(STOP_AT + 7.4, RunEnd.LEFT))
+        at_work = build_run(STOP_AT + 7.4, RunEnd.LEFT)
+        for start_number in (0, 1):
+            cut = build_stream(
+                ended_at=STOP_AT + 7.4, start_number=start_number
+            )
+            self.assert_checks(False, cut, at_work)
         self.assert_checks(
             True, build_stream(), build_run(STOP_AT + 2.0, RunEnd.LEFT)
         )
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -62,8 +62,6 @@
 # check passes through the proxy.
 MEMBER_CHECK_EVENTS = 5
 PAUSE_PROBABILITY = 0.3
-# With the fewest slots, few chains have room beside a silent engine.
-PLANNED_SLOTS = (6, 16)
 # A planned end of a replica waits for its open streams.
 REPLICA_GRACE_SECONDS = 45.0
 SEED_BITS = 32
@@ -90,8 +88,7 @@
     if kind is SoakKind.FAULTS:
         return SHORT_STREAMS
     random = randoms.Random(f"{seed} shape")
-    shape = random.choice((LONG_STREAMS, LONG_CHAINS))
-    return dataclasses.replace(shape, slots=random.choice(PLANNED_SLOTS))
+    return random.choice((LONG_STREAMS, LONG_CHAINS))
 
 
 def build_replica_options(seed: int, kind: SoakKind) -> ReplicaOptions:
@@ -323,7 +320,6 @@
         runs = ",".join(f"{x}:{ends[x]}" for x in RunEnd)
         return (
             f"seed={self.seed} kind={self.kind} shape={self.shape.name!r} "
-            f"slots={self.shape.slots} "
             f"faults={len(self.plan.faults)} "
             f"final_fault={self.plan.final_fault} attempts={len(attempts)} "
             f"served={served} runs={runs} "
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -43,7 +43,6 @@
 FIRST_CONTROL_ROUTE_PORT = 30_000
 ROLE_MODULE = "rattanroute.platform"
 REPLICA_MODULE = "rattanroute.platform.standins"
-PLAIN_SLOTS = 16
 ROLL_PAUSE_SECONDS = 0.5
 # Time within which a process has started, also on a busy machine.
 START_SECONDS = 4.0
@@ -224,7 +223,6 @@
             kind="card" if engine else "",
             layers=LAYERS if engine else 0,
             max_layers=self.shape.max_layers if engine else 0,
-            slots=self.shape.slots if engine else PLAIN_SLOTS,
             drain_s=self.bounds.drain_s,
             crash_marker=self.crash_marker,
             crash_part=self.crash_part,
