Soak: readers that are slow enough to fill the buffers of a front

The pauses of slow readers were too short: in none of 14 kept logs did a front hold unsent bytes at the end of a stop. Their events have 8 KiB now, and a reader pauses after every 64 KiB, mostly for 0.05 to 0.2 s, sometimes for 1 to 2.5 s.

--- a/rattanroute/platform/standin_records.py
+++ b/rattanroute/platform/standin_records.py
@@ -12,7 +12,7 @@
 # Body of a request whose events are padded, so that the answer to a slow
 # reader exceeds the buffers of the kernel.
 WIDE_PREFIX = b"wide "
-WIDE_EVENT_BYTES = 4_096
+WIDE_EVENT_BYTES = 8_192
 
 
 class StandInSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/rattanroute/tools/soak_planned_clients.py
+++ b/rattanroute/tools/soak_planned_clients.py
@@ -25,9 +25,12 @@
 LONG_CLIENTS_PER_ZONE = 3
 # A small buffer, so that a slow reader's answer waits at the front.
 RECEIVE_BUFFER_BYTES = 16_384
-READ_SECONDS = 0.1
-MIN_READ_PAUSE_SECONDS = 0.2
-MAX_READ_PAUSE_SECONDS = 1.0
+# A slow reader pauses after this many bytes, mostly for a short time.
+READ_BYTES = 65_536
+READ_POLL_SECONDS = 0.02
+SHORT_PAUSE_SECONDS = (0.05, 0.2)
+LONG_PAUSE_SECONDS = (1.0, 2.5)
+LONG_PAUSE_PROBABILITY = 0.05
 # A second request follows an open one after up to this time.
 MAX_BEHIND_SECONDS = 2.0
 REPEATABLE_KINDS = (CallKind.REPEATABLE, CallKind.STREAM)
@@ -69,18 +72,23 @@
         """Reads in turns with pauses until the response ends."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
+        read = 0
         while not sink.ended.done() and loop.time() < end:
-            await asyncio.wait((sink.ended,), timeout=READ_SECONDS)
-            connection.pause()
-            await asyncio.sleep(
-                self.random.uniform(
-                    MIN_READ_PAUSE_SECONDS, MAX_READ_PAUSE_SECONDS
-                )
-            )
-            connection.resume()
+            await asyncio.wait((sink.ended,), timeout=READ_POLL_SECONDS)
+            if len(sink.body) - read >= READ_BYTES:
+                connection.pause()
+                await asyncio.sleep(self.draw_pause())
+                connection.resume()
+                read = len(sink.body)
         left_s = max(0.0, end - loop.time())
         await super().wait_for_end(connection, sink, left_s)
 
+    def draw_pause(self) -> float:
+        """Returns the duration of a pause, in seconds."""
+        if self.random.random() < LONG_PAUSE_PROBABILITY:
+            return self.random.uniform(*LONG_PAUSE_SECONDS)
+        return self.random.uniform(*SHORT_PAUSE_SECONDS)
+
     def start_attempt(
         self, kind: CallKind, expected_events: int, time_left_s: float
     ) -> Attempt:
