Give slow readers the rest of the grace time

An answer that was complete, but not yet read by a slow caller, was dropped when the process ended, although time was left before SIGKILL.

--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -266,3 +266,5 @@
         self.request_server.end_requests()
         await self.request_server.wait_until_empty(schedule.flush_until)
         await self.close(schedule)
+        # The rest of the time is for readers that are slow.
+        await self.request_server.wait_until_empty(schedule.leave_until)
--- a/rattanroute/tests/test_planned_stops.py
+++ b/rattanroute/tests/test_planned_stops.py
@@ -32,6 +32,8 @@
 # A process that ends less than this before SIGKILL may be killed instead.
 EXIT_SECONDS = 0.2
 PEER_PORT = 7340
+# More than the buffers of a connection hold together.
+LONG_ANSWER = b"x" * 8_000_000
 FOREVER_SECONDS = 30.0
 
 
@@ -78,7 +80,10 @@
         )
 
     async def answer(self, exchange: Exchange) -> None:
-        """Starts an answer that never ends."""
+        """Sends a long answer, or starts one that never ends."""
+        if exchange.request.head.target == b"/long":
+            exchange.send(ResponseHead(status=200), LONG_ANSWER)
+            return
         exchange.start(ResponseHead(status=200))
         await asyncio.sleep(FOREVER_SECONDS)
 
@@ -86,11 +91,13 @@
         """Stands for a step of the stop that does not end."""
         await asyncio.sleep(FOREVER_SECONDS)
 
-    async def open_request(self) -> asyncio.StreamReader:
+    async def open_request(
+        self, request: bytes = REQUEST
+    ) -> asyncio.StreamReader:
         """Sends a request and returns its connection."""
         reader, writer = await asyncio.open_connection(*self.address)
         self.addCleanup(writer.close)
-        writer.write(REQUEST)
+        writer.write(request)
         async with asyncio.timeout(2):
             await reader.readline()
         return reader
@@ -128,6 +135,20 @@
         seconds = await self.stop(self.loop.time() - GRACE_SECONDS / 2)
         self.assertLess(seconds, GRACE_SECONDS - EXIT_SECONDS)
 
+    async def test_reader_that_is_slow_at_the_end(self) -> None:
+        """Guards against dropping a complete answer before SIGKILL."""
+        reader = await self.open_request(
+            b"GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+        )
+        signalled_at = self.loop.time()
+        schedule = self.daemon.plan_shutdown(signalled_at)
+        stop = asyncio.create_task(self.stop(signalled_at))
+        # The step of leaving the cluster takes two ticks of 0.1 s.
+        await asyncio.sleep(schedule.leave_until - 0.05 - self.loop.time())
+        self.assertFalse(stop.done())
+        self.assertTrue((await reader.read()).endswith(LONG_ANSWER))
+        self.assertLess(await stop, GRACE_SECONDS - EXIT_SECONDS)
+
     async def test_nothing_is_open(self) -> None:
         """Guards against a stop that lasts until the end in any case."""
         signalled_at = self.loop.time()
