Wait for late reports before a begun stream of the daemon is given up

A begun stream whose engine failed was refused with "no target serves the model" if the reports of the other engines were older than 2.5 s at that moment, as they are when the machine or a link pauses. Requests that wait in the queue had one second until then, begun answers none.

A begun answer now looks again after each back-off for 5 s, twice the age at which a report is no longer used, and then ends with the same refusal.

--- a/rattanroute/requests/cores.py
+++ b/rattanroute/requests/cores.py
@@ -79,11 +79,7 @@
             if request.live:
                 actions += self.supplement(request, now)
             else:
-                # Requests on which targets have already spent work bypass the
-                # queue.
-                actions += self.try_start(request, now) or self.route(
-                    request, now
-                )
+                actions += self.resume(request, now)
         for key in list(self.admissions.queues):
             actions += self.start_waiting(key, now)
         for request_id, number in self.hedges.take_late(now):
@@ -91,6 +87,20 @@
         self.gate.set_backlog(self.admissions.backlog())
         return actions
 
+    def resume(self, request: Request, now: float) -> list[Action]:
+        """Starts a request again after its back-off.
+
+        Requests on which targets have already spent work bypass the queue. A
+        begun answer also waits a while for late reports of targets.
+        """
+        started = self.try_start(request, now)
+        if started:
+            return started
+        servable = self.selections.is_servable(request, now)
+        if not servable and self.expirations.may_wait(request, now):
+            return self.delay(request, now)
+        return self.route(request, now)
+
     def handle_arrival(self, request: Request, now: float) -> list[Action]:
         """Dispatches, queues or refuses a new request."""
         self.requests.add(request)
@@ -398,8 +408,12 @@
         chain = self.select_other_chain(request, attempt, event, now)
         if chain is not None:
             return self.dispatch(request, chain, now)
-        if not self.selections.is_servable(request, now):
+        if not self.expirations.may_wait(request, now):
             return self.refuse(request, refusals.no_target(request))
+        return self.delay(request, now)
+
+    def delay(self, request: Request, now: float) -> list[Action]:
+        """Looks for a target again after a back-off."""
         request.state = RequestState.QUEUED
         self.retries.delay(
             request.request_id, failures=len(request.attempts), now=now
--- a/rattanroute/systems/expirations.py
+++ b/rattanroute/systems/expirations.py
@@ -14,6 +14,9 @@
 
 # A pool without a usable target refuses its waiting requests after this time.
 UNUSABLE_GRACE_SECONDS = 1.0
+# A begun answer waits this long for a usable target: twice the age at which the
+# report of a target is no longer used.
+BEGUN_GRACE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -41,6 +44,21 @@
         """Schedules the check of a request's deadline."""
         heapq.heappush(self.deadlines, (request.deadline, request.request_id))
 
+    def may_wait(self, request: Request, now: float) -> bool:
+        """Returns whether a failed request may wait for a target.
+
+        A begun answer also waits while no target is usable: their reports may
+        only be late, and nothing else can complete the answer.
+        """
+        if self.selections.is_servable(request, now):
+            request.unservable_since = None
+            return True
+        if not request.begun:
+            return False
+        if request.unservable_since is None:
+            request.unservable_since = now
+        return now - request.unservable_since < BEGUN_GRACE_SECONDS
+
     def due(self, now: float) -> Iterator[tuple[Request, Refusal]]:
         """Yields the requests to refuse now, each with its refusal."""
         yield from self.find_overdue(now)
--- a/rattanroute/tables/requests.py
+++ b/rattanroute/tables/requests.py
@@ -87,6 +87,8 @@
         tokens_out: Tokens that the caller has received.
         stream: Whether the caller requested a stream.
         pool: Key of the pool that may run it; None before routing.
+        unservable_since: Time since which no target can continue its begun
+            answer, in seconds of the host's clock; None if one can.
     """
 
     request_id: str
@@ -112,6 +114,7 @@
     tokens_out: int = 0
     stream: bool = False
     pool: PoolKey | None = None
+    unservable_since: float | None = None
 
     @property
     def live(self) -> list[Attempt]:
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -44,6 +44,8 @@
 LIMIT_SECONDS = 5.0
 # Longer than the time within which an attempt must start.
 UNSTARTED_SECONDS = 3.5
+# Longer than the age at which a report is no longer used.
+LATE_REPORT_SECONDS = 3.0
 
 
 class SilentStreamTest(StandinTestCase):
@@ -207,6 +209,49 @@
         self.assertEqual(caught.exception.refusal.execution.value, "partial")
 
 
+class LateReportTest(unittest.TestCase):
+    """Guards against begun streams that end because reports are late."""
+
+    def fail_begun(self, **changes: object) -> tuple[RequestCore, list]:
+        """Fails an engine while the report of the other one is late."""
+        core = build_core(build_report("t1"), build_report("t2"))
+        request = build_request(stream=True, **changes)
+        [first] = core.handle(RequestArrived(request=request), now=0.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=0.5)
+        event = AttemptFailed(
+            request_id="r1",
+            attempt=1,
+            target_id=first.chain[0].target_id,
+            provenance=Provenance.STARTED,
+            crashed=True,
+            tokens_out=5,
+        )
+        self.other = ({"t1", "t2"} - {event.target_id}).pop()
+        return core, core.handle(event, now=LATE_REPORT_SECONDS)
+
+    def test_stream_continues_when_the_report_arrives(self) -> None:
+        core, actions = self.fail_begun()
+        self.assertEqual(actions, [])
+        self.assertEqual(core.tick(now=LATE_REPORT_SECONDS + 2.0), [])
+        core.targets.record(
+            report=build_report(self.other, sequence=1),
+            observer="vm-1",
+            received_at=LATE_REPORT_SECONDS + 2.5,
+        )
+        [second] = core.tick(now=LATE_REPORT_SECONDS + 3.0)
+        self.assertEqual(second.chain[0].target_id, self.other)
+
+    def test_stream_ends_if_no_report_arrives(self) -> None:
+        """Guards against a wait without a bound."""
+        core, _ = self.fail_begun()
+        actions = []
+        for step in range(1, 13):
+            actions += core.tick(now=LATE_REPORT_SECONDS + step / 2)
+        [refuse] = actions
+        self.assertEqual(refuse.refusal.type, "no_target")
+        self.assertEqual(refuse.refusal.execution.value, "partial")
+
+
 class SilentAttemptTest(unittest.TestCase):
     """Guards against refusals of requests whose target is only slow."""
 
