State that a begun stream ran in part when it ends at its deadline

A stream that was refused while its attempt was running was refused with execution "unknown", although the caller had tokens: the tokens of an attempt are counted when it ends. With silent engines this is common.

test_begun_stream_at_its_deadline_ran_in_part failed: 'unknown' instead of 'partial'. A begun stream now counts as run in part.

--- a/rattanroute/systems/refusals.py
+++ b/rattanroute/systems/refusals.py
@@ -16,7 +16,8 @@
 
 def execution_of(request: Request) -> Execution:
     """Returns whether a request may have been executed, as far as known."""
-    if request.tokens_out:
+    # Tokens of a running attempt are counted only at its end.
+    if request.tokens_out or (request.stream and request.begun):
         return Execution.PARTIAL
     ran = any(not attempt.never_dispatched for attempt in request.attempts)
     return Execution.UNKNOWN if ran else Execution.NOT_RUN
@@ -76,12 +77,11 @@
 
 def stopped(request: Request) -> Refusal:
     """Builds the refusal of a request that outlasts a planned stop."""
-    execution = execution_of(request)
     return Refusal(
         type="stopping",
         message="this VM stopped before the answer was complete",
         status=503,
-        execution=Execution.PARTIAL if request.begun else execution,
+        execution=execution_of(request),
         retry_after_s=MIN_RETRY_SECONDS,
     )
 
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -298,6 +298,14 @@
         [finish, *_] = self.succeed(core, 9.0)
         self.assertIsInstance(finish, Finish)
 
+    def test_begun_stream_at_its_deadline_ran_in_part(self) -> None:
+        """Guards against "unknown" for a stream with tokens at the caller."""
+        core, _ = self.start("t1", stream=True, deadline=9.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=4.0)
+        self.refresh(core, 9.0)
+        [refuse] = [x for x in core.tick(now=9.0) if isinstance(x, Refuse)]
+        self.assertEqual(refuse.refusal.execution.value, "partial")
+
     def test_second_target_fails(self) -> None:
         """Guards against a lost answer after a replacement that fails."""
         core, [second] = self.start("t1", "t2")
