Keep begun streams in the queue while reports of targets are late

A begun stream whose engine failed and that found no free slot was refused with "no target serves the model" after 1 s if all reports were late, like a request that has not run.

test_stream_in_the_queue_continues failed: Refuse 1.5 s after the reports became too old. A waiting request whose answer has begun now has the same 5 s as one in its back-off.

--- a/rattanroute/systems/expirations.py
+++ b/rattanroute/systems/expirations.py
@@ -95,4 +95,5 @@
             since = self.unusable_since.setdefault(key, now)
             if now - since >= UNUSABLE_GRACE_SECONDS:
                 for request in list(queue.waiting.values()):
-                    yield request, refusals.no_target(request)
+                    if not self.may_wait(request, now):
+                        yield request, refusals.no_target(request)
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -241,6 +241,37 @@
         [second] = core.tick(now=LATE_REPORT_SECONDS + 3.0)
         self.assertEqual(second.chain[0].target_id, self.other)
 
+    def test_stream_in_the_queue_continues(self) -> None:
+        """Guards against the shorter patience with waiting requests."""
+        core = build_core(build_report("t1", slots=1))
+        request = build_request(stream=True)
+        core.handle(RequestArrived(request=request), now=0.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=0.5)
+        core.handle(
+            AttemptFailed(
+                request_id="r1",
+                attempt=1,
+                target_id="t1",
+                provenance=Provenance.STARTED,
+                tokens_out=5,
+            ),
+            now=1.0,
+        )
+        other = build_request("r2", stream=True, arrived_at=1.0)
+        core.handle(RequestArrived(request=other), now=1.0)
+        core.tick(now=1.5)
+        self.assertEqual(request.live, [])
+        self.assertEqual(len(other.live), 1)
+        for now in (3.0, 3.5, 4.0, 4.5):
+            self.assertEqual(core.tick(now=now), [])
+        core.targets.record(
+            report=build_report("t1", slots=2, sequence=1),
+            observer="vm-1",
+            received_at=5.0,
+        )
+        core.tick(now=5.0)
+        self.assertEqual(len(request.live), 1)
+
     def test_stream_ends_if_no_report_arrives(self) -> None:
         """Guards against a wait without a bound."""
         core, _ = self.fail_begun()
