Announce in each answer of a stopping daemon that its connection closes

The connections of callers stayed open until a stopping daemon closed all of them at once; a request sent at that moment got no answer, and its caller could not know whether it ran.

test_answers_during_a_stop_close_their_connections found no announcement in the answer: there was none in the code. From SIGTERM on, answers whose head is not yet sent carry "Connection: close", also refusals.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -290,7 +290,9 @@
         callers = CallersServer(host=self)
         application = callers.build_application()
         ServicesServer(host=self, callers=callers).add_routes(application)
-        await self.open_http(application, self.settings.listen.callers)
+        self.callers_listener = await self.open_http(
+            application, self.settings.listen.callers
+        )
         self.targets_listener = await self.open_http(
             self.build_targets_server().build_application(),
             self.settings.listen.targets,
@@ -437,6 +439,7 @@
         """Runs a planned stop: ends open requests, then closes everything."""
         self.stopping = True
         self.publish_status()
+        self.callers_listener.announce_close()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -158,6 +158,7 @@
         requests: Number of requests whose heads have arrived and whose
             answers are not yet written.
         idle: Set while there are none.
+        closing: Whether answers announce that their connections close.
     """
 
     def __init__(self) -> None:
@@ -166,6 +167,7 @@
         self.closed.set()
         self.waiting: set[asyncio.Protocol] = set()
         self.requests = 0
+        self.closing = False
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -176,7 +178,10 @@
         """Counts the request and marks its connection as used."""
         self.waiting.discard(http_request.protocol)
         with self.count_request():
-            return await handler(http_request)
+            response = await handler(http_request)
+            if self.closing and not response.prepared:
+                response.force_close()
+            return response
 
     @contextlib.contextmanager
     def count_request(self) -> Iterator[None]:
@@ -259,6 +264,14 @@
         )
         await site.start()
 
+    def announce_close(self) -> None:
+        """Lets each further answer close its connection.
+
+        A caller that keeps its connection could otherwise send a request at
+        the moment at which the listener closes it.
+        """
+        self.guard.closing = True
+
     async def wait_until_idle(self) -> None:
         """Waits until all requests are answered."""
         # The answer of a request is counted after the event of its handler.
--- a/rattanroute/tests/test_stopping_listeners.py
+++ b/rattanroute/tests/test_stopping_listeners.py
@@ -70,6 +70,29 @@
                 time.sleep(READ_INTERVAL_SECONDS)
 
 
+class AnnouncedCloseTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests on connections that a stop is about to close."""
+
+    async def test_answers_during_a_stop_close_their_connections(self) -> None:
+        listener = build_listener()
+        await listener.open()
+        self.addAsyncCleanup(listener.close, grace_s=0.5)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", listener.port
+        )
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(5):
+            writer.write(REQUEST)
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertNotIn(b"Connection: close", head)
+            await reader.readexactly(len(BODY))
+            listener.announce_close()
+            writer.write(REQUEST)
+            answer = await reader.read()
+        self.assertIn(b"Connection: close", answer)
+        self.assertTrue(answer.endswith(BODY))
+
+
 class StoppingListenerTest(unittest.TestCase):
     """Guards against answers that a planned stop cuts off.
 
