--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -44,6 +44,8 @@
 LIMIT_SECONDS = 5.0
 # Longer than the time within which an attempt must start.
 UNSTARTED_SECONDS = 3.5
+# Longer than the age at which a report is no longer used.
+LATE_REPORT_SECONDS = 3.0
 
 
 class SilentStreamTest(StandinTestCase):
@@ -207,6 +209,80 @@
         self.assertEqual(caught.exception.refusal.execution.value, "partial")
 
 
+class LateReportTest(unittest.TestCase):
+    """Guards against begun streams that end because reports are late."""
+
+    def fail_begun(self, **changes: object) -> tuple[RequestCore, list]:
+        """Fails an engine while the report of the other one is late."""
+        core = build_core(build_report("t1"), build_report("t2"))
+        request = build_request(stream=True, **changes)
+        [first] = core.handle(RequestArrived(request=request), now=0.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=0.5)
+        event = AttemptFailed(
+            request_id="r1",
+            attempt=1,
+            target_id=first.chain[0].target_id,
+            provenance=Provenance.STARTED,
+            crashed=True,
+            tokens_out=5,
+        )
+        self.other = ({"t1", "t2"} - {event.target_id}).pop()
+        return core, core.handle(event, now=LATE_REPORT_SECONDS)
+
+    def test_stream_continues_when_the_report_arrives(self) -> None:
+        core, actions = self.fail_begun()
+        self.assertEqual(actions, [])
+        self.assertEqual(core.tick(now=LATE_REPORT_SECONDS + 2.0), [])
+        core.targets.record(
+            report=build_report(self.other, sequence=1),
+            observer="vm-1",
+            received_at=LATE_REPORT_SECONDS + 2.5,
+        )
+        [second] = core.tick(now=LATE_REPORT_SECONDS + 3.0)
+        self.assertEqual(second.chain[0].target_id, self.other)
+
+    def test_stream_in_the_queue_continues(self) -> None:
+        """Guards against the shorter patience with waiting requests."""
+        core = build_core(build_report("t1", slots=1))
+        request = build_request(stream=True)
+        core.handle(RequestArrived(request=request), now=0.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=0.5)
+        core.handle(
+            AttemptFailed(
+                request_id="r1",
+                attempt=1,
+                target_id="t1",
+                provenance=Provenance.STARTED,
+                tokens_out=5,
+            ),
+            now=1.0,
+        )
+        other = build_request("r2", stream=True, arrived_at=1.0)
+        core.handle(RequestArrived(request=other), now=1.0)
+        core.tick(now=1.5)
+        self.assertEqual(request.live, [])
+        self.assertEqual(len(other.live), 1)
+        for now in (3.0, 3.5, 4.0, 4.5):
+            self.assertEqual(core.tick(now=now), [])
+        core.targets.record(
+            report=build_report("t1", slots=2, sequence=1),
+            observer="vm-1",
+            received_at=5.0,
+        )
+        core.tick(now=5.0)
+        self.assertEqual(len(request.live), 1)
+
+    def test_stream_ends_if_no_report_arrives(self) -> None:
+        """Guards against a wait without a bound."""
+        core, _ = self.fail_begun()
+        actions = []
+        for step in range(1, 13):
+            actions += core.tick(now=LATE_REPORT_SECONDS + step / 2)
+        [refuse] = actions
+        self.assertEqual(refuse.refusal.type, "no_target")
+        self.assertEqual(refuse.refusal.execution.value, "partial")
+
+
 class SilentAttemptTest(unittest.TestCase):
     """Guards against refusals of requests whose target is only slow."""
 
@@ -253,6 +329,14 @@
         [finish, *_] = self.succeed(core, 9.0)
         self.assertIsInstance(finish, Finish)
 
+    def test_begun_stream_at_its_deadline_ran_in_part(self) -> None:
+        """Guards against "unknown" for a stream with tokens at the caller."""
+        core, _ = self.start("t1", stream=True, deadline=9.0)
+        core.handle(AttemptStarted(request_id="r1", attempt=1), now=4.0)
+        self.refresh(core, 9.0)
+        [refuse] = [x for x in core.tick(now=9.0) if isinstance(x, Refuse)]
+        self.assertEqual(refuse.refusal.execution.value, "partial")
+
     def test_second_target_fails(self) -> None:
         """Guards against a lost answer after a replacement that fails."""
         core, [second] = self.start("t1", "t2")
