Attribute a crash to the attempt that was lost first

Fronts went on sending it to the next replicas, up to seven crashes, until all programs were killed.

Cause: a crashed replica whose connections a middlebox accepts loses further attempts. Every front reports a crash with the time and the call of its own lost attempt, and the voters kept the first report that arrived. That was often one of an attempt 0.3 to 0.8 s after the crash. Its time was then within 0.5 s of the next crash, under another call, and crashes so close to each other count once because a common cause is likely.

A crash is now attributed to the earliest lost attempt of all reports, which is the one that the replica was running.

--- a/rattanroute/systems/crash_bans.py
+++ b/rattanroute/systems/crash_bans.py
@@ -300,11 +300,14 @@
     def add_to_request(
         self, fingerprint: str, crash: CrashKey, event: CrashEvent, now: float
     ) -> bool:
-        """Records a crash under a request; returns whether it was new."""
+        """Records a crash under a request.
+
+        Returns:
+            Whether it was new, or known from a later attempt only.
+        """
         row = self.get_or_add(fingerprint, event.at, now)
-        if row is None or crash in row.crashes:
+        if row is None or not row.add_earliest(crash, event):
             return False
-        row.add(crash, event)
         row.parts |= event.parts
         if row.has_begun:
             self.judge_queue.add(fingerprint, now + SETTLE_SECONDS)
--- a/rattanroute/tables/crash_suspects.py
+++ b/rattanroute/tables/crash_suspects.py
@@ -100,6 +100,25 @@
             del self.crashes[next(iter(self.crashes))]
         self.crashes[crash] = event
 
+    def add_earliest(self, crash: CrashKey, event: CrashEvent) -> bool:
+        """Adds a crash, or attributes a known one to an earlier attempt.
+
+        A target that has crashed may lose further attempts, whose verdicts may
+        arrive before that of the attempt that it was running.
+
+        Returns:
+            Whether the crash is new or belongs to another attempt now.
+        """
+        known = self.crashes.get(crash)
+        if known is None:
+            self.add(crash, event)
+            return True
+        # Repeated reports of one attempt differ by the time in transit.
+        if known.request_id == event.request_id or known.at <= event.at:
+            return False
+        self.crashes[crash] = event
+        return True
+
     def count(self, explained: Collection[CrashKey] = ()) -> float:
         """Returns the weighted number of apparently independent crashes.
 
--- a/rattanroute/tests/test_crash_bans.py
+++ b/rattanroute/tests/test_crash_bans.py
@@ -69,6 +69,30 @@
         self.cluster.run(2.0)
         self.assertEqual(self.cluster.list_refusing(CRASHING), [])
 
+    def test_crash_belongs_to_the_attempt_that_was_lost_first(self) -> None:
+        """Guards against crashes that are attributed to later attempts.
+
+        A target that has crashed may still accept connections (a middlebox
+        does) and loses further attempts, whose verdicts may arrive first. Their
+        times are close to those of the next crash, so that several crashes
+        would count as one with a common cause.
+        """
+        start = self.cluster.now
+        self.cluster.run(2.0)
+        for front, call, number, seconds in (
+            ("front-2", "c2", 0, 0.5),
+            ("front-3", "c3", 1, 0.76),
+            ("front-3", "c3", 2, 0.95),
+            ("front-1", "c0", 0, 0.0),
+            ("front-1", "c0", 1, 0.02),
+        ):
+            event = CrashEvent(at=start + seconds, request_id=call)
+            self.cluster.systems[front].note_crash(
+                CRASHING, build_crash(number), event, self.cluster.now
+            )
+            self.cluster.run(2 * TICK_SECONDS)
+        self.assertEqual(self.cluster.list_refusing(CRASHING), ALL_FRONTS)
+
     def test_front_that_starts_later_receives_the_ban(self) -> None:
         self.crash_in_turn()
         self.cluster.run(5.0)
