Read the requests that the kernel holds before a stop closes connections

Callers of a front that paused for a moment at the end of its rotation time were reset: their connection was accepted by the kernel, or their request lay unread, when the listener and the idle connections closed. The event loop now takes a few steps to accept and read them first.

Both tests of test_http1_arrivals fail without the steps (connection reset).

--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -23,6 +23,9 @@
 # Response bytes buffered for a slow caller before the source is paused.
 WRITE_BUFFER_BYTES = 65_536
 BACKLOG = 1_024
+# Steps of the event loop that accept a connection, read from it and start the
+# handler of its request.
+READ_STEPS = 10
 # A slower upload only occupies the connection and is refused.
 MIN_BODY_BYTES_PER_SECOND = 4_096
 
@@ -364,6 +367,15 @@
         self.draining = True
         self.draining_at = self.loop.time()
 
+    async def read_arrived(self) -> None:
+        """Accepts connections and reads requests that the kernel holds.
+
+        After a pause of the process there may be some; a close would reset
+        them.
+        """
+        for _ in range(READ_STEPS):
+            await asyncio.sleep(0)
+
     def stop_accepting(self) -> None:
         """Closes the listener and the idle connections.
 
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -103,6 +103,7 @@
         self.request_server.start_draining()
         # An operator sends a change again without an answer, but only a change
         # that is committed before the hand-over certainly gets one.
+        await self.request_server.read_arrived()
         self.request_server.stop_accepting()
         await self.request_server.wait_until_empty(schedule.control_until)
         log.info("requests ended", open_requests=self.request_server.busy)
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -260,6 +260,7 @@
         self.control.set_status(ready=False, draining=True)
         log.info("planned stop", open_requests=self.request_server.busy)
         await asyncio.sleep(schedule.accept_until - loop.time())
+        await self.request_server.read_arrived()
         self.request_server.stop_accepting()
         await self.request_server.wait_until_empty(schedule.answer_until)
         log.info("requests ended", open_requests=self.request_server.busy)
