Leave the cluster beside the last requests of a stop

Leaving the cluster, which takes 0.2 s, now begins 0.7 s before SIGKILL and goes on beside the last requests; these end 0.4 s before it, and the process 0.3 s before it at the latest, even if leaving hangs. A machine that has left sends nothing more, as that would open links again.

--- a/rattanroute/control/control_planes.py
+++ b/rattanroute/control/control_planes.py
@@ -87,6 +87,7 @@
         )
         self.tasks: list[asyncio.Task[None]] = []
         self.server: Server | None = None
+        self.left = False
         self.add(self.membership)
         for subsystem in self.configurations.subsystems:
             self.add(subsystem)
@@ -96,7 +97,12 @@
         self.host.add(subsystem)
 
     def send(self, peer: str, message: object) -> bool:
-        """Sends a message to a peer; one to this VM is delivered directly."""
+        """Sends a message to a peer; one to this VM is delivered directly.
+
+        A VM that has left sends nothing, as that would open links again.
+        """
+        if self.left:
+            return False
         if peer == self.settings.vm_id:
             asyncio.get_running_loop().call_soon(
                 self.host.deliver, peer, message
@@ -204,6 +210,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.left = True
         await self.links.close()
         if self.server is not None:
             self.server.close()
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -107,5 +107,5 @@
         await self.request_server.wait_until_empty(schedule.control_until)
         log.info("requests ended", open_requests=self.request_server.busy)
         self.request_server.end_requests()
-        await self.close(schedule)
+        await self.close(self.leave(schedule))
         await self.ban_store.close()
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -1,6 +1,7 @@
 """Base of the platform's programs: `core` and `front`."""
 
 import asyncio
+from collections.abc import Awaitable
 import functools
 import pathlib
 import random as randoms
@@ -186,18 +187,25 @@
             signalled_at=signalled_at, grace_s=self.boot.bounds.grace_s
         )
 
-    async def close(self, schedule: ShutdownSchedule) -> None:
-        """Closes all listeners and connections and leaves the cluster.
+    async def leave(self, schedule: ShutdownSchedule) -> None:
+        """Leaves the cluster, unless that takes too long."""
+        try:
+            async with asyncio.timeout_at(schedule.end_by):
+                await self.control.stop()
+        except TimeoutError:
+            log.warning("cluster not left in time", node=self.boot.node)
+
+    async def close(self, leaving: Awaitable[None]) -> None:
+        """Closes all listeners and connections and waits for the leave.
 
         The callers' connections close first: a step of leaving that takes too
         long must not cost an answer.
+
+        Args:
+            leaving: A call of `leave`, which may have begun.
         """
         for server in self.servers:
             await server.close()
-        try:
-            async with asyncio.timeout_at(schedule.leave_until):
-                await self.control.stop()
-        except TimeoutError:
-            log.warning("cluster not left in time", node=self.boot.node)
+        await leaving
         self.pool.close()
         log.info("daemon stopped", node=self.boot.node)
--- a/rattanroute/systems/shutdown_schedules.py
+++ b/rattanroute/systems/shutdown_schedules.py
@@ -8,10 +8,12 @@
 # A control call is answered within a second. The rest of the grace time is for
 # the hand-over of leadership.
 CONTROL_CALL_SECONDS = 2.0
-# Before SIGKILL, a stopping process needs time to refuse what is left, to leave
-# the cluster (two ticks) and to end, on a busy machine too.
-ANSWER_MARGIN_SECONDS = 0.7
-FLUSH_MARGIN_SECONDS = 0.6
+# Margins before SIGKILL. Leaving the cluster takes two ticks (0.2 s) and
+# goes on beside the last requests, so that nothing slow is left to do after
+# them. The end of the process takes some milliseconds, longer when busy.
+LEAVE_MARGIN_SECONDS = 0.7
+ANSWER_MARGIN_SECONDS = 0.4
+FLUSH_MARGIN_SECONDS = 0.35
 EXIT_MARGIN_SECONDS = 0.3
 # A forwarder may answer a call this long after its deadline.
 LATE_ANSWER_SECONDS = 0.1
@@ -32,8 +34,13 @@
     @property
     def accept_until(self) -> float:
         """Until when new connections are accepted."""
-        leave_at = self.signalled_at + LEAVE_ROTATION_SECONDS
-        return min(leave_at, self.answer_until)
+        end = self.signalled_at + LEAVE_ROTATION_SECONDS
+        return min(end, self.leave_at)
+
+    @property
+    def leave_at(self) -> float:
+        """When the process leaves the cluster at the latest."""
+        return self.signalled_at + self.grace_s - LEAVE_MARGIN_SECONDS
 
     @property
     def answer_until(self) -> float:
@@ -44,16 +51,16 @@
     def control_until(self) -> float:
         """Until when open calls of operators and replicas are answered."""
         end = self.signalled_at + CONTROL_CALL_SECONDS
-        return min(end, self.answer_until)
+        return min(end, self.leave_at)
 
     @property
     def flush_until(self) -> float:
-        """Until when answers are flushed to slow readers."""
+        """Until when the last refusals are written."""
         return self.signalled_at + self.grace_s - FLUSH_MARGIN_SECONDS
 
     @property
-    def leave_until(self) -> float:
-        """Until when the process may take to leave the cluster."""
+    def end_by(self) -> float:
+        """Until when the steps of a stop may take, flushing included."""
         return self.signalled_at + self.grace_s - EXIT_MARGIN_SECONDS
 
     def admits(self, *, deadline: float, now: float) -> bool:
