Tell the state and processor time of a VM that does not start in time

Red runs of test_stops and test_configurations could not be traced: a VM had not answered within 20 s of its start and its log was empty, or lacked a version. That does not tell a process that got no processor time from one that waits for something. The messages now have its state, its processor time and age, and the load; wait_active also shows the last readiness and version of each VM.

--- a/rattanroute/tests/integration/test_configurations.py
+++ b/rattanroute/tests/integration/test_configurations.py
@@ -143,13 +143,19 @@
         """
         started = time.monotonic()
         waiting = set(vms or self.cluster.vms)
+        states: dict[str, str] = {}
         while waiting:
             for vm in list(waiting):
                 ready, version = await self.read_state(vm)
+                states[vm] = f"{ready=} {version=}"
                 if ready and version >= self.accepted:
                     waiting.discard(vm)
             if time.monotonic() - started > seconds:
-                self.fail(f"{waiting} lack {self.accepted} after {seconds} s")
+                found = [
+                    f"{vm}: {states[vm]}, {self.cluster.describe_process(vm)}"
+                    for vm in sorted(waiting)
+                ]
+                self.fail(f"{found} lack {self.accepted} after {seconds} s")
             await asyncio.sleep(POLL_SECONDS)
         return time.monotonic() - started
 
--- a/rattanroute/tools/clusters.py
+++ b/rattanroute/tools/clusters.py
@@ -318,8 +318,11 @@
         try:
             await self.wait_status(f"{self.vms[name].callers_url}/healthz")
         except TimeoutError as error:
+            state = self.describe_process(name)
             tail = self.read_log(name)[-LOG_TAIL_CHARACTERS:]
-            raise TimeoutError(f"{error}; its log ends with: {tail}") from None
+            raise TimeoutError(
+                f"{error}; {state}; its log ends with: {tail}"
+            ) from None
 
     async def wait_ready(self, *names: str) -> None:
         """Waits until the named VMs are ready; without names, all VMs."""
--- a/rattanroute/tools/processes.py
+++ b/rattanroute/tools/processes.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import msgspec
+import psutil
 
 from rattanroute.tools.cluster_hosts import reserve_network
 from rattanroute.tools.proxies import Fault
@@ -155,6 +156,28 @@
         """Returns the output of all processes of a name."""
         return (self.folder / f"{name}.log").read_text(encoding="utf-8")
 
+    def describe_process(self, name: str) -> str:
+        """Describes the state of a process for an error message.
+
+        A process that logged nothing may have ended, wait for something or
+        have got little processor time on a loaded machine.
+        """
+        load = f"load {os.getloadavg()[0]:.1f}"
+        process = self.processes[name]
+        if process.returncode is not None:
+            return f"ended with {process.returncode}, {load}"
+        try:
+            row = psutil.Process(process.pid)
+            used_s = sum(row.cpu_times()[:2])
+            age_s = time.time() - row.create_time()
+            state = row.status()
+        except psutil.NoSuchProcess:
+            return f"ended, {load}"
+        return (
+            f"{state}, {used_s:.1f} s of processor time in {age_s:.1f} s, "
+            f"{load}"
+        )
+
     async def close(self) -> None:
         """Kills all processes, and removes the folder unless it is kept."""
         for name, process in self.processes.items():
