Bench: ignore the cancellation of a superseded attempt

An attempt may be cancelled after the next one has started; the bench then dropped the events of the running attempt.

--- a/rattanroute/tools/bench_policies.py
+++ b/rattanroute/tools/bench_policies.py
@@ -271,7 +271,8 @@
             if isinstance(action, Dispatch):
                 self.send(self.jobs[action.request_id], action)
             elif isinstance(action, CancelAttempt):
-                self.jobs[action.request_id].cancelled = True
+                job = self.jobs[action.request_id]
+                job.cancelled = job.cancelled or action.attempt == job.attempt
             elif isinstance(action, Refuse):
                 self.jobs[action.request_id].refused = True
 
