--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import random
 import time
 
@@ -30,6 +29,7 @@
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.requests.attempt_runs import AttemptUsage
+from rattanroute.requests.drains import RequestDrain
 from rattanroute.routers import RequestRouter
 from rattanroute.security import DaemonCredentials
 from rattanroute.security import protect_server
@@ -63,8 +63,6 @@
 # Time for the load balancer to notice that the VM is not ready before the
 # listeners close; requests that still arrive are refused as not run.
 DRAIN_NOTICE_SECONDS = 1.0
-# Time to send the refusals of requests that have not ended in a planned stop.
-REFUSAL_SECONDS = 2.0
 # Time for callers to receive written answers after the grace has ended.
 MIN_FLUSH_SECONDS = 0.5
 MILLISECONDS_PER_SECOND = 1000
@@ -442,8 +440,16 @@
         self.callers_listener.announce_close()
         log.info("planned stop", open_requests=len(self.sessions.sessions))
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
-        grace_ends = time.monotonic() + self.settings.limits.shutdown_grace_s
-        await self.drain()
+        grace_s = self.settings.limits.shutdown_grace_s
+        grace_ends = time.monotonic() + grace_s
+        drain = RequestDrain(
+            listeners=self.listeners,
+            sessions=self.sessions,
+            running_tasks=self.running_tasks,
+        )
+        # The open requests need the targets' reports, the shares and the
+        # claims; until they have ended, the VM remains a member.
+        await drain.run(grace_s=grace_s)
         # Targets move to another VM of their data centre at once. This VM
         # could no longer pass their reports on to the other members.
         await self.targets_listener.close(grace_s=MIN_FLUSH_SECONDS)
@@ -454,32 +460,6 @@
         await asyncio.sleep(2 * SUBSYSTEM_TICK_SECONDS)
         await self.close(grace_s=grace_ends - time.monotonic())
 
-    async def drain(self) -> None:
-        """Waits for the open requests; refuses those left after the grace.
-
-        A request is open from its head to the end of its answer. One whose
-        body has not arrived has no session yet. Until all have ended, the VM
-        remains a member, as they need the targets' reports, the shares and
-        the claims.
-        """
-        try:
-            async with asyncio.timeout(self.settings.limits.shutdown_grace_s):
-                await self.wait_for_requests()
-        except TimeoutError:
-            count = self.sessions.refuse_all()
-            log.warning("requests refused at a planned stop", requests=count)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(REFUSAL_SECONDS):
-                    await self.wait_for_requests()
-
-    async def wait_for_requests(self) -> None:
-        """Waits until all requests and their tasks have ended."""
-        for listener in self.listeners:
-            await listener.wait_until_idle()
-        await self.sessions.empty.wait()
-        while self.running_tasks:
-            await asyncio.wait(self.running_tasks)
-
     async def close(self, *, grace_s: float = 0.0) -> None:
         """Closes listeners, links and tasks.
 
