Do not let later requests prolong the drain of a planned stop

The stop waited until no request was open at all. A VM that is refusing a request at any moment, as under load, would have waited for the whole grace and then exited without having waited for its last answers.

The stop now waits for the requests that are open when the wait begins; all later ones are refused.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -443,7 +443,7 @@
         grace_s = self.settings.limits.shutdown_grace_s
         grace_ends = time.monotonic() + grace_s
         drain = RequestDrain(
-            listeners=self.listeners,
+            listener=self.callers_listener,
             sessions=self.sessions,
             running_tasks=self.running_tasks,
         )
--- a/rattanroute/requests/drains.py
+++ b/rattanroute/requests/drains.py
@@ -15,10 +15,10 @@
 
 
 class RequestListener(Protocol):
-    """Counts the requests of a listener."""
+    """Knows the requests of a listener."""
 
-    async def wait_until_idle(self) -> None:
-        """Waits until all requests are answered."""
+    async def wait_until_answered(self) -> None:
+        """Waits until the requests that are open now are answered."""
         ...
 
 
@@ -29,7 +29,7 @@
     has not arrived has no session yet.
 
     Args:
-        listeners: Listeners of the daemon.
+        listener: Listener of the requests.
         sessions: Open sessions.
         running_tasks: Calls that go on without their callers.
     """
@@ -37,11 +37,11 @@
     def __init__(
         self,
         *,
-        listeners: Collection[RequestListener],
+        listener: RequestListener,
         sessions: SessionRegistry,
         running_tasks: Collection["asyncio.Task[object]"],
     ) -> None:
-        self.listeners = listeners
+        self.listener = listener
         self.sessions = sessions
         self.running_tasks = running_tasks
 
@@ -63,8 +63,7 @@
 
     async def wait_for_requests(self) -> None:
         """Waits until all requests and their tasks have ended."""
-        for listener in self.listeners:
-            await listener.wait_until_idle()
+        await self.listener.wait_until_answered()
         await self.sessions.empty.wait()
         while self.running_tasks:
             await asyncio.wait(self.running_tasks)
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections.abc import Iterator
 import contextlib
 
 from aiohttp import web
@@ -81,8 +80,10 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Writes a response, which takes a while if the caller reads slowly."""
-        with self.guard.count_request():
+        try:
             return await super().finish_response(request, resp, start_time)
+        finally:
+            self.guard.note_answered(self)
 
     def handle_error(
         self,
@@ -155,9 +156,9 @@
             being closed stays open until its buffered data is sent.
         closed: Set while no connection is open.
         waiting: Connections that have not sent a request yet.
-        requests: Number of requests whose heads have arrived and whose
-            answers are not yet written.
-        idle: Set while there are none.
+        unanswered: Connections with a request whose head has arrived and
+            whose answer is not yet written.
+        answered: Set when one of them is answered or lost.
         closing: Whether answers announce that their connections close.
     """
 
@@ -166,34 +167,26 @@
         self.closed = asyncio.Event()
         self.closed.set()
         self.waiting: set[asyncio.Protocol] = set()
-        self.requests = 0
+        self.unanswered: set[asyncio.Protocol] = set()
+        self.answered = asyncio.Event()
         self.closing = False
-        self.idle = asyncio.Event()
-        self.idle.set()
 
     @web.middleware
     async def middleware(
         self, http_request: web.Request, handler: object
     ) -> web.StreamResponse:
-        """Counts the request and marks its connection as used."""
+        """Marks the connection as used and its request as unanswered."""
         self.waiting.discard(http_request.protocol)
-        with self.count_request():
-            response = await handler(http_request)
-            if self.closing and not response.prepared:
-                response.force_close()
-            return response
-
-    @contextlib.contextmanager
-    def count_request(self) -> Iterator[None]:
-        """Counts a request while it is handled or its answer is written."""
-        self.requests += 1
-        self.idle.clear()
-        try:
-            yield
-        finally:
-            self.requests -= 1
-            if not self.requests:
-                self.idle.set()
+        self.unanswered.add(http_request.protocol)
+        response = await handler(http_request)
+        if self.closing and not response.prepared:
+            response.force_close()
+        return response
+
+    def note_answered(self, protocol: asyncio.Protocol) -> None:
+        """Records that the answer to a connection's request is written."""
+        self.unanswered.discard(protocol)
+        self.answered.set()
 
     def add(
         self, protocol: asyncio.Protocol, transport: asyncio.BaseTransport
@@ -209,6 +202,7 @@
     def remove(self, protocol: asyncio.Protocol) -> None:
         """Removes a connection that has closed."""
         self.waiting.discard(protocol)
+        self.note_answered(protocol)
         self.transports.pop(protocol, None)
         if not self.transports:
             self.closed.set()
@@ -272,11 +266,16 @@
         """
         self.guard.closing = True
 
-    async def wait_until_idle(self) -> None:
-        """Waits until all requests are answered."""
-        # The answer of a request is counted after the event of its handler.
-        while self.guard.requests:
-            await self.guard.idle.wait()
+    async def wait_until_answered(self) -> None:
+        """Waits until the requests that are open now are answered.
+
+        Later ones do not prolong the wait; a stopping daemon refuses them.
+        """
+        guard = self.guard
+        pending = set(guard.unanswered)
+        while pending := pending & guard.unanswered:
+            guard.answered.clear()
+            await guard.answered.wait()
 
     async def close(self, *, grace_s: float) -> None:
         """Stops listening and closes all connections.
