Continue a whole answer from the tokens of its silent attempt

An attempt beside a silent one of a request without streaming generated the tokens again that the router already had; before the silent attempt was kept, the next one resumed from them.

The new attempt now takes a copy of the longest buffer of a silent attempt; both complete the answer on their own.

--- a/rattanroute/requests/attempt_runs.py
+++ b/rattanroute/requests/attempt_runs.py
@@ -45,10 +45,11 @@
         started: Time of dispatch, in seconds of the monotonic clock.
         scope: Timeout that is rescheduled to end the attempt; None before the
             attempt runs.
-        tokens: Tokens that are buffered until the answer is complete; empty
-            for a stream.
+        tokens: Tokens that are buffered until the answer is complete, with
+            those of a silent attempt that it continues; empty for a stream.
         unreported_tokens: Tokens since the last failure reported to the core.
         total_tokens: Tokens since the dispatch, over all replacements.
+        silent: Whether its target has sent no token in time.
         has_started: Whether a token was reported to the core, since the last
             silence if there was one.
         replacements: Hops that replaced failed stages.
@@ -63,6 +64,7 @@
     tokens: list[str] = dataclasses.field(default_factory=list)
     unreported_tokens: int = 0
     total_tokens: int = 0
+    silent: bool = False
     has_started: bool = False
     replacements: list[Hop] = dataclasses.field(default_factory=list)
     replacement: ReplaceStage | None = None
--- a/rattanroute/requests/chat_sessions.py
+++ b/rattanroute/requests/chat_sessions.py
@@ -67,6 +67,7 @@
         self, run: AttemptRun, span: trace.Span
     ) -> AttemptSucceeded | AttemptFailed:
         """Runs one attempt; writes its tokens or buffers them until its end."""
+        run.tokens = self.copy_silent_tokens()
         spec = self.build_spec(run, span)
         usage = Usage()
         write_token = (
@@ -93,6 +94,14 @@
             tokens_out=run.unreported_tokens,
         )
 
+    def copy_silent_tokens(self) -> list[str]:
+        """Returns the buffered tokens that a new attempt can continue.
+
+        The most tokens of a silent attempt are taken; it goes on as well.
+        """
+        buffers = [run.tokens for run in self.runs if run.silent]
+        return list(max(buffers, key=len, default=()))
+
     def open_run(
         self, spec: AttemptSpec, run: AttemptRun
     ) -> AsyncGenerator[TokenChunk | Usage, None]:
@@ -188,7 +197,7 @@
             target_id=dispatch.chain[0].target_id,
             address=dispatch.chain[0].address,
             body=self.body,
-            resume_tokens=tuple(self.tokens),
+            resume_tokens=(*self.tokens, *run.tokens),
             deadline_s=request.deadline - time.monotonic(),
             first_token_timeout_s=FIRST_TOKEN_TIMEOUT_SECONDS,
             token_timeout_s=TOKEN_TIMEOUT_SECONDS,
@@ -209,6 +218,7 @@
         )
         # The next token is reported again.
         run.has_started = False
+        run.silent = True
         self.host.handle(
             AttemptSuspected(
                 request_id=self.request.request_id,
@@ -246,6 +256,7 @@
             self.observe_gap(now - self.last_token_at)
         self.last_token_at = now
         run.count_token()
+        run.silent = False
         if not run.has_started:
             run.has_started = True
             self.host.handle(
--- a/rattanroute/tests/test_silent_attempts.py
+++ b/rattanroute/tests/test_silent_attempts.py
@@ -19,6 +19,7 @@
 from rattanroute.events import RequestArrived
 from rattanroute.events import StageDegraded
 from rattanroute.requests import chat_sessions
+from rattanroute.requests.attempt_runs import AttemptRun
 from rattanroute.requests.chat_sessions import ChatSession
 from rattanroute.requests.cores import RequestCore
 from rattanroute.requests.refusals import RequestRefusedError
@@ -197,6 +198,27 @@
             sum(usage.tokens_out for usage in self.host.usages), TOKENS
         )
 
+    async def test_whole_answer_continues_from_the_silent_attempt(self) -> None:
+        """Guards against tokens that are generated again after a silence."""
+        for name in ("t1", "t2"):
+            await self.add_engine(name)
+        session = self.open_session(stream=False)
+        buffer_token = session.buffer_token
+
+        async def freeze(run: AttemptRun, text: str) -> None:
+            await buffer_token(run, text)
+            if run.attempt == 1 and len(run.tokens) == 3:
+                self.set_frozen(run.first_target_id, True)
+
+        session.buffer_token = freeze
+        await self.run_session(session)
+        self.assertEqual(session.tokens, EXPECTED)
+        self.assertEqual(len(session.request.attempts), 2)
+        self.assertEqual(
+            sum(usage.tokens_out for usage in self.host.usages), TOKENS
+        )
+        self.assertEqual(self.in_flight(), 0)
+
     async def test_refusal_after_the_deadline_is_partial(self) -> None:
         """Guards against a wrong statement about a stream that never ends."""
         await self.add_engine("t1")
