Do not send over a connection that closes as it opens

Stand-in replicas ended with an error, and a front would have answered 502: since a connection attempt runs in a task of its own, the target's close may be read before the caller of take() runs, and uvloop raises an error that is no failed connection when a request is written then.

A connection that is closing counts as not opened, also one from the pool.

--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -165,6 +165,11 @@
 
     # Requests.
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a request may be sent; a close may not be handled yet."""
+        return self.usable and not self.transport.is_closing()
+
     def send(self, head: RequestHead, body: bytes, sink: ResponseSink) -> None:
         """Sends a request; the sink receives its response."""
         self.sink = sink
@@ -252,6 +257,10 @@
                 message=str(error) or "timed out",
                 refused=isinstance(error, ConnectionRefusedError),
             ) from error
+        if not connection.is_open:
+            raise ConnectError(
+                step="connect", peer=address, message="closed at once"
+            )
         connection.pool = self
         return connection
 
@@ -263,7 +272,7 @@
             connection = idle.pop()
             connection.pooled = False
             age = now - connection.idle_since
-            if connection.usable and age < connection.idle_timeout_s:
+            if connection.is_open and age < connection.idle_timeout_s:
                 return connection
             connection.close()
         return None
