Split the stream forwarder: finding chains and recording health

Finding chains with the load of attempts, and what attempts show about targets, have modules of their own now; no logic is changed.

--- /dev/null
+++ b/rattanroute/gateway/chain_finders.py
@@ -0,0 +1,136 @@
+"""Finds chains with capacity for calls and counts the load of attempts."""
+
+import asyncio
+import dataclasses
+
+from rattanroute.gateway.calls import Call
+from rattanroute.gateway.chain_queues import ChainQueue
+from rattanroute.gateway.header_codecs import ChainHop
+from rattanroute.gateway.stream_attempts import StreamAttempt
+from rattanroute.gateway.stream_attempts import StreamRun
+from rattanroute.gateway.stream_sinks import Shortage
+from rattanroute.gateway.target_selectors import TargetSelector
+from rattanroute.systems.chain_choices import ChainChooser
+from rattanroute.systems.chain_choices import RequestDemand
+from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
+from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class ChainFinder:
+    """Finds a chain for the next attempt of a call.
+
+    Attributes:
+        selector: Health of targets.
+        chooser: Selects chains.
+        queue: Calls that wait for capacity.
+    """
+
+    selector: TargetSelector
+    chooser: ChainChooser
+    queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
+
+    async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
+        """Returns a chain with capacity, waiting for a short time if needed.
+
+        A call does not wait if some layers are held by no usable target, or if
+        all targets that may still run it are avoided.
+        """
+        now = asyncio.get_running_loop().time()
+        call, state, avoided = run.call, run.state, run.avoided
+
+        def choose() -> tuple[ChainHop, ...]:
+            return self.choose_chain(call, avoided)
+
+        first_targets = find_first_targets(call)
+        if first_targets is not None and first_targets <= avoided:
+            state.shortage = Shortage.TARGETS
+            return ()
+        service = call.service
+        if not self.queue.wait_queue.has_waiting(service.name):
+            chain = choose()
+            if chain:
+                return chain
+        if not self.chooser.is_covered(service, excluded=avoided, now=now):
+            state.shortage = Shortage.LAYERS
+            return ()
+        underway = call.exchange.started
+        since = state.event_at if underway else call.exchange.received_at
+        limit = MAX_RESUME_WAIT_SECONDS if underway else MAX_WAIT_SECONDS
+        max_wait_s = min(call.time_left(now), since + limit - now)
+        chain = await self.queue.wait(
+            call, choose, max_wait_s=max_wait_s, underway=underway
+        )
+        call.waited_s += asyncio.get_running_loop().time() - now
+        return chain
+
+    def choose_chain(
+        self, call: Call, avoided: set[str]
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain that has capacity now; empty if there is none."""
+        now = asyncio.get_running_loop().time()
+        self.selector.detections.end_backoffs(now)
+        return self.chooser.choose(
+            call.service,
+            build_demand(call),
+            excluded=frozenset(avoided),
+            first_targets=find_first_targets(call),
+            now=now,
+        )
+
+    def count_load(
+        self, chain: tuple[ChainHop, ...], tokens: int, sign: int, now: float
+    ) -> None:
+        """Adds the load of a request to its targets, or subtracts it.
+
+        Args:
+            chain: Targets that run the request.
+            tokens: Tokens of its prompt and answer.
+            sign: 1 to add the load, -1 to subtract it.
+            now: Time in seconds.
+        """
+        targets = self.selector.targets
+        for hop in chain:
+            layers = hop.end_layer - hop.first_layer
+            self.chooser.loads.add(
+                hop.target_id, requests=sign, cache_units=sign * tokens * layers
+            )
+            if sign > 0:
+                targets.note_dispatch(hop.target_id, now)
+            else:
+                targets.note_end(hop.target_id, now)
+
+    def add_load(self, attempt: StreamAttempt) -> None:
+        """Counts the load of an attempt unless it is counted already."""
+        if not attempt.loaded:
+            attempt.loaded = True
+            now = attempt.sink.loop.time()
+            self.count_load(attempt.chain, attempt.tokens, 1, now)
+
+    def subtract_load(self, attempt: StreamAttempt) -> None:
+        """Subtracts the load of an attempt if it is counted."""
+        if attempt.loaded:
+            attempt.loaded = False
+            now = attempt.sink.loop.time()
+            self.count_load(attempt.chain, attempt.tokens, -1, now)
+
+
+def find_first_targets(call: Call) -> frozenset[str] | None:
+    """Returns the only targets that may still run a call; None if any may."""
+    if len(call.possible_runners) < call.route.max_attempts:
+        return None
+    return frozenset(call.possible_runners)
+
+
+def build_demand(call: Call) -> RequestDemand:
+    """Returns the token counts of a call, with estimates if not stated."""
+    metadata = call.metadata
+    engine = call.service.engine
+    answer = metadata.answer_estimate or int(engine.typical_answer)
+    if metadata.max_answer_tokens:
+        answer = min(answer, metadata.max_answer_tokens)
+    return RequestDemand(
+        service=call.service.name,
+        prompt_tokens=metadata.prompt_tokens or int(engine.typical_prompt),
+        answer_tokens=max(1, answer),
+    )
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -8,7 +8,8 @@
 import math
 
 from rattanroute.gateway.calls import Call
-from rattanroute.gateway.chain_queues import ChainQueue
+from rattanroute.gateway.chain_finders import build_demand
+from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import BANNED_REASON
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.header_codecs import AnswerMetadata
@@ -25,6 +26,7 @@
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
+from rattanroute.gateway.stream_health import StreamHealthRecorder
 from rattanroute.gateway.stream_sinks import OK
 from rattanroute.gateway.stream_sinks import Shortage
 from rattanroute.gateway.stream_sinks import StreamSink
@@ -36,10 +38,6 @@
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
-from rattanroute.systems.chain_choices import ChainChooser
-from rattanroute.systems.chain_choices import RequestDemand
-from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
-from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -50,9 +48,6 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is aborted.
 DEADLINE_MARGIN_SECONDS = 0.1
-# If a target states that a request did not run only after this fraction of the
-# engine's stall time, a target of its chain has failed rather than being full.
-STALL_FRACTION = 0.8
 # From an engine's stall time to its answer.
 STALL_MARGIN_SECONDS = 0.25
 # Interval of the search for another chain while all attempts are suspected.
@@ -69,26 +64,26 @@
         codec: Header codec of the deployment.
         pool: Connections to targets.
         selector: Health of targets.
-        chooser: Selects chains.
+        finder: Finds chains and counts their load.
+        health: Records what attempts show about targets.
         budget: Retry budget.
         finisher: Refuses calls without an answer and logs outcomes.
         inspector: Finds the target at which a stream stalls.
         crashes: Detects requests that crash targets.
         probes: Checks whether suspected targets accept connections.
-        queue: Calls that wait for capacity.
         runs: Open calls with their attempts.
     """
 
     codec: HeaderCodec
     pool: ConnectionPool
     selector: TargetSelector
-    chooser: ChainChooser
+    finder: ChainFinder
+    health: StreamHealthRecorder
     budget: SendBudget
     finisher: CallFinisher
     inspector: StallInspector
     crashes: CrashDetector
     probes: TargetProbes
-    queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
     runs: set[StreamRun] = dataclasses.field(default_factory=set)
 
     def suspect_attempts_at(self, target_id: str) -> None:
@@ -168,7 +163,7 @@
         loop = asyncio.get_running_loop()
         while self.may_send(call, loop.time()):
             run.ban = await self.crashes.find_ban(call)
-            chain = () if run.ban else await self.find_chain(run)
+            chain = () if run.ban else await self.finder.find_chain(run)
             # The request may have been banned while it waited for a chain.
             run.ban = run.ban or self.crashes.check_ban(call)
             if run.ban is not None:
@@ -189,82 +184,12 @@
                 self.send(run, chain, connection)
             return
 
-    async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
-        """Returns a chain with capacity, waiting for a short time if needed.
-
-        A call does not wait if some layers are held by no usable target, or if
-        all targets that may still run it are avoided.
-        """
-        now = asyncio.get_running_loop().time()
-        call, state, avoided = run.call, run.state, run.avoided
-
-        def choose() -> tuple[ChainHop, ...]:
-            return self.choose_chain(call, avoided)
-
-        first_targets = find_first_targets(call)
-        if first_targets is not None and first_targets <= avoided:
-            state.shortage = Shortage.TARGETS
-            return ()
-        service = call.service
-        if not self.queue.wait_queue.has_waiting(service.name):
-            chain = choose()
-            if chain:
-                return chain
-        if not self.chooser.is_covered(service, excluded=avoided, now=now):
-            state.shortage = Shortage.LAYERS
-            return ()
-        underway = call.exchange.started
-        since = state.event_at if underway else call.exchange.received_at
-        limit = MAX_RESUME_WAIT_SECONDS if underway else MAX_WAIT_SECONDS
-        max_wait_s = min(call.time_left(now), since + limit - now)
-        chain = await self.queue.wait(
-            call, choose, max_wait_s=max_wait_s, underway=underway
-        )
-        call.waited_s += asyncio.get_running_loop().time() - now
-        return chain
-
-    def choose_chain(
-        self, call: Call, avoided: set[str]
-    ) -> tuple[ChainHop, ...]:
-        """Returns a chain that has capacity now; empty if there is none."""
-        now = asyncio.get_running_loop().time()
-        self.selector.detections.end_backoffs(now)
-        return self.chooser.choose(
-            call.service,
-            build_demand(call),
-            excluded=frozenset(avoided),
-            first_targets=find_first_targets(call),
-            now=now,
-        )
-
     def may_send(self, call: Call, now: float) -> bool:
         """Returns whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
             return False
         return call.route.repeatable or not call.may_have_run
 
-    def count_load(
-        self, chain: tuple[ChainHop, ...], tokens: int, sign: int, now: float
-    ) -> None:
-        """Adds the load of a request to its targets, or subtracts it.
-
-        Args:
-            chain: Targets that run the request.
-            tokens: Tokens of its prompt and answer.
-            sign: 1 to add the load, -1 to subtract it.
-            now: Time in seconds.
-        """
-        targets = self.selector.targets
-        for hop in chain:
-            layers = hop.end_layer - hop.first_layer
-            self.chooser.loads.add(
-                hop.target_id, requests=sign, cache_units=sign * tokens * layers
-            )
-            if sign > 0:
-                targets.note_dispatch(hop.target_id, now)
-            else:
-                targets.note_end(hop.target_id, now)
-
     async def connect(
         self, run: StreamRun, chain: tuple[ChainHop, ...]
     ) -> ClientConnection | None:
@@ -274,7 +199,7 @@
         first = chain[0]
         call.sends += 1
         call.targets.append("+".join(hop.target_id for hop in chain))
-        self.count_load(chain, build_demand(call).tokens, 1, loop.time())
+        self.finder.count_load(chain, build_demand(call).tokens, 1, loop.time())
         try:
             return await self.pool.take(
                 first.address,
@@ -290,7 +215,9 @@
             run.note_failure(str(error))
             return None
         finally:
-            self.count_load(chain, build_demand(call).tokens, -1, loop.time())
+            self.finder.count_load(
+                chain, build_demand(call).tokens, -1, loop.time()
+            )
 
     def record_metadata(
         self, target_id: str
@@ -347,23 +274,9 @@
             if other.unreachable or other.first_id == attempt.first_id:
                 self.drop(run, other)
         run.add(attempt)
-        self.add_load(attempt)
+        self.finder.add_load(attempt)
         connection.send(head, request.body, sink)
 
-    def add_load(self, attempt: StreamAttempt) -> None:
-        """Counts the load of an attempt unless it is counted already."""
-        if not attempt.loaded:
-            attempt.loaded = True
-            now = attempt.sink.loop.time()
-            self.count_load(attempt.chain, attempt.tokens, 1, now)
-
-    def subtract_load(self, attempt: StreamAttempt) -> None:
-        """Subtracts the load of an attempt if it is counted."""
-        if attempt.loaded:
-            attempt.loaded = False
-            now = attempt.sink.loop.time()
-            self.count_load(attempt.chain, attempt.tokens, -1, now)
-
     def drop(self, run: StreamRun, attempt: StreamAttempt) -> None:
         """Ends an attempt that will not be needed."""
         run.attempts.remove(attempt)
@@ -385,13 +298,14 @@
         # and another call may be using it.
         if connection.sink is attempt.sink:
             connection.cancel()
-        self.subtract_load(attempt)
+        self.finder.subtract_load(attempt)
 
     async def watch(self, run: StreamRun) -> None:
         """Waits for a change of the attempts and inspects long pauses."""
         for attempt in run.attempts:
             if attempt.resumed:
-                self.note_resumed(attempt)
+                self.finder.add_load(attempt)
+                self.health.note_resumed(attempt)
         if run.list_ended():
             return
         now = asyncio.get_running_loop().time()
@@ -477,11 +391,11 @@
         run.avoided.update(target_ids)
         run.note_failure(reason)
         run.note_possible_run(attempt)
-        self.note_lost(run, attempt, Unknown(reason=reason))
+        self.health.note_lost(run, attempt, Unknown(reason=reason))
         if attempt.first_id not in target_ids:
             # The first engine itself says that it waits. Another chain may
             # begin there.
-            self.subtract_load(attempt)
+            self.finder.subtract_load(attempt)
         for hop in attempt.chain:
             if hop.target_id in target_ids:
                 self.probes.probe(hop.address).add_done_callback(
@@ -509,34 +423,10 @@
         if attempt not in run.attempts or not attempt.suspected:
             return
         attempt.unreachable = True
-        self.subtract_load(attempt)
+        self.finder.subtract_load(attempt)
         if len(run.attempts) > 1:
             self.drop(run, attempt)
 
-    def note_lost(
-        self, run: StreamRun, attempt: StreamAttempt, outcome: Unknown
-    ) -> None:
-        """Records once that an attempt may have crashed its targets."""
-        if attempt.lost is not None:
-            self.crashes.probe(attempt.reports[0].address)
-            return
-        progress_s = attempt.sink.measure_progress()
-        outcome = dataclasses.replace(outcome, progress_s=progress_s)
-        attempt.lost = self.crashes.note_lost(
-            run.call, attempt.reports, outcome
-        )
-
-    def note_resumed(self, attempt: StreamAttempt) -> None:
-        """Takes back what was assumed of an attempt that goes on."""
-        attempt.resumed = False
-        now = attempt.sink.loop.time()
-        self.add_load(attempt)
-        for target_id in attempt.target_ids:
-            self.selector.note_resumed(target_id, now)
-        if attempt.lost is not None:
-            self.crashes.retract(attempt.lost)
-            attempt.lost = None
-
     def collect(self, run: StreamRun) -> bool:
         """Handles the attempts that have ended.
 
@@ -546,7 +436,8 @@
         complete = False
         for attempt in run.list_ended():
             if attempt.resumed:
-                self.note_resumed(attempt)
+                self.finder.add_load(attempt)
+                self.health.note_resumed(attempt)
             run.attempts.remove(attempt)
             self.release(attempt)
             outcome = attempt.sink.ended.result()
@@ -561,15 +452,13 @@
         self, run: StreamRun, attempt: StreamAttempt, outcome: Outcome | None
     ) -> None:
         """Updates health and the targets that the next attempt avoids."""
-        now = attempt.sink.loop.time()
         match outcome:
             case None:
-                for target_id in attempt.target_ids:
-                    self.selector.note_success(target_id, now)
+                self.health.note_complete(attempt)
             case NotRun():
                 run.note_failure(outcome.reason)
                 run.note_not_run(attempt)
-                self.note_not_run(run, attempt)
+                self.health.note_not_run(run, attempt)
             case Answered():
                 run.note_possible_run(attempt)
                 run.failure = outcome
@@ -579,36 +468,8 @@
                 run.note_failure(outcome.reason)
                 run.note_possible_run(attempt)
                 if not outcome.timed_out:
-                    self.avoid_gone(run, attempt)
-                self.note_lost(run, attempt, outcome)
-
-    def is_gone(self, hop: ChainHop) -> bool:
-        """Returns whether a target of a chain is unknown or unreachable."""
-        target = self.selector.targets.get(hop.target_id)
-        return target is None or not target.reachable
-
-    def avoid_gone(self, run: StreamRun, attempt: StreamAttempt) -> None:
-        """Avoids the targets of a failed attempt that caused the failure."""
-        gone = [hop.target_id for hop in attempt.chain if self.is_gone(hop)]
-        run.avoided.update(gone)
-        if run.avoided.isdisjoint(attempt.target_ids):
-            first = attempt.chain[0].target_id
-            run.avoided.add(first)
-            self.selector.note_failure(first, now=attempt.sink.loop.time())
-
-    def note_not_run(self, run: StreamRun, attempt: StreamAttempt) -> None:
-        """Backs off from the target that rejected or caused the rejection."""
-        sink, chain = attempt.sink, attempt.chain
-        now = sink.loop.time()
-        address = sink.metadata.faulty_address or chain[0].address
-        by_address = {hop.address: hop.target_id for hop in chain}
-        target_id = by_address.get(address, chain[0].target_id)
-        waited_s = now - sink.event_at
-        if waited_s >= STALL_FRACTION * run.call.service.engine.stall_s:
-            run.avoided.add(target_id)
-            self.selector.note_failure(target_id, now=now, crashed=True)
-        else:
-            self.selector.note_full(target_id, now)
+                    self.health.avoid_gone(run, attempt)
+                self.health.note_lost(run, attempt, outcome)
 
     def answer_failure(self, call: Call, outcome: Answered) -> None:
         """Returns a target's error answer to the client."""
@@ -620,24 +481,3 @@
             return
         exchange.send(self.codec.build_answer(outcome.head), outcome.body)
         self.finisher.log(call, outcome.head.status, "failed at the target")
-
-
-def find_first_targets(call: Call) -> frozenset[str] | None:
-    """Returns the only targets that may still run a call; None if any may."""
-    if len(call.possible_runners) < call.route.max_attempts:
-        return None
-    return frozenset(call.possible_runners)
-
-
-def build_demand(call: Call) -> RequestDemand:
-    """Returns the token counts of a call, with estimates if not stated."""
-    metadata = call.metadata
-    engine = call.service.engine
-    answer = metadata.answer_estimate or int(engine.typical_answer)
-    if metadata.max_answer_tokens:
-        answer = min(answer, metadata.max_answer_tokens)
-    return RequestDemand(
-        service=call.service.name,
-        prompt_tokens=metadata.prompt_tokens or int(engine.typical_prompt),
-        answer_tokens=max(1, answer),
-    )
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -4,6 +4,7 @@
 import pathlib
 import time
 
+from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import CHECK_INTERVAL_SECONDS
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.handlers import GatewayHandler
@@ -12,6 +13,7 @@
 from rattanroute.gateway.service_forwarders import ServiceForwarder
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_forwarders import StreamForwarder
+from rattanroute.gateway.stream_health import StreamHealthRecorder
 from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.heads import ResponseHead
@@ -120,13 +122,19 @@
             codec=codec,
             pool=self.pool,
             selector=selector,
-            chooser=ChainChooser(
-                data_centre=self.boot.zone,
-                targets=self.targets,
-                loads=self.loads,
-                random=self.random,
-                is_usable=selector.is_usable,
-                vms=self.control.count_serving_vms,
+            finder=ChainFinder(
+                selector=selector,
+                chooser=ChainChooser(
+                    data_centre=self.boot.zone,
+                    targets=self.targets,
+                    loads=self.loads,
+                    random=self.random,
+                    is_usable=selector.is_usable,
+                    vms=self.control.count_serving_vms,
+                ),
+            ),
+            health=StreamHealthRecorder(
+                selector=selector, crashes=self.crashes
             ),
             budget=budget,
             finisher=finisher,
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -7,6 +7,7 @@
 import random
 import unittest
 
+from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.engine_control_clients import EngineControlClient
 from rattanroute.gateway.handlers import GatewayHandler
@@ -15,6 +16,7 @@
 from rattanroute.gateway.service_forwarders import ServiceForwarder
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_forwarders import StreamForwarder
+from rattanroute.gateway.stream_health import StreamHealthRecorder
 from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.clients import ConnectionPool
@@ -223,13 +225,19 @@
         self.streams = StreamForwarder(
             **shared,
             probes=probes,
-            chooser=ChainChooser(
-                data_centre="dc-a",
-                targets=self.targets,
-                loads=EngineLoadTable(),
-                random=random.Random(1),
-                is_usable=selector.is_usable,
-                vms=lambda: 1,
+            finder=ChainFinder(
+                selector=selector,
+                chooser=ChainChooser(
+                    data_centre="dc-a",
+                    targets=self.targets,
+                    loads=EngineLoadTable(),
+                    random=random.Random(1),
+                    is_usable=selector.is_usable,
+                    vms=lambda: 1,
+                ),
+            ),
+            health=StreamHealthRecorder(
+                selector=selector, crashes=self.crashes
             ),
             inspector=StallInspector(
                 engine_control=engine_control, selector=selector
--- a/rattanroute/tests/test_gateway_crash_detectors.py
+++ b/rattanroute/tests/test_gateway_crash_detectors.py
@@ -305,7 +305,7 @@
         await self.crash_in_turn("a1", "dead")
         suspects = self.bans.suspects.rows
         self.bans.suspects.rows = {}
-        find_chain = self.streams.find_chain
+        find_chain = self.streams.finder.find_chain
 
         async def ban_meanwhile(*args: object) -> tuple:
             chain = await find_chain(*args)
@@ -314,7 +314,7 @@
 
         before = self.count_crashing()
         with mock.patch.object(
-            type(self.streams), "find_chain", side_effect=ban_meanwhile
+            type(self.streams.finder), "find_chain", side_effect=ban_meanwhile
         ):
             answer = await self.send("a1", "dead")
         self.assertEqual(answer.status, 503)
--- a/rattanroute/tests/test_gateway_stream_forwarders.py
+++ b/rattanroute/tests/test_gateway_stream_forwarders.py
@@ -110,7 +110,7 @@
             engine.header(0, b"rattanroute-hop-count"),
             f"{engine.address}=0-{LAYERS}".encode(),
         )
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
 
     async def test_broken_stream_resumes_at_another_target(self) -> None:
         first = await self.add_engine("t1", stream_part)
@@ -215,7 +215,7 @@
 
     def fill(self, target_id: str, sign: int = 1) -> None:
         """Makes an engine look full; empty again with sign -1."""
-        loads = self.streams.chooser.loads
+        loads = self.streams.finder.chooser.loads
         loads.add(target_id, requests=sign * 1000, cache_units=0)
 
     async def test_stream_waits_for_capacity_after_a_burst(self) -> None:
@@ -252,7 +252,7 @@
         self.fill("e1")
         await self.call("/stream/x", leave_after=0.1)
         await asyncio.sleep(0.05)
-        self.assertEqual(self.streams.queue.pending, {})
+        self.assertEqual(self.streams.finder.queue.pending, {})
         self.fill("e1", -1)
         await asyncio.sleep(0.1)
         self.assertEqual(target.seen, [])
@@ -324,7 +324,7 @@
         await self.call("/stream/", leave_after=0.1, deadline_ms=20000)
         async with asyncio.timeout(0.5):
             await engine.disconnected.wait()
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
 
 
 class EventSplitterTest(GatewayTestCase):
--- a/rattanroute/tests/test_planned_stops.py
+++ b/rattanroute/tests/test_planned_stops.py
@@ -285,7 +285,9 @@
 
     async def test_stream_that_was_not_sent(self) -> None:
         await self.add_target("t1", self.wait, service=SERVICE)
-        self.streams.chooser.loads.add("t1", requests=1000, cache_units=0)
+        self.streams.finder.chooser.loads.add(
+            "t1", requests=1000, cache_units=0
+        )
         answer = await self.call_until_the_end("/stream/x")
         self.assertEqual(answer.status, 503)
         self.assertIn(b"retry-after", answer.headers)
--- a/rattanroute/tests/test_silent_streams.py
+++ b/rattanroute/tests/test_silent_streams.py
@@ -171,7 +171,7 @@
         self.assertEqual(self.other.header(0, b"last-event-id"), b"2")
         async with asyncio.timeout(LEAVE_SECONDS):
             await self.silent.disconnected.wait()
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
 
     async def test_first_engine_goes_on(self) -> None:
         """Guards against events of an engine that is no longer needed."""
@@ -181,7 +181,7 @@
             await self.other.disconnected.wait()
         self.assertEqual(len(self.silent.seen), 1)
         self.assertEqual(len(self.other.seen), 1)
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
 
     async def test_client_leaves_two_engines(self) -> None:
         """Guards against engines that work on for a client that has left."""
@@ -190,7 +190,7 @@
         async with asyncio.timeout(LEAVE_SECONDS):
             await self.silent.disconnected.wait()
             await self.other.disconnected.wait()
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
         self.assertEqual(self.streams.runs, set())
 
     async def test_engine_that_breaks_off_is_not_waited_for(self) -> None:
@@ -245,7 +245,7 @@
         self.probe_result = ProbeResult.TIMED_OUT
         self.streams.probes.connect = self.give_probe_result
         await self.check_whole_stream()
-        self.assertEqual(self.streams.chooser.loads.own_loads(), ())
+        self.assertEqual(self.streams.finder.chooser.loads.own_loads(), ())
 
     async def give_probe_result(self, address: str) -> ProbeResult:
         """Stands for a probe with a chosen result."""
