Soak: a refusal of a request that no replica ran is an answer

A refusal still counts when a replica ran the request, so that a front that gives up an engine at work with 502 is seen; test_refusal_of_a_request_that_did_not_run shows both directions.

--- a/rattanroute/tests/test_soak_stop_checks.py
+++ b/rattanroute/tests/test_soak_stop_checks.py
@@ -103,6 +103,19 @@
         complete = build_stream(outcome=AttemptOutcome.COMPLETE)
         self.assert_checks(False, complete, records)
 
+    def test_refusal_of_a_request_that_did_not_run(self) -> None:
+        """Guards against a check that takes an honest refusal for a loss."""
+        for status in (502, 503):
+            attempt = build_stream(
+                outcome=AttemptOutcome.REFUSED, status=status
+            )
+            arrival = [build_record("arrival", at=attempt.sent_at)]
+            self.assert_checks(False, attempt, arrival)
+        # 503 would break the promise that the request did not run.
+        attempt = build_stream(outcome=AttemptOutcome.REFUSED, status=502)
+        run = build_run(STOP_AT + 2.0, RunEnd.LEFT)
+        self.assert_checks(True, attempt, run)
+
     def test_front_loses_a_finished_answer(self) -> None:
         """Guards against an answer that is lost after the replica's end."""
         records = build_run(STOP_AT + 1.0, RunEnd.FINISHED)
--- a/rattanroute/tools/soak_stop_checks.py
+++ b/rattanroute/tools/soak_stop_checks.py
@@ -172,9 +172,15 @@
         return attempt.ended_at <= end and is_same_process(attempt, stop)
 
     def is_unanswered(self, attempt: Attempt, fault: InjectedFault) -> bool:
-        """Returns whether a front accepted a request and did not answer it."""
+        """Returns whether a front accepted a request and did not answer it.
+
+        A refusal is an answer if no replica ran the request.
+        """
         if attempt.outcome is AttemptOutcome.COMPLETE:
             return False
+        refused = attempt.outcome is AttemptOutcome.REFUSED
+        if refused and attempt.request_id not in self.runs:
+            return False
         in_rotation = (
             attempt.outcome is AttemptOutcome.BROKEN
             and attempt.sent_at <= fault.start + ROTATION_SECONDS
