Log the limit that a target names in its answers

Server-Limit was passed through unread. It is decoded, kept with the target and logged when it changes, so that the logs tell whether a VM knows the limit when it sends on. Nothing acts on it yet.

--- a/rattanroute/gateway/header_codecs.py
+++ b/rattanroute/gateway/header_codecs.py
@@ -90,6 +90,8 @@
         leaving: Whether the target accepts no new work.
         pause_s: Seconds for which a target that rejected a request accepts
             nothing from this VM; None if it asks for no pause.
+        limit_per_s: Requests per second that the target takes from all VMs
+            together; None if it names no limit.
     """
 
     request_id: str = ""
@@ -100,6 +102,7 @@
     faulty_address: str = ""
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -115,7 +115,7 @@
     def note_answer(
         self, report: TargetReport, metadata: AnswerMetadata, now: float
     ) -> None:
-        """Applies the departure or pause that an answer announces.
+        """Applies the departure, limit or pause that an answer announces.
 
         Args:
             report: The target's report when the request was sent, so that a
@@ -126,9 +126,10 @@
         if metadata.leaving and not self.has_departed(report):
             self.announce_departure(report)
         row = self.targets.get(report.target_id)
-        if metadata.pause_s is None or row is None:
+        if row is None or row.report.incarnation != report.incarnation:
             return
-        if row.report.incarnation != report.incarnation:
+        self.note_limit(row, metadata, now)
+        if metadata.pause_s is None:
             return
         pause_s = min(metadata.pause_s, MAX_PAUSE_SECONDS)
         row.paused_until = max(row.paused_until, now + pause_s)
@@ -139,6 +140,22 @@
             request_id=metadata.request_id,
         )
 
+    def note_limit(
+        self, row: Target, metadata: AnswerMetadata, now: float
+    ) -> None:
+        """Records the limit that an answer names, or the end of a limit."""
+        limit_per_s = metadata.limit_per_s
+        if limit_per_s != row.limit_per_s:
+            log.info(
+                "limit of a target changed",
+                target=row.report.target_id,
+                limit=limit_per_s,
+                before=row.limit_per_s,
+                request_id=metadata.request_id,
+            )
+        row.limit_per_s = limit_per_s
+        row.limit_named_at = now
+
     def choose(
         self, service: str, *, excluded: set[str], now: float
     ) -> Target | None:
--- a/rattanroute/platform/headers.py
+++ b/rattanroute/platform/headers.py
@@ -33,6 +33,9 @@
 # "1" in each answer of a replica that is shutting down.
 LEAVING = b"Server-Leaving"
 RETRY_AFTER = b"Retry-After"
+# Requests per second that a replica takes from all machines together. It holds
+# until an answer of the replica comes without it.
+LIMIT = b"Server-Limit"
 BEARER = "bearer "
 HEXADECIMAL = re.compile(rb"[0-9a-f]+")
 
@@ -151,6 +154,7 @@
             if head.status == SERVICE_UNAVAILABLE
             else None
         ),
+        limit_per_s=parse_number(values.get(LIMIT.lower(), b"")),
     )
 
 
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -123,6 +123,9 @@
         pace: Measured step time divided by the usual one, from inspections.
         reachable: Whether it answered the latest inspections.
         state_until: Expiry of `pace` and `reachable`; 0 if they are unknown.
+        limit_per_s: Requests per second that it takes from all VMs together;
+            None if it names no limit.
+        limit_named_at: Time of the answer that `limit_per_s` comes from.
     """
 
     report: TargetReport
@@ -152,6 +155,8 @@
     pace: float = 1.0
     reachable: bool = True
     state_until: float = 0.0
+    limit_per_s: float | None = None
+    limit_named_at: float = float("-inf")
 
     @property
     def load(self) -> int:
@@ -397,3 +402,5 @@
     row.pace = 1.0
     row.reachable = True
     row.state_until = 0.0
+    row.limit_per_s = None
+    row.limit_named_at = float("-inf")
--- a/rattanroute/tests/test_platform_headers.py
+++ b/rattanroute/tests/test_platform_headers.py
@@ -173,3 +173,21 @@
             status=503, request_id="r1", retry_after_s=0.75
         )
         self.assertEqual(find_header(head.headers, b"retry-after"), b"0.75")
+
+    def test_limit(self) -> None:
+        """Guards against a limit of a target that is not read."""
+        for value, limit_per_s in (
+            (b"10.4", 10.4),
+            (b"0", 0.0),
+            (b"nan", None),
+            (b"-1", None),
+            (b"many", None),
+        ):
+            with self.subTest(value=value):
+                head = ResponseHead(
+                    status=200, headers=[(b"server-limit", value)]
+                )
+                metadata = PlatformHeaderCodec().read_answer(head)
+                self.assertEqual(metadata.limit_per_s, limit_per_s)
+        metadata = PlatformHeaderCodec().read_answer(ResponseHead(status=200))
+        self.assertIsNone(metadata.limit_per_s)
