Keep the rates that targets name, summed over all VMs

Cause: no VM read the header, and none knew what the others send to a target; the choice of a chain knows rooms and speeds only.

Change: a limiter (systems/target_limits.py) of the first targets of chains and of plain services. The VMs exchange their requests to limited targets and the demand for them with the loads of engines; parts of the rate follow the demand that the others know, so that they add up to the limit while the exchange lags, and nothing is sent while the known requests of the last 4 s use up nine tenths of it. VMs with less than one request lend by probability. Inspections announce limits too, so that a target without requests is known before the first one and the end of a limit as well. When all first targets are limited, a call waits only as long as that helps, and is refused at once otherwise.

--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -12,6 +12,7 @@
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import RequestDemand
+from rattanroute.systems.target_limits import WINDOW_SECONDS
 from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
 from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
 
@@ -40,7 +41,7 @@
         call, state, avoided = run.call, run.state, run.avoided
 
         def choose() -> tuple[ChainHop, ...]:
-            return self.choose_chain(call, avoided)
+            return self.choose_chain(call, avoided, run.demanded)
 
         first_targets = find_first_targets(call)
         if first_targets is not None and first_targets <= avoided:
@@ -58,16 +59,41 @@
         since = state.event_at if underway else call.exchange.received_at
         limit = MAX_RESUME_WAIT_SECONDS if underway else MAX_WAIT_SECONDS
         max_wait_s = min(call.time_left(now), since + limit - now)
+        state.shortage = Shortage.ROOM
+        if not underway and self.estimate_limit_wait(run) > max_wait_s:
+            state.shortage = Shortage.LIMITS
+            return ()
         chain = await self.queue.wait(
             call, choose, max_wait_s=max_wait_s, underway=underway
         )
         call.waited_s += asyncio.get_running_loop().time() - now
         return chain
 
+    def estimate_limit_wait(self, run: StreamRun) -> float:
+        """Returns the seconds until the limits of targets allow a call.
+
+        The wait is 0 if a target that may be first in a chain names no limit.
+        """
+        service = run.call.service
+        now = asyncio.get_running_loop().time()
+        rate = self.chooser.find_limited_rate(
+            service, excluded=run.avoided, now=now
+        )
+        if not rate:
+            return 0.0
+        ahead = self.queue.wait_queue.count_waiting(service.name)
+        return min((ahead + 1) / rate, WINDOW_SECONDS)
+
     def choose_chain(
-        self, call: Call, avoided: set[str]
+        self, call: Call, avoided: set[str], demanded: set[str]
     ) -> tuple[ChainHop, ...]:
-        """Returns a chain that has capacity now; empty if there is none."""
+        """Returns a chain that has capacity now; empty if there is none.
+
+        Args:
+            call: The call.
+            avoided: IDs of targets that must not be used.
+            demanded: IDs of the targets with a limit that have counted it.
+        """
         now = asyncio.get_running_loop().time()
         self.selector.detections.end_backoffs(now)
         return self.chooser.choose(
@@ -75,6 +101,7 @@
             build_demand(call),
             excluded=frozenset(avoided),
             first_targets=find_first_targets(call),
+            demanded=demanded,
             now=now,
         )
 
--- a/rattanroute/gateway/engine_control_clients.py
+++ b/rattanroute/gateway/engine_control_clients.py
@@ -57,6 +57,8 @@
             that wait for another target of the chain.
         leaving: Whether it accepts no new work.
         incarnation: Its incarnation; 0 if not stated.
+        limit_per_s: Requests per second that it takes from all VMs together;
+            None if it names no limit.
     """
 
     orders: int = 0
@@ -67,6 +69,7 @@
     stalled: tuple[StalledRequest, ...] = ()
     leaving: bool = False
     incarnation: int = 0
+    limit_per_s: float | None = None
 
 
 class EngineCodec(Protocol):
@@ -136,8 +139,12 @@
                 message=f"status {head.status}",
             )
         state = self.codec.decode_state(address, body)
-        leaving = self.codec.read_answer(head).leaving
-        return dataclasses.replace(state, leaving=leaving)
+        metadata = self.codec.read_answer(head)
+        return dataclasses.replace(
+            state,
+            leaving=metadata.leaving,
+            limit_per_s=metadata.limit_per_s,
+        )
 
     async def order_layers(
         self, address: str, layers: LayerRange, *, fence: int, expected: int
--- a/rattanroute/gateway/inspectors.py
+++ b/rattanroute/gateway/inspectors.py
@@ -79,7 +79,10 @@
             )
         else:
             actions = self.system.note_answer(
-                report.target_id, pace=state.pace, now=loop.time()
+                report.target_id,
+                pace=state.pace,
+                limit_per_s=state.limit_per_s,
+                now=loop.time(),
             )
             if state.leaving and state.incarnation in (0, report.incarnation):
                 self.on_leaving(report)
--- a/rattanroute/gateway/service_attempts.py
+++ b/rattanroute/gateway/service_attempts.py
@@ -41,6 +41,7 @@
         call: The call.
         attempts: Open attempts, oldest first.
         excluded: Targets that were tried.
+        demanded: Targets with a limit that have counted the call as demand.
         exhausted: Whether no further attempt may be started.
         failed: Error answer of a target, returned if there is no better one.
         timed_out: Whether the latest failed attempt timed out.
@@ -52,6 +53,7 @@
     call: Call
     attempts: list[ServiceAttempt] = dataclasses.field(default_factory=list)
     excluded: set[str] = dataclasses.field(default_factory=set)
+    demanded: set[str] = dataclasses.field(default_factory=set)
     exhausted: bool = False
     failed: Answered | None = None
     timed_out: bool = False
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -1,6 +1,7 @@
 """Forwards requests to plain services and returns complete answers."""
 
 import asyncio
+import collections
 import dataclasses
 
 from rattanroute.errors import RouterError
@@ -24,6 +25,8 @@
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
+from rattanroute.systems.target_limits import LIMITED_REASON
+from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tasks import wait_for_reply
 
@@ -36,6 +39,11 @@
 MAX_ANSWER_BYTES = 16_777_216
 ANSWER_AFTER_DEADLINE_SECONDS = 0.05
 
+# Longest wait of a call while all targets are at the limits that they name, and
+# the interval at which it tries again.
+MAX_LIMIT_WAIT_SECONDS = 0.5
+LIMIT_POLL_SECONDS = 0.02
+
 # By protocol, these statuses mean that the request did not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
@@ -53,6 +61,8 @@
         budget: Retry budget.
         finisher: Refuses calls without an answer and logs outcomes.
         crashes: Detects requests that crash targets.
+        waiting: Number of calls that wait for the limits of targets, by
+            service.
     """
 
     codec: HeaderCodec
@@ -61,6 +71,9 @@
     budget: SendBudget
     finisher: CallFinisher
     crashes: CrashDetector
+    waiting: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     async def forward(self, call: Call) -> None:
         """Sends a call to targets and answers the client."""
@@ -135,6 +148,13 @@
             call.service.name, now
         ):
             available_at = self.selector.find_pause_end(call.service.name, now)
+        if run.reason == LIMITED_REASON:
+            available_at = now + self.selector.estimate_limit_wait(
+                call.service.name,
+                excluded=run.excluded,
+                waiting=self.waiting[call.service.name],
+                now=now,
+            )
         self.finisher.refuse(
             call,
             run.reason,
@@ -156,10 +176,8 @@
         if run.ban is not None:
             run.reason = BANNED_REASON
             return None
-        target = self.selector.choose(
-            call.service.name, excluded=run.excluded, now=loop.time()
-        )
-        # The wait for a verdict may have taken the rest of the time.
+        target = await self.choose_target(run)
+        # The waits may have taken the rest of the time.
         if target is None or not self.may_send(call, loop.time()):
             return None
         if not self.budget.take(call, loop.time()):
@@ -168,6 +186,41 @@
         attempt.report = target.report
         return await self.attempt(run, attempt)
 
+    async def choose_target(self, run: ServiceRun) -> Target | None:
+        """Returns a target for the next attempt; None if there is none.
+
+        If all targets are at the limits that they name, the call waits, unless
+        those that wait already use up what this VM may send meanwhile.
+        """
+        service = run.call.service.name
+        loop = asyncio.get_running_loop()
+        wait_until = loop.time() + MAX_LIMIT_WAIT_SECONDS
+        waiting = self.waiting[service]
+        self.waiting[service] += 1
+        try:
+            while True:
+                now = loop.time()
+                target = self.selector.choose(
+                    service,
+                    excluded=run.excluded,
+                    demanded=run.demanded,
+                    now=now,
+                )
+                if target is not None:
+                    return target
+                wait_s = self.selector.estimate_limit_wait(
+                    service, excluded=run.excluded, waiting=waiting, now=now
+                )
+                if not wait_s:
+                    return None
+                if now + wait_s > min(wait_until, run.call.deadline):
+                    if not run.call.sends:
+                        run.reason = LIMITED_REASON
+                    return None
+                await asyncio.sleep(LIMIT_POLL_SECONDS)
+        finally:
+            self.waiting[service] -= 1
+
     def may_send(self, call: Call, now: float) -> bool:
         """Returns whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
@@ -274,6 +327,7 @@
             timer = loop.call_later(part, self.note_late, run, attempt)
         try:
             connection.send(head, request.body, sink)
+            self.selector.limiter.note_send(report.target_id, loop.time())
             attempt.sent = True
             await wait_for_reply(
                 sink.done, remaining_s + ANSWER_AFTER_DEADLINE_SECONDS
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -75,6 +75,7 @@
         call: The call.
         state: What the client has received.
         avoided: Targets that the next attempt avoids.
+        demanded: Targets with a limit that have counted the call as demand.
         attempts: Open attempts, oldest first.
         possible_runs: Suspected or ended attempts that may have run.
         reason: Why the latest attempt failed, or why there is no other one.
@@ -87,6 +88,7 @@
     call: Call
     state: StreamState
     avoided: set[str] = dataclasses.field(default_factory=set)
+    demanded: set[str] = dataclasses.field(default_factory=set)
     attempts: list[StreamAttempt] = dataclasses.field(default_factory=list)
     possible_runs: set[StreamAttempt] = dataclasses.field(default_factory=set)
     reason: str = ""
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -134,6 +134,8 @@
         available_at = run.ban.until if run.ban is not None else None
         if available_at is None and run.state.shortage is Shortage.LAYERS:
             available_at = self.selector.find_pause_end(call.service.name, now)
+        if run.state.shortage is Shortage.LIMITS:
+            available_at = now + self.finder.estimate_limit_wait(run)
         self.finisher.refuse(
             call,
             run.reason,
@@ -275,6 +277,7 @@
                 self.drop(run, other)
         run.add(attempt)
         self.finder.add_load(attempt)
+        self.selector.limiter.note_send(attempt.first_id, now)
         connection.send(head, request.body, sink)
 
     def drop(self, run: StreamRun, attempt: StreamAttempt) -> None:
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -21,6 +21,7 @@
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ResponseSink
 from rattanroute.http1.heads import ResponseHead
+from rattanroute.systems.target_limits import LIMITED_REASON
 
 MAX_FAILURE_BYTES = 65_536
 OK = 200
@@ -32,6 +33,7 @@
     ROOM = "no chain has room"
     LAYERS = "layers are missing"
     TARGETS = "no further target may run the request"
+    LIMITS = LIMITED_REASON
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -8,6 +8,9 @@
 from rattanroute.gateway.header_codecs import AnswerMetadata
 from rattanroute.logs import get_logger
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
+from rattanroute.systems.target_limits import note_limit
+from rattanroute.systems.target_limits import TargetLimiter
+from rattanroute.systems.target_limits import WINDOW_SECONDS
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tables.targets import TargetReport
@@ -39,6 +42,7 @@
         data_centre: Data centre of this VM.
         targets: All known targets.
         detections: Tracks failures and ejects targets.
+        limiter: Keeps the limits that targets name.
         has_departed: Returns whether a report belongs to a target that has
             announced its departure.
         suspect: Requests an inspection of a target.
@@ -49,6 +53,7 @@
     data_centre: str
     targets: TargetTable
     detections: OutlierDetectionSystem
+    limiter: TargetLimiter
     has_departed: Callable[[TargetReport], bool]
     suspect: Callable[[Target], None]
     announce_departure: Callable[[TargetReport], None]
@@ -144,22 +149,33 @@
         self, row: Target, metadata: AnswerMetadata, now: float
     ) -> None:
         """Records the limit that an answer names, or the end of a limit."""
-        limit_per_s = metadata.limit_per_s
-        if limit_per_s != row.limit_per_s:
+        before = row.limit_per_s
+        if note_limit(row, metadata.limit_per_s, now):
             log.info(
                 "limit of a target changed",
                 target=row.report.target_id,
-                limit=limit_per_s,
-                before=row.limit_per_s,
+                limit=row.limit_per_s,
+                before=before,
                 request_id=metadata.request_id,
             )
-        row.limit_per_s = limit_per_s
-        row.limit_named_at = now
 
     def choose(
-        self, service: str, *, excluded: set[str], now: float
+        self,
+        service: str,
+        *,
+        excluded: set[str],
+        demanded: set[str],
+        now: float,
     ) -> Target | None:
-        """Returns the least loaded usable target of a plain service, if any."""
+        """Returns the least loaded usable target of a plain service, if any.
+
+        Args:
+            service: The service.
+            excluded: IDs of targets that must not be used.
+            demanded: IDs of the targets with a limit for which the request has
+                been counted as demand; the choice adds to them.
+            now: Time in seconds.
+        """
         self.detections.end_backoffs(now)
         found = [
             target
@@ -167,7 +183,33 @@
             if target.report.target_id not in excluded
             and self.is_usable(target, now)
         ]
-        return min(found, key=self.score_load, default=None)
+        found.sort(key=self.score_load)
+        for target in found:
+            if self.limiter.admit(target, demanded, now):
+                return target
+        return None
+
+    def estimate_limit_wait(
+        self, service: str, *, excluded: set[str], waiting: int, now: float
+    ) -> float:
+        """Returns the seconds until the limits of targets allow a call.
+
+        Args:
+            service: The service.
+            excluded: IDs of targets that must not be used.
+            waiting: Number of calls that wait already.
+            now: Time in seconds.
+
+        Returns:
+            The wait; 0 if no target is usable or one of them names no limit.
+        """
+        rate = sum(
+            self.limiter.compute_own_rate(target, now)
+            for target in self.targets.serving(service)
+            if target.report.target_id not in excluded
+            and self.is_usable(target, now)
+        )
+        return min((waiting + 1) / rate, WINDOW_SECONDS) if rate else 0.0
 
     def score_load(self, target: Target) -> float:
         """Returns the cost of more work at a target; lower is better."""
--- a/rattanroute/messages/inspections.py
+++ b/rattanroute/messages/inspections.py
@@ -19,12 +19,15 @@
         incarnation: The inspected incarnation.
         pace: Measured step time divided by the usual one.
         reachable: Whether it answered the latest inspections.
+        limit_per_s: Requests per second that it takes from all VMs together;
+            None if it names no limit.
     """
 
     target_id: str
     incarnation: int
     pace: float
     reachable: bool
+    limit_per_s: float | None = None
 
 
 class TargetStates(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/rattanroute/messages/loads.py
+++ b/rattanroute/messages/loads.py
@@ -32,6 +32,26 @@
     repeats: int
 
 
+class LimitUse(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Requests to a target that names a limit, within the last seconds.
+
+    Attributes:
+        target_id: The target.
+        incarnation: Its incarnation.
+        limit_per_s: Requests per second that it takes from all VMs together.
+        age_s: Seconds since the answer that named the limit.
+        sends: Requests that were sent to it.
+        demand: Requests that would have been sent to it without a limit.
+    """
+
+    target_id: str
+    incarnation: int
+    limit_per_s: float
+    age_s: float
+    sends: int
+    demand: int
+
+
 class OwnLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Load that the sending VM has put on engines.
 
@@ -39,11 +59,13 @@
         loads: Its open requests by target.
         attempts: Its attempts by service.
         process: Identifier of the sending process of the VM.
+        limits: Its requests to targets that name a limit.
     """
 
     loads: tuple[EngineLoad, ...]
     attempts: tuple[AttemptCount, ...] = ()
     process: int = 0
+    limits: tuple[LimitUse, ...] = ()
 
 
 class OtherLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -54,11 +76,13 @@
         vms: Number of VMs that reported, including the receiver.
         attempts: The sums by service, including attempts of earlier processes
             of VMs within the window.
+        limits: The sums by target that names a limit.
     """
 
     loads: tuple[EngineLoad, ...]
     vms: int
     attempts: tuple[AttemptCount, ...] = ()
+    limits: tuple[LimitUse, ...] = ()
 
 
 KINDS: dict[int, type] = {220: OwnLoads, 221: OtherLoads}
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -30,6 +30,7 @@
 from rattanroute.systems.retry_budgets import COUNTS_EXPIRY_SECONDS
 from rattanroute.systems.retry_budgets import RetryBudget
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
+from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
@@ -67,6 +68,11 @@
             random=self.random,
             blocked_until=time.monotonic() + COUNTS_EXPIRY_SECONDS,
         )
+        self.limiter = TargetLimiter(
+            targets=self.targets,
+            vms=self.control.count_serving_vms,
+            random=self.random,
+        )
         self.control.add(
             EngineLoadSystem(
                 vm_id=self.vm_id,
@@ -76,6 +82,7 @@
                 budget=self.retry_budget,
                 process=self.control.membership.own_record.incarnation,
                 window_s=bounds.budget_window_s,
+                limiter=self.limiter,
             )
         )
         self.limits = RequestLimits()
@@ -94,6 +101,7 @@
             data_centre=self.boot.zone,
             targets=self.targets,
             detections=OutlierDetectionSystem(targets=self.targets),
+            limiter=self.limiter,
             has_departed=self.departures.covers,
             suspect=self.suspect,
             announce_departure=self.announce_departure,
@@ -131,6 +139,7 @@
                     random=self.random,
                     is_usable=selector.is_usable,
                     vms=self.control.count_serving_vms,
+                    limiter=self.limiter,
                 ),
             ),
             health=StreamHealthRecorder(
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -15,6 +15,7 @@
 from rattanroute.systems.chain_searches import ChainPath
 from rattanroute.systems.chain_searches import find_chain
 from rattanroute.systems.chain_searches import StageCandidate
+from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadRow
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.routes import Accelerator
@@ -120,6 +121,8 @@
         random: Source of the jitter.
         is_usable: Returns whether a target may get new work at a time.
         vms: Returns the number of VMs that share the targets.
+        limiter: Keeps the limits that targets name; they count the requests
+            that they receive as the first target of a chain.
         link_limiter: Limits the traffic between data centres.
     """
 
@@ -129,6 +132,7 @@
     random: randoms.Random
     is_usable: Callable[[Target, float], bool]
     vms: Callable[[], int]
+    limiter: TargetLimiter
     link_limiter: LinkRateLimiter = dataclasses.field(
         default_factory=LinkRateLimiter
     )
@@ -140,6 +144,7 @@
         *,
         excluded: frozenset[str],
         first_targets: frozenset[str] | None = None,
+        demanded: set[str],
         now: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that runs each layer once; empty if there is none.
@@ -153,9 +158,51 @@
             excluded: IDs of targets that must not be used.
             first_targets: IDs of the targets that may run the first layers;
                 None for any.
+            demanded: IDs of the targets with a limit for which the request has
+                been counted as demand; the choice adds to them.
             now: Time in seconds.
         """
         engine = service.engine
+        centres = self.group_candidates(
+            service, demand, excluded, first_targets, now
+        )
+        while True:
+            path = self.find_local_chain(engine, centres, demand)
+            if path is None:
+                path = self.find_cross_centre_chain(
+                    engine, centres, demand, now
+                )
+            if path is None:
+                return ()
+            steps = list(path.steps())
+            first = steps[0][0]
+            target = self.targets.get(first.target_id)
+            if self.limiter.admit(target, demanded, now):
+                break
+            exclude_first_target(centres, first.target_id)
+        return tuple(
+            ChainHop(
+                target_id=candidate.target_id,
+                address=candidate.address,
+                first_layer=begin,
+                end_layer=end,
+            )
+            for candidate, begin, end in steps
+        )
+
+    def group_candidates(
+        self,
+        service: BackendService,
+        demand: RequestDemand,
+        excluded: frozenset[str],
+        first_targets: frozenset[str] | None,
+        now: float,
+    ) -> dict[str, list[StageCandidate]]:
+        """Returns the targets with room for a request, by data centre.
+
+        The arguments are those of `choose`.
+        """
+        engine = service.engine
         centres: dict[str, list[StageCandidate]] = {}
         for target in self.targets.serving(service.name):
             if target.report.target_id in excluded:
@@ -171,19 +218,29 @@
                     candidate = exclude_first_layer(candidate)
                 group = centres.setdefault(target.report.data_centre, [])
                 group.append(candidate)
-        path = self.find_local_chain(engine, centres, demand)
-        if path is None:
-            path = self.find_cross_centre_chain(engine, centres, demand, now)
-        if path is None:
-            return ()
-        return tuple(
-            ChainHop(
-                target_id=candidate.target_id,
-                address=candidate.address,
-                first_layer=first,
-                end_layer=end,
-            )
-            for candidate, first, end in path.steps()
+        return centres
+
+    def find_limited_rate(
+        self, service: BackendService, *, excluded: set[str], now: float
+    ) -> float:
+        """Returns the rate at which this VM may send to first targets.
+
+        Args:
+            service: Service with the performance model of its engines.
+            excluded: IDs of targets that do not count.
+            now: Time in seconds.
+
+        Returns:
+            The sum over the usable targets that hold the first layer, in
+            requests per second; infinite if one of them names no limit.
+        """
+        return sum(
+            self.limiter.compute_own_rate(target, now)
+            for target in self.targets.serving(service.name)
+            if target.report.first_layer == 0
+            and target.report.last_layer >= 0
+            and target.report.target_id not in excluded
+            and self.is_usable(target, now)
         )
 
     def is_covered(
@@ -307,6 +364,16 @@
     return len(held) >= service.engine.layers
 
 
+def exclude_first_target(
+    centres: dict[str, list[StageCandidate]], target_id: str
+) -> None:
+    """Replaces a candidate by one that cannot run the first layer."""
+    for group in centres.values():
+        for number, candidate in enumerate(group):
+            if candidate.target_id == target_id:
+                group[number] = exclude_first_layer(candidate)
+
+
 def exclude_first_layer(candidate: StageCandidate) -> StageCandidate:
     """Returns a copy of a candidate that cannot run the first layer."""
     return dataclasses.replace(candidate, first=max(1, candidate.first))
--- a/rattanroute/systems/engine_loads.py
+++ b/rattanroute/systems/engine_loads.py
@@ -1,7 +1,8 @@
 """Exchange of engine loads and attempt counts between VMs.
 
 Each VM learns the load that the other VMs put on engines, and their attempts
-at services, which count against the shared retry budget.
+at services, which count against the shared retry budget, and their requests to
+targets that name a limit.
 
 A voter of each data centre is its aggregator. Each VM sends its own load there
 at a short interval, or a longer one while it has none, and receives the load
@@ -19,13 +20,17 @@
 import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
 from rattanroute.messages.loads import AttemptCount
 from rattanroute.messages.loads import EngineLoad
+from rattanroute.messages.loads import LimitUse
 from rattanroute.messages.loads import OtherLoads
 from rattanroute.messages.loads import OwnLoads
 from rattanroute.systems.retry_budgets import RetryBudget
+from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadTable
 
 # Intervals at which a VM with and without load reports to its aggregator.
@@ -57,6 +62,7 @@
         vms: Number of VMs that the load comes from.
         received_at: Time at which it was received, in seconds.
         process: Identifies the process of the reporting VM; 0 for sums.
+        limits: Requests to targets that name a limit.
     """
 
     loads: dict[str, EngineLoad]
@@ -64,6 +70,7 @@
     vms: int
     received_at: float
     process: int = 0
+    limits: tuple[LimitUse, ...] = ()
 
 
 class LoadSum:
@@ -74,9 +81,10 @@
         self.units: dict[str, int] = {}
         self.firsts: dict[str, int] = {}
         self.repeats: dict[str, int] = {}
+        self.limits: dict[str, LimitUse] = {}
         self.vms = 0
 
-    def add(self, report: ReportedLoads) -> None:
+    def add(self, report: ReportedLoads, now: float) -> None:
         """Adds the report of a VM or the sums of an aggregator."""
         self.vms += report.vms
         for name, load in report.loads.items():
@@ -86,6 +94,13 @@
             name = count.service
             self.firsts[name] = self.firsts.get(name, 0) + count.firsts
             self.repeats[name] = self.repeats.get(name, 0) + count.repeats
+        held_s = now - report.received_at
+        for use in report.limits:
+            held = msgspec.structs.replace(use, age_s=use.age_s + held_s)
+            known = self.limits.get(use.target_id)
+            self.limits[use.target_id] = (
+                held if known is None else add_uses(known, held)
+            )
 
     def build(self, vms: int) -> OtherLoads:
         """Returns the sums as a message.
@@ -109,9 +124,22 @@
                 )
                 for name, count in self.firsts.items()
             ),
+            limits=tuple(self.limits.values()),
         )
 
 
+def add_uses(one: LimitUse, other: LimitUse) -> LimitUse:
+    """Returns the sum of two counts, with what the target said last."""
+    if one.incarnation != other.incarnation:
+        return max(one, other, key=lambda use: use.incarnation)
+    newest = min(one, other, key=lambda use: use.age_s)
+    return msgspec.structs.replace(
+        newest,
+        sends=one.sends + other.sends,
+        demand=one.demand + other.demand,
+    )
+
+
 class EngineLoadSystem:
     """Reports the load of this VM, or aggregates the reports of others.
 
@@ -125,6 +153,8 @@
             clients.
         process: Number that differs between the processes of this VM.
         window_s: Window of the retry budget, in seconds.
+        limiter: Keeps the limits that targets name; None on a VM that serves
+            no clients.
     """
 
     message_types: tuple[type, ...] = (OwnLoads, OtherLoads)
@@ -139,6 +169,7 @@
         budget: RetryBudget | None = None,
         process: int = 0,
         window_s: float = 0.0,
+        limiter: TargetLimiter | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.process = process
@@ -147,6 +178,7 @@
         self.members = members
         self.loads = loads
         self.budget = budget
+        self.limiter = limiter
         self.next_send_at = 0.0
         self.answered_at = 0.0
         self.reported: dict[str, ReportedLoads] = {}
@@ -174,6 +206,7 @@
             vms=1 if is_own else message.vms,
             received_at=now,
             process=message.process if is_own else 0,
+            limits=message.limits,
         )
         if is_own:
             known = self.reported.get(peer)
@@ -189,6 +222,8 @@
             self.budget.update_others(
                 message.attempts, vms=message.vms, now=now
             )
+        if self.limiter is not None:
+            self.limiter.take_others(message.limits, now)
         self.loads.take_others(message.loads, message.vms)
         return []
 
@@ -198,9 +233,9 @@
         total = LoadSum()
         for vm_id, report in self.reported.items():
             if vm_id != peer:
-                total.add(report)
+                total.add(report, now)
         for report in (*self.aggregator_sums.values(), *self.ended_processes):
-            total.add(report)
+            total.add(report, now)
         return total.build(vms=total.vms + 1)
 
     def sum_reported(self, now: float) -> OtherLoads:
@@ -208,7 +243,7 @@
         self.drop_expired(now)
         total = LoadSum()
         for report in (*self.reported.values(), *self.ended_processes):
-            total.add(report)
+            total.add(report, now)
         return total.build(vms=total.vms)
 
     def drop_expired(self, now: float) -> None:
@@ -228,7 +263,7 @@
     def retain_attempts(self, report: ReportedLoads) -> None:
         """Keeps the attempt counts of an ended process, without its load."""
         if report.attempts:
-            ended = dataclasses.replace(report, loads={}, vms=0)
+            ended = dataclasses.replace(report, loads={}, vms=0, limits=())
             self.ended_processes.append(ended)
 
     def tick(self, *, now: float) -> list[Action]:
@@ -238,9 +273,10 @@
         if self.loads is None:
             return self.send_sums(now)
         own_loads = self.loads.own_loads()
+        limits = self.limiter.list_own(now) if self.limiter else ()
         self.next_send_at = now + (
             REPORT_INTERVAL_SECONDS
-            if own_loads
+            if own_loads or limits
             else IDLE_REPORT_INTERVAL_SECONDS
         )
         if now - self.answered_at > ANSWER_TIMEOUT_SECONDS:
@@ -253,7 +289,10 @@
         aggregator = voters[self.voter_index % len(voters)]
         attempts = self.budget.count_own(now) if self.budget else ()
         message = OwnLoads(
-            loads=own_loads, attempts=attempts, process=self.process
+            loads=own_loads,
+            attempts=attempts,
+            process=self.process,
+            limits=limits,
         )
         return [SendMessage(peer=aggregator, message=message)]
 
--- a/rattanroute/systems/inspections.py
+++ b/rattanroute/systems/inspections.py
@@ -3,8 +3,8 @@
 One voter of each data centre, the inspector, queries the state of the targets
 there at an interval, and at once when a VM suspects a target. It announces
 changes to all VMs, so that a VM need not lose requests to detect a failure.
-Unusual states (slow or unreachable) are repeated; on a VM that no longer
-receives the repetitions, the state expires.
+Unusual states (slow, unreachable or limited) are repeated; on a VM that no
+longer receives the repetitions, the state expires.
 """
 
 from collections.abc import Callable
@@ -17,6 +17,7 @@
 from rattanroute.messages.inspections import InspectRequest
 from rattanroute.messages.inspections import TargetState
 from rattanroute.messages.inspections import TargetStates
+from rattanroute.systems.target_limits import note_inspected_limit
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetTable
 
@@ -53,6 +54,7 @@
         awaits_answer: Whether a query is pending.
         unanswered: Consecutive queries without an answer.
         pace: Factor on the usual duration of the target's steps.
+        limit_per_s: Limit that the target names; None if it names none.
         announced_state: The state last announced to all VMs; None before the
             first announcement.
     """
@@ -63,6 +65,7 @@
     awaits_answer: bool = False
     unanswered: int = 0
     pace: float = USUAL_PACE
+    limit_per_s: float | None = None
     announced_state: TargetState | None = None
 
 
@@ -147,13 +150,19 @@
         return found
 
     def note_answer(
-        self, target_id: str, *, pace: float, now: float
+        self,
+        target_id: str,
+        *,
+        pace: float,
+        limit_per_s: float | None = None,
+        now: float,
     ) -> list[Action]:
         """Records the answer of a target.
 
         Args:
             target_id: The target.
             pace: Factor on the usual duration of its steps.
+            limit_per_s: Limit that it names; None if it names none.
             now: Time in seconds.
 
         Returns:
@@ -165,6 +174,7 @@
         row.awaits_answer = False
         row.unanswered = 0
         row.pace = max(USUAL_PACE, pace)
+        row.limit_per_s = limit_per_s
         row.next_query_at = now + INTERVAL_SECONDS
         return self.announce_change(target_id, row)
 
@@ -212,6 +222,7 @@
             incarnation=row.incarnation,
             pace=row.pace,
             reachable=row.unanswered < MAX_UNANSWERED,
+            limit_per_s=row.limit_per_s,
         )
 
     def announce_change(
@@ -226,7 +237,11 @@
             reachable=True,
         )
         step = abs(state.pace - announced_state.pace) / announced_state.pace
-        if state.reachable == announced_state.reachable and step < PACE_STEP:
+        if (
+            state.reachable == announced_state.reachable
+            and state.limit_per_s == announced_state.limit_per_s
+            and step < PACE_STEP
+        ):
             return []
         row.announced_state = state
         return self.announce((state,))
@@ -294,6 +309,7 @@
         target.pace = state.pace
         target.reachable = state.reachable
         target.state_until = now + STATE_EXPIRY_SECONDS
+        note_inspected_limit(target, state.limit_per_s, now)
         if was_reachable and not state.reachable and self.on_unreachable:
             self.on_unreachable(state.target_id)
 
@@ -312,6 +328,7 @@
             and (
                 not row.announced_state.reachable
                 or row.announced_state.pace > USUAL_PACE
+                or row.announced_state.limit_per_s is not None
             )
         )
         return self.announce(unusual) if unusual else []
--- a/rattanroute/systems/wait_queues.py
+++ b/rattanroute/systems/wait_queues.py
@@ -174,6 +174,10 @@
         """Returns whether requests of a service wait."""
         return any(x.service == service for x in self.requests)
 
+    def count_waiting(self, service: str) -> int:
+        """Returns the number of requests of a service that wait."""
+        return sum(x.service == service for x in self.requests)
+
     def sort_by_turn(self, now: float) -> list[WaitingRequest]:
         """Returns the requests in the order in which they are served."""
         return sorted(
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -42,6 +42,7 @@
 from rattanroute.tables.routes import WorkspaceKey
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.gateway_support import build_limiter
 from rattanroute.tests.gateway_support import build_service
 from rattanroute.tests.gateway_support import LAYERS
 from rattanroute.tests.gateway_support import SERVICE
@@ -109,6 +110,8 @@
         headers.append((b"Rattanroute-Not-Executed", b"1"))
     if options.get("leaving", False):
         headers.append((b"Server-Leaving", b"1"))
+    if "limit_per_s" in options:
+        headers.append((b"Server-Limit", b"%g" % options["limit_per_s"]))
     if "pause_s" in options:
         headers.append((b"Retry-After", b"%g" % options["pause_s"]))
     return ResponseHead(status=status, headers=headers)
@@ -190,10 +193,12 @@
     def build_handler(self) -> GatewayHandler:
         """Builds the gateway's handler with its forwarders."""
         codec = PlatformHeaderCodec()
+        limiter = build_limiter(self.targets)
         selector = TargetSelector(
             data_centre="dc-a",
             targets=self.targets,
             detections=OutlierDetectionSystem(targets=self.targets),
+            limiter=limiter,
             has_departed=lambda report: report.target_id in self.departed,
             suspect=lambda row: self.suspected.append(row.report.target_id),
             announce_departure=lambda report: self.departed.add(
@@ -234,6 +239,7 @@
                     random=random.Random(1),
                     is_usable=selector.is_usable,
                     vms=lambda: 1,
+                    limiter=limiter,
                 ),
             ),
             health=StreamHealthRecorder(
--- a/rattanroute/tests/gateway_support.py
+++ b/rattanroute/tests/gateway_support.py
@@ -5,6 +5,7 @@
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.layer_assignments import LayerHolder
 from rattanroute.systems.layer_assignments import plan_loads
+from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.routes import Accelerator
 from rattanroute.tables.routes import BackendService
@@ -123,4 +124,12 @@
         random=random.Random(1),
         is_usable=is_usable,
         vms=lambda: vms,
+        limiter=build_limiter(targets, vms=vms),
+    )
+
+
+def build_limiter(targets: TargetTable, *, vms: int = 1) -> TargetLimiter:
+    """Builds a limiter of a VM that hears nothing of the others."""
+    return TargetLimiter(
+        targets=targets, vms=lambda: vms, random=random.Random(1)
     )
--- a/rattanroute/tests/test_chain_choices.py
+++ b/rattanroute/tests/test_chain_choices.py
@@ -30,7 +30,12 @@
 
     def choose(self, **changes: object) -> tuple[ChainHop, ...]:
         """Chooses a chain for a typical request."""
-        values = {"excluded": frozenset(), "now": 0.0, **changes}
+        values = {
+            "excluded": frozenset(),
+            "demanded": set(),
+            "now": 0.0,
+            **changes,
+        }
         return self.chooser.choose(self.service, DEMAND, **values)
 
     def add_load(self, chain: tuple[ChainHop, ...]) -> None:
@@ -83,7 +88,11 @@
             service=SERVICE, prompt_tokens=400_000, answer_tokens=100
         )
         chain = self.chooser.choose(
-            self.service, oversized, excluded=frozenset(), now=0.0
+            self.service,
+            oversized,
+            excluded=frozenset(),
+            demanded=set(),
+            now=0.0,
         )
         self.assertEqual(chain, ())
 
--- a/rattanroute/tests/test_gateway_service_forwarders.py
+++ b/rattanroute/tests/test_gateway_service_forwarders.py
@@ -105,11 +105,18 @@
         return getattr(self.selector, name)
 
     def choose(
-        self, service: str, *, excluded: set[str], now: float
+        self,
+        service: str,
+        *,
+        excluded: set[str],
+        demanded: set[str],
+        now: float,
     ) -> Target | None:
         """Returns t1 unless it is excluded, otherwise any other target."""
         names = excluded if "t1" in excluded else {"t2"}
-        return self.selector.choose(service, excluded=names, now=now)
+        return self.selector.choose(
+            service, excluded=names, demanded=demanded, now=now
+        )
 
 
 class AtMostOnceTest(GatewayTestCase):
--- a/rattanroute/tests/test_target_selectors.py
+++ b/rattanroute/tests/test_target_selectors.py
@@ -11,6 +11,7 @@
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tables.targets import TargetTable
+from rattanroute.tests.gateway_support import build_limiter
 
 
 def build_selector(targets: TargetTable) -> TargetSelector:
@@ -19,6 +20,7 @@
         data_centre="dc-a",
         targets=targets,
         detections=OutlierDetectionSystem(targets=targets),
+        limiter=build_limiter(targets),
         has_departed=lambda report: False,
         suspect=lambda row: None,
         announce_departure=lambda report: None,
