Reach targets through peers while the own links are lost

Cause: a VM took its own lost links for the failure of one target after the other. Each call paid 0.25 s for each target, targets were ejected for up to 30 s, and there was no other way to a target: balancers keep using a zone of which most VMs are cut.

Change: a VM connects through another front when a direct connection fails or takes 60 ms; the other front passes bytes on, in frames, so that its own end does not look like the end of an answer. All rules of the request stay with the VM that has the caller. systems/target_links.py tells lost links from failed targets: by targets that only peers reach, or by a test when all targets are silent. Then open requests on hanging connections are sent on, idle ones are closed, recent verdicts are taken back, and single direct connections test whether the links are back.

Evidence: 10 of 13 tests of test_lost_links fail without the connector (503 instead of 200; 504 on idle connections that hang).

--- a/rattanroute/gateway/service_attempts.py
+++ b/rattanroute/gateway/service_attempts.py
@@ -11,6 +11,7 @@
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import Outcome
+from rattanroute.http1.clients import ClientConnection
 from rattanroute.systems.crash_bans import Ban
 from rattanroute.tables.targets import TargetReport
 
@@ -21,6 +22,7 @@
 
     Attributes:
         report: The target's report; None until the target is chosen.
+        connection: The connection; None until there is one.
         sent: Whether the call was sent to the target.
         late: Whether there is no answer although another target could have
             answered.
@@ -28,6 +30,7 @@
     """
 
     report: TargetReport | None = None
+    connection: ClientConnection | None = None
     sent: bool = False
     late: bool = False
     task: asyncio.Task[Outcome | None] | None = None
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -47,6 +47,7 @@
 # By protocol, these statuses mean that the request did not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED = 421
+LINK_LOST_REASON = "the link to the target was lost"
 FIRST_FAILURE_STATUS = 500
 
 
@@ -63,6 +64,7 @@
         crashes: Detects requests that crash targets.
         waiting: Number of calls that wait for the limits of targets, by
             service.
+        runs: Open calls with their attempts.
     """
 
     codec: HeaderCodec
@@ -74,6 +76,7 @@
     waiting: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    runs: set[ServiceRun] = dataclasses.field(default_factory=set)
 
     async def forward(self, call: Call) -> None:
         """Sends a call to targets and answers the client."""
@@ -84,9 +87,11 @@
     async def send_until_answered(self, call: Call) -> None:
         """Sends a call to targets until one answers or none may be tried."""
         run = ServiceRun(call=call)
+        self.runs.add(run)
         try:
             outcome = await self.run_attempts(run)
         finally:
+            self.runs.discard(run)
             run.cancel()
         if outcome is not None:
             self.answer(call, outcome)
@@ -262,6 +267,25 @@
         if isinstance(outcome, Unknown):
             self.crashes.note_lost(run.call, (report,), outcome)
 
+    def suspect_direct_attempts(self) -> None:
+        """Looks for other targets for the calls on lost direct links."""
+        for run in self.runs:
+            for attempt in run.attempts:
+                connection = attempt.connection
+                if connection is None or connection.relayed or attempt.late:
+                    continue
+                if self.may_send_beside(run.call):
+                    attempt.late = True
+                    run.note_failure(LINK_LOST_REASON)
+                    run.note_possible_run(attempt.report)
+                    run.changed.set()
+
+    def may_send_beside(self, call: Call) -> bool:
+        """Returns whether an attempt may be started beside an open one."""
+        if not call.route.repeatable:
+            return False
+        return len(call.possible_runners) + 1 < call.route.max_attempts
+
     def note_late(self, run: ServiceRun, attempt: ServiceAttempt) -> None:
         """Records that an attempt has no answer in its part of the time.
 
@@ -319,13 +343,11 @@
         head = self.codec.build_request(request.head, upstream)
         sink = CollectingSink(max_bytes=MAX_ANSWER_BYTES)
         timer: asyncio.TimerHandle | None = None
-        if (
-            repeatable
-            and len(call.possible_runners) + 1 < call.route.max_attempts
-        ):
+        if self.may_send_beside(call):
             part = max(call.route.goal_s, FIRST_ATTEMPT_FRACTION * remaining_s)
             timer = loop.call_later(part, self.note_late, run, attempt)
         try:
+            attempt.connection = connection
             connection.send(head, request.body, sink)
             self.selector.limiter.note_send(report.target_id, loop.time())
             attempt.sent = True
--- a/rattanroute/gateway/stall_inspectors.py
+++ b/rattanroute/gateway/stall_inspectors.py
@@ -76,7 +76,9 @@
             # The target answered a query of this VM.
             return Stall()
         except (RouterError, TimeoutError) as error:
-            call.failures.append(f"no engine state: {error or 'timed out'}")
+            call.failures.append(
+                f"no engine state: {str(error) or 'timed out'}"
+            )
             return Stall(target_ids=(first.target_id,), crashed=True)
         by_address = {hop.address: hop.target_id for hop in chain}
         found = [
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -23,6 +23,7 @@
 from rattanroute.gateway.outcomes import Unknown
 from rattanroute.gateway.send_budgets import SendBudget
 from rattanroute.gateway.service_forwarders import FIRST_FAILURE_STATUS
+from rattanroute.gateway.service_forwarders import LINK_LOST_REASON
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
@@ -94,6 +95,16 @@
                     reason = f"target {target_id} is gone"
                     self.suspect(run, attempt, [target_id], reason)
 
+    def suspect_direct_attempts(self) -> None:
+        """Looks for other chains for the streams on lost direct links."""
+        for run in self.runs:
+            for attempt in run.attempts:
+                if attempt.sink.connection.relayed:
+                    continue
+                # An engine runs a request identifier once.
+                run.avoided.add(attempt.first_id)
+                self.suspect(run, attempt, (), LINK_LOST_REASON)
+
     async def forward(self, call: Call) -> None:
         """Sends a call to engines and answers the client."""
         call.exchange.on_disconnect = asyncio.current_task().cancel
@@ -362,7 +373,8 @@
         # It may have gone on during the inspection.
         if not stall.target_ids or sink.event_at != event_at:
             return
-        if sink.ended.done():
+        # A link that was lost meanwhile says nothing about its target.
+        if sink.ended.done() or attempt.suspected:
             return
         for target_id in stall.target_ids:
             self.selector.note_failure(
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -234,6 +234,17 @@
             row.rejections = 0
             self.detections.restore(row, now)
 
+    def forgive(self, *, since: float, now: float) -> None:
+        """Takes back recent failures that were not the targets' fault.
+
+        Args:
+            since: Time of the first such failure, in seconds.
+            now: Time in seconds.
+        """
+        for row in self.targets:
+            if row.ejected_at >= since or row.health is TargetHealth.SUSPECT:
+                self.detections.restore(row, now)
+
     def note_full(self, target_id: str, now: float) -> None:
         """Backs off from a full target and requests an inspection of it.
 
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import dataclasses
@@ -70,8 +71,12 @@
         idle_since: Time of the event loop at which it became idle.
         idle_timeout_s: Idle time in seconds after which it is not reused.
         pooled: Whether it is in the pool's idle list.
+        relayed: Whether it leads through another VM.
+        sent_at: Time of the event loop at which the latest request was sent.
     """
 
+    relayed = False
+
     def __init__(self, *, address: str) -> None:
         self.address = address
         self.loop = asyncio.get_running_loop()
@@ -80,6 +85,7 @@
         self.sink: ResponseSink | None = None
         self.usable = True
         self.idle_since = 0.0
+        self.sent_at = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_SECONDS
         self.request_count = 0
         self.pool: ConnectionPool | None = None
@@ -90,17 +96,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets its TCP user timeout."""
         self.transport = transport
-        found = transport.get_extra_info("socket")
-        if found is not None:
-            with contextlib.suppress(OSError):
-                found.setsockopt(
-                    socket.IPPROTO_TCP,
-                    socket.TCP_USER_TIMEOUT,
-                    TCP_USER_TIMEOUT_MS,
-                )
+        set_user_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the target; closes on unexpected data."""
+        if self.pool is not None and not self.relayed:
+            self.pool.received_at = self.loop.time()
         try:
             self.parser.feed(data)
         except ProtocolError as error:
@@ -152,7 +153,7 @@
 
     def receive_end(self) -> None:
         """Returns the connection to the pool and ends the response."""
-        sink, self.sink = self.sink, None
+        sink = self.end_request()
         self.usable &= (
             self.parser.keep_alive and not self.parser.unexpected_data
         )
@@ -173,20 +174,30 @@
     def send(self, head: RequestHead, body: bytes, sink: ResponseSink) -> None:
         """Sends a request; the sink receives its response."""
         self.sink = sink
+        self.sent_at = self.loop.time()
+        if self.pool is not None:
+            self.pool.busy.add(self)
         self.request_count += 1
         self.parser.expect(self, head.method)
         self.transport.write(encode_request(head, body))
 
+    def end_request(self) -> ResponseSink | None:
+        """Detaches the sink of the open request, if any, and returns it."""
+        sink, self.sink = self.sink, None
+        if self.pool is not None:
+            self.pool.busy.discard(self)
+        return sink
+
     def fail(self, error: RouterError) -> None:
         """Closes the connection and fails the open request with an error."""
-        sink, self.sink = self.sink, None
+        sink = self.end_request()
         self.close()
         if sink is not None:
             sink.receive_error(error)
 
     def cancel(self) -> None:
         """Aborts the connection; the sink receives no further calls."""
-        self.sink = None
+        self.end_request()
         self.usable = False
         if self.transport is not None:
             self.transport.abort()
@@ -208,10 +219,39 @@
             self.transport.close()
 
 
+def set_user_timeout(transport: asyncio.BaseTransport) -> None:
+    """Sets the time without an acknowledgement that closes a connection."""
+    found = transport.get_extra_info("socket")
+    if found is None:
+        return
+    with contextlib.suppress(OSError):
+        found.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+
+
+async def open_direct(address: str) -> ClientConnection:
+    """Opens a connection to a target.
+
+    Raises:
+        OSError: If it cannot be opened.
+        ValueError: If the address is malformed.
+    """
+    host, _, port = address.rpartition(":")
+    _, connection = await asyncio.get_running_loop().create_connection(
+        lambda: ClientConnection(address=address), host, int(port)
+    )
+    return connection
+
+
 class ConnectionPool:
     """A pool of connections by address.
 
     Attributes:
+        open: Opens a connection to an address.
+        busy: Connections with an open request.
+        received_at: Time of the event loop at which bytes of any target last
+            arrived on a direct connection.
         idle: Connections without a request by address, last used last.
         on_idle_closed: Called with the address when a target closes an idle
             connection.
@@ -219,6 +259,9 @@
     """
 
     def __init__(self) -> None:
+        self.open: Callable[[str], Awaitable[ClientConnection]] = open_direct
+        self.busy: set[ClientConnection] = set()
+        self.received_at = 0.0
         self.on_idle_closed: Callable[[str], None] | None = None
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.connect_attempts = 0
@@ -240,16 +283,9 @@
             idle_connection = self.take_idle(address)
             if idle_connection is not None:
                 return idle_connection
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self.connect_attempts += 1
         try:
-            _, connection = await wait_for_reply(
-                loop.create_connection(
-                    lambda: ClientConnection(address=address), host, int(port)
-                ),
-                timeout_s,
-            )
+            connection = await wait_for_reply(self.open(address), timeout_s)
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectError(
                 step="connect",
@@ -303,6 +339,17 @@
         if self.on_idle_closed is not None:
             self.on_idle_closed(connection.address)
 
+    def close_idle_where(
+        self, is_unwanted: Callable[[ClientConnection], bool]
+    ) -> None:
+        """Closes the idle connections that meet a condition."""
+        for address, idle in list(self.idle.items()):
+            for connection in [x for x in idle if is_unwanted(x)]:
+                idle.remove(connection)
+                self.close_idle(connection)
+            if not idle:
+                del self.idle[address]
+
     def sweep(self) -> None:
         """Closes connections whose idle timeout has passed."""
         now = asyncio.get_running_loop().time()
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -28,11 +28,15 @@
 from rattanroute.platform.settings import BootSettings
 from rattanroute.platform.settings import build_control_settings
 from rattanroute.platform.settings import load_boot_settings
+from rattanroute.relays.checks import CHECK_INTERVAL_SECONDS
+from rattanroute.relays.checks import LinkChecker
+from rattanroute.relays.connectors import RelayingConnector
 from rattanroute.systems.crash_bans import CrashBanSystem
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.inspections import InspectionSystem
 from rattanroute.systems.reports import TargetReportSystem
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
+from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.tables.targets import TargetTable
 
 log = get_logger(__name__)
@@ -88,6 +92,23 @@
         self.vm_id = self.control.settings.vm_id
         self.targets = TargetTable()
         self.pool = ConnectionPool()
+        self.links = TargetLinkSystem(
+            vm_id=self.vm_id,
+            data_centre=boot.zone,
+            members=self.control.membership.alive,
+            random=self.random,
+        )
+        self.links.on_change = self.handle_link_change
+        # The identifier of a VM is its IP address.
+        self.pool.open = RelayingConnector(
+            links=self.links, port=boot.relay_port, find_host=lambda peer: peer
+        ).open
+        self.link_checker = LinkChecker(
+            links=self.links,
+            pool=self.pool,
+            list_addresses=lambda: [x.report.address for x in self.targets],
+            random=self.random,
+        )
         self.departures = DepartureSystem(
             vm_id=self.vm_id,
             voter=self.control.settings.storage.voter,
@@ -157,6 +178,9 @@
             RequestLimits(),
         )
         self.control.start_periodic(1.0, self.pool.sweep)
+        self.control.start_periodic(
+            CHECK_INTERVAL_SECONDS, self.link_checker.run
+        )
         log.info(
             "daemon started",
             node=self.boot.node,
@@ -165,6 +189,12 @@
             bootstrap=self.boot.bootstrap,
         )
 
+    def handle_link_change(self) -> None:
+        """Closes direct connections that hang after the links were lost."""
+        log.warning("links to targets changed", lost=self.links.lost)
+        if self.links.lost:
+            self.pool.close_idle_where(lambda x: not x.relayed)
+
     async def serve_metrics(self, exchange: Exchange) -> None:
         """Answers a request with all metrics as plain text."""
         body, headers = self.metrics.render(["text/plain"])
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -4,6 +4,7 @@
 import pathlib
 import time
 
+from rattanroute.errors import RouterError
 from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import CHECK_INTERVAL_SECONDS
 from rattanroute.gateway.crash_detectors import CrashDetector
@@ -23,6 +24,7 @@
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.headers import PlatformHeaderCodec
 from rattanroute.platform.settings import BootSettings
+from rattanroute.relays.servers import RelayServer
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import is_served
 from rattanroute.systems.engine_loads import EngineLoadSystem
@@ -31,6 +33,7 @@
 from rattanroute.systems.retry_budgets import RetryBudget
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.systems.target_limits import TargetLimiter
+from rattanroute.systems.target_links import SILENCE_SECONDS
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
@@ -46,6 +49,9 @@
 # serves all the same.
 MAX_BANS_WAIT_SECONDS = 1.0
 
+# Failures of targets this long before the loss of the links are taken back.
+BLAME_SECONDS = 2.0
+
 log = get_logger(__name__)
 
 
@@ -93,6 +99,7 @@
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
         self.inspections.on_unreachable = self.suspect_attempts_at
+        self.relay = RelayServer(links=self.links, is_target=self.is_target)
 
     def build_handler(self) -> GatewayHandler:
         """Builds the request handler with its selectors and forwarders."""
@@ -118,7 +125,7 @@
             bans=self.bans,
             lost_attempts=self.metrics.lost_attempts,
         )
-        services = ServiceForwarder(
+        self.services = services = ServiceForwarder(
             codec=codec,
             pool=self.pool,
             selector=selector,
@@ -168,6 +175,24 @@
         log.info("target unreachable", target=target_id)
         self.streams.suspect_attempts_at(target_id)
 
+    def is_target(self, address: str) -> bool:
+        """Returns whether an address belongs to a known target."""
+        return any(x.report.address == address for x in self.targets)
+
+    def handle_link_change(self) -> None:
+        """Moves open requests off links that were lost.
+
+        What failed just before was blamed on targets.
+        """
+        super().handle_link_change()
+        if not self.links.lost:
+            return
+        now = asyncio.get_running_loop().time()
+        self.selector.forgive(since=now - BLAME_SECONDS, now=now)
+        if now - self.pool.received_at >= SILENCE_SECONDS:
+            self.streams.suspect_direct_attempts()
+            self.services.suspect_direct_attempts()
+
     def announce_departure(self, report: TargetReport) -> None:
         """Announces the departure that a target stated in an answer."""
         now = asyncio.get_running_loop().time()
@@ -194,6 +219,7 @@
         """Opens the listeners and starts the periodic tasks."""
         await self.start_control()
         listen = self.boot.listen
+        await self.open_relay()
         await self.open(listen.ready, self.serve_readiness, RequestLimits())
         self.request_server = await self.open(
             listen.front, self.handler.handle, self.limits
@@ -204,6 +230,20 @@
         )
         self.control.start_periodic(CHECK_INTERVAL_SECONDS, self.crashes.check)
 
+    async def open_relay(self) -> None:
+        """Opens the listener for VMs that have lost their links.
+
+        Raises:
+            RouterError: If the address cannot be used.
+        """
+        host, port = self.boot.ip, self.boot.relay_port
+        try:
+            await self.relay.start(host, port)
+        except OSError as error:
+            raise RouterError(
+                step="listen", peer=f"{host}:{port}", message=str(error)
+            ) from error
+
     def update_status(self) -> None:
         """Applies the limits of the manifest and updates the readiness."""
         now = asyncio.get_running_loop().time()
@@ -274,6 +314,7 @@
         self.stopping = True
         self.ready = False
         self.request_server.start_draining()
+        self.relay.start_draining()
         self.control.set_status(ready=False, draining=True)
         log.info("planned stop", open_requests=self.request_server.busy)
         await asyncio.sleep(schedule.accept_until - loop.time())
@@ -282,9 +323,11 @@
         await self.request_server.wait_until_empty(schedule.leave_at)
         leaving = loop.create_task(self.leave(schedule))
         await self.request_server.wait_until_empty(schedule.answer_until)
+        await self.relay.wait_until_empty(schedule.answer_until)
         log.info("requests ended", open_requests=self.request_server.busy)
         self.request_server.end_requests()
         await self.request_server.wait_until_empty(schedule.flush_until)
+        self.relay.close()
         await self.close(leaving)
         # The rest of the time is for readers that are slow.
         await self.request_server.wait_until_empty(schedule.end_by)
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -101,6 +101,11 @@
         """Port of the metrics listener."""
         return self.internal_port_range[0] + 1
 
+    @property
+    def relay_port(self) -> int:
+        """Port for VMs that ask for connections to targets."""
+        return self.internal_port_range[0] + 2
+
 
 DECODER = msgspec.json.Decoder(BootSettings)
 
--- /dev/null
+++ b/rattanroute/relays/connectors.py
@@ -0,0 +1,242 @@
+"""Connects to targets directly, or through other VMs if that fails."""
+
+import asyncio
+from collections.abc import Callable
+
+from rattanroute.errors import RouterError
+from rattanroute.http1.clients import ClientConnection
+from rattanroute.http1.clients import open_direct
+from rattanroute.logs import get_logger
+from rattanroute.relays.frames import encode_command
+from rattanroute.relays.frames import FrameDecoder
+from rattanroute.systems.target_links import RelayReply
+from rattanroute.systems.target_links import TargetLinkSystem
+
+# A direct connection within a region takes a few milliseconds. After this time
+# a peer is asked as well, and after it again the next peer.
+HEAD_START_SECONDS = 0.06
+
+log = get_logger(__name__)
+
+
+class RelayedConnection(ClientConnection):
+    """A connection to a target through another VM.
+
+    Attributes:
+        peer: The other VM.
+        reply: Resolves to its reply.
+    """
+
+    relayed = True
+
+    def __init__(self, *, address: str, peer: str) -> None:
+        super().__init__(address=address)
+        self.peer = peer
+        self.reply: asyncio.Future[RelayReply] = self.loop.create_future()
+        self.decoder = FrameDecoder()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Asks for the connection."""
+        super().connection_made(transport)
+        transport.write(encode_command(self.address))
+
+    def data_received(self, data: bytes) -> None:
+        """Reads the reply, then the frames with the target's bytes."""
+        if not self.reply.done():
+            self.reply.set_result(decode_reply(data[:1]))
+            data = data[1:]
+        try:
+            parts = self.decoder.feed(data)
+        except RouterError as error:
+            self.fail(error)
+            return
+        for part in parts:
+            super().data_received(part)
+        if self.decoder.ended:
+            super().eof_received()
+            self.close()
+
+    def eof_received(self) -> bool:
+        """Fails the open request unless the target has ended its answer."""
+        self.usable = False
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the wait for a reply; fails the open request."""
+        if not self.reply.done():
+            self.reply.set_result(RelayReply.BUSY)
+        super().connection_lost(exc)
+
+
+class RelayingConnector:
+    """Opens connections to targets in the best way that is known.
+
+    A connection through a peer is tried when the direct one fails or takes
+    long, so that no caller pays for the loss of this VM's links. The first
+    connection that is made is used.
+
+    Args:
+        links: Links of this VM to the targets.
+        port: Relay port of all VMs.
+        find_host: Returns the IP address of a VM.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: TargetLinkSystem,
+        port: int,
+        find_host: Callable[[str], str],
+    ) -> None:
+        self.links = links
+        self.port = port
+        self.find_host = find_host
+
+    async def open(self, address: str) -> ClientConnection:
+        """Opens a connection to a target.
+
+        Raises:
+            OSError: If there is no way to it.
+            ValueError: If the address is malformed.
+        """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        plan = self.links.plan(address, started_at)
+        ways = [self.connect_directly(address)] if plan.direct else []
+        ways += [self.connect_through(address, x) for x in plan.peers]
+        try:
+            connection, errors = await race(ways, HEAD_START_SECONDS)
+        except asyncio.CancelledError:
+            if loop.time() - started_at > (len(ways) + 1) * HEAD_START_SECONDS:
+                self.links.note_unreached(address, loop.time())
+            raise
+        if connection is not None:
+            return connection
+        self.links.note_unreached(address, loop.time())
+        raise choose_error(errors)
+
+    async def connect_directly(self, address: str) -> ClientConnection:
+        """Connects to a target without another VM.
+
+        Raises:
+            OSError: If that fails.
+        """
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(HEAD_START_SECONDS, self.note_failure, address)
+        try:
+            connection = await open_direct(address)
+        except OSError:
+            self.note_failure(address)
+            raise
+        finally:
+            timer.cancel()
+        self.links.note_direct(address, connected=True, now=loop.time())
+        return connection
+
+    def note_failure(self, address: str) -> None:
+        """Records that a direct connection failed or is late."""
+        now = asyncio.get_running_loop().time()
+        self.links.note_direct(address, connected=False, now=now)
+
+    async def connect_through(
+        self, address: str, peer: str
+    ) -> ClientConnection:
+        """Connects to a target through another VM.
+
+        Raises:
+            OSError: If that fails.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            _, connection = await loop.create_connection(
+                lambda: RelayedConnection(address=address, peer=peer),
+                self.find_host(peer),
+                self.port,
+            )
+        except OSError:
+            self.links.avoid(peer, loop.time())
+            raise
+        try:
+            reply = await connection.reply
+        except asyncio.CancelledError:
+            connection.cancel()
+            raise
+        self.links.note_reply(address, peer, reply, loop.time())
+        if reply is RelayReply.CONNECTED:
+            log.info("connected through a peer", target=address, peer=peer)
+            return connection
+        connection.close()
+        if reply is RelayReply.REFUSED:
+            raise ConnectionRefusedError(f"refused at {peer}")
+        raise OSError(f"peer {peer} replied {reply.name}")
+
+
+def decode_reply(data: bytes) -> RelayReply:
+    """Returns the reply of a peer; a malformed one means that it is no help."""
+    try:
+        return RelayReply(data)
+    except ValueError:
+        return RelayReply.BUSY
+
+
+async def race(
+    ways: list[object], interval_s: float
+) -> tuple[ClientConnection | None, list[Exception]]:
+    """Tries ways one after the other, without waiting for slow ones.
+
+    Args:
+        ways: Coroutines that open a connection.
+        interval_s: Seconds after which the next one is started as well.
+
+    Returns:
+        The first connection that is opened, None if there is none, and the
+        errors of the ways that failed, in their order.
+    """
+    waiting = list(ways)
+    running: dict[asyncio.Task[ClientConnection], int] = {}
+    errors: dict[int, Exception] = {}
+    try:
+        while waiting or running:
+            if waiting:
+                number = len(ways) - len(waiting)
+                task = asyncio.create_task(waiting.pop(0))
+                running[task] = number
+            done, _ = await asyncio.wait(
+                running,
+                timeout=interval_s if waiting else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                number = running.pop(task)
+                error = task.exception()
+                if error is None:
+                    return task.result(), []
+                if not isinstance(error, OSError | ValueError):
+                    raise error
+                errors[number] = error
+        return None, [errors[x] for x in sorted(errors)]
+    finally:
+        for way in waiting:
+            way.close()
+        for task in running:
+            task.add_done_callback(close_late)
+            task.cancel()
+
+
+def close_late(task: asyncio.Task[ClientConnection]) -> None:
+    """Closes a connection that was opened although it is not needed."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
+
+
+def choose_error(errors: list[Exception]) -> Exception:
+    """Returns the error that describes best why there is no connection.
+
+    A target counts as refusing only if no way says otherwise.
+    """
+    if not errors:
+        return OSError("no way to the target")
+    for error in errors:
+        if not isinstance(error, ConnectionRefusedError):
+            return error
+    return errors[0]
--- a/rattanroute/tests/support.py
+++ b/rattanroute/tests/support.py
@@ -20,6 +20,8 @@
     vm_id: str
     data_centre: str = "dc-a"
     voter: bool = False
+    ready: bool = False
+    draining: bool = False
 
 
 def build_report(target_id: str = "t1", **changes: object) -> TargetReport:
--- a/rattanroute/tests/test_planned_stops.py
+++ b/rattanroute/tests/test_planned_stops.py
@@ -72,7 +72,7 @@
             ip=address,
             zone="zone-a",
             listen=ListenSettings(front=listen, ready=listen, control=listen),
-            internal_port_range=(PEER_PORT, PEER_PORT + 1),
+            internal_port_range=(PEER_PORT, PEER_PORT + 2),
             seeds=[listen] if self.program is CoreDaemon else [],
             bootstrap=True,
             data_dir=folder.name if self.program is CoreDaemon else None,
