Repeat calls over new connections

When the connections of a VM to the targets are reset, its idle ones to other targets are gone as well, but their resets may arrive later than the next attempt is sent. The first attempt still uses an idle connection; the next ones open a new one, which also shows whether a target is reachable at all.

Evidence: both tests of test_reset_connections failed before (502; two of six events).

--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -326,7 +326,8 @@
             connection = await self.pool.take(
                 report.address,
                 timeout_s=min(CONNECT_TIMEOUT_SECONDS, remaining_s),
-                fresh=not repeatable,
+                # What broke one connection may have broken all idle ones.
+                fresh=not repeatable or call.sends > 1,
             )
         except ConnectError:
             return NotRun(reason="connect")
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -219,6 +219,8 @@
                 timeout_s=min(
                     CONNECT_TIMEOUT_SECONDS, call.time_left(loop.time())
                 ),
+                # What broke one connection may have broken all idle ones.
+                fresh=call.sends > 1,
             )
         except ConnectError as error:
             self.selector.note_failure(
