Do not take targets for gone while they answer

This change adds the rest: an answer to this VM, or an inspection that the same incarnation answers, counts as a sign of the target like a report. Inspectors repeat the state of targets that answer and whose reports are missing.

--- a/rattanroute/gateway/inspectors.py
+++ b/rattanroute/gateway/inspectors.py
@@ -82,6 +82,7 @@
                 report.target_id,
                 pace=state.pace,
                 limit_per_s=state.limit_per_s,
+                identified=state.incarnation == report.incarnation,
                 now=loop.time(),
             )
             if state.leaving and state.incarnation in (0, report.incarnation):
--- a/rattanroute/gateway/layer_orders.py
+++ b/rattanroute/gateway/layer_orders.py
@@ -119,7 +119,7 @@
         rows = [
             row
             for row in self.targets.serving(service.name)
-            if now - row.received_at < STALE_SECONDS
+            if now - row.seen_at < STALE_SECONDS
             and row.reachable
             and not self.has_left(row)
         ]
@@ -176,7 +176,7 @@
         return {
             row.report.data_centre
             for row in self.targets.serving(service.name)
-            if STALE_SECONDS <= now - row.received_at < LOST_SECONDS
+            if STALE_SECONDS <= now - row.seen_at < LOST_SECONDS
             and row.reachable
             and not self.has_left(row)
         }
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -60,12 +60,12 @@
     random: randoms.Random
 
     def is_current(self, target: Target, now: float) -> bool:
-        """Returns whether a target's report is recent enough.
+        """Returns whether the latest sign of a target is recent enough.
 
         Ages are relative to the newest report of any target. If no reports
         arrive at all, this VM is cut off and continues with what it knows.
         """
-        age = self.targets.newest_received_at - target.received_at
+        age = self.targets.newest_received_at - target.seen_at
         return age <= STALE_SECONDS
 
     def is_usable(self, target: Target, now: float) -> bool:
@@ -133,6 +133,7 @@
         row = self.targets.get(report.target_id)
         if row is None or row.report.incarnation != report.incarnation:
             return
+        row.answered_at = now
         self.note_limit(row, metadata, now)
         if metadata.pause_s is None:
             return
--- a/rattanroute/messages/inspections.py
+++ b/rattanroute/messages/inspections.py
@@ -21,6 +21,7 @@
         reachable: Whether it answered the latest inspections.
         limit_per_s: Requests per second that it takes from all VMs together;
             None if it names no limit.
+        answered: Whether it has lately answered as that incarnation.
     """
 
     target_id: str
@@ -28,6 +29,7 @@
     pace: float
     reachable: bool
     limit_per_s: float | None = None
+    answered: bool = False
 
 
 class TargetStates(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/rattanroute/systems/inspections.py
+++ b/rattanroute/systems/inspections.py
@@ -12,6 +12,8 @@
 import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from rattanroute.actions import Action
 from rattanroute.actions import SendMessage
 from rattanroute.messages.inspections import InspectRequest
@@ -28,6 +30,8 @@
 MAX_UNANSWERED = 2
 REPEAT_SECONDS = 1.0
 STATE_EXPIRY_SECONDS = 3.5
+# A target reports about once a second, and a report may be delayed.
+MISSING_REPORT_SECONDS = 2.5
 # Smallest relative change of the pace that is announced.
 PACE_STEP = 0.2
 USUAL_PACE = 1.0
@@ -55,6 +59,7 @@
         unanswered: Consecutive queries without an answer.
         pace: Factor on the usual duration of the target's steps.
         limit_per_s: Limit that the target names; None if it names none.
+        answered_at: Time in seconds of the latest answer.
         announced_state: The state last announced to all VMs; None before the
             first announcement.
     """
@@ -66,6 +71,7 @@
     unanswered: int = 0
     pace: float = USUAL_PACE
     limit_per_s: float | None = None
+    answered_at: float = float("-inf")
     announced_state: TargetState | None = None
 
 
@@ -155,6 +161,7 @@
         *,
         pace: float,
         limit_per_s: float | None = None,
+        identified: bool = True,
         now: float,
     ) -> list[Action]:
         """Records the answer of a target.
@@ -163,6 +170,8 @@
             target_id: The target.
             pace: Factor on the usual duration of its steps.
             limit_per_s: Limit that it names; None if it names none.
+            identified: Whether the answer states the incarnation that is
+                inspected. Another target may have taken the address over.
             now: Time in seconds.
 
         Returns:
@@ -175,6 +184,8 @@
         row.unanswered = 0
         row.pace = max(USUAL_PACE, pace)
         row.limit_per_s = limit_per_s
+        if identified:
+            row.answered_at = now
         row.next_query_at = now + INTERVAL_SECONDS
         return self.announce_change(target_id, row)
 
@@ -310,6 +321,8 @@
         target.reachable = state.reachable
         target.state_until = now + STATE_EXPIRY_SECONDS
         note_inspected_limit(target, state.limit_per_s, now)
+        if state.answered:
+            target.answered_at = now
         if was_reachable and not state.reachable and self.on_unreachable:
             self.on_unreachable(state.target_id)
 
@@ -322,17 +335,42 @@
         if not self.is_inspector:
             return []
         unusual = tuple(
-            row.announced_state
-            for row in self.rows.values()
-            if row.announced_state is not None
-            and (
-                not row.announced_state.reachable
-                or row.announced_state.pace > USUAL_PACE
-                or row.announced_state.limit_per_s is not None
-            )
+            self.build_repetition(target_id, row, now)
+            for target_id, row in self.rows.items()
+            if self.is_unusual(target_id, row, now)
         )
         return self.announce(unusual) if unusual else []
 
+    def build_repetition(
+        self, target_id: str, row: InspectionState, now: float
+    ) -> TargetState:
+        """Returns the state of a target to be announced again."""
+        state = row.announced_state or self.build_state(target_id, row)
+        answered = now - row.answered_at < MISSING_REPORT_SECONDS
+        return msgspec.structs.replace(state, answered=answered)
+
+    def is_unusual(
+        self, target_id: str, row: InspectionState, now: float
+    ) -> bool:
+        """Returns whether the state of a target is to be repeated.
+
+        That is so for a target without recent reports that answers, as the
+        other VMs would take it for gone.
+        """
+        target = self.targets.get(target_id)
+        if (
+            target is not None
+            and now - row.answered_at < MISSING_REPORT_SECONDS
+            and now - target.received_at > MISSING_REPORT_SECONDS
+        ):
+            return True
+        state = row.announced_state
+        return state is not None and (
+            not state.reachable
+            or state.pace > USUAL_PACE
+            or state.limit_per_s is not None
+        )
+
     def expire(self, now: float) -> None:
         """Resets states no longer announced and removes old entries."""
         for target in self.targets:
--- a/rattanroute/systems/reports.py
+++ b/rattanroute/systems/reports.py
@@ -246,12 +246,9 @@
         ]
 
     def remove_silent_targets(self, now: float) -> None:
-        """Removes idle targets without a recent report."""
+        """Removes idle targets without a recent sign."""
         for target in list(self.targets):
-            if (
-                target.in_flight == 0
-                and now - target.received_at > REMOVAL_SECONDS
-            ):
+            if target.in_flight == 0 and now - target.seen_at > REMOVAL_SECONDS:
                 self.targets.remove(target.report.target_id)
                 for group in self.groups:
                     group.full.pop(target.report.target_id, None)
--- a/rattanroute/tables/targets.py
+++ b/rattanroute/tables/targets.py
@@ -123,6 +123,8 @@
         pace: Measured step time divided by the usual one, from inspections.
         reachable: Whether it answered the latest inspections.
         state_until: Expiry of `pace` and `reachable`; 0 if they are unknown.
+        answered_at: Time of the latest sign of it other than a report, in
+            seconds: an answer to this VM, or an inspection.
         limit_per_s: Requests per second that it takes from all VMs together;
             None if it names no limit.
         limit_named_at: Time of the answer that `limit_per_s` comes from.
@@ -155,9 +157,19 @@
     pace: float = 1.0
     reachable: bool = True
     state_until: float = 0.0
+    answered_at: float = 0.0
     limit_per_s: float | None = None
     limit_named_at: float = float("-inf")
 
+    @property
+    def seen_at(self) -> float:
+        """Time of the latest sign of the target, in seconds.
+
+        A target that is cut from the VMs that take its reports may be reached
+        by those that send it requests.
+        """
+        return max(self.received_at, self.answered_at)
+
     @property
     def load(self) -> int:
         """Estimated requests on the target.
@@ -402,5 +414,6 @@
     row.pace = 1.0
     row.reachable = True
     row.state_until = 0.0
+    row.answered_at = 0.0
     row.limit_per_s = None
     row.limit_named_at = float("-inf")
--- a/rattanroute/tests/test_inspections.py
+++ b/rattanroute/tests/test_inspections.py
@@ -103,6 +103,56 @@
         self.assertEqual(self.due(1.31), ["t1"])
 
 
+class MissingReportTest(unittest.TestCase):
+    """Guards against a target that counts as gone as its reports are cut off.
+
+    It may answer inspections and requests all the same.
+    """
+
+    def setUp(self) -> None:
+        self.targets = build_table()
+        self.system = build_system("core-1", self.targets)
+
+    def find_states(self, now: float) -> list[str]:
+        """Returns the targets whose states are repeated."""
+        actions = self.system.tick(now=now)
+        if not actions:
+            return []
+        return [x.target_id for x in actions[0].message.states]
+
+    def test_target_that_answers_is_announced(self) -> None:
+        self.system.take_due_targets(6.0)
+        self.system.note_answer("t1", pace=1.0, now=6.0)
+        self.assertEqual(self.find_states(6.5), ["t1"])
+        front = build_table()
+        (message,) = {x.message for x in self.system.tick(now=7.6)}
+        build_system("front", front).receive(
+            peer="core-1", message=message, now=6.6
+        )
+        self.assertEqual(front.get("t1").seen_at, 6.6)
+        self.assertEqual(front.get("t2").seen_at, 0.0)
+
+    def test_other_target_at_the_address(self) -> None:
+        """Guards against a target that seems alive after its replacement."""
+        self.system.take_due_targets(6.0)
+        self.system.note_answer("t1", pace=1.0, identified=False, now=6.0)
+        self.assertEqual(self.find_states(6.5), [])
+
+    def test_target_with_reports_is_not_announced(self) -> None:
+        self.system.take_due_targets(1.0)
+        self.system.note_answer("t1", pace=1.0, now=1.0)
+        self.assertEqual(self.find_states(1.5), [])
+
+    def test_target_that_does_not_answer_is_not_announced_as_reachable(
+        self,
+    ) -> None:
+        self.system.take_due_targets(6.0)
+        self.system.note_missing_answer("t1", refused=True, now=6.0)
+        self.system.tick(now=6.5)
+        self.assertFalse(self.system.rows["t1"].announced_state.reachable)
+        self.assertEqual(self.targets.get("t1").seen_at, 0.0)
+
+
 class AnnouncedStateTest(unittest.TestCase):
     """Guards against states that outlive their target or are not applied."""
 
--- a/rattanroute/tests/test_target_selectors.py
+++ b/rattanroute/tests/test_target_selectors.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from rattanroute.gateway.header_codecs import AnswerMetadata
 from rattanroute.gateway.target_selectors import FULL_BACKOFF_SECONDS
 from rattanroute.gateway.target_selectors import MAX_FULL_BACKOFF_SECONDS
 from rattanroute.gateway.target_selectors import STALE_SECONDS
@@ -52,6 +53,15 @@
         self.assertFalse(selector.is_usable(targets.get("old"), 9.0))
         self.assertTrue(selector.is_usable(targets.get("new"), 9.0))
 
+    def test_target_that_answers_without_reports(self) -> None:
+        """Guards against a target that is refused work while it answers."""
+        targets = TargetTable()
+        record(targets, "old", 1.0)
+        selector = build_selector(targets)
+        selector.note_answer(targets.get("old").report, AnswerMetadata(), 6.0)
+        record(targets, "new", 2.0 + STALE_SECONDS)
+        self.assertTrue(selector.is_usable(targets.get("old"), 9.0))
+
     def test_no_reports_at_all(self) -> None:
         """Guards against a cut-off VM that considers all targets gone."""
         targets = TargetTable()
