--- a/rattanroute/tests/test_target_limits.py
+++ b/rattanroute/tests/test_target_limits.py
@@ -251,6 +251,19 @@
         fleet.run(40.0, lambda vm, now: 30.0 / 15)
         self.check(fleet)
 
+    def test_restarted_aggregators(self) -> None:
+        """Guards against counts of new aggregators that lack other VMs."""
+        fleet = LimitedFleet(fronts=15, limit_per_s=10.0)
+        fleet.run(12.0, lambda vm, now: 120.0 / 15)
+        for _ in range(6):
+            for member in fleet.members:
+                if member.voter:
+                    system = fleet.build_system(member, None)
+                    fleet.systems[member.vm_id] = system
+            fleet.run(fleet.now + 0.6, lambda vm, now: 120.0 / 15)
+        fleet.run(fleet.now + 5.0, lambda vm, now: 120.0 / 15)
+        self.check(fleet)
+
     def test_rare_requests_are_not_starved(self) -> None:
         """Guards against a front with few requests that gets no part."""
         fleet = LimitedFleet(fronts=15, limit_per_s=10.0)
