--- a/rattanroute/platform/standin_records.py
+++ b/rattanroute/platform/standin_records.py
@@ -40,6 +40,8 @@
         pause_probability: Probability of a pause in a stream, as when an
             engine preempts a request.
         pause_seed: Seed of these pauses.
+        limit_per_s: Requests per second that the replica names as its limit;
+            0 for none. It takes more all the same.
     """
 
     replica_id: str
@@ -60,6 +62,7 @@
     member_check_events: int = 1
     pause_probability: float = 0.0
     pause_seed: int = 0
+    limit_per_s: float = 0.0
 
 
 class RunEnd(enum.StrEnum):
--- a/rattanroute/platform/standins.py
+++ b/rattanroute/platform/standins.py
@@ -21,6 +21,7 @@
 from rattanroute.gateway.engine_control_clients import EngineControlClient
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import find_header
+from rattanroute.http1.heads import Headers
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import RequestLimits
@@ -105,7 +106,8 @@
         """Dispatches a request by its path."""
         path = exchange.request.head.path
         if path == STATE_PATH:
-            exchange.send(ResponseHead(status=200), self.encode_state())
+            head = ResponseHead(status=200, headers=self.build_limit())
+            exchange.send(head, self.encode_state())
         elif path == ORDER_PATH:
             self.handle_order(exchange)
         elif path == MEMBER_CHECK_PATH:
@@ -248,6 +250,7 @@
         fields = [
             (headers.REQUEST_ID, request_id.encode()),
             (headers.NOT_RUN, b"1"),
+            *self.build_limit(),
         ]
         if at:
             fields.append((headers.FAULTY_TARGET, at.encode()))
@@ -260,9 +263,16 @@
             headers=[
                 (headers.REQUEST_ID, request_id.encode()),
                 (headers.STAMP, self.settings.replica_id.encode()),
+                *self.build_limit(),
             ],
         )
 
+    def build_limit(self) -> Headers:
+        """Returns the header that names the limit, if there is one."""
+        if not self.settings.limit_per_s:
+            return []
+        return [(headers.LIMIT, b"%g" % self.settings.limit_per_s)]
+
     async def answer(self, exchange: Exchange, request_id: str) -> None:
         """Runs a request of a plain service."""
         run = self.start_execution(request_id, exchange)
--- a/rattanroute/tests/integration/platform_support.py
+++ b/rattanroute/tests/integration/platform_support.py
@@ -15,6 +15,8 @@
 from rattanroute.platform.trial_deployments import timeout_s
 from rattanroute.tools.soak_clients import ClientSink
 from rattanroute.tools.soak_fleets import SoakFleet
+from rattanroute.tools.soak_replicas import DEFAULT_REPLICA_OPTIONS
+from rattanroute.tools.soak_replicas import ReplicaOptions
 
 START_SECONDS = 30.0
 POLL_SECONDS = 0.1
@@ -26,7 +28,12 @@
     """Base of test cases that start their own deployment."""
 
     async def start_fleet(
-        self, *, fronts: int = 1, crash_marker: str = "", crash_part: str = ""
+        self,
+        *,
+        fronts: int = 1,
+        crash_marker: str = "",
+        crash_part: str = "",
+        options: ReplicaOptions = DEFAULT_REPLICA_OPTIONS,
     ) -> None:
         """Starts a deployment and configures it.
 
@@ -34,12 +41,14 @@
             fronts: Number of fronts in each zone.
             crash_marker: Text in a request body that crashes replicas.
             crash_part: Part of a prompt that crashes replicas.
+            options: Options of the replicas.
         """
         self.fleet = SoakFleet(
             bounds=SoakBounds(),
             fronts=fronts,
             crash_marker=crash_marker,
             crash_part=crash_part,
+            options=options,
         )
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -229,6 +229,7 @@
             member_check_events=self.options.member_check_events,
             pause_probability=self.options.pause_probability,
             pause_seed=self.options.pause_seed,
+            limit_per_s=self.options.limit_per_s,
         )
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
--- a/rattanroute/tools/soak_replicas.py
+++ b/rattanroute/tools/soak_replicas.py
@@ -33,12 +33,15 @@
         pause_probability: Probability of a pause in a stream.
         pause_seed: Seed of these pauses.
         grace_s: Seconds from SIGTERM to SIGKILL of a replica.
+        limit_per_s: Requests per second that replicas name as their limit; 0
+            for none.
     """
 
     member_check_events: int = 1
     pause_probability: float = 0.0
     pause_seed: int = 0
     grace_s: float = GRACE_SECONDS
+    limit_per_s: float = 0.0
 
 
 DEFAULT_REPLICA_OPTIONS = ReplicaOptions()
