--- a/rattanroute/systems/target_links.py
+++ b/rattanroute/systems/target_links.py
@@ -150,6 +150,7 @@
             return
         self.failed.pop(address, None)
         self.relayed.pop(address, None)
+        self.unhelpful.pop(address, None)
         if not self.lost:
             self.relayed.clear()
             return
