Name connections through peers tunnels

"Relay" already is the VM that fetches the configuration for its data centre. Only names change: the package, its classes, the port and their tests.

--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -272,7 +272,7 @@
         for run in self.runs:
             for attempt in run.attempts:
                 connection = attempt.connection
-                if connection is None or connection.relayed or attempt.late:
+                if connection is None or connection.tunnelled or attempt.late:
                     continue
                 if self.may_send_beside(run.call):
                     attempt.late = True
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -99,7 +99,7 @@
         """Looks for other chains for the streams on lost direct links."""
         for run in self.runs:
             for attempt in run.attempts:
-                if attempt.sink.connection.relayed:
+                if attempt.sink.connection.tunnelled:
                     continue
                 # An engine runs a request identifier once.
                 run.avoided.add(attempt.first_id)
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -71,11 +71,11 @@
         idle_since: Time of the event loop at which it became idle.
         idle_timeout_s: Idle time in seconds after which it is not reused.
         pooled: Whether it is in the pool's idle list.
-        relayed: Whether it leads through another VM.
+        tunnelled: Whether it leads through another VM.
         sent_at: Time of the event loop at which the latest request was sent.
     """
 
-    relayed = False
+    tunnelled = False
 
     def __init__(self, *, address: str) -> None:
         self.address = address
@@ -100,7 +100,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the target; closes on unexpected data."""
-        if self.pool is not None and not self.relayed:
+        if self.pool is not None and not self.tunnelled:
             self.pool.received_at = self.loop.time()
         try:
             self.parser.feed(data)
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -28,9 +28,6 @@
 from rattanroute.platform.settings import BootSettings
 from rattanroute.platform.settings import build_control_settings
 from rattanroute.platform.settings import load_boot_settings
-from rattanroute.relays.checks import CHECK_INTERVAL_SECONDS
-from rattanroute.relays.checks import LinkChecker
-from rattanroute.relays.connectors import RelayingConnector
 from rattanroute.systems.crash_bans import CrashBanSystem
 from rattanroute.systems.departures import DepartureSystem
 from rattanroute.systems.inspections import InspectionSystem
@@ -38,6 +35,9 @@
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.tables.targets import TargetTable
+from rattanroute.tunnels.checks import CHECK_INTERVAL_SECONDS
+from rattanroute.tunnels.checks import LinkChecker
+from rattanroute.tunnels.connectors import TunnelConnector
 
 log = get_logger(__name__)
 
@@ -100,8 +100,8 @@
         )
         self.links.on_change = self.handle_link_change
         # The identifier of a VM is its IP address.
-        self.pool.open = RelayingConnector(
-            links=self.links, port=boot.relay_port, find_host=lambda peer: peer
+        self.pool.open = TunnelConnector(
+            links=self.links, port=boot.tunnel_port, find_host=lambda peer: peer
         ).open
         self.link_checker = LinkChecker(
             links=self.links,
@@ -193,7 +193,7 @@
         """Closes direct connections that hang after the links were lost."""
         log.warning("links to targets changed", lost=self.links.lost)
         if self.links.lost:
-            self.pool.close_idle_where(lambda x: not x.relayed)
+            self.pool.close_idle_where(lambda x: not x.tunnelled)
 
     async def serve_metrics(self, exchange: Exchange) -> None:
         """Answers a request with all metrics as plain text."""
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -24,7 +24,6 @@
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.headers import PlatformHeaderCodec
 from rattanroute.platform.settings import BootSettings
-from rattanroute.relays.servers import RelayServer
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import is_served
 from rattanroute.systems.engine_loads import EngineLoadSystem
@@ -37,6 +36,7 @@
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
+from rattanroute.tunnels.servers import TunnelServer
 
 READY_PATH = b"/rattanroute/ready"
 STATUS_INTERVAL_SECONDS = 0.1
@@ -99,7 +99,9 @@
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
         self.inspections.on_unreachable = self.suspect_attempts_at
-        self.relay = RelayServer(links=self.links, is_target=self.is_target)
+        self.tunnel_server = TunnelServer(
+            links=self.links, is_target=self.is_target
+        )
 
     def build_handler(self) -> GatewayHandler:
         """Builds the request handler with its selectors and forwarders."""
@@ -219,7 +221,7 @@
         """Opens the listeners and starts the periodic tasks."""
         await self.start_control()
         listen = self.boot.listen
-        await self.open_relay()
+        await self.open_tunnel_listener()
         await self.open(listen.ready, self.serve_readiness, RequestLimits())
         self.request_server = await self.open(
             listen.front, self.handler.handle, self.limits
@@ -230,15 +232,15 @@
         )
         self.control.start_periodic(CHECK_INTERVAL_SECONDS, self.crashes.check)
 
-    async def open_relay(self) -> None:
+    async def open_tunnel_listener(self) -> None:
         """Opens the listener for VMs that have lost their links.
 
         Raises:
             RouterError: If the address cannot be used.
         """
-        host, port = self.boot.ip, self.boot.relay_port
+        host, port = self.boot.ip, self.boot.tunnel_port
         try:
-            await self.relay.start(host, port)
+            await self.tunnel_server.start(host, port)
         except OSError as error:
             raise RouterError(
                 step="listen", peer=f"{host}:{port}", message=str(error)
@@ -314,7 +316,7 @@
         self.stopping = True
         self.ready = False
         self.request_server.start_draining()
-        self.relay.start_draining()
+        self.tunnel_server.start_draining()
         self.control.set_status(ready=False, draining=True)
         log.info("planned stop", open_requests=self.request_server.busy)
         await asyncio.sleep(schedule.accept_until - loop.time())
@@ -323,11 +325,11 @@
         await self.request_server.wait_until_empty(schedule.leave_at)
         leaving = loop.create_task(self.leave(schedule))
         await self.request_server.wait_until_empty(schedule.answer_until)
-        await self.relay.wait_until_empty(schedule.answer_until)
+        await self.tunnel_server.wait_until_empty(schedule.answer_until)
         log.info("requests ended", open_requests=self.request_server.busy)
         self.request_server.end_requests()
         await self.request_server.wait_until_empty(schedule.flush_until)
-        self.relay.close()
+        self.tunnel_server.close()
         await self.close(leaving)
         # The rest of the time is for readers that are slow.
         await self.request_server.wait_until_empty(schedule.end_by)
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -102,7 +102,7 @@
         return self.internal_port_range[0] + 1
 
     @property
-    def relay_port(self) -> int:
+    def tunnel_port(self) -> int:
         """Port for VMs that ask for connections to targets."""
         return self.internal_port_range[0] + 2
 
--- a/rattanroute/systems/target_links.py
+++ b/rattanroute/systems/target_links.py
@@ -37,10 +37,10 @@
 SILENCE_SECONDS = 0.25
 
 
-class RelayReply(enum.Enum):
+class TunnelReply(enum.Enum):
     """Reply of a peer that was asked for a connection to a target.
 
-    Values are the bytes of the relay protocol.
+    Values are the bytes of the tunnel protocol.
     """
 
     CONNECTED = b"C"
@@ -86,7 +86,7 @@
         random: Spreads connections over peers.
         lost: Whether the links are lost.
         failed: Times of failed direct connections, by address.
-        relayed: Times of connections through peers, by address.
+        tunnelled: Times of connections through peers, by address.
         restored: Addresses that accepted direct connections since the links
             were lost or last failed.
         avoided: Times until which peers are avoided, by identifier.
@@ -102,7 +102,7 @@
     random: randoms.Random
     lost: bool = False
     failed: dict[str, float] = dataclasses.field(default_factory=dict)
-    relayed: dict[str, float] = dataclasses.field(default_factory=dict)
+    tunnelled: dict[str, float] = dataclasses.field(default_factory=dict)
     restored: set[str] = dataclasses.field(default_factory=set)
     avoided: dict[str, float] = dataclasses.field(default_factory=dict)
     unhelpful: dict[str, set[str]] = dataclasses.field(default_factory=dict)
@@ -149,30 +149,30 @@
             self.weigh_evidence(now)
             return
         self.failed.pop(address, None)
-        self.relayed.pop(address, None)
+        self.tunnelled.pop(address, None)
         self.unhelpful.pop(address, None)
         if not self.lost:
-            self.relayed.clear()
+            self.tunnelled.clear()
             return
         self.restored.add(address)
         if len(self.restored) >= MIN_EVIDENCE:
             self.change(lost=False)
 
     def note_reply(
-        self, address: str, peer: str, reply: RelayReply, now: float
+        self, address: str, peer: str, reply: TunnelReply, now: float
     ) -> None:
         """Records the reply of a peer that was asked for a connection."""
-        if reply in (RelayReply.REFUSED, RelayReply.UNREACHED):
+        if reply in (TunnelReply.REFUSED, TunnelReply.UNREACHED):
             # It may be the target's fault.
             self.unhelpful.setdefault(address, set()).add(peer)
             return
-        if reply is not RelayReply.CONNECTED:
+        if reply is not TunnelReply.CONNECTED:
             self.avoid(peer, now)
             return
         for other in self.unhelpful.pop(address, ()):
             self.avoid(other, now)
         self.avoided.pop(peer, None)
-        self.relayed[address] = now
+        self.tunnelled[address] = now
         self.weigh_evidence(now)
 
     def weigh_evidence(self, now: float) -> None:
@@ -180,7 +180,7 @@
         since = now - EVIDENCE_SECONDS
         proofs = [
             address
-            for address, at in self.relayed.items()
+            for address, at in self.tunnelled.items()
             if at >= since and self.failed.get(address, -math.inf) >= since
         ]
         if not self.lost and len(proofs) >= MIN_EVIDENCE:
@@ -199,7 +199,7 @@
         """Changes the state and drops the evidence for the former one."""
         self.lost = lost
         self.failed.clear()
-        self.relayed.clear()
+        self.tunnelled.clear()
         self.restored.clear()
         self.on_change()
 
@@ -215,7 +215,7 @@
         for times in (self.avoided, self.unreached):
             for name in [x for x, until in times.items() if until <= now]:
                 del times[name]
-        for times in (self.failed, self.relayed):
+        for times in (self.failed, self.tunnelled):
             for name in [
                 x for x, at in times.items() if now - at > EVIDENCE_SECONDS
             ]:
--- a/rattanroute/tests/link_hosts.py
+++ b/rattanroute/tests/link_hosts.py
@@ -6,14 +6,14 @@
 
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import open_direct
-from rattanroute.relays import checks
-from rattanroute.relays import connectors
-from rattanroute.relays.checks import LinkChecker
-from rattanroute.relays.connectors import RelayingConnector
-from rattanroute.relays.servers import RelayServer
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.tests.gateway_hosts import GatewayTestCase
 from rattanroute.tests.support import MemberStub
+from rattanroute.tunnels import checks
+from rattanroute.tunnels import connectors
+from rattanroute.tunnels.checks import LinkChecker
+from rattanroute.tunnels.connectors import TunnelConnector
+from rattanroute.tunnels.servers import TunnelServer
 
 # Longer than a front waits before it asks a peer as well.
 LATE_SECONDS = 0.1
@@ -50,7 +50,7 @@
     Attributes:
         links: Links of the gateway.
         losses: How often the links of the gateway counted as lost.
-        relays: Relay servers of the peers, by peer.
+        tunnel_servers: Servers of the peers, by peer.
         cut: How direct connections fail: "hang" or "refuse"; "late" if they
             take longer than usual; empty if they are sound.
     """
@@ -63,20 +63,20 @@
         self.members = build_members()
         self.links = build_links(FRONT, self.members)
         self.links.on_change = self.handle_link_change
-        self.relays: dict[str, RelayServer] = {}
+        self.tunnel_servers: dict[str, TunnelServer] = {}
         self.dead_addresses: set[str] = set()
         port = 0
         for peer in (NEAR_PEER, FAR_PEER):
-            relay = RelayServer(
+            server = TunnelServer(
                 links=build_links(peer, self.members),
                 is_target=lambda address: any(
                     x.report.address == address for x in self.targets
                 ),
             )
-            await relay.start(peer, port)
-            port = relay.listener.sockets[0].getsockname()[1]
-            self.relays[peer] = relay
-        self.pool.open = RelayingConnector(
+            await server.start(peer, port)
+            port = server.listener.sockets[0].getsockname()[1]
+            self.tunnel_servers[peer] = server
+        self.pool.open = TunnelConnector(
             links=self.links, port=port, find_host=lambda peer: peer
         ).open
         self.checker = LinkChecker(
@@ -94,8 +94,8 @@
     async def asyncTearDown(self) -> None:
         """Closes the gateway and its peers."""
         self.check_task.cancel()
-        for relay in self.relays.values():
-            relay.close()
+        for server in self.tunnel_servers.values():
+            server.close()
         await super().asyncTearDown()
 
     async def check_repeatedly(self) -> None:
@@ -108,7 +108,7 @@
         """Does what the front program does."""
         if self.links.lost:
             self.losses += 1
-            self.pool.close_idle_where(lambda x: not x.relayed)
+            self.pool.close_idle_where(lambda x: not x.tunnelled)
             self.streams.suspect_direct_attempts()
 
     async def open_direct(self, address: str) -> ClientConnection:
@@ -127,5 +127,5 @@
         for idle in self.pool.idle.values():
             connections += idle
         for connection in connections:
-            if not connection.relayed:
+            if not connection.tunnelled:
                 connection.transport.pause_reading()
--- a/rattanroute/tests/test_lost_links.py
+++ b/rattanroute/tests/test_lost_links.py
@@ -104,7 +104,7 @@
     async def test_peers_of_the_data_centre_are_cut_as_well(self) -> None:
         await self.add_targets()
         self.cut = "hang"
-        self.relays[NEAR_PEER].links.lost = True
+        self.tunnel_servers[NEAR_PEER].links.lost = True
         await self.check_calls()
         self.check_no_blame()
 
@@ -130,7 +130,9 @@
         self.assertFalse(self.links.lost)
         self.pool.close()
         await self.check_calls()
-        self.assertEqual([x for x in self.relays.values() if x.tunnels], [])
+        self.assertEqual(
+            [x for x in self.tunnel_servers.values() if x.tunnels], []
+        )
 
     async def test_stream_under_way(self) -> None:
         """Guards against a stream that ends with the link it came over."""
@@ -161,7 +163,7 @@
             self.assertLess(loop.time() - started, NEW_WAY_SECONDS)
 
     async def test_client_that_leaves(self) -> None:
-        """Guards against work for nobody at the end of a relayed request."""
+        """Guards against work for nobody at the end of a tunnelled request."""
         target = await self.add_target("t1", answer_late)
         self.cut = "refuse"
         await self.call("/once/", leave_after=0.2)
@@ -192,7 +194,7 @@
         self.assertFalse(self.links.lost)
 
 
-class RelayTest(LostLinksTestCase):
+class TunnelTest(LostLinksTestCase):
     """Guards against answers that a peer damages, and open proxies."""
 
     async def test_peer_that_ends_in_an_unframed_answer(self) -> None:
@@ -201,8 +203,8 @@
         self.cut = "refuse"
         call = asyncio.create_task(self.call("/once/"))
         await asyncio.sleep(0.2)
-        for relay in self.relays.values():
-            for tunnel in list(relay.tunnels):
+        for server in self.tunnel_servers.values():
+            for tunnel in list(server.tunnels):
                 tunnel.transport.close()
         answered = await call
         self.assertEqual(answered.status, 502)
@@ -219,21 +221,23 @@
         self.cut = "refuse"
         call = asyncio.create_task(self.call("/once/"))
         await asyncio.sleep(0.2)
-        for relay in self.relays.values():
-            relay.start_draining()
+        for server in self.tunnel_servers.values():
+            server.start_draining()
         answered = await call
         self.assertEqual(answered.status, 200)
         self.pool.close()
         until = asyncio.get_running_loop().time() + 1
-        for relay in self.relays.values():
-            await relay.wait_until_empty(until)
-            self.assertEqual(relay.tunnels, set())
+        for server in self.tunnel_servers.values():
+            await server.wait_until_empty(until)
+            self.assertEqual(server.tunnels, set())
         refused = await self.call("/once/", request_id="r2")
         self.assertEqual(refused.status, 503)
 
     async def ask(self, command: bytes) -> bytes:
         """Sends a command to a peer and returns its reply."""
-        port = self.relays[FAR_PEER].listener.sockets[0].getsockname()[1]
+        port = (
+            self.tunnel_servers[FAR_PEER].listener.sockets[0].getsockname()[1]
+        )
         reader, writer = await asyncio.open_connection(FAR_PEER, port)
         writer.write(command)
         try:
--- a/rattanroute/tests/test_target_links.py
+++ b/rattanroute/tests/test_target_links.py
@@ -1,17 +1,12 @@
-"""Tests of the evidence for lost links, and of the relay protocol."""
+"""Tests of the evidence for lost links, and of the tunnel protocol."""
 
 import unittest
 
 from rattanroute.errors import RouterError
-from rattanroute.relays.frames import encode_frame
-from rattanroute.relays.frames import END_FRAME
-from rattanroute.relays.frames import FrameDecoder
-from rattanroute.relays.frames import LENGTH
-from rattanroute.relays.frames import MAX_FRAME_BYTES
 from rattanroute.systems.target_links import EVIDENCE_SECONDS
 from rattanroute.systems.target_links import PEER_PENALTY_SECONDS
-from rattanroute.systems.target_links import RelayReply
 from rattanroute.systems.target_links import RETEST_SECONDS
+from rattanroute.systems.target_links import TunnelReply
 from rattanroute.systems.target_links import UNREACHED_SECONDS
 from rattanroute.tests.link_hosts import build_links
 from rattanroute.tests.link_hosts import build_members
@@ -19,6 +14,11 @@
 from rattanroute.tests.link_hosts import FRONT
 from rattanroute.tests.link_hosts import NEAR_PEER
 from rattanroute.tests.support import MemberStub
+from rattanroute.tunnels.frames import encode_frame
+from rattanroute.tunnels.frames import END_FRAME
+from rattanroute.tunnels.frames import FrameDecoder
+from rattanroute.tunnels.frames import LENGTH
+from rattanroute.tunnels.frames import MAX_FRAME_BYTES
 
 A, B, C = "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"
 
@@ -30,43 +30,45 @@
         self.members = build_members()
         self.links = build_links(FRONT, self.members)
 
-    def relay(self, address: str, now: float) -> None:
+    def connect_through_peer(self, address: str, now: float) -> None:
         """Fails to connect directly and connects through a peer."""
         self.links.note_direct(address, connected=False, now=now)
         self.links.note_reply(
-            address, NEAR_PEER, RelayReply.CONNECTED, now + 0.01
+            address, NEAR_PEER, TunnelReply.CONNECTED, now + 0.01
         )
 
     def lose(self) -> None:
         """Gives the evidence that the links are lost."""
-        self.relay(A, 1.0)
-        self.relay(B, 1.1)
+        self.connect_through_peer(A, 1.0)
+        self.connect_through_peer(B, 1.1)
 
     def test_two_targets_that_only_peers_reach(self) -> None:
-        self.relay(A, 1.0)
+        self.connect_through_peer(A, 1.0)
         self.assertFalse(self.links.lost)
-        self.relay(A, 1.5)
+        self.connect_through_peer(A, 1.5)
         self.assertFalse(self.links.lost)
-        self.relay(B, 2.0)
+        self.connect_through_peer(B, 2.0)
         self.assertTrue(self.links.lost)
 
     def test_reply_before_the_direct_failure(self) -> None:
         for address in (A, B):
-            self.links.note_reply(address, NEAR_PEER, RelayReply.CONNECTED, 1.0)
+            self.links.note_reply(
+                address, NEAR_PEER, TunnelReply.CONNECTED, 1.0
+            )
         self.assertFalse(self.links.lost)
         for address in (A, B):
             self.links.note_direct(address, connected=False, now=1.2)
         self.assertTrue(self.links.lost)
 
     def test_failures_far_apart(self) -> None:
-        self.relay(A, 1.0)
-        self.relay(B, 2.0 + EVIDENCE_SECONDS)
+        self.connect_through_peer(A, 1.0)
+        self.connect_through_peer(B, 2.0 + EVIDENCE_SECONDS)
         self.assertFalse(self.links.lost)
 
     def test_dead_targets(self) -> None:
         for address in (A, B, C):
             self.links.note_direct(address, connected=False, now=1.0)
-            for reply in (RelayReply.REFUSED, RelayReply.UNREACHED):
+            for reply in (TunnelReply.REFUSED, TunnelReply.UNREACHED):
                 self.links.note_reply(address, NEAR_PEER, reply, 1.0)
             self.links.note_unreached(address, 1.0)
         self.assertFalse(self.links.lost)
@@ -76,9 +78,9 @@
 
     def test_direct_connection_between_two_failures(self) -> None:
         """Guards against single dead links, of which others are sound."""
-        self.relay(A, 1.0)
+        self.connect_through_peer(A, 1.0)
         self.links.note_direct(C, connected=True, now=1.1)
-        self.relay(B, 1.2)
+        self.connect_through_peer(B, 1.2)
         self.assertFalse(self.links.lost)
 
     def test_links_return(self) -> None:
@@ -104,7 +106,7 @@
     def test_choice_of_peers(self) -> None:
         peers = self.links.plan(A, 0.0).peers
         self.assertEqual(peers, (NEAR_PEER, FAR_PEER))
-        self.links.note_reply(A, NEAR_PEER, RelayReply.LINKS_LOST, 0.0)
+        self.links.note_reply(A, NEAR_PEER, TunnelReply.LINKS_LOST, 0.0)
         self.assertEqual(self.links.plan(A, 0.1).peers, (FAR_PEER,))
         later = PEER_PENALTY_SECONDS
         self.assertEqual(self.links.plan(A, later).peers, peers)
@@ -115,22 +117,22 @@
 
     def test_peer_that_failed_where_another_helped(self) -> None:
         """Guards against a cut peer that is asked again and again."""
-        self.links.note_reply(A, NEAR_PEER, RelayReply.UNREACHED, 1.0)
+        self.links.note_reply(A, NEAR_PEER, TunnelReply.UNREACHED, 1.0)
         self.assertIn(NEAR_PEER, self.links.plan(A, 1.0).peers)
-        self.links.note_reply(A, FAR_PEER, RelayReply.CONNECTED, 1.1)
+        self.links.note_reply(A, FAR_PEER, TunnelReply.CONNECTED, 1.1)
         self.assertEqual(self.links.plan(A, 1.2).peers, (FAR_PEER,))
 
     def test_old_entries_are_removed(self) -> None:
-        self.relay(A, 1.0)
-        self.links.note_reply(B, FAR_PEER, RelayReply.BUSY, 1.0)
+        self.connect_through_peer(A, 1.0)
+        self.links.note_reply(B, FAR_PEER, TunnelReply.BUSY, 1.0)
         self.links.note_unreached(C, 1.0)
-        self.links.note_reply(C, FAR_PEER, RelayReply.REFUSED, 1.0)
+        self.links.note_reply(C, FAR_PEER, TunnelReply.REFUSED, 1.0)
         self.links.note_direct(C, connected=True, now=1.1)
         self.links.note_direct(A, connected=False, now=1.2)
         self.links.expire(100.0)
         for entries in (
             self.links.failed,
-            self.links.relayed,
+            self.links.tunnelled,
             self.links.avoided,
             self.links.unreached,
             self.links.unhelpful,
--- a/rattanroute/relays/checks.py
+++ b/rattanroute/tunnels/checks.py
@@ -76,11 +76,13 @@
         since = now - SILENCE_SECONDS
         if max(self.pool.received_at, self.tested_at) > since:
             return False
-        return any(not x.relayed and x.sent_at <= since for x in self.pool.busy)
+        return any(
+            not x.tunnelled and x.sent_at <= since for x in self.pool.busy
+        )
 
     def choose_addresses(self, count: int) -> list[str]:
         """Returns different addresses, those with open requests first."""
-        busy = sorted({x.address for x in self.pool.busy if not x.relayed})
+        busy = sorted({x.address for x in self.pool.busy if not x.tunnelled})
         known = self.list_addresses()
         self.random.shuffle(busy)
         self.random.shuffle(known)
@@ -117,6 +119,6 @@
         }
 
         def is_unwanted(connection: ClientConnection) -> bool:
-            return connection.relayed and connection.peer not in peers
+            return connection.tunnelled and connection.peer not in peers
 
         self.pool.close_idle_where(is_unwanted)
--- a/rattanroute/relays/connectors.py
+++ b/rattanroute/tunnels/connectors.py
@@ -7,11 +7,11 @@
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import open_direct
 from rattanroute.logs import get_logger
-from rattanroute.relays.frames import encode_command
-from rattanroute.relays.frames import FrameDecoder
-from rattanroute.systems.target_links import RelayReply
 from rattanroute.systems.target_links import TargetLinkSystem
+from rattanroute.systems.target_links import TunnelReply
 from rattanroute.tasks import wait_for_reply
+from rattanroute.tunnels.frames import encode_command
+from rattanroute.tunnels.frames import FrameDecoder
 
 # A direct connection within a region takes a few milliseconds. After this time
 # a peer is asked as well, and after it again the next peer.
@@ -22,7 +22,7 @@
 log = get_logger(__name__)
 
 
-class RelayedConnection(ClientConnection):
+class TunnelConnection(ClientConnection):
     """A connection to a target through another VM.
 
     Attributes:
@@ -30,12 +30,12 @@
         reply: Resolves to its reply.
     """
 
-    relayed = True
+    tunnelled = True
 
     def __init__(self, *, address: str, peer: str) -> None:
         super().__init__(address=address)
         self.peer = peer
-        self.reply: asyncio.Future[RelayReply] = self.loop.create_future()
+        self.reply: asyncio.Future[TunnelReply] = self.loop.create_future()
         self.decoder = FrameDecoder()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -67,11 +67,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the wait for a reply; fails the open request."""
         if not self.reply.done():
-            self.reply.set_result(RelayReply.BUSY)
+            self.reply.set_result(TunnelReply.BUSY)
         super().connection_lost(exc)
 
 
-class RelayingConnector:
+class TunnelConnector:
     """Opens connections to targets in the best way that is known.
 
     A connection through a peer is tried when the direct one fails or takes
@@ -80,7 +80,7 @@
 
     Args:
         links: Links of this VM to the targets.
-        port: Relay port of all VMs.
+        port: Tunnel port of all VMs.
         find_host: Returns the IP address of a VM.
     """
 
@@ -162,7 +162,7 @@
         loop = asyncio.get_running_loop()
         try:
             _, connection = await loop.create_connection(
-                lambda: RelayedConnection(address=address, peer=peer),
+                lambda: TunnelConnection(address=address, peer=peer),
                 self.find_host(peer),
                 self.port,
             )
@@ -175,21 +175,21 @@
             connection.cancel()
             raise
         self.links.note_reply(address, peer, reply, loop.time())
-        if reply is RelayReply.CONNECTED:
+        if reply is TunnelReply.CONNECTED:
             log.info("connected through a peer", target=address, peer=peer)
             return connection
         connection.close()
-        if reply is RelayReply.REFUSED:
+        if reply is TunnelReply.REFUSED:
             raise ConnectionRefusedError(f"refused at {peer}")
         raise OSError(f"peer {peer} replied {reply.name}")
 
 
-def decode_reply(data: bytes) -> RelayReply:
+def decode_reply(data: bytes) -> TunnelReply:
     """Returns the reply of a peer; a malformed one means that it is no help."""
     try:
-        return RelayReply(data)
+        return TunnelReply(data)
     except ValueError:
-        return RelayReply.BUSY
+        return TunnelReply.BUSY
 
 
 async def race(
--- a/rattanroute/relays/frames.py
+++ b/rattanroute/tunnels/frames.py
@@ -1,7 +1,7 @@
 """The protocol between a VM that lost its links and the VM that helps it.
 
 The client sends `CONNECT IP:PORT` in one line and gets one byte, a value of
-`RelayReply`. After `CONNECTED` the client's bytes pass unchanged, and those of
+`TunnelReply`. After `CONNECTED` the client's bytes pass unchanged, and those of
 the target in frames: a length of four bytes and the bytes. A length of 0 means
 that the target has ended its direction. Without frames, the end of the helping
 VM would look like the end of an answer without a length.
@@ -62,7 +62,7 @@
             (size,) = LENGTH.unpack_from(self.buffer)
             if size > MAX_FRAME_BYTES or self.ended:
                 raise RouterError(
-                    step="read from a relay", message="malformed frame"
+                    step="read from a tunnel", message="malformed frame"
                 )
             if not size:
                 self.ended = True
--- a/rattanroute/relays/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -8,13 +8,13 @@
 
 from rattanroute.http1.clients import set_user_timeout
 from rattanroute.logs import get_logger
-from rattanroute.relays.frames import decode_command
-from rattanroute.relays.frames import encode_frame
-from rattanroute.relays.frames import END_FRAME
-from rattanroute.relays.frames import MAX_LINE_BYTES
-from rattanroute.systems.target_links import RelayReply
 from rattanroute.systems.target_links import TargetLinkSystem
+from rattanroute.systems.target_links import TunnelReply
 from rattanroute.tasks import wait_for_reply
+from rattanroute.tunnels.frames import decode_command
+from rattanroute.tunnels.frames import encode_frame
+from rattanroute.tunnels.frames import END_FRAME
+from rattanroute.tunnels.frames import MAX_LINE_BYTES
 
 # Shorter than the connect timeout of the VM that asks.
 CONNECT_TIMEOUT_SECONDS = 0.15
@@ -80,7 +80,7 @@
         server: The server that accepted it.
     """
 
-    def __init__(self, *, server: "RelayServer") -> None:
+    def __init__(self, *, server: "TunnelServer") -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.line = bytearray()
@@ -120,10 +120,10 @@
         if self.transport.is_closing():
             return
         self.transport.write(reply.value)
-        if reply is not RelayReply.CONNECTED:
+        if reply is not TunnelReply.CONNECTED:
             self.transport.close()
 
-    async def try_connect(self, address: str) -> RelayReply:
+    async def try_connect(self, address: str) -> TunnelReply:
         """Connects to a target and returns the reply."""
         reply = self.server.check(address)
         if reply is not None:
@@ -140,14 +140,14 @@
         except (OSError, TimeoutError, ValueError) as error:
             links.note_direct(address, connected=False, now=self.loop.time())
             if isinstance(error, ConnectionRefusedError):
-                return RelayReply.REFUSED
-            return RelayReply.UNREACHED
+                return TunnelReply.REFUSED
+            return TunnelReply.UNREACHED
         links.note_direct(address, connected=True, now=self.loop.time())
         if self.transport.is_closing():
             target.transport.abort()
-            return RelayReply.UNREACHED
+            return TunnelReply.UNREACHED
         self.target = target
-        return RelayReply.CONNECTED
+        return TunnelReply.CONNECTED
 
     def write_back(self, data: bytes) -> None:
         """Writes bytes to the asking VM."""
@@ -197,7 +197,7 @@
             self.target.transport.abort()
 
 
-class RelayServer:
+class TunnelServer:
     """Accepts connections of VMs that ask for a connection to a target.
 
     Args:
@@ -230,19 +230,19 @@
             lambda: Tunnel(server=self), host, port, backlog=BACKLOG
         )
 
-    def check(self, address: str) -> RelayReply | None:
+    def check(self, address: str) -> TunnelReply | None:
         """Returns why no connection is made; None if one may be made.
 
         A VM never asks a further one, so that a request passes two at most.
         """
         if self.draining:
-            return RelayReply.DRAINING
+            return TunnelReply.DRAINING
         if self.links.lost:
-            return RelayReply.LINKS_LOST
+            return TunnelReply.LINKS_LOST
         if len(self.tunnels) > MAX_TUNNELS:
-            return RelayReply.BUSY
+            return TunnelReply.BUSY
         if not self.is_target(address):
-            return RelayReply.UNKNOWN_TARGET
+            return TunnelReply.UNKNOWN_TARGET
         return None
 
     def discard(self, tunnel: Tunnel) -> None:
@@ -272,6 +272,6 @@
         if self.listener is not None:
             self.listener.close()
         if self.tunnels:
-            log.info("closing relayed connections", count=len(self.tunnels))
+            log.info("closing tunnelled connections", count=len(self.tunnels))
         for tunnel in list(self.tunnels):
             reset(tunnel.transport)
