Test lost links with any target

While links are lost, the direct connection in each half second went to targets with open requests first. A call that held on to one target kept the state until it ended, as two targets must accept. The new test failed before. Idle connections are looked through once a second instead of ten times.

--- a/rattanroute/tests/test_lost_links.py
+++ b/rattanroute/tests/test_lost_links.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from rattanroute.http1.clients import CollectingSink
+from rattanroute.http1.clients import open_direct
+from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.servers import Exchange
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import build_events
@@ -134,6 +137,22 @@
             [x for x in self.tunnel_servers.values() if x.tunnels], []
         )
 
+    async def test_links_return_beside_a_hanging_call(self) -> None:
+        """Guards against tests of the one target that an old call holds."""
+        await self.add_targets()
+        await self.add_target("t5", answer_unframed, service="other")
+        self.cut = "hang"
+        await self.check_calls()
+        sink = CollectingSink(max_bytes=10)
+        held = await open_direct(self.targets.get("t5").report.address)
+        held.pool = self.pool
+        head = RequestHead(method=b"GET", target=b"/", headers=[])
+        held.send(head, b"", sink)
+        self.cut = ""
+        await asyncio.sleep(RESUME_SECONDS)
+        self.assertFalse(self.links.lost)
+        held.cancel()
+
     async def test_stream_under_way(self) -> None:
         """Guards against a stream that ends with the link it came over."""
         await self.add_targets()
--- a/rattanroute/tunnels/checks.py
+++ b/rattanroute/tunnels/checks.py
@@ -15,6 +15,7 @@
 
 CHECK_INTERVAL_SECONDS = 0.1
 CONNECT_TIMEOUT_SECONDS = 0.25
+CLEAN_INTERVAL_SECONDS = 1.0
 # Targets that are tested when all are silent.
 MAX_TESTED = 3
 
@@ -33,6 +34,7 @@
     Attributes:
         tests: Running tests.
         tested_at: Time of the latest tests, in seconds.
+        clean_at: Time at which old entries are removed next, in seconds.
     """
 
     def __init__(
@@ -49,15 +51,20 @@
         self.random = random
         self.tests: set[asyncio.Task[None]] = set()
         self.tested_at = 0.0
+        self.clean_at = 0.0
 
     def run(self) -> None:
         """Starts the tests that are due; called at an interval."""
         now = asyncio.get_running_loop().time()
-        self.links.expire(now)
-        self.close_unwanted()
+        if now >= self.clean_at:
+            self.clean_at = now + CLEAN_INTERVAL_SECONDS
+            self.links.expire(now)
+            self.close_unwanted()
         if self.links.is_retest_due(now):
-            for address in self.choose_addresses(1):
-                self.start(self.retest(address))
+            # Any target: an open request may hold on to one for long.
+            known = self.list_addresses()
+            if known:
+                self.start(self.retest(self.random.choice(known)))
         elif not self.tests and self.is_silent(now):
             self.tested_at = now
             for address in self.choose_addresses(MAX_TESTED):
