--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -16,6 +16,7 @@
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import RequestParser
 from rattanroute.logs import get_logger
+from rattanroute.tasks import wait_for_event
 
 SWEEP_INTERVAL_SECONDS = 0.5
 # Unanswered requests per connection; reading is paused at this number.
@@ -394,9 +395,7 @@
         Args:
             until: End of the wait, on the event loop's clock.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(until):
-                await self.empty.wait()
+        await wait_for_event(self.empty, until)
 
     def end_requests(self) -> None:
         """Makes all handlers refuse or break off their open requests."""
--- a/rattanroute/tasks.py
+++ b/rattanroute/tasks.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 from typing import TypeVar
 
 from rattanroute.logs import get_logger
@@ -46,6 +47,18 @@
         task.cancel()
 
 
+async def wait_for_event(event: asyncio.Event, until: float) -> None:
+    """Waits for an event, but not longer than until a time.
+
+    Args:
+        event: The event.
+        until: End of the wait, on the event loop's clock.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(until):
+            await event.wait()
+
+
 async def run_concurrently(
     *coroutines: Coroutine[None, None, None], until: str
 ) -> None:
--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -10,6 +10,7 @@
 from rattanroute.logs import get_logger
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.systems.target_links import TunnelReply
+from rattanroute.tasks import wait_for_event
 from rattanroute.tasks import wait_for_reply
 from rattanroute.tunnels.frames import decode_command
 from rattanroute.tunnels.frames import encode_frame
@@ -263,9 +264,7 @@
         Args:
             until: End of the wait, on the event loop's clock.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(until):
-                await self.empty.wait()
+        await wait_for_event(self.empty, until)
 
     def close(self) -> None:
         """Closes the listener and all connections."""
