--- a/rattanroute/tests/test_lost_links.py
+++ b/rattanroute/tests/test_lost_links.py
@@ -1,6 +1,7 @@
 """Tests of a gateway that loses its links to the targets."""
 
 import asyncio
+import random
 
 from rattanroute.http1.clients import CollectingSink
 from rattanroute.http1.clients import open_direct
@@ -63,6 +64,14 @@
     await answer(target, exchange)
 
 
+class FirstChoice(random.Random):
+    """A random generator that selects the first element."""
+
+    def choice(self, items: list[str]) -> str:
+        """Returns the first element."""
+        return items[0]
+
+
 class CutGatewayTest(LostLinksTestCase):
     """Guards against callers who are not served by a cut VM."""
 
@@ -137,6 +146,19 @@
             [x for x in self.tunnel_servers.values() if x.tunnels], []
         )
 
+    async def test_links_return_although_one_target_is_preferred(self) -> None:
+        """Guards against tests of one target again and again.
+
+        Two targets must accept before the links count as restored.
+        """
+        await self.add_targets()
+        self.checker.random = FirstChoice()
+        self.cut = "hang"
+        await self.check_calls()
+        self.cut = ""
+        await asyncio.sleep(RESUME_SECONDS)
+        self.assertFalse(self.links.lost)
+
     async def test_links_return_beside_a_hanging_call(self) -> None:
         """Guards against tests of the one target that an old call holds."""
         await self.add_targets()
--- a/rattanroute/tunnels/checks.py
+++ b/rattanroute/tunnels/checks.py
@@ -63,6 +63,7 @@
         if self.links.is_retest_due(now):
             # Any target: an open request may hold on to one for long.
             known = self.list_addresses()
+            known = [x for x in known if x not in self.links.restored] or known
             if known:
                 self.start(self.retest(self.random.choice(known)))
         elif not self.tests and self.is_silent(now):
