Let a refused connection prove the end of a target beside unhelpful peers

A target whose process has ended refuses connections, which inspectors take as proof at once. Since peers are asked as well, a peer that stops, knows no such target or is not reached hid that, and the inspector waited for a second query. The new test failed before.

--- a/rattanroute/tests/test_lost_links.py
+++ b/rattanroute/tests/test_lost_links.py
@@ -4,6 +4,7 @@
 import random
 
 from rattanroute.http1.clients import CollectingSink
+from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import open_direct
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.servers import Exchange
@@ -227,6 +228,21 @@
         self.assertLess(loop.time() - started, 2 * NEW_WAY_SECONDS)
         self.assertFalse(self.links.lost)
 
+    async def test_target_that_refuses_beside_peers_that_do_not_help(
+        self,
+    ) -> None:
+        """Guards against a crash that is found late.
+
+        Only a refused connection proves at once that a target has ended.
+        """
+        target = await self.add_target("t1", answer)
+        await target.server.close()
+        for server in self.tunnel_servers.values():
+            server.start_draining()
+        with self.assertRaises(ConnectError) as caught:
+            await self.pool.take(target.address, timeout_s=1.0)
+        self.assertTrue(caught.exception.refused)
+
     async def test_one_silent_target(self) -> None:
         """Guards against a suspicion of the links for one slow target."""
         await self.add_target("t1", answer_late)
--- a/rattanroute/tunnels/connectors.py
+++ b/rattanroute/tunnels/connectors.py
@@ -22,6 +22,10 @@
 log = get_logger(__name__)
 
 
+class UnhelpfulPeerError(OSError):
+    """A peer could not try to connect to a target."""
+
+
 class TunnelConnection(ClientConnection):
     """A connection to a target through another VM.
 
@@ -166,9 +170,9 @@
                 self.find_host(peer),
                 self.port,
             )
-        except OSError:
+        except OSError as error:
             self.links.avoid(peer, loop.time())
-            raise
+            raise UnhelpfulPeerError(f"peer {peer} not reached") from error
         try:
             reply = await connection.reply
         except asyncio.CancelledError:
@@ -181,7 +185,10 @@
         connection.close()
         if reply is TunnelReply.REFUSED:
             raise ConnectionRefusedError(f"refused at {peer}")
-        raise OSError(f"peer {peer} replied {reply.name}")
+        message = f"peer {peer} replied {reply.name}"
+        if reply is TunnelReply.UNREACHED:
+            raise OSError(message)
+        raise UnhelpfulPeerError(message)
 
 
 def decode_reply(data: bytes) -> TunnelReply:
@@ -245,11 +252,13 @@
 def choose_error(errors: list[Exception]) -> Exception:
     """Returns the error that describes best why there is no connection.
 
-    A target counts as refusing only if no way says otherwise.
+    A target counts as refusing only if no way says otherwise. Peers that were
+    no help say nothing about it.
     """
-    if not errors:
-        return OSError("no way to the target")
-    for error in errors:
+    telling = [x for x in errors if not isinstance(x, UnhelpfulPeerError)]
+    if not telling:
+        return errors[0] if errors else OSError("no way to the target")
+    for error in telling:
         if not isinstance(error, ConnectionRefusedError):
             return error
-    return errors[0]
+    return telling[0]
