Review, case 1: one answer without end takes a front's memory and its work

CollectingSink keeps each chunk of an answer as an object and counts only the bytes of the body, so that an answer in chunks of two bytes may take about 470 MB. A front that has 222 MB is killed, and with it all that it has accepted.

review/1 lets one replica of three spoil one answer of about 100.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,136 +1,115 @@
-"""A replica crashes in the middle of an event of a stream without a length."""
+"""One answer without end takes the memory of a front, and all its work."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
 
 from deployment import Answer
 from deployment import build_configuration
-from deployment import build_engine_service
-from deployment import build_event
 from deployment import build_plain_service
 from deployment import build_route
+from deployment import Channel
 from deployment import Deployment
-from deployment import LAYERS
+from deployment import Machine
 from deployment import NotRunError
 from deployment import run_case
 from deployment import ZONES
 
-ENGINE = "redator"
-PLAIN = "livro"
-EVENTS = 10
-LOAD_S = 14.0
-TROUBLE_AFTER_S = 4.0
-RESTART_AFTER_S = 4.5
-REQUEST_PAUSE_S = 0.1
-CLIENT_WAIT_S = 8.0
-OK = 200
+DESK = "banco"
+TIMEOUT_MS = 3000
+CLIENT_WAIT_S = 6.0
+CHANNELS = 12
+WORK_S = 0.4
+TROUBLE_AFTER_S = 3.0
+LOAD_S = 10.0
+# The rule allows so many requests without an answer.
+MAX_LOST = 3
 
 
-async def start_plain_replica(deployment: Deployment, zone: str) -> None:
-    """Starts a replica of the plain service; one of them may crash."""
-    await deployment.start_replica(
-        f"i-{PLAIN}-{zone}-{time.monotonic_ns()}",
-        service=PLAIN,
-        zone=zone,
-        streams=True,
-        trouble="crash" if zone == ZONES[0] else "",
-    )
-
-
-async def start_system(deployment: Deployment) -> None:
-    """Starts everything."""
+async def start_system(deployment: Deployment) -> Machine:
+    """Starts everything; returns the front that the clients use."""
     deployment.add_machines(fronts_per_zone=1)
     await deployment.start_machines()
-    for zone in ZONES:
+    for number, zone in enumerate(ZONES):
         await deployment.start_replica(
-            f"i-{ENGINE}-{zone}",
-            service=ENGINE,
+            f"i-{zone}",
+            service=DESK,
             zone=zone,
-            layers=LAYERS,
-            kind="a100",
+            slots=6,
+            work_s=WORK_S,
+            trouble="" if number else "endless",
         )
-        await start_plain_replica(deployment, zone)
-    route = build_route(
-        "nota",
-        "",
-        "streaming",
-        20_000,
-        resumable=True,
-        sticky=True,
-        gapTargetMs=200,
-        backends=[
-            {"service": ENGINE, "weight": 50},
-            {"service": PLAIN, "weight": 50},
-        ],
-    )
-    del route["service"]
     configuration = build_configuration(
-        1, [route], [build_engine_service(ENGINE), build_plain_service(PLAIN)]
+        1,
+        [build_route("pedido", DESK, "unsafe", TIMEOUT_MS)],
+        [build_plain_service(DESK)],
     )
     if await deployment.put_configuration(configuration, 30.0) is None:
         raise NotRunError("no configuration")
-    fronts = [x.name for x in deployment.list_machines("front")]
-    await deployment.wait_until_ready(fronts, 30.0)
-    await asyncio.sleep(4.0)
-
-
-async def send_repeatedly(deployment: Deployment) -> list[Answer]:
-    """Sends streams to all fronts in turn; returns what the clients got."""
     fronts = deployment.list_machines("front")
-    tasks = []
-    end = time.monotonic() + LOAD_S
-    while time.monotonic() < end:
-        call = deployment.request(
-            fronts[len(tasks) % len(fronts)],
-            "POST",
-            "/nota/x",
-            wait_s=CLIENT_WAIT_S,
-            tokens=EVENTS,
-            body=b"{}",
-        )
-        tasks.append(asyncio.create_task(call))
-        await asyncio.sleep(REQUEST_PAUSE_S)
-    return list(await asyncio.gather(*tasks))
-
-
-async def crash_replica(deployment: Deployment) -> None:
-    """Lets one replica crash; it is back some seconds later."""
+    await deployment.wait_until_ready([x.name for x in fronts], 30.0)
+    return fronts[0]
+
+
+async def use_channel(
+    channel: Channel, end: float
+) -> list[tuple[Answer, bool]]:
+    """Sends one request after the other on a channel until it ends.
+
+    Returns:
+        Each answer, and whether the channel ended without it although an
+        earlier request had been answered there.
+    """
+    loop = asyncio.get_running_loop()
+    found = []
+    try:
+        await channel.open()
+        while loop.time() < end and not channel.broken:
+            answer = await channel.request("/pedido/x", CLIENT_WAIT_S)
+            lost = channel.broken and channel.answered > 0
+            found.append((answer, lost))
+    except OSError:
+        pass
+    finally:
+        channel.close()
+    return found
+
+
+async def make_trouble(deployment: Deployment) -> None:
+    """Lets the replica of the first zone spoil one answer."""
     await asyncio.sleep(TROUBLE_AFTER_S)
-    if not deployment.trouble:
-        return
-    deployment.note(f"the replica of {PLAIN} in {ZONES[0]} crashes")
-    deployment.set_trouble(True)
-    await asyncio.sleep(RESTART_AFTER_S)
-    deployment.set_trouble(False)
-    await start_plain_replica(deployment, ZONES[0])
-    deployment.note("the replica has started again")
+    if deployment.trouble:
+        deployment.note("one replica spoils one of its answers from now on")
+        deployment.set_trouble(True)
 
 
 async def play(deployment: Deployment) -> str:
     """Plays the case; returns why the rule was broken."""
-    await start_system(deployment)
-    answers, _ = await asyncio.gather(
-        send_repeatedly(deployment), crash_replica(deployment)
+    front = await start_system(deployment)
+    watcher = asyncio.create_task(deployment.keep_memory_limit(front.name))
+    end = asyncio.get_running_loop().time() + LOAD_S
+    channels = [Channel(deployment, front) for _ in range(CHANNELS)]
+    results, _ = await asyncio.gather(
+        asyncio.gather(*(use_channel(x, end) for x in channels)),
+        make_trouble(deployment),
     )
-    whole = b"".join(build_event(x) for x in range(1, EVENTS + 1))
-    complete = [x for x in answers if x.status == OK]
-    short = [x for x in complete if x.body != whole]
+    watcher.cancel()
+    answers = [x for found in results for x in found]
+    lost_ids = {x.request_id for x, lost in answers if lost}
+    records = deployment.read_replica_records()
+    spoilt = {x["request"] for x in records if x["event"] == "endless"}
+    run = {x["request"] for x in records if x["event"] == "run"}
+    lost = sorted((lost_ids & run) - spoilt)
     deployment.note(
-        f"{len(answers)} streams, {len(complete)} complete for their clients, "
-        f"{len(short)} of these without the last events"
+        f"{len(answers)} requests, {len(lost)} ran at sound replicas and got "
+        f"no answer on their kept channels: {', '.join(lost)}"
     )
-    for answer in short:
-        deployment.note(
-            f"{answer.request_id} ended as complete with {answer.body!r}"
-        )
-    if not complete:
-        raise NotRunError("no stream was answered")
-    if short:
-        return f"{len(short)} streams ended as complete before the last event"
+    if not run:
+        raise NotRunError("nothing has run")
+    if len(lost) > MAX_LOST:
+        return f"{len(lost)} requests that ran were lost with the front"
     return ""
 
 
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -70,6 +70,8 @@
     "layers",
 ]
 MEMORY_MB = {"front": 222, "core": 296}
+KILOBYTES_PER_MB = 1024
+WATCH_PAUSE_S = 0.01
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -134,6 +136,94 @@
     raise NotRunError("no free loopback addresses")
 
 
+class Channel:
+    """A client's connection that is kept for many requests.
+
+    Args:
+        deployment: The deployment.
+        front: The front to connect to.
+
+    Attributes:
+        answered: Requests that were answered on this connection.
+        broken: Whether it has ended without an answer to the last request.
+    """
+
+    def __init__(self, deployment: "Deployment", front: Machine) -> None:
+        self.deployment = deployment
+        self.front = front
+        self.answered = 0
+        self.broken = False
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def open(self) -> None:
+        """Opens the connection.
+
+        Raises:
+            OSError: If that fails.
+        """
+        self.reader, self.writer = await asyncio.open_connection(
+            self.front.ip, FRONT_PORT
+        )
+
+    async def request(self, path: str, wait_s: float) -> Answer:
+        """Sends an unsafe request and reads its answer; notes both.
+
+        Args:
+            path: Path of the request.
+            wait_s: Seconds that the client waits.
+        """
+        deployment = self.deployment
+        request_id, headers = deployment.build_headers(wait_s)
+        lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        sent_at = time.monotonic()
+        answer = Answer(
+            request_id=request_id, sent_at=sent_at, seconds=0.0, status=0
+        )
+        try:
+            async with asyncio.timeout(wait_s):
+                self.writer.write(
+                    "\r\n".join(
+                        [*lines, "Content-Length: 2", "", "{}"]
+                    ).encode()
+                )
+                head = await self.reader.readuntil(b"\r\n\r\n")
+                text = head.decode("latin-1").lower()
+                size = int(text.split("content-length:")[1].split("\r\n")[0])
+                answer.body = await self.reader.readexactly(size)
+                answer.status = int(text.split(" ", 2)[1])
+                self.answered += 1
+        except (OSError, asyncio.IncompleteReadError):
+            self.broken = True
+        except TimeoutError:
+            pass
+        answer.seconds = time.monotonic() - sent_at
+        end = ", and the channel has ended" if self.broken else ""
+        deployment.note(
+            f"client {request_id} POST {path} after {self.answered} answers on "
+            f"its channel: status {answer.status}, {answer.seconds:.3f} s{end}"
+        )
+        return answer
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self.writer is not None:
+            self.writer.close()
+
+
+def read_memory_mb(process_id: int) -> float:
+    """Returns the resident memory of a process; 0 if it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / KILOBYTES_PER_MB
+    return 0.0
+
+
 class Deployment:
     """Starts, signals and stops the programs and the replicas.
 
@@ -376,6 +466,35 @@
         )
         return answer.status
 
+    def build_headers(self, wait_s: float) -> tuple[str, dict[str, str]]:
+        """Returns the id and the headers of the next request of a client."""
+        self.requests += 1
+        request_id = f"r{self.requests:05d}"
+        headers = {
+            "Rattanroute-Request-Id": request_id,
+            "Rattanroute-Request-Deadline": str(int(wait_s * 1000)),
+            "Authorization": f"Bearer {API_KEY}",
+        }
+        return request_id, headers
+
+    async def keep_memory_limit(self, name: str) -> None:
+        """Kills a process that uses more than `memoryMb`, as the platform does.
+
+        Returns once the process has ended.
+        """
+        limit_mb = MEMORY_MB[self.machines[name].role]
+        process = self.processes[name]
+        peak_mb = 0.0
+        while process.returncode is None:
+            used_mb = read_memory_mb(process.pid)
+            peak_mb = max(peak_mb, used_mb)
+            if used_mb > limit_mb:
+                self.note(f"{name} uses {used_mb:.0f} MB of {limit_mb} MB")
+                self.signal(name, signal.SIGKILL)
+                await process.wait()
+            await asyncio.sleep(WATCH_PAUSE_S)
+        self.note(f"{name} has ended, its peak was {peak_mb:.0f} MB")
+
     async def request(
         self,
         front: Machine,
@@ -387,13 +506,7 @@
         body: bytes = b"",
     ) -> Answer:
         """Sends a client's request on a new connection."""
-        self.requests += 1
-        request_id = f"r{self.requests:05d}"
-        headers = {
-            "Rattanroute-Request-Id": request_id,
-            "Rattanroute-Request-Deadline": str(int(wait_s * 1000)),
-            "Authorization": f"Bearer {API_KEY}",
-        }
+        request_id, headers = self.build_headers(wait_s)
         if tokens:
             headers["Rattanroute-Token-Count"] = f"40,{tokens}"
             headers["Rattanroute-Model"] = "daka510000"
--- a/review/support/replica.py
+++ b/review/support/replica.py
@@ -278,8 +278,11 @@
             "Rattanroute-Request-Id": request_id,
             "Rattanroute-Replica-Stamp": self.settings.replica_id,
         }
+        spoils = self.settings.trouble == "endless" and self.in_trouble
+        if spoils and self.endless < MAX_ENDLESS:
+            await self.answer_without_end(request_id, headers, writer)
         if self.settings.streams:
-            await self.stream_until_close(request, request_id, writer)
+            await self.stream_until_close(request, headers, writer)
             return
         if not self.settings.layers:
             await asyncio.sleep(self.settings.work_s)
@@ -288,12 +291,6 @@
         headers["Content-Type"] = "text/event-stream"
         headers["Transfer-Encoding"] = "chunked"
         writer.write(build_head(200, headers))
-        if self.in_trouble and self.endless < MAX_ENDLESS:
-            self.endless += 1
-            self.record("endless", request_id)
-            while True:
-                writer.write(ENDLESS_BLOCK)
-                await writer.drain()
         for number in list_events(request):
             await asyncio.sleep(EVENT_SECONDS)
             event = build_event(number)
@@ -301,20 +298,38 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
+    async def answer_without_end(
+        self,
+        request_id: str,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Sends bytes that are no answer until the caller closes.
+
+        Raises:
+            ConnectionError: When the caller has closed.
+        """
+        self.endless += 1
+        self.record("endless", request_id)
+        chunked = {"Transfer-Encoding": "chunked"}
+        writer.write(build_head(200, {**headers, **chunked}))
+        while True:
+            writer.write(ENDLESS_BLOCK)
+            await writer.drain()
+
     async def stream_until_close(
-        self, request: Request, request_id: str, writer: asyncio.StreamWriter
+        self,
+        request: Request,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Writes a stream that ends with its connection.
 
         While the trouble is active, the process ends by a crash in the middle
         of the third event.
         """
-        headers = {
-            "Rattanroute-Request-Id": request_id,
-            "Rattanroute-Replica-Stamp": self.settings.replica_id,
-            "Content-Type": "text/event-stream",
-            "Connection": "close",
-        }
+        headers["Content-Type"] = "text/event-stream"
+        headers["Connection"] = "close"
         writer.write(build_head(200, headers))
         for position, number in enumerate(list_events(request), start=1):
             await asyncio.sleep(EVENT_SECONDS)
@@ -322,6 +337,7 @@
             if self.in_trouble and position == CRASH_EVENT:
                 writer.write(event[: len(event) // 2])
                 await writer.drain()
+                request_id = headers["Rattanroute-Request-Id"]
                 self.record("crash", request_id, target=f"in event {number}")
                 os._exit(CRASH_EXIT_CODE)
             writer.write(event)
