--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,8 @@
 DESK = "banco"
 TIMEOUT_MS = 3000
 CLIENT_WAIT_S = 6.0
-CHANNELS = 12
+CHANNELS = 24
+REPLICAS_PER_ZONE = 2
 WORK_S = 0.4
 TROUBLE_AFTER_S = 3.0
 LOAD_S = 10.0
@@ -32,15 +33,17 @@
     """Starts everything; returns the front that the clients use."""
     deployment.add_machines(fronts_per_zone=1)
     await deployment.start_machines()
-    for number, zone in enumerate(ZONES):
-        await deployment.start_replica(
-            f"i-{zone}",
-            service=DESK,
-            zone=zone,
-            slots=6,
-            work_s=WORK_S,
-            trouble="" if number else "endless",
-        )
+    for zone in ZONES:
+        for copy in range(1, REPLICAS_PER_ZONE + 1):
+            faulty = zone == ZONES[0] and copy == 1
+            await deployment.start_replica(
+                f"i-{zone}-{copy}",
+                service=DESK,
+                zone=zone,
+                slots=6,
+                work_s=WORK_S,
+                trouble="endless" if faulty else "",
+            )
     configuration = build_configuration(
         1,
         [build_route("pedido", DESK, "unsafe", TIMEOUT_MS)],
@@ -78,7 +81,7 @@
 
 
 async def make_trouble(deployment: Deployment) -> None:
-    """Lets the replica of the first zone spoil one answer."""
+    """Lets one replica of the first zone spoil one answer."""
     await asyncio.sleep(TROUBLE_AFTER_S)
     if deployment.trouble:
         deployment.note("one replica spoils one of its answers from now on")
