--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -400,6 +400,21 @@
         await self.spawn(replica_id, words, None)
         return host
 
+    async def wait_for_report(self, replica_id: str, seconds: float) -> None:
+        """Waits until a liveness report of a replica was acknowledged.
+
+        Raises:
+            NotRunError: If none is in time.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for record in self.read_replica_records():
+                found = (record["replica"], record["event"])
+                if found == (replica_id, "reported"):
+                    return
+            await asyncio.sleep(0.05)
+        raise NotRunError(f"{replica_id} has not reported itself")
+
     def set_trouble(self, active: bool) -> None:
         """Switches the trouble of the replicas on or off."""
         switch = self.folder / "trouble"
--- a/review/support/replica.py
+++ b/review/support/replica.py
@@ -117,6 +117,7 @@
         self.held = (0, 0)
         self.active = 0
         self.endless = 0
+        self.reported = False
         self.file = os.open(
             settings.records, os.O_WRONLY | os.O_CREAT | os.O_APPEND
         )
@@ -165,6 +166,12 @@
             report["layers"] = self.describe_layers()
         return report
 
+    def note_report(self) -> None:
+        """Records the first liveness report that was acknowledged."""
+        if not self.reported:
+            self.reported = True
+            self.record("reported")
+
     async def beat(self) -> None:
         """Sends liveness reports until the process ends."""
         number = 0
@@ -178,6 +185,7 @@
                 try:
                     async with asyncio.timeout(1.0):
                         if await put(address, path, body) == 200:
+                            self.note_report()
                             break
                 except (OSError, TimeoutError, ValueError):
                     pass
