--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -5,6 +5,7 @@
 operator, clients) are stand-ins built on the standard library.
 """
 
+import argparse
 import asyncio
 import contextlib
 import dataclasses
@@ -229,6 +230,7 @@
 
     Args:
         case: Folder of the case, which gets `record.txt`.
+        trouble: Whether the disruption is to be made.
 
     Attributes:
         folder: Temporary folder of settings, data and output.
@@ -238,8 +240,9 @@
         lines: Lines of the record.
     """
 
-    def __init__(self, case: pathlib.Path) -> None:
+    def __init__(self, case: pathlib.Path, *, trouble: bool) -> None:
         self.case = case
+        self.trouble = trouble
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.network = reserve_network()
         self.machines: dict[str, Machine] = {}
@@ -254,11 +257,6 @@
             (ROOT / "deploy" / "system.toml").read_text()
         )["roles"]
 
-    @property
-    def trouble(self) -> bool:
-        """Whether the disruption is to be made."""
-        return os.environ.get("TROUBLE", "1") != "0"
-
     def note(self, text: str) -> None:
         """Adds a line with the seconds since the start to the record."""
         line = f"{time.monotonic() - self.began_at:8.3f} {text}"
@@ -757,14 +755,23 @@
             rule was broken; empty if it held.
     """
     case = pathlib.Path(case_file).resolve().parent
+    parser = argparse.ArgumentParser()
+    parser.add_argument(
+        "--trouble",
+        choices=("0", "1"),
+        required=True,
+        help="0 leaves the disruption out",
+    )
+    trouble = parser.parse_args().trouble == "1"
 
     async def run() -> int:
         try:
-            deployment = Deployment(case)
+            deployment = Deployment(case, trouble=trouble)
         except NotRunError as error:
             print(f"could not run: {error}")
             return EXIT_NOT_RUN
         verdict, code = "could not run", EXIT_NOT_RUN
+        deployment.note(f"with the disruption: {'yes' if trouble else 'no'}")
         try:
             async with asyncio.timeout(115):
                 broken = await play(deployment)
