Log the connection of each attempt and the signature of the answer

The log named the targets of a call but not the connection that its answer came from, so that it could not be told whether a wrong answer belonged to an earlier request of a kept connection. 'request ended' has two more fields: of each attempt the connection with its age, the requests that it carried before and whether one had the same identifier; and the signature of the answer. Each user of the pool says which identifier its request has, or that it has none.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -9,6 +9,9 @@
 from rattanroute.tables.routes import BackendService
 from rattanroute.tables.routes import Route
 
+# Stands for an attempt without a connection in `Call.connections`.
+NO_CONNECTION = "-"
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Call:
@@ -32,6 +35,9 @@
         first_event_s: Seconds until the first event of a stream.
         longest_gap_s: Longest time between two events, in seconds.
         targets: Target identifiers of each attempt, in order.
+        connections: Description of the connection of each attempt, in order.
+        stamp: Signature of the target whose answer was passed on, or whose
+            answer ended a stream.
         failures: Reasons of the failed attempts, in order.
         begun: Whether a target has begun to write an answer, in any attempt.
         digest: Cached fingerprint; empty until it is first read.
@@ -55,6 +61,8 @@
     first_event_s: float = 0.0
     longest_gap_s: float = 0.0
     targets: list[str] = dataclasses.field(default_factory=list)
+    connections: list[str] = dataclasses.field(default_factory=list)
+    stamp: str = ""
     failures: list[str] = dataclasses.field(default_factory=list)
     begun: bool = False
     digest: str = ""
--- a/rattanroute/gateway/engine_control_clients.py
+++ b/rattanroute/gateway/engine_control_clients.py
@@ -207,7 +207,10 @@
         """
         self.check_pause(address)
         connection = await self.pool.take(
-            address, timeout_s=CONNECT_TIMEOUT_SECONDS, fresh=fresh
+            address,
+            timeout_s=CONNECT_TIMEOUT_SECONDS,
+            identifier=None,
+            fresh=fresh,
         )
         sink = CollectingSink(
             connection=connection,
--- a/rattanroute/gateway/header_codecs.py
+++ b/rattanroute/gateway/header_codecs.py
@@ -82,7 +82,7 @@
 
     Attributes:
         request_id: Request that it answers.
-        stamped: Whether it carries the signature of a target.
+        stamp: Signature of a target; None if it carries none.
         not_run: Whether the target states that the request did not run.
         encoded: Whether the body is compressed, which is never requested.
         target_id: Target that answered; empty if not stated.
@@ -95,7 +95,7 @@
     """
 
     request_id: str = ""
-    stamped: bool = False
+    stamp: str | None = None
     not_run: bool = False
     encoded: bool = False
     target_id: str = ""
@@ -104,6 +104,11 @@
     pause_s: float | None = None
     limit_per_s: float | None = None
 
+    @property
+    def stamped(self) -> bool:
+        """Whether it carries the signature of a target."""
+        return self.stamp is not None
+
     @property
     def is_whole(self) -> bool:
         """Whether the body is the target's own, unchanged."""
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -163,6 +163,8 @@
             service=call.service.name,
             sends=call.sends,
             targets=",".join(call.targets),
+            connections=",".join(call.connections),
+            stamp=call.stamp,
             failures=";".join(call.failures),
             parts=",".join(call.metadata.shared_parts),
             events=call.events,
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -6,6 +6,7 @@
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.calls import NO_CONNECTION
 from rattanroute.gateway.crash_detectors import BANNED_REASON
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.header_codecs import AnswerMetadata
@@ -327,11 +328,14 @@
             connection = await self.pool.take(
                 report.address,
                 timeout_s=min(CONNECT_TIMEOUT_SECONDS, remaining_s),
+                identifier=call.metadata.request_id,
                 # What broke one connection may have broken all idle ones.
                 fresh=not repeatable or call.sends > 1,
             )
         except ConnectError:
+            call.connections.append(NO_CONNECTION)
             return NotRun(reason="connect")
+        call.connections.append(connection.describe_use())
         remaining_s = call.time_left(loop.time())
         if remaining_s <= 0:
             self.pool.put(connection)
@@ -416,6 +420,7 @@
         """Returns a target's answer to the client."""
         head: ResponseHead = self.codec.build_answer(outcome.head)
         call.exchange.send(head, outcome.body)
+        call.stamp = self.codec.read_answer(outcome.head).stamp
         self.finisher.log(call, head.status, "answered")
         if head.status < FIRST_FAILURE_STATUS:
             self.crashes.note_answered(call)
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -7,6 +7,7 @@
 import math
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.calls import NO_CONNECTION
 from rattanroute.gateway.chain_finders import build_demand
 from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import BANNED_REASON
@@ -212,15 +213,17 @@
         call.targets.append("+".join(hop.target_id for hop in chain))
         self.finder.count_load(chain, build_demand(call).tokens, 1, loop.time())
         try:
-            return await self.pool.take(
+            connection = await self.pool.take(
                 first.address,
                 timeout_s=min(
                     CONNECT_TIMEOUT_SECONDS, call.time_left(loop.time())
                 ),
+                identifier=call.metadata.request_id,
                 # What broke one connection may have broken all idle ones.
                 fresh=call.sends > 1 or call.needs_new_connection,
             )
         except ConnectError as error:
+            call.connections.append(NO_CONNECTION)
             self.selector.note_failure(
                 first.target_id, now=loop.time(), crashed=True
             )
@@ -231,6 +234,8 @@
             self.finder.count_load(
                 chain, build_demand(call).tokens, -1, loop.time()
             )
+        call.connections.append(connection.describe_use())
+        return connection
 
     def send(
         self,
@@ -448,6 +453,7 @@
             outcome = attempt.sink.ended.result()
             if outcome is None:
                 complete = True
+                run.call.stamp = attempt.sink.metadata.stamp
                 self.finisher.log(run.call, OK, "answered")
                 self.crashes.note_answered(run.call)
             self.note_health(run, attempt, outcome)
@@ -485,6 +491,7 @@
             )
             return
         status = outcome.head.status
+        call.stamp = self.codec.read_answer(outcome.head).stamp
         exchange.send(self.codec.build_answer(outcome.head), outcome.body)
         is_failure = status >= FIRST_FAILURE_STATUS
         reason = "failed at the target" if is_failure else "answered"
--- a/rattanroute/gateway/target_probes.py
+++ b/rattanroute/gateway/target_probes.py
@@ -46,7 +46,10 @@
         """Opens a new connection and returns it to the pool."""
         try:
             connection = await self.pool.take(
-                address, timeout_s=CONNECT_TIMEOUT_SECONDS, fresh=True
+                address,
+                timeout_s=CONNECT_TIMEOUT_SECONDS,
+                identifier=None,
+                fresh=True,
             )
         except ConnectError as error:
             if error.refused:
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import itertools
 import re
 import socket
 
@@ -35,6 +36,8 @@
 TCP_USER_TIMEOUT_MS = 2_000
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 
+CONNECTION_NUMBERS = itertools.count(1)
+
 log = get_logger(__name__)
 
 
@@ -53,6 +56,11 @@
     """A connection to a target that carries one request at a time.
 
     Attributes:
+        number: Number of the connection in this process, for the logs.
+        opened_at: Time of the event loop at which it was created.
+        carried: Digests of the identifiers of the requests that it carried.
+        repeated: Whether it had carried the identifier of the latest request
+            before.
         sink: Receives the response to the open request.
         usable: Whether another request may be sent.
         idle_since: Time of the event loop at which it became idle.
@@ -69,7 +77,11 @@
 
     def __init__(self, *, address: str) -> None:
         self.address = address
+        self.number = next(CONNECTION_NUMBERS)
         self.loop = asyncio.get_running_loop()
+        self.opened_at = self.loop.time()
+        self.carried: set[int] = set()
+        self.repeated = False
         self.parser = ResponseParser()
         self.reader = PacedReader(
             read=self.parse,
@@ -162,6 +174,7 @@
         log.info(
             "response to another request skipped",
             peer=self.address,
+            connection=self.number,
             status=head.status,
             requests=self.request_count,
         )
@@ -209,6 +222,29 @@
         self.parser.expect(self, head.method)
         self.transport.write(encode_request(head, body))
 
+    def reserve(self, identifier: str | None) -> None:
+        """Records the identifier of the request that is sent next.
+
+        Args:
+            identifier: The identifier; None if the request has none.
+        """
+        digest = hash(identifier)
+        self.repeated = identifier is not None and digest in self.carried
+        if identifier is not None:
+            self.carried.add(digest)
+
+    def describe_use(self) -> str:
+        """Describes the connection before a request is sent, for the logs.
+
+        Returns:
+            Its number, its age in seconds, the number of requests that it
+            carried, and 1 if one of these had the same identifier.
+        """
+        age_s = self.loop.time() - self.opened_at
+        return (
+            f"{self.number}:{age_s:.3f}:{self.request_count}:{self.repeated:d}"
+        )
+
     def end_request(self) -> ResponseSink | None:
         """Detaches the sink of the open request, if any, and returns it."""
         sink, self.sink = self.sink, None
@@ -308,22 +344,37 @@
         self.buffers = ResponseBuffers()
 
     async def take(
-        self, address: str, *, timeout_s: float, fresh: bool = False
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        identifier: str | None,
+        fresh: bool = False,
     ) -> ClientConnection:
         """Returns an idle connection, or opens one.
 
         Args:
             address: Target as `IP:port`.
             timeout_s: Longest time to open a connection, in seconds.
+            identifier: Identifier of the request that will be sent; None if
+                it has none.
             fresh: Whether to open a new connection in any case.
 
         Raises:
             ConnectError: If no connection can be opened in time.
         """
-        if not fresh:
-            idle_connection = self.take_idle(address)
-            if idle_connection is not None:
-                return idle_connection
+        connection = None if fresh else self.take_idle(address)
+        if connection is None:
+            connection = await self.connect(address, timeout_s)
+        connection.reserve(identifier)
+        return connection
+
+    async def connect(self, address: str, timeout_s: float) -> ClientConnection:
+        """Opens a connection.
+
+        Raises:
+            ConnectError: If that fails or takes too long.
+        """
         self.connect_attempts += 1
         try:
             connection = await wait_for_reply(self.open(address), timeout_s)
--- a/rattanroute/platform/headers.py
+++ b/rattanroute/platform/headers.py
@@ -143,7 +143,7 @@
     values = {name.lower(): value for name, value in head.headers}
     return AnswerMetadata(
         request_id=values.get(REQUEST_ID.lower(), b"").decode("latin-1"),
-        stamped=STAMP.lower() in values,
+        stamp=decode_stamp(values.get(STAMP.lower())),
         not_run=NOT_RUN.lower() in values,
         encoded=b"content-encoding" in values,
         target_id=values.get(TARGET_ID.lower(), b"").decode("latin-1"),
@@ -158,6 +158,11 @@
     )
 
 
+def decode_stamp(value: bytes | None) -> str | None:
+    """Returns a target's signature; None if there is none."""
+    return None if value is None else value.decode("latin-1")
+
+
 def parse_number(value: bytes) -> float | None:
     """Returns a finite number of at least 0; None if the value is none."""
     try:
--- a/rattanroute/tests/integration/platform_support.py
+++ b/rattanroute/tests/integration/platform_support.py
@@ -111,7 +111,7 @@
         sink = ClientSink()
         try:
             connection = await ConnectionPool().take(
-                front.front_address, timeout_s=CONNECT_SECONDS
+                front.front_address, timeout_s=CONNECT_SECONDS, identifier=None
             )
         except ConnectError:
             return 0
--- a/rattanroute/tests/test_http1_connects.py
+++ b/rattanroute/tests/test_http1_connects.py
@@ -30,7 +30,9 @@
 
         loop.create_connection = create_and_close
         with self.assertRaises(ConnectError):
-            await ConnectionPool().take(f"{host}:{port}", timeout_s=1.0)
+            await ConnectionPool().take(
+                f"{host}:{port}", timeout_s=1.0, identifier=None
+            )
         server.close()
 
     async def test_close_of_an_idle_connection(self) -> None:
@@ -41,10 +43,10 @@
         host, port = server.sockets[0].getsockname()
         pool = ConnectionPool()
         address = f"{host}:{port}"
-        first = await pool.take(address, timeout_s=1.0)
+        first = await pool.take(address, timeout_s=1.0, identifier=None)
         pool.put(first)
         first.transport.abort()
-        second = await pool.take(address, timeout_s=1.0)
+        second = await pool.take(address, timeout_s=1.0, identifier=None)
         self.assertIsInstance(second, ClientConnection)
         self.assertIsNot(second, first)
         second.close()
--- a/rattanroute/tests/test_lost_links.py
+++ b/rattanroute/tests/test_lost_links.py
@@ -242,7 +242,7 @@
         for server in self.tunnel_servers.values():
             server.start_draining()
         with self.assertRaises(ConnectError) as caught:
-            await self.pool.take(target.address, timeout_s=1.0)
+            await self.pool.take(target.address, timeout_s=1.0, identifier=None)
         self.assertTrue(caught.exception.refused)
 
     async def test_one_silent_target(self) -> None:
--- a/rattanroute/tests/test_replaced_streams.py
+++ b/rattanroute/tests/test_replaced_streams.py
@@ -59,7 +59,9 @@
         self.silent.report_delay_s = SILENCE_SECONDS
         address = self.other.address
         # The replacement uses a kept connection.
-        self.pool.put(await self.pool.take(address, timeout_s=1.0))
+        self.pool.put(
+            await self.pool.take(address, timeout_s=1.0, identifier=None)
+        )
         connect = self.streams.probes.connect
 
         async def connect_in_paused_process(address: str) -> object:
--- a/rattanroute/tools/soak_clients.py
+++ b/rattanroute/tools/soak_clients.py
@@ -307,7 +307,9 @@
             ConnectError: If it cannot be opened in time.
         """
         return await ConnectionPool().take(
-            front.front_address, timeout_s=CONNECT_TIMEOUT_SECONDS
+            front.front_address,
+            timeout_s=CONNECT_TIMEOUT_SECONDS,
+            identifier=None,
         )
 
     def record_outcome(
--- a/rattanroute/tools/soak_operators.py
+++ b/rattanroute/tools/soak_operators.py
@@ -138,7 +138,9 @@
         sink = ClientSink()
         try:
             connection = await ConnectionPool().take(
-                front.front_address, timeout_s=CONNECT_TIMEOUT_SECONDS
+                front.front_address,
+                timeout_s=CONNECT_TIMEOUT_SECONDS,
+                identifier=None,
             )
         except ConnectError:
             return
--- a/rattanroute/tunnels/checks.py
+++ b/rattanroute/tunnels/checks.py
@@ -100,7 +100,10 @@
         """Connects to a target in any way, which shows how that is possible."""
         try:
             connection = await self.pool.take(
-                address, timeout_s=CONNECT_TIMEOUT_SECONDS, fresh=True
+                address,
+                timeout_s=CONNECT_TIMEOUT_SECONDS,
+                identifier=None,
+                fresh=True,
             )
         except ConnectError as error:
             log.info("target not connected in a test", error=error)
