Carry no identifier of a request twice over one connection

What callers saw: a caller that repeats a failed request under the same identifier got the second answer to its earlier try: a success where the target had failed this time, the failure of an earlier try, or the refusal of a stream that ran.

Cause: an answer on a kept connection is told from a second answer to an earlier request by the identifier alone, and the repeat went out on the connection that had carried the earlier try. The class: an identifier is taken for that of an attempt although several attempts may bear it.

Change: a connection knows the identifiers that it has carried; the pool hands it out only for others. A request without an identifier gets a new connection. A connection is closed after 256 requests, which bounds what it remembers. Calls with identifiers of their own share connections as before.

Why this works: on a connection that has not carried an identifier, an answer that bears it can only be the answer to the open request.

--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -29,6 +29,8 @@
 # close may cross on the network.
 IDLE_MARGIN_SECONDS = 1.0
 MAX_IDLE_PER_ADDRESS = 8
+# Bounds the memory for the identifiers of requests.
+MAX_REQUESTS_PER_CONNECTION = 256
 # Limit of unread response bytes buffered per connection.
 READ_LIMIT_BYTES = 65_536
 # Time without a TCP acknowledgement after which the kernel closes a
@@ -195,6 +197,7 @@
         sink = self.end_request()
         self.usable &= (
             self.parser.keep_alive
+            and len(self.carried) < MAX_REQUESTS_PER_CONNECTION
             and not self.parser.unexpected_data
             and not self.reader.unread
         )
@@ -212,6 +215,10 @@
         """Whether a request may be sent; a close may not be handled yet."""
         return self.usable and not self.transport.is_closing()
 
+    def is_reusable(self, now: float) -> bool:
+        """Returns whether it is open and has not been idle for too long."""
+        return self.is_open and now - self.idle_since < self.idle_timeout_s
+
     def send(self, head: RequestHead, body: bytes, sink: ResponseSink) -> None:
         """Sends a request; the sink receives its response."""
         self.sink = sink
@@ -222,11 +229,27 @@
         self.parser.expect(self, head.method)
         self.transport.write(encode_request(head, body))
 
+    def may_carry(self, identifier: str | None) -> bool:
+        """Returns whether a request's answer can be told from earlier ones.
+
+        The target may answer an earlier request once more, and only the
+        identifier tells which request an answer belongs to.
+
+        Args:
+            identifier: Identifier of the request; empty if its sender gave it
+                none; None if it is a query, whose answers never have one.
+        """
+        if identifier is None:
+            return True
+        if not identifier:
+            return self.request_count == 0
+        return hash(identifier) not in self.carried
+
     def reserve(self, identifier: str | None) -> None:
         """Records the identifier of the request that is sent next.
 
         Args:
-            identifier: The identifier; None if the request has none.
+            identifier: The identifier; None for a query.
         """
         digest = hash(identifier)
         self.repeated = identifier is not None and digest in self.carried
@@ -356,14 +379,14 @@
         Args:
             address: Target as `IP:port`.
             timeout_s: Longest time to open a connection, in seconds.
-            identifier: Identifier of the request that will be sent; None if
-                it has none.
+            identifier: Identifier of the request that will be sent; None for
+                a query. No connection carries an identifier twice.
             fresh: Whether to open a new connection in any case.
 
         Raises:
             ConnectError: If no connection can be opened in time.
         """
-        connection = None if fresh else self.take_idle(address)
+        connection = None if fresh else self.take_idle(address, identifier)
         if connection is None:
             connection = await self.connect(address, timeout_s)
         connection.reserve(identifier)
@@ -392,15 +415,19 @@
         connection.pool = self
         return connection
 
-    def take_idle(self, address: str) -> ClientConnection | None:
-        """Returns the last used idle connection that is still usable."""
-        idle = self.idle.get(address)
+    def take_idle(
+        self, address: str, identifier: str | None
+    ) -> ClientConnection | None:
+        """Returns the last used idle connection that may carry a request."""
+        idle = self.idle.get(address, collections.deque())
         now = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(list(idle)):
+            is_usable = connection.is_reusable(now)
+            if is_usable and not connection.may_carry(identifier):
+                continue
+            idle.remove(connection)
             connection.pooled = False
-            age = now - connection.idle_since
-            if connection.is_open and age < connection.idle_timeout_s:
+            if is_usable:
                 return connection
             connection.close()
         return None
--- a/rattanroute/tests/repeating_targets.py
+++ b/rattanroute/tests/repeating_targets.py
@@ -48,23 +48,25 @@
 
 
 class ScriptedTarget:
-    """Script of a target with an answer for each request, in order.
+    """Script of a target that answers each try of a caller in its own way.
 
-    A second answer to a request precedes the next answer on its connection.
+    The body of a request is the number of the try. A second answer to a
+    request precedes the next answer on its connection.
 
     Attributes:
-        statuses: Status of each answer and, if it comes again, of the second.
+        statuses: Status of the answer to each try and, if it comes again, of
+            the second answer.
         runs: Status of the answer by its stamp.
     """
 
     def __init__(self, *statuses: tuple[int, int | None]) -> None:
-        self.statuses = list(statuses)
+        self.statuses = statuses
         self.runs: dict[str, int] = {}
         self.due: dict[int, bytes] = {}
 
     async def __call__(self, target: FakeTarget, exchange: Exchange) -> None:
         """Answers a request."""
-        status, second = self.statuses.pop(0)
+        status, second = self.statuses[int(exchange.request.body)]
         channel = id(exchange.connection)
         data = self.due.pop(channel, b"") + self.build(exchange, status)
         if second is not None:
--- a/rattanroute/tests/test_repeated_identifiers.py
+++ b/rattanroute/tests/test_repeated_identifiers.py
@@ -34,8 +34,8 @@
         """
         self.script = ScriptedTarget(*statuses)
         self.target = await self.add_target("t1", self.script, service=service)
-        await self.call(path)
-        return await self.call(path)
+        await self.call(path, body=b"0")
+        return await self.call(path, body=b"1")
 
     async def test_success_under_a_repeated_call(self) -> None:
         """Guards against a success where the target has failed."""
@@ -79,8 +79,8 @@
         """Guards against an answer that nothing tells apart."""
         self.script = ScriptedTarget((200, None), (200, None))
         target = await self.add_target("t1", self.script, service=PLAIN_SERVICE)
-        for _ in range(2):
-            await self.call("/safe/", request_id="")
+        for body in (b"0", b"1"):
+            await self.call("/safe/", request_id="", body=body)
         connections = {id(x.connection) for x in target.seen}
         self.assertEqual(len(connections), 2)
 
