Refuse a head that is made of the heads of two answers

What callers saw: a success (200) with the stamp of the answer to their own request, where the target had answered that request with 500. Each request had an identifier of its own. A stream that may run once was sent a second time after it had run.

Cause: a target that answers twice may send only a part of the second head, or the rest of it never. If the part ends in the reason phrase or in the value of a header, the first line of the next answer continues it, and the two heads become one: status and first headers of the second answer, identifier, stamp and body of the next one. The last identifier in a head counts, so the answer passed all checks. A part in the same segment behind a complete answer also did not make the connection unusable; only a whole head did.

Fix: the first byte behind a complete answer makes the connection unusable, also when no head is complete. A head with a status line in its reason phrase or in a value of a header is invalid, also an interim one; the connection is closed and the outcome is unknown, as with other invalid bytes.

--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -7,11 +7,13 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+import re
 from typing import Protocol
 
 import httptools
 
 from rattanroute.errors import RouterError
+from rattanroute.http1.heads import Headers
 from rattanroute.http1.heads import Request
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
@@ -29,6 +31,8 @@
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Start of a head. Within a head it means that the head before it broke off.
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.\d \d{3}")
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -365,6 +369,8 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            if isinstance(error.__context__, ProtocolError):
+                raise error.__context__ from error
             raise ProtocolError(
                 step="read response", message=str(error) or "not a response"
             ) from error
@@ -403,6 +409,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a response."""
+        self.unexpected_data |= self.receiver is None
         self.headers = []
         self.reason = b""
         self.in_body = False
@@ -417,7 +424,15 @@
             self.headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
-        """Passes the head of a final response to the receiver."""
+        """Passes the head of a final response to the receiver.
+
+        Raises:
+            ProtocolError: If the head is made of parts of several heads.
+        """
+        if contains_status_line(self.reason, self.headers):
+            raise ProtocolError(
+                step="read response", message="a head within a head"
+            )
         status = self.parser.get_status_code()
         self.is_interim = status < FIRST_FINAL_STATUS
         if self.is_interim or self.receiver is None:
@@ -463,3 +478,13 @@
         receiver, self.receiver = self.receiver, None
         if receiver is not None:
             receiver.receive_end()
+
+
+def contains_status_line(reason: bytes, headers: Headers) -> bool:
+    """Returns whether a head contains the start of another one.
+
+    A target may send a part of a head and then a whole one. The status and
+    some headers would belong to one request, the others to another.
+    """
+    values = b"\n".join([reason, *(value for _, value in headers)])
+    return STATUS_LINE_PATTERN.search(values) is not None
