Send a 100 response only after the responses to earlier requests

What callers saw: a caller that sends a request with `Expect: 100-continue` behind an open one got the bytes of the 100 response among the chunks of the open response, which is then invalid. After such a request with its body in one segment, the next one got a 100 response that it had not asked for.

Cause: the 100 response was written as soon as a head was read, whatever else was open; the wish for it outlived its request.

Evidence: three of the four tests of test_http1_continues fail before this commit with these bytes ("4 part HTTP/1.1 100 Continue 0"); all pass with it. The test with a pause longer than the body's timeout fails if the timeout is not started anew with the 100 response.

Fix: the 100 response is sent when no earlier request is open and the body is still missing; the wish ends with the request.

--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -136,8 +136,6 @@
         self.limits = limits
         self.parser = httptools.HttpRequestParser(self)
         self.requests: collections.deque[Request] = collections.deque()
-        self.expects_continue = False
-        self.head_complete = False
         self.is_reading = False
         # Over all requests, because a slice may end one and start the next.
         self.total_body_bytes = 0
@@ -152,6 +150,7 @@
         self.body = bytearray()
         self.framing = FramingCounter()
         self.head_complete = False
+        self.expects_continue = False
 
     def feed(self, data: bytes) -> None:
         """Parses bytes; complete requests are added to `requests`.
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -113,9 +113,6 @@
         self.update_progress(now)
         self.update_held_bytes()
         self.server.limit_bodies()
-        if self.parser.expects_continue and self.parser.is_reading:
-            self.parser.expects_continue = False
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.start_next_request()
 
     def ignore(self, size: int) -> None:
@@ -254,6 +251,18 @@
             self.task = self.loop.create_task(self.run_handler(self.exchange))
         elif self.request_error is not None:
             self.reject_request(self.request_error.status)
+        elif self.parser.expects_continue and self.parser.is_reading:
+            self.request_body()
+
+    def request_body(self) -> None:
+        """Sends the 100 response that the caller waits for.
+
+        It follows the responses to earlier requests; until then the caller
+        cannot be too slow.
+        """
+        self.parser.expects_continue = False
+        self.reading_since = self.progress_at = self.loop.time()
+        self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     async def run_handler(self, exchange: Exchange) -> None:
         """Runs the handler of one request; aborts an unfinished response."""
