Send no body to a HEAD request

What callers saw: the response to a `HEAD` on a route of streams was followed by the bytes of an empty chunked body ("0"), which a caller on a kept connection reads as the beginning of its next response.

Cause: an exchange wrote bodies and the ends of chunked bodies whatever the method of the request was.

Evidence: both tests of test_head_requests fail before this commit ("4 part 0" and "done" before the next head) and pass with it.

Fix: an exchange whose request is a `HEAD` writes its head only.

--- a/rattanroute/http1/exchanges.py
+++ b/rattanroute/http1/exchanges.py
@@ -64,7 +64,8 @@
         framing = [(b"Content-Length", b"%d" % len(body))]
         framing += self.build_connection_headers()
         self.started = True
-        self.connection.write(encode_response_head(head, framing) + body)
+        data = encode_response_head(head, framing)
+        self.connection.write(data + body if self.carries_body else data)
         self.finish()
 
     def start(self, head: ResponseHead) -> None:
@@ -88,14 +89,23 @@
 
     def write(self, data: bytes) -> None:
         """Sends a chunk of the body."""
-        if data and not (self.disconnected or self.ended):
+        if not data or self.disconnected or self.ended:
+            return
+        if self.carries_body:
             self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def end(self) -> None:
         """Sends the end of the chunked body."""
-        if not (self.disconnected or self.ended):
+        if self.disconnected or self.ended:
+            return
+        if self.carries_body:
             self.connection.write(b"0\r\n\r\n")
-            self.finish()
+        self.finish()
+
+    @property
+    def carries_body(self) -> bool:
+        """Whether bytes may follow the head; none do after `HEAD`."""
+        return self.request.head.method != b"HEAD"
 
     def abort(self) -> None:
         """Closes the connection, so that the response stays incomplete."""
