--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -4,11 +4,9 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import itertools
 import re
-import socket
 
 from rattanroute.errors import RouterError
 from rattanroute.http1.heads import encode_request
@@ -20,6 +18,7 @@
 from rattanroute.http1.parsers import ResponseParser
 from rattanroute.http1.response_buffers import ResponseBuffers
 from rattanroute.http1.response_sinks import ResponseSink
+from rattanroute.http1.socket_options import set_user_timeout
 from rattanroute.logs import get_logger
 from rattanroute.tasks import wait_for_reply
 
@@ -33,9 +32,6 @@
 MAX_REQUESTS_PER_CONNECTION = 256
 # Limit of unread response bytes buffered per connection.
 READ_LIMIT_BYTES = 65_536
-# Time without a TCP acknowledgement after which the kernel closes a
-# connection; a broken path may drop packets without a reset.
-TCP_USER_TIMEOUT_MS = 2_000
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 
 CONNECTION_NUMBERS = itertools.count(1)
@@ -317,17 +313,6 @@
             self.transport.close()
 
 
-def set_user_timeout(transport: asyncio.BaseTransport) -> None:
-    """Sets the time without an acknowledgement that closes a connection."""
-    found = transport.get_extra_info("socket")
-    if found is None:
-        return
-    with contextlib.suppress(OSError):
-        found.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
-
-
 async def open_direct(address: str) -> ClientConnection:
     """Opens a connection to a target.
 
--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-from rattanroute.http1.clients import set_user_timeout
+from rattanroute.http1.socket_options import set_user_timeout
 from rattanroute.logs import get_logger
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.systems.target_links import TunnelReply
