Judge an answer without closing a connection that carries another call

What callers saw: a call was cut off at its target, or failed with 502, as an earlier answer on its connection was unsigned, ended in the middle of an event or named no request. A rejection with a promise became a 502 without one.

Cause: a complete answer returns its connection to the pool before the task of the call runs again, two turns of the event loop later. Another call may have taken the connection by then. The first one closed it all the same, and read from the number of requests of the connection, which had grown, that its own answer came on a connection in use before. The class: what a connection has carried is taken for what it had carried when the attempt began.

Change: the sink of an attempt keeps whether its connection was used before it. A connection with a wrong answer is retired: an idle one is closed, one in use is closed after the open request, whose answer is told apart by its identifier. The close of an idle connection by this VM no longer counts as one by the target.

--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -26,7 +26,6 @@
 from rattanroute.gateway.target_selectors import LIMIT_POLL_SECONDS
 from rattanroute.gateway.target_selectors import MAX_LIMIT_WAIT_SECONDS
 from rattanroute.gateway.target_selectors import TargetSelector
-from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
@@ -378,7 +377,7 @@
             if connection.sink is sink:
                 connection.cancel()
             self.record_metadata(report, sink)
-        return self.classify_answer(call, connection, sink)
+        return self.classify_answer(call, sink)
 
     def record_metadata(
         self, report: TargetReport, sink: CollectingSink
@@ -391,17 +390,16 @@
         now = asyncio.get_running_loop().time()
         self.selector.note_answer(report, metadata, now)
 
-    def classify_answer(
-        self, call: Call, connection: ClientConnection, sink: CollectingSink
-    ) -> Outcome:
+    def classify_answer(self, call: Call, sink: CollectingSink) -> Outcome:
         """Determines the outcome of an attempt from a complete answer."""
         head = sink.head
+        connection = sink.connection
         metadata = self.codec.read_answer(head)
         if not metadata.may_answer(call.metadata.request_id):
             return Unknown(reason="answer to another request")
-        if not metadata.request_id and connection.request_count > 1:
+        if not metadata.request_id and sink.reused:
             # It may be a second answer to an earlier request.
-            connection.close()
+            connection.retire()
             return Unknown(reason=UNNAMED_REASON)
         if head.status == MISDIRECTED:
             return NotRun(reason="another target")
@@ -412,7 +410,7 @@
             fault = "last event is incomplete"
         if fault:
             # Further data on the connection may also belong to another request.
-            connection.close()
+            connection.retire()
             return Unknown(reason=fault)
         return Answered(head=head, body=sink.body)
 
--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -305,6 +305,16 @@
         else:
             self.transport.resume_reading()
 
+    def retire(self) -> None:
+        """Lets it carry no further request; one that is open goes on.
+
+        A complete answer has returned the connection to the pool, and another
+        call may be using it before the answer is judged.
+        """
+        self.usable = False
+        if self.pooled and self.pool is not None:
+            self.pool.discard(self)
+
     def close(self) -> None:
         """Closes the connection."""
         self.usable = False
@@ -434,6 +444,11 @@
         connection.pooled = False
         connection.close()
 
+    def discard(self, connection: ClientConnection) -> None:
+        """Removes an idle connection and closes it."""
+        self.idle[connection.address].remove(connection)
+        self.close_idle(connection)
+
     def remove_closed(self, connection: ClientConnection) -> None:
         """Removes an idle connection that its target closed."""
         connection.pooled = False
--- a/rattanroute/http1/response_sinks.py
+++ b/rattanroute/http1/response_sinks.py
@@ -46,6 +46,7 @@
         expects: Returns whether a head may belong to the request.
 
     Attributes:
+        reused: Whether the connection carried another request before.
         buffer: The body received so far.
         body: The complete body.
         done: Completes with the response, or with the error that ended it.
@@ -61,6 +62,7 @@
     ) -> None:
         self.is_expected = expects
         self.connection = connection
+        self.reused = connection.request_count > 0
         self.max_bytes = max_bytes
         self.head: ResponseHead | None = None
         self.body = b""
