Leave out the white space behind the value of a header

What callers saw: a call whose identifier has a space or a tab behind it failed with 502 although its target had answered, and the target counted as faulty; so did a call whose target writes one behind the identifier of its answer.

Cause: white space around a value is no part of it, but the C parser removes only that before it. Targets name such a request without it, so that the answer was taken for one to another request. A repeat that differs in nothing else counted as another request and got the connection of the earlier try.

Change: both parsers remove spaces and tabs behind a value. Values are passed on without them.

Evidence: test_odd_identifiers, 3 tests, 3 red before the change, 0 after.

--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -28,6 +28,7 @@
 MAX_FRAMING_RATIO = 16
 # Bytes fed to the C parser per call. Limits are checked between calls.
 SLICE_BYTES = 16_384
+OPTIONAL_WHITE_SPACE = b" \t"
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -106,6 +107,14 @@
         )
 
 
+def trim_value(value: bytes | None) -> bytes:
+    """Returns the value of a header without the white space behind it.
+
+    It is no part of the value; the C parser removes only that before it.
+    """
+    return (value or b"").rstrip(OPTIONAL_WHITE_SPACE)
+
+
 def slice_data(data: bytes) -> Iterator[bytes | memoryview]:
     """Yields bytes in slices of at most `SLICE_BYTES`."""
     if len(data) <= SLICE_BYTES:
@@ -239,7 +248,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; trailers are dropped."""
         if not self.head_complete:
-            self.headers.append((name, value or b""))
+            self.headers.append((name, trim_value(value)))
 
     def on_headers_complete(self) -> None:
         """Checks the size of the head."""
@@ -420,7 +429,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; trailers are dropped."""
         if not self.in_body:
-            self.headers.append((name, value or b""))
+            self.headers.append((name, trim_value(value)))
 
     def on_headers_complete(self) -> None:
         """Passes the head of a final response to the receiver.
