Send each request under the one identifier that its answer must name

What callers saw: a request with two headers that name an identifier failed with 502 although its target had answered, and the target counted as faulty; so did a request whose `Connection` header names the identifier's header.

Cause: the answer is expected under the last identifier, but all were sent, and a target may take the first; `Connection` had the only one removed. Such a request also marked its connection as one that has carried an identifier under which the target does not know it.

Change: exactly the identifier by which this VM knows the request is sent, with its value unchanged.

Evidence: test_odd_identifiers, 2 new tests, 2 red before the change, 0 after.

--- a/rattanroute/platform/headers.py
+++ b/rattanroute/platform/headers.py
@@ -87,7 +87,7 @@
         self, head: RequestHead, upstream: UpstreamMetadata
     ) -> RequestHead:
         """Returns the head of the request to a target."""
-        dropped = set(NOT_FORWARDED)
+        dropped = {*NOT_FORWARDED, REQUEST_ID.lower()}
         if upstream.last_event_id:
             dropped.add(LAST_EVENT.lower())
         headers: Headers = [
@@ -95,6 +95,10 @@
             for item in drop_connection_headers(head.headers)
             if item[0].lower() not in dropped
         ]
+        # A target may use the first of several identifiers, but the answer is
+        # expected under the last one. `Connection` must not remove it.
+        identifiers = list_identifiers(head)
+        headers += [(REQUEST_ID, value) for value in identifiers[-1:]]
         left_ms = max(1, int(upstream.time_left_s * MILLISECONDS))
         headers.append((TIME_LEFT, b"%d" % left_ms))
         headers.append((EXPECTED_TARGET, upstream.target_id.encode()))
@@ -138,6 +142,12 @@
         return ResponseHead(status=status, headers=headers)
 
 
+def list_identifiers(head: RequestHead) -> list[bytes]:
+    """Returns all identifiers that a client's request has."""
+    name = REQUEST_ID.lower()
+    return [value for key, value in head.headers if key.lower() == name]
+
+
 def read_answer(head: ResponseHead) -> AnswerMetadata:
     """Decodes the metadata of a target's answer."""
     values = {name.lower(): value for name, value in head.headers}
--- a/rattanroute/tests/test_odd_identifiers.py
+++ b/rattanroute/tests/test_odd_identifiers.py
@@ -53,3 +53,18 @@
         await self.add_target("t1", answer)
         answer = await self.call("/safe/", request_id="r1")
         self.assertEqual((answer.status, answer.body), (200, b"done"))
+
+    async def test_two_identifiers(self) -> None:
+        """Guards against targets that count as faulty as a caller sent two."""
+        target = await self.add_target("t1", answer_first)
+        extra = "rattanroute-request-id: r2\r\n"
+        answer = await self.call("/safe/", request_id="r1", extra=extra)
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        self.assertEqual(len(list_identifiers(target.seen[0])), 1)
+
+    async def test_identifier_that_concerns_one_connection(self) -> None:
+        """Guards against a request whose answer names none."""
+        await self.add_target("t1", answer_first)
+        extra = "Connection: Rattanroute-Request-Id\r\n"
+        answer = await self.call("/safe/", request_id="r1", extra=extra)
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
