Reuse no connection that carried a request without an identifier

What callers saw: a call failed with 502 after a request without an identifier had used its connection and was answered twice. A state query may get that connection too, and takes any answer that names no request for its own.

Cause: a request without an identifier gets a new connection, but that connection was kept for others. Nothing tells a second answer to it from a rejection that names no request, or from the answer to a query.

Change: such a connection is closed after the answer. Requests without an identifier cost one connection each, as before; those with one are not concerned.

--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -59,6 +59,7 @@
         carried: Digests of the identifiers of the requests that it carried.
         repeated: Whether it had carried the identifier of the latest request
             before.
+        unnamed: Whether a request without an identifier was assigned to it.
         sink: Receives the response to the open request.
         usable: Whether another request may be sent.
         idle_since: Time of the event loop at which it became idle.
@@ -80,6 +81,7 @@
         self.opened_at = self.loop.time()
         self.carried: set[int] = set()
         self.repeated = False
+        self.unnamed = False
         self.parser = ResponseParser()
         self.reader = PacedReader(
             read=self.parse,
@@ -193,6 +195,7 @@
         sink = self.end_request()
         self.usable &= (
             self.parser.keep_alive
+            and not self.unnamed
             and len(self.carried) < MAX_REQUESTS_PER_CONNECTION
             and not self.parser.unexpected_data
             and not self.reader.unread
@@ -249,6 +252,7 @@
         """
         digest = hash(identifier)
         self.repeated = identifier is not None and digest in self.carried
+        self.unnamed |= identifier == ""
         if identifier is not None:
             self.carried.add(digest)
 
--- a/rattanroute/tests/test_odd_identifiers.py
+++ b/rattanroute/tests/test_odd_identifiers.py
@@ -5,6 +5,7 @@
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import GatewayTestCase
 from rattanroute.tests.gateway_hosts import STAMP
+from rattanroute.tests.repeating_targets import ScriptedTarget
 
 REQUEST_ID = b"Rattanroute-Request-Id"
 
@@ -68,3 +69,22 @@
         extra = "Connection: Rattanroute-Request-Id\r\n"
         answer = await self.call("/safe/", request_id="r1", extra=extra)
         self.assertEqual((answer.status, answer.body), (200, b"done"))
+
+    async def test_call_after_one_without_an_identifier(self) -> None:
+        """Guards against a call that meets an answer that names no request."""
+        script = ScriptedTarget((200, 200), (200, None))
+        await self.add_target("t1", script)
+        await self.call("/safe/", request_id="", body=b"0")
+        answer = await self.call("/safe/", request_id="r2", body=b"1")
+        self.assertEqual(answer.status, 200)
+
+    async def test_query_after_a_call_without_an_identifier(self) -> None:
+        """Guards against the answer to a call that is read as a state."""
+        script = ScriptedTarget((200, None))
+        target = await self.add_target("t1", script)
+        await self.call("/safe/", request_id="", body=b"0")
+        connection = await self.pool.take(
+            target.address, timeout_s=1, identifier=None
+        )
+        self.addCleanup(connection.cancel)
+        self.assertEqual(connection.request_count, 0)
