Count crashes under one identifier as one call's only for one request

What callers saw: prompts with a sound part were refused on all fronts after some targets had crashed together, as by a power failure, if the caller gives all of its calls one identifier.

Cause: crashes that come together count once, unless the same call was running: its attempts follow one another. The identifier of the request stood for the call.

Change: the same call has the same identifier and the same fingerprint. Both are in the messages already, which do not change. Nothing changes for callers whose calls have identifiers of their own.

--- a/rattanroute/tables/crash_suspects.py
+++ b/rattanroute/tables/crash_suspects.py
@@ -49,6 +49,16 @@
     parts: frozenset[str] = frozenset()
     service: str = ""
 
+    def is_of_call(self, other: "CrashEvent") -> bool:
+        """Returns whether a target ran the same call at another crash.
+
+        A caller may give different requests one identifier.
+        """
+        return (self.request_id, self.fingerprint) == (
+            other.request_id,
+            other.fingerprint,
+        )
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CrashSuspect:
@@ -133,7 +143,7 @@
         for event in sorted(events, key=lambda x: x.at):
             if (
                 last is None
-                or event.request_id == last.request_id
+                or event.is_of_call(last)
                 or event.at - last.at > self.same_cause_seconds
             ):
                 count += 1.0 if event.early else LATE_CRASH_WEIGHT
