Wait for the verdict on a lost attempt of the same request only

What callers saw: a suspect request waited up to 0.3 s for the verdict on an attempt of another request that its caller had given the same identifier, or none.

Cause: a call's lost attempts were found by the identifier alone.

Change: they are found by the identifier and the fingerprint.

Evidence: test_shared_identifiers, 1 new test, red before the change, green after; test_gateway_crash_detectors and it: 25 of 25 tests.

--- a/rattanroute/gateway/crash_detectors.py
+++ b/rattanroute/gateway/crash_detectors.py
@@ -169,9 +169,10 @@
 
     async def wait_for_verdict(self, call: Call) -> None:
         """Waits briefly for the verdict on a call's latest lost attempt."""
-        request_id = call.metadata.request_id
+        # A caller may give different requests one identifier.
+        name = (call.metadata.request_id, call.fingerprint)
         for lost in reversed(self.unresolved):
-            if lost.request_id == request_id:
+            if (lost.request_id, lost.fingerprint) == name:
                 await asyncio.wait(
                     (lost.verdict,), timeout=SUSPECT_WAIT_SECONDS
                 )
--- a/rattanroute/tests/test_shared_identifiers.py
+++ b/rattanroute/tests/test_shared_identifiers.py
@@ -1,7 +1,11 @@
 """Tests of crash records of callers that give all calls one identifier."""
 
+import asyncio
 import unittest
 
+from rattanroute.gateway.crash_detectors import LostAttempt
+from rattanroute.gateway.crash_detectors import SUSPECT_WAIT_SECONDS
+from rattanroute.http1.servers import Exchange
 from rattanroute.systems.crash_causes import CRASHES_TO_BAN
 from rattanroute.systems.crash_causes import SETTLE_SECONDS
 from rattanroute.tables.crash_suspects import CrashEvent
@@ -10,6 +14,9 @@
 from rattanroute.tests.crash_ban_support import FRONTS
 from rattanroute.tests.crash_ban_support import SERVICE
 from rattanroute.tests.crash_ban_support import TICK_SECONDS
+from rattanroute.tests.gateway_hosts import build_head
+from rattanroute.tests.gateway_hosts import FakeTarget
+from rattanroute.tests.gateway_hosts import GatewayTestCase
 
 REQUEST_ID = "r1"
 PART = "part"
@@ -49,3 +56,40 @@
             self.crash(number, "request")
         self.cluster.run(BAN_DELAY_SECONDS)
         self.assertEqual(self.cluster.list_refusing("request"), list(FRONTS))
+
+
+class OtherCallTest(GatewayTestCase):
+    """Guards against a wait for the verdict on another call."""
+
+    async def lose(self, path: str) -> LostAttempt:
+        """Sends a request whose attempt is lost and returns the attempt."""
+        await self.call(path, request_id=REQUEST_ID)
+        return self.crashes.unresolved[-1]
+
+    async def test_verdict_on_another_call(self) -> None:
+        """Guards against a suspect that waits for another request."""
+        reset = ["/once/suspect", "/once/other"]
+
+        async def answer(target: FakeTarget, exchange: Exchange) -> None:
+            path = exchange.request.head.target.decode()
+            if path in reset:
+                reset.remove(path)
+                exchange.abort()
+            else:
+                exchange.send(build_head(exchange), b"ok")
+
+        await self.add_target("t1", answer)
+        suspect = await self.lose("/once/suspect")
+        event = CrashEvent(
+            at=suspect.lost_at,
+            request_id=REQUEST_ID,
+            fingerprint=suspect.fingerprint,
+        )
+        self.crashes.retract(suspect)
+        self.bans.note_crash(
+            suspect.fingerprint, build_crash(1), event, suspect.lost_at
+        )
+        await self.lose("/once/other")
+        async with asyncio.timeout(SUSPECT_WAIT_SECONDS / 2):
+            found = await self.call("/once/suspect", request_id=REQUEST_ID)
+        self.assertEqual(found.status, 200)
