Send state queries over connections of their own

What callers saw: a stream that may run once ended with 502 although its target had run it, as the second answer to a state query came before its answer. The reverse was possible too: a second rejection that names no request was read as the answer to a query, with its pause.

Cause: calls and queries shared connections. The answer to a query names no request, as do some rejections, so that nothing tells them apart.

Change: a connection that has carried a call carries no query, and the reverse. A connection has carried a request once it is sent: one that was only tested, or was put back as no time was left, serves all as before.

Price: a new connection for the first query after a time without any, at fronts for a stalled stream.

Evidence: test_query_connections, 5 tests, 3 red before the change, 0 after. A second answer to a query can still be read once as the answer to the next query.

--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -34,6 +34,10 @@
 READ_LIMIT_BYTES = 65_536
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 
+# Digests of a request without an identifier, and of a query.
+NO_IDENTIFIER = hash("")
+QUERY = None
+
 CONNECTION_NUMBERS = itertools.count(1)
 
 log = get_logger(__name__)
@@ -56,10 +60,11 @@
     Attributes:
         number: Number of the connection in this process, for the logs.
         opened_at: Time of the event loop at which it was created.
-        carried: Digests of the identifiers of the requests that it carried.
+        carried: Digests of the identifiers of the requests that it carried;
+            `QUERY` stands for all queries.
+        digest: Digest of the identifier of the request that is sent next.
         repeated: Whether it had carried the identifier of the latest request
             before.
-        unnamed: Whether a request without an identifier was assigned to it.
         sink: Receives the response to the open request.
         usable: Whether another request may be sent.
         idle_since: Time of the event loop at which it became idle.
@@ -79,9 +84,9 @@
         self.number = next(CONNECTION_NUMBERS)
         self.loop = asyncio.get_running_loop()
         self.opened_at = self.loop.time()
-        self.carried: set[int] = set()
+        self.carried: set[int | None] = set()
+        self.digest: int | None = QUERY
         self.repeated = False
-        self.unnamed = False
         self.parser = ResponseParser()
         self.reader = PacedReader(
             read=self.parse,
@@ -195,7 +200,7 @@
         sink = self.end_request()
         self.usable &= (
             self.parser.keep_alive
-            and not self.unnamed
+            and NO_IDENTIFIER not in self.carried
             and len(self.carried) < MAX_REQUESTS_PER_CONNECTION
             and not self.parser.unexpected_data
             and not self.reader.unread
@@ -225,6 +230,7 @@
         if self.pool is not None:
             self.pool.busy.add(self)
         self.request_count += 1
+        self.carried.add(self.digest)
         self.parser.expect(self, head.method)
         self.transport.write(encode_request(head, body))
 
@@ -232,29 +238,28 @@
         """Returns whether a request's answer can be told from earlier ones.
 
         The target may answer an earlier request once more, and only the
-        identifier tells which request an answer belongs to.
+        identifier tells which request an answer belongs to. The answer to a
+        query has none, and some rejections of requests have none; queries have
+        connections of their own.
 
         Args:
             identifier: Identifier of the request; empty if its sender gave it
                 none; None if it is a query, whose answers never have one.
         """
         if identifier is None:
-            return True
+            return self.carried <= {QUERY}
         if not identifier:
-            return self.request_count == 0
-        return hash(identifier) not in self.carried
+            return not self.carried
+        return self.carried.isdisjoint((QUERY, hash(identifier)))
 
     def reserve(self, identifier: str | None) -> None:
-        """Records the identifier of the request that is sent next.
+        """Stores the identifier of the request that is sent next.
 
         Args:
             identifier: The identifier; None for a query.
         """
-        digest = hash(identifier)
-        self.repeated = identifier is not None and digest in self.carried
-        self.unnamed |= identifier == ""
-        if identifier is not None:
-            self.carried.add(digest)
+        self.digest = QUERY if identifier is None else hash(identifier)
+        self.repeated = identifier is not None and self.digest in self.carried
 
     def describe_use(self) -> str:
         """Describes the connection before a request is sent, for the logs.
