Close the connection of a layer order after its answer

What could happen: a second answer to an order was read as the state of its engine by the next query, as the connection of the order was kept for queries.

Cause: an order gets a new connection, so that no earlier answer is taken for its own, but nothing kept its own second answer from what follows.

Change: the connection of an order carries nothing else. Each order costs a new connection, as before; the first query after it may cost one more.

Evidence: test_query_connections, 1 new test, red before the change, green after; 18 of 18 tests of queries and orders.

--- a/rattanroute/gateway/engine_control_clients.py
+++ b/rattanroute/gateway/engine_control_clients.py
@@ -180,9 +180,9 @@
         """
         body = self.codec.encode_order(layers, fence=fence, expected=expected)
         head = self.codec.build_order(address, target_id)
-        # On a kept connection, a second answer to a query could be taken for
-        # the answer to the order.
-        answer, _ = await self.send(address, head, body, fresh=True)
+        # A second answer to a query could be taken for the answer to the
+        # order, and a second answer to the order for that to a query.
+        answer, _ = await self.send(address, head, body, alone=True)
         return answer.status
 
     async def send(
@@ -191,7 +191,7 @@
         head: RequestHead,
         body: bytes,
         *,
-        fresh: bool = False,
+        alone: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """Sends a request and returns the head and body of the answer.
 
@@ -199,7 +199,7 @@
             address: The target.
             head: Head of the request.
             body: Body of the request.
-            fresh: Whether to open a new connection.
+            alone: Whether its connection carries no other request.
 
         Raises:
             TargetPausedError: If the target asked for a pause.
@@ -210,7 +210,7 @@
             address,
             timeout_s=CONNECT_TIMEOUT_SECONDS,
             identifier=None,
-            fresh=fresh,
+            fresh=alone,
         )
         sink = CollectingSink(
             connection=connection,
@@ -220,6 +220,8 @@
         )
         try:
             connection.send(head, body, sink)
+            if alone:
+                connection.retire()
             await sink.done
             answer, data = sink.head, sink.body
             if not self.is_unnamed(answer):
--- a/rattanroute/tests/test_query_connections.py
+++ b/rattanroute/tests/test_query_connections.py
@@ -1,4 +1,4 @@
-"""Tests of the connections of state queries.
+"""Tests of the connections of state queries and orders.
 
 Their answers name no request, so that nothing tells a second one apart.
 """
@@ -7,6 +7,7 @@
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
 from rattanroute.platform.replica_codecs import ReplicaCodec
+from rattanroute.systems.layer_assignments import LayerRange
 from rattanroute.tests.gateway_hosts import build_events
 from rattanroute.tests.gateway_hosts import build_head
 from rattanroute.tests.gateway_hosts import FakeTarget
@@ -88,6 +89,18 @@
         self.assertNotEqual(first, query)
         self.assertEqual(first, second)
 
+    async def test_query_after_an_order(self) -> None:
+        """Guards against the answer to an order that is read as a state."""
+        await self.engine_control.order_layers(
+            self.target.address,
+            LayerRange(first=0, end=1),
+            target_id="t1",
+            fence=1,
+            expected=0,
+        )
+        await self.query()
+        self.assertEqual(len(set(self.target.list_connections())), 2)
+
     async def test_queries_share_a_connection(self) -> None:
         """Guards against a new connection for each query."""
         for _ in range(3):
