Open a connection of its own for each request of the daemon

With a second 400 the caller was refused as rejected_by_target with the text of another caller's answer; a second 429, 500 or 503 moved the request on although this engine ran it; a second stream failed it with "answer belongs to request". Stages: a second 503 replaced a stage that had accepted; a second copy of a cache was taken for that of another request and stored under its name, and a cache that was not stored (507) counted as stored.

Cause: connections to engines were kept, and neither the head of an answer nor a refusal nor an exported cache bears an identifier. The daemon's own identifiers of requests do not help, as only events and frames repeat them.

An identifier in the answer would have to come from every engine, also in refusals, so it is no alternative for engines that exist.

Why this works: on a connection that carries one request, each answer belongs to that request, and the first one is read only.

To a remote data centre one round trip is added.

--- a/rattanroute/clients/engines.py
+++ b/rattanroute/clients/engines.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 
 import aiohttp
 import msgspec
@@ -19,8 +20,8 @@
 engine can make the router use."""
 MAX_REFUSAL_BYTES = 2048
 END_OF_STREAM_TIMEOUT_S = 0.1
-"""Longest wait for the end of the body after `[DONE]`; only after that end can
-the connection be reused."""
+"""Longest wait for the end of the body after `[DONE]`. A target takes a
+connection that closes before it for a cancellation."""
 CANCEL_TIMEOUT_S = 2.0
 PAUSE_CHECK_S = 0.05
 """Extension of the watchdog's deadline while the caller is slow, in seconds."""
@@ -301,7 +302,7 @@
                     yield chunk
                 if not watchdog.waiting:
                     watchdog.wait_until(deadline, spec.token_timeout_s)
-            await self.release(response)
+            await self.read_end(response)
             yield reader.usage
         finally:
             watchdog.cancel()
@@ -358,14 +359,11 @@
         finally:
             response.close()
 
-    async def release(self, response: aiohttp.ClientResponse) -> None:
-        """Reads the end of the body so that the connection can be reused."""
-        try:
+    async def read_end(self, response: aiohttp.ClientResponse) -> None:
+        """Waits for the end of the body, or until it is overdue."""
+        with contextlib.suppress(*EXCHANGE_ERRORS):
             async with asyncio.timeout(END_OF_STREAM_TIMEOUT_S):
-                if not await response.content.readany():
-                    response.release()
-        except EXCHANGE_ERRORS:
-            response.close()
+                await response.content.readany()
 
     async def cancel(
         self, *, address: str, request_id: str, attempt: int
--- a/rattanroute/clients/failures.py
+++ b/rattanroute/clients/failures.py
@@ -14,9 +14,6 @@
 from rattanroute.events import Provenance
 
 CONNECT_TIMEOUT_S = 2.0
-KEEPALIVE_S = 15.0
-"""Idle time of pooled connections, in seconds; shorter than that of common
-servers, so that the target does not close a connection just before its use."""
 MAX_RETRY_AFTER_S = 600.0
 
 NOT_SENT_ERRORS = (
@@ -55,26 +52,23 @@
     return opened
 
 
-def build_session(
-    *, source: str = "", reuse: bool = True
-) -> aiohttp.ClientSession:
+def build_session(*, source: str = "") -> aiohttp.ClientSession:
     """Builds an HTTP session for requests to targets.
 
+    Each connection serves one request. A target may answer a request twice,
+    and the head of an answer bears no identifier: on a kept connection, the
+    second answer could be taken for the answer to the next request.
+
     Args:
         source: Local IP address from which connections are opened; empty for
             the system's choice.
-        reuse: Whether a connection serves more than one request.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
         use_dns_cache=False,
         local_addr=(source, 0) if source else None,
         socket_factory=open_socket,
-        **(
-            {"keepalive_timeout": KEEPALIVE_S}
-            if reuse
-            else {"force_close": True}
-        ),
+        force_close=True,
     )
     return aiohttp.ClientSession(
         connector=connector,
--- a/rattanroute/clients/services.py
+++ b/rattanroute/clients/services.py
@@ -88,7 +88,7 @@
             source: Local IP address from which connections are opened; empty
                 for the system's choice.
         """
-        self.session = build_session(source=source, reuse=False)
+        self.session = build_session(source=source)
 
     async def close(self) -> None:
         """Closes the session."""
