Soak: callers that repeat under one identifier, replicas that answer twice

Replicas of the ordinary soak now answer a share of their requests twice, with the same bytes or another status, and fail or reject a share of the tries that their callers number. All is drawn from the seed, the replica, the request and the try. Two clients in each zone repeat under one identifier and number their tries in a header of the soak, which fronts forward; the records hold the number. A stamp now names the run that it belongs to.

New check: each answer with a stamp is that of a run of the same try, with the status of that run. Checks that were keyed by the identifier are keyed by the identifier and the try, which is the same for clients that do not number theirs; numbered tries do not count for the recovery and for sound streams, as replicas fail them on purpose. A refusal that carries a stamp is the replica's own answer to check_stops; before, replicas gave none with a stamp.

--- a/rattanroute/platform/standin_records.py
+++ b/rattanroute/platform/standin_records.py
@@ -7,6 +7,12 @@
 import msgspec
 import xxhash
 
+from rattanroute.http1.heads import find_header
+from rattanroute.http1.heads import RequestHead
+
+# Number of a try of a caller that repeats a request under one identifier, from
+# 1; routers forward it.
+TRY_HEADER = b"Soak-Try"
 MIN_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 1.8
 # Body of a request whose events are padded, so that the answer to a slow
@@ -42,6 +48,11 @@
         pause_seed: Seed of these pauses.
         limit_per_s: Requests per second that the replica names as its limit;
             0 for none. It takes more all the same.
+        failure_probability: Probability that a numbered try of a caller fails
+            or is refused.
+        second_probability: Probability that an answer comes a second time,
+            before the next answer on its connection.
+        answer_seed: Seed of these failures and second answers.
     """
 
     replica_id: str
@@ -63,6 +74,9 @@
     pause_probability: float = 0.0
     pause_seed: int = 0
     limit_per_s: float = 0.0
+    failure_probability: float = 0.0
+    second_probability: float = 0.0
+    answer_seed: int = 0
 
 
 class RunEnd(enum.StrEnum):
@@ -91,11 +105,14 @@
         event: `arrival`, `run`, `end`, `chain`, `order`, `overload`, `notice`
             or `crash`.
         request_id: Identifier of the request.
+        try_number: Number of the caller's try, for `arrival` and `run`; 0 if
+            the caller gives each try an identifier of its own.
         replica_id: The replica.
         service: Its service.
         chain: Layers of each target of a chain, or of an order, as first
             layer and exclusive end.
         run: Number of a run at this replica, for `run` and `end`.
+        status: Status of the answer, for `run`.
         reason: How the run ended, for `end`.
         detail: Target and status that ended a run that is `BROKEN`.
     """
@@ -103,13 +120,30 @@
     at: float
     event: str
     request_id: str = ""
+    try_number: int = 0
     replica_id: str = ""
     service: str = ""
     chain: list[tuple[int, int]] = []
     run: int = 0
+    status: int = 0
     reason: str = ""
     detail: str = ""
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Identifier of the request and number of the caller's try."""
+        return self.request_id, self.try_number
+
+
+def build_stamp(replica_id: str, run: int) -> str:
+    """Returns the stamp of the answer to a request that ran."""
+    return f"{replica_id}.{run}"
+
+
+def read_try(head: RequestHead) -> int:
+    """Returns the number of a caller's try; 0 if it states none."""
+    return int(find_header(head.headers, TRY_HEADER.lower()) or b"0")
+
 
 def build_answer(request_id: str, body: bytes) -> bytes:
     """Returns the body of a plain service's answer."""
--- a/rattanroute/platform/trial_deployments.py
+++ b/rattanroute/platform/trial_deployments.py
@@ -13,6 +13,7 @@
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.platform import headers
+from rattanroute.platform.standin_records import TRY_HEADER
 
 HOST = "trial.example"
 API_KEY = "trial-key"
@@ -325,6 +326,7 @@
     time_left_s: float,
     answer_tokens: int = 0,
     parts: tuple[str, ...] = (),
+    try_number: int = 0,
 ) -> RequestHead:
     """Builds the head of a client's request.
 
@@ -334,6 +336,7 @@
         time_left_s: Seconds that the client waits.
         answer_tokens: Maximum tokens of the answer; 0 for none stated.
         parts: Identifiers of the parts of the prompt, in order.
+        try_number: Number of the try under this identifier; 0 to state none.
     """
     fields = [
         (b"Host", HOST.encode()),
@@ -348,11 +351,18 @@
         size = PROMPT_TOKENS // len(parts)
         text = ",".join(f"{part}:{size}" for part in parts)
         fields.append((headers.PROMPT_PARTS, text.encode()))
+    if try_number:
+        fields.append((TRY_HEADER, b"%d" % try_number))
     return RequestHead(method=b"POST", target=path.encode(), headers=fields)
 
 
 def is_signed(head: ResponseHead, request_id: str) -> bool:
     """Whether an answer has a replica's stamp and belongs to a request."""
     found = find_header(head.headers, headers.REQUEST_ID.lower())
+    return bool(read_stamp(head)) and found == request_id.encode()
+
+
+def read_stamp(head: ResponseHead) -> str:
+    """Returns the stamp of a replica's answer; empty if there is none."""
     stamp = find_header(head.headers, headers.STAMP.lower())
-    return stamp is not None and found == request_id.encode()
+    return (stamp or b"").decode("latin-1")
--- a/rattanroute/tools/soak.py
+++ b/rattanroute/tools/soak.py
@@ -46,7 +46,7 @@
 from rattanroute.tools.soak_plans import SoakPlan
 from rattanroute.tools.soak_records import AttemptOutcome
 from rattanroute.tools.soak_records import SoakLog
-from rattanroute.tools.soak_replicas import DEFAULT_REPLICA_OPTIONS
+from rattanroute.tools.soak_repeating_clients import build_repeating_clients
 from rattanroute.tools.soak_replicas import ReplicaOptions
 
 TRAFFIC_SECONDS = 20.0
@@ -62,6 +62,9 @@
 # check passes through the proxy.
 MEMBER_CHECK_EVENTS = 5
 PAUSE_PROBABILITY = 0.3
+# Numbered tries that fail, and answers that come twice.
+FAILURE_PROBABILITY = 0.4
+SECOND_PROBABILITY = 0.35
 # A planned end of a replica waits for its open streams.
 REPLICA_GRACE_SECONDS = 45.0
 SEED_BITS = 32
@@ -94,7 +97,11 @@
 def build_replica_options(seed: int, kind: SoakKind) -> ReplicaOptions:
     """Returns the options of a soak's replicas."""
     if kind is SoakKind.FAULTS:
-        return DEFAULT_REPLICA_OPTIONS
+        return ReplicaOptions(
+            failure_probability=FAILURE_PROBABILITY,
+            second_probability=SECOND_PROBABILITY,
+            answer_seed=seed,
+        )
     return ReplicaOptions(
         member_check_events=MEMBER_CHECK_EVENTS,
         pause_probability=PAUSE_PROBABILITY,
@@ -182,6 +189,13 @@
             for zone in ZONES
             for i in range(CLIENTS_PER_ZONE)
         ]
+        clients += build_repeating_clients(
+            self.seed,
+            zones=ZONES,
+            front_selector=self.front_selector,
+            log=self.log,
+            parts=(FIRST_PART,),
+        )
         clients.append(
             CrashingClient(
                 name=CRASHING_CLIENT,
@@ -318,11 +332,12 @@
             x.reason for x in self.log.records if x.event == "end"
         )
         runs = ",".join(f"{x}:{ends[x]}" for x in RunEnd)
+        repeats = sum(x.try_number > 1 for x in attempts)
         return (
             f"seed={self.seed} kind={self.kind} shape={self.shape.name!r} "
             f"faults={len(self.plan.faults)} "
             f"final_fault={self.plan.final_fault} attempts={len(attempts)} "
-            f"served={served} runs={runs} "
+            f"served={served} repeats={repeats} runs={runs} "
             f"changes={len(self.log.acknowledgements)} "
             f"killed={','.join(self.fleet.killed_after_grace) or 'none'} "
             f"longest_pause={self.longest_pause_s:.2f}"
--- a/rattanroute/tools/soak_checks.py
+++ b/rattanroute/tools/soak_checks.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 
+from rattanroute.platform.standin_records import build_stamp
 from rattanroute.platform.trial_deployments import CallKind
 from rattanroute.platform.trial_deployments import KEPT_VERSION_ROUTES
 from rattanroute.platform.trial_deployments import LAYERS
@@ -11,6 +12,7 @@
 from rattanroute.platform.trial_deployments import SoakBounds
 from rattanroute.tools.soak_crashing_clients import CRASHING_CLIENT
 from rattanroute.tools.soak_crashing_clients import CRASHING_PART_CLIENT
+from rattanroute.tools.soak_records import Attempt
 from rattanroute.tools.soak_records import AttemptOutcome
 from rattanroute.tools.soak_records import Probe
 from rattanroute.tools.soak_records import SoakLog
@@ -41,13 +43,13 @@
 
 
 def check_once(log: SoakLog, bounds: SoakBounds) -> list[str]:
-    """A call that is not repeatable runs at most once."""
+    """A call that is not repeatable runs at most once for each try."""
     del bounds
     runs = count_runs(log)
     return [
-        f"{x.request_id} ran {runs[x.request_id]} times"
+        f"{x.request_id}{describe_try(x)} ran {runs[x.key]} times"
         for x in log.attempts
-        if x.kind is CallKind.ONCE and runs[x.request_id] > 1
+        if x.kind is CallKind.ONCE and runs[x.key] > 1
     ]
 
 
@@ -56,17 +58,52 @@
     del bounds
     runs = count_runs(log)
     return [
-        f"{x.request_id} was refused with {x.status} by {x.front} and ran"
+        f"{x.request_id}{describe_try(x)} was refused with {x.status} by "
+        f"{x.front} and ran"
         for x in log.attempts
-        if x.status in NOT_RUN_STATUSES and runs[x.request_id]
+        if x.status in NOT_RUN_STATUSES and runs[x.key]
     ]
 
 
-def count_runs(log: SoakLog) -> collections.Counter[str]:
-    """Returns the number of runs of each request."""
-    return collections.Counter(
-        x.request_id for x in log.records if x.event == "run"
-    )
+def count_runs(log: SoakLog) -> collections.Counter[tuple[str, int]]:
+    """Returns the number of runs of each try of a request."""
+    return collections.Counter(x.key for x in log.records if x.event == "run")
+
+
+def describe_try(attempt: Attempt) -> str:
+    """Returns the number of a numbered try, for messages."""
+    return f" (try {attempt.try_number})" if attempt.try_number else ""
+
+
+def check_tries(log: SoakLog, bounds: SoakBounds) -> list[str]:
+    """Each answer with a stamp is that of a run of the same try."""
+    del bounds
+    runs = {
+        build_stamp(x.replica_id, x.run): x
+        for x in log.records
+        if x.event == "run"
+    }
+    violations = []
+    for attempt in log.attempts:
+        run = runs.get(attempt.stamp)
+        if not attempt.stamp or (
+            run is not None
+            and run.key == attempt.key
+            and run.status == attempt.status
+        ):
+            continue
+        found = "no run"
+        if run is not None:
+            found = (
+                f"the run of {run.request_id}, try {run.try_number}, "
+                f"status {run.status}"
+            )
+        violations.append(
+            f"{attempt.request_id}{describe_try(attempt)} got "
+            f"{attempt.status} by {attempt.front} with the stamp "
+            f"{attempt.stamp} of {found}"
+        )
+    return violations
 
 
 def check_chains(log: SoakLog, bounds: SoakBounds) -> list[str]:
@@ -210,17 +247,19 @@
 def check_budget(log: SoakLog, bounds: SoakBounds) -> list[str]:
     """Repeated arrivals of requests stay within the retry budget."""
     violations = []
-    arrivals: dict[str, list[tuple[float, str]]] = collections.defaultdict(list)
+    arrivals: dict[str, list[tuple[float, tuple[str, int]]]] = (
+        collections.defaultdict(list)
+    )
     for record in log.records:
         if record.event == "arrival":
-            arrivals[record.service].append((record.at, record.request_id))
+            arrivals[record.service].append((record.at, record.key))
     for service, arrived in arrivals.items():
-        seen_ids: set[str] = set()
+        seen: set[tuple[str, int]] = set()
         repeats: list[float] = []
         requests: list[float] = []
-        for at, request_id in sorted(arrived):
-            (repeats if request_id in seen_ids else requests).append(at)
-            seen_ids.add(request_id)
+        for at, key in sorted(arrived):
+            (repeats if key in seen else requests).append(at)
+            seen.add(key)
         for start in repeats:
             end = start + bounds.window_s
             repeat_count = count_between(repeats, start, end)
@@ -247,7 +286,7 @@
 def check_departures(log: SoakLog, bounds: SoakBounds) -> list[str]:
     """No request from a connected front reaches a replica that left."""
     notices = {x.replica_id: x.at for x in log.records if x.event == "notice"}
-    fronts = {x.request_id: x.front for x in log.attempts}
+    fronts = {x.key: x.front for x in log.attempts}
     violations = []
     for record in log.records:
         at = notices.get(record.replica_id)
@@ -261,7 +300,7 @@
             violations.append(
                 f"{record.request_id} reached {record.replica_id} "
                 f"{record.at - at:.2f} s after its notice through "
-                f"{fronts.get(record.request_id, 'an unknown front')}"
+                f"{fronts.get(record.key, 'an unknown front')}"
             )
     return violations
 
@@ -280,7 +319,8 @@
     """Connected fronts serve prompts that share a part with crashing ones.
 
     Counts the first attempts of streams after the ban was due that no fault
-    and no crash interrupted.
+    and no crash interrupted. Numbered tries do not count, as replicas fail some
+    of them.
     """
     crashes = list_crashes(log, CRASHING_PART_CLIENT)
     if not crashes:
@@ -291,6 +331,7 @@
         x
         for x in log.attempts
         if x.kind is CallKind.STREAM
+        and not x.try_number
         and not x.request_id.startswith((CRASHING_CLIENT, CRASHING_PART_CLIENT))
         and x.sent_at >= due_at
         and log.is_fault_free(
@@ -348,9 +389,12 @@
 
 
 def check_recovery(log: SoakLog, bounds: SoakBounds) -> list[str]:
-    """Enough requests are served after the last fault and recovery time."""
+    """Enough requests are served after the last fault and recovery time.
+
+    Numbered tries do not count, as replicas fail some of them.
+    """
     start = log.faults_ended_at + bounds.recovery_s
-    later = [x for x in log.attempts if x.sent_at >= start]
+    later = [x for x in log.attempts if x.sent_at >= start and not x.try_number]
     served = sum(x.outcome is AttemptOutcome.COMPLETE for x in later)
     if later and served >= MIN_SERVED_FRACTION * len(later):
         return []
@@ -367,6 +411,7 @@
     check_answers,
     check_once,
     check_refusals,
+    check_tries,
     check_chains,
     check_memory,
     check_time,
--- a/rattanroute/tools/soak_clients.py
+++ b/rattanroute/tools/soak_clients.py
@@ -25,6 +25,7 @@
 from rattanroute.platform.trial_deployments import is_signed
 from rattanroute.platform.trial_deployments import Machine
 from rattanroute.platform.trial_deployments import NOT_RUN_STATUSES
+from rattanroute.platform.trial_deployments import read_stamp
 from rattanroute.platform.trial_deployments import SHORT_STREAMS
 from rattanroute.tools.soak_fleets import SoakFleet
 from rattanroute.tools.soak_records import Attempt
@@ -121,14 +122,16 @@
         """Returns the number of the last process start of a front."""
         return self.fleet.start_counts[front.name]
 
+    def is_ready(self, front: Machine) -> bool:
+        """Returns whether a front gets new connections."""
+        failed = self.failed_readiness_checks.get(
+            front.name, UNREADY_FAILED_CHECKS
+        )
+        return failed < UNREADY_FAILED_CHECKS
+
     def choose(self, zone: str) -> Machine | None:
         """Returns a ready front, preferably in the given zone."""
-        ready = [
-            x
-            for x in self.fleet.fronts
-            if self.failed_readiness_checks.get(x.name, UNREADY_FAILED_CHECKS)
-            < UNREADY_FAILED_CHECKS
-        ]
+        ready = [x for x in self.fleet.fronts if self.is_ready(x)]
         local = [x for x in ready if x.zone == zone]
         candidates = local or ready
         return self.random.choice(candidates) if candidates else None
@@ -151,6 +154,7 @@
         front: Front of that connection.
         start_number: Number of that front's process start.
         numbers: Sequence numbers of its request identifiers.
+        kept_outcomes: Outcomes after which it keeps its connection.
     """
 
     name: str
@@ -167,6 +171,9 @@
     numbers: itertools.count = dataclasses.field(
         default_factory=itertools.count
     )
+    kept_outcomes: frozenset[AttemptOutcome] = frozenset(
+        {AttemptOutcome.COMPLETE}
+    )
 
     async def run(self, is_finished: Callable[[], bool]) -> None:
         """Sends requests until the soak is over."""
@@ -205,10 +212,14 @@
             retry_after = find_header(sink.head.headers, b"retry-after")
         time_left_s = max(0.0, ends_at - time.monotonic())
         return min(
-            float(retry_after or THINK_SECONDS),
+            float(retry_after or self.draw_retry_delay()),
             time_left_s * MAX_RETRY_DELAY_FRACTION,
         )
 
+    def draw_retry_delay(self) -> float:
+        """Returns the delay before an attempt that no answer puts off."""
+        return THINK_SECONDS
+
     async def send_attempt(
         self,
         kind: CallKind,
@@ -232,10 +243,7 @@
         await self.wait_for_end(connection, sink, time_left_s)
         self.record_outcome(attempt, body, sink)
         self.log.attempts.append(attempt)
-        if (
-            attempt.outcome is not AttemptOutcome.COMPLETE
-            or not connection.usable
-        ):
+        if attempt.outcome not in self.kept_outcomes or not connection.usable:
             self.connection = None
             connection.cancel()
         return attempt, sink
@@ -251,12 +259,16 @@
         """Returns the body of a new request."""
         return self.prefix + f"{self.name} {self.random.random()}".encode()
 
+    def build_identifier(self) -> str:
+        """Returns the identifier of the next attempt."""
+        return f"{self.name}-{next(self.numbers)}"
+
     def start_attempt(
         self, kind: CallKind, expected_events: int, time_left_s: float
     ) -> Attempt:
         """Returns an attempt that is sent now to the connected front."""
         return Attempt(
-            request_id=f"{self.name}-{next(self.numbers)}",
+            request_id=self.build_identifier(),
             kind=kind,
             front=self.front.name,
             sent_at=time.monotonic(),
@@ -273,6 +285,7 @@
             time_left_s=attempt.limit_s,
             answer_tokens=attempt.expected_events,
             parts=self.list_parts(attempt.kind, body),
+            try_number=attempt.try_number,
         )
         if attempt.events:
             head.headers.append((b"Last-Event-Id", b"%d" % attempt.events))
@@ -288,7 +301,7 @@
         """Returns the open connection, or opens one to a ready front."""
         if self.connection is not None and self.connection.usable:
             return self.connection
-        self.front = self.front_selector.choose(self.zone)
+        self.front = self.choose_front()
         if self.front is None:
             await asyncio.sleep(THINK_SECONDS)
             return None
@@ -300,6 +313,10 @@
             return None
         return self.connection
 
+    def choose_front(self) -> Machine | None:
+        """Returns the front for a new connection, if any is ready."""
+        return self.front_selector.choose(self.zone)
+
     async def open(self, front: Machine) -> ClientConnection:
         """Opens a connection to a front.
 
@@ -319,6 +336,7 @@
         attempt.ended_at = sink.ended_at or time.monotonic()
         if sink.head is not None:
             attempt.status = sink.head.status
+            attempt.stamp = read_stamp(sink.head)
         if not sink.ended.done():
             attempt.outcome = AttemptOutcome.GIVEN_UP
         elif sink.head is None or not sink.complete:
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -230,6 +230,9 @@
             pause_probability=self.options.pause_probability,
             pause_seed=self.options.pause_seed,
             limit_per_s=self.options.limit_per_s,
+            failure_probability=self.options.failure_probability,
+            second_probability=self.options.second_probability,
+            answer_seed=self.options.answer_seed,
         )
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
--- a/rattanroute/tools/soak_records.py
+++ b/rattanroute/tools/soak_records.py
@@ -38,7 +38,8 @@
     """One attempt of a client.
 
     Attributes:
-        request_id: Identifier of the attempt; each attempt has its own.
+        request_id: Identifier of the request; each attempt has its own unless
+            the client numbers its tries.
         kind: Kind of the request.
         front: Name of the front that it was sent to.
         sent_at: Time when it was sent.
@@ -54,6 +55,9 @@
         slow: Whether the client read slowly.
         behind: Whether it was sent behind an open request of the connection.
         turn_at: Time at which that request ended; 0 without one.
+        try_number: Number of the try under this identifier; 0 if the
+            identifier is the attempt's own.
+        stamp: Stamp of the answer; empty without one.
     """
 
     request_id: str
@@ -71,6 +75,13 @@
     slow: bool = False
     behind: bool = False
     turn_at: float = 0.0
+    try_number: int = 0
+    stamp: str = ""
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Identifier and number of the try, as in the replicas' records."""
+        return self.request_id, self.try_number
 
     @property
     def waiting_since(self) -> float:
--- a/rattanroute/tools/soak_replicas.py
+++ b/rattanroute/tools/soak_replicas.py
@@ -35,6 +35,9 @@
         grace_s: Seconds from SIGTERM to SIGKILL of a replica.
         limit_per_s: Requests per second that replicas name as their limit; 0
             for none.
+        failure_probability: Probability that a numbered try fails.
+        second_probability: Probability that an answer comes a second time.
+        answer_seed: Seed of these failures and second answers.
     """
 
     member_check_events: int = 1
@@ -42,6 +45,9 @@
     pause_seed: int = 0
     grace_s: float = GRACE_SECONDS
     limit_per_s: float = 0.0
+    failure_probability: float = 0.0
+    second_probability: float = 0.0
+    answer_seed: int = 0
 
 
 DEFAULT_REPLICA_OPTIONS = ReplicaOptions()
--- a/rattanroute/tools/soak_stop_checks.py
+++ b/rattanroute/tools/soak_stop_checks.py
@@ -64,8 +64,8 @@
         bounds: Limits of the soak.
 
     Attributes:
-        arrivals: Identifiers of the requests that reached a replica.
-        runs: Runs by request, ordered by their ends.
+        arrivals: Identifiers and tries of the requests that reached a replica.
+        runs: Runs by request and try, ordered by their ends.
         crashes: Times at which a request crashed a replica.
     """
 
@@ -73,21 +73,19 @@
         self.log = log
         self.bounds = bounds
         self.crashes = [x.at for x in log.records if x.event == "crash"]
-        self.arrivals = {
-            x.request_id for x in log.records if x.event == "arrival"
-        }
+        self.arrivals = {x.key for x in log.records if x.event == "arrival"}
         self.runs = self.read_runs()
 
-    def read_runs(self) -> dict[str, list[Run]]:
-        """Returns the runs of each request, ordered by their ends."""
+    def read_runs(self) -> dict[tuple[str, int], list[Run]]:
+        """Returns the runs of each try, ordered by their ends."""
         by_key: dict[tuple[str, int, str], Run] = {}
-        runs: dict[str, list[Run]] = collections.defaultdict(list)
+        runs: dict[tuple[str, int], list[Run]] = collections.defaultdict(list)
         for record in self.log.records:
             key = (record.replica_id, record.run, record.request_id)
             if record.event == "run":
                 run = Run(replica_id=record.replica_id, started_at=record.at)
                 by_key[key] = run
-                runs[record.request_id].append(run)
+                runs[record.key].append(run)
             elif record.event == "end" and key in by_key:
                 run = by_key[key]
                 run.ended_at = record.at
@@ -108,13 +106,13 @@
                 if front in self.log.fronts:
                     yield fault, front
 
-    def find_interrupted_by_stops(self) -> dict[str, str]:
-        """Returns messages about interrupted requests by their identifiers."""
-        found: dict[str, str] = {}
+    def find_interrupted_by_stops(self) -> dict[tuple[str, int], str]:
+        """Returns messages about interrupted requests by their tries."""
+        found: dict[tuple[str, int], str] = {}
         for stop, front in self.list_signals(Action.STOP, Action.ROLL):
             own_stop = self.find_own_stop(stop, front)
             for x in self.log.attempts:
-                if x.front != front or x.request_id in found:
+                if x.front != front or x.key in found:
                     continue
                 if own_stop is not None and x.ended_at >= own_stop.start:
                     # Counted with the SIGTERM of this front.
@@ -124,15 +122,15 @@
                     and self.is_unanswered(x, stop)
                     and not self.is_excused(x, stop)
                 ):
-                    found[x.request_id] = self.describe(x, stop, "SIGTERM")
+                    found[x.key] = self.describe(x, stop, "SIGTERM")
         return found
 
-    def find_interrupted_by_reloads(self) -> dict[str, str]:
-        """Returns messages about interrupted requests by their identifiers."""
-        found: dict[str, str] = {}
+    def find_interrupted_by_reloads(self) -> dict[tuple[str, int], str]:
+        """Returns messages about interrupted requests by their tries."""
+        found: dict[tuple[str, int], str] = {}
         for reload, front in self.list_signals(Action.RELOAD):
             for x in self.log.attempts:
-                if x.front != front or x.request_id in found:
+                if x.front != front or x.key in found:
                     continue
                 if (
                     x.sent_at <= reload.start + RELOAD_SECONDS
@@ -141,7 +139,7 @@
                     and self.is_unanswered(x, reload)
                     and not self.is_excused(x, reload)
                 ):
-                    found[x.request_id] = self.describe(x, reload, "SIGHUP")
+                    found[x.key] = self.describe(x, reload, "SIGHUP")
         return found
 
     def find_own_stop(
@@ -174,12 +172,13 @@
     def is_unanswered(self, attempt: Attempt, fault: InjectedFault) -> bool:
         """Returns whether a front accepted a request and did not answer it.
 
-        A refusal is an answer if no replica ran the request.
+        A refusal is an answer if no replica ran the request, or if it is the
+        replica's own.
         """
         if attempt.outcome is AttemptOutcome.COMPLETE:
             return False
         refused = attempt.outcome is AttemptOutcome.REFUSED
-        if refused and attempt.request_id not in self.runs:
+        if refused and (attempt.stamp or attempt.key not in self.runs):
             return False
         in_rotation = (
             attempt.outcome is AttemptOutcome.BROKEN
@@ -188,7 +187,7 @@
         )
         return (
             in_rotation
-            or attempt.request_id in self.arrivals
+            or attempt.key in self.arrivals
             or attempt.ended_at - attempt.sent_at > KEPT_SECONDS
         )
 
@@ -214,7 +213,7 @@
 
     def broke_off(self, attempt: Attempt) -> bool:
         """Returns whether the last run broke off before the request ended."""
-        runs = self.runs.get(attempt.request_id)
+        runs = self.runs.get(attempt.key)
         if not runs:
             return False
         last = runs[-1]
@@ -227,7 +226,7 @@
         The grace time starts with the first SIGTERM of the front's process.
         """
         stop = self.find_first_stop(attempt, fault)
-        runs = self.runs.get(attempt.request_id)
+        runs = self.runs.get(attempt.key)
         if stop is None or not runs:
             return False
         last_part = stop.start + self.bounds.grace_s * (1 - LAST_GRACE_FRACTION)
@@ -253,10 +252,14 @@
             return min(stops, key=lambda x: x.start)
         return fault if fault.action == Action.STOP else None
 
-    def is_dropped_behind(self, request_id: str) -> bool:
-        """Returns whether a request behind an open one reached no replica."""
-        return request_id not in self.arrivals and any(
-            x.request_id == request_id and x.behind for x in self.log.attempts
+    def is_dropped_behind(self, key: tuple[str, int]) -> bool:
+        """Returns whether a request behind an open one reached no replica.
+
+        Args:
+            key: Identifier and try of the request.
+        """
+        return key not in self.arrivals and any(
+            x.key == key and x.behind for x in self.log.attempts
         )
 
     def describe(
@@ -265,7 +268,7 @@
         """Returns a message about an interrupted request."""
         start = fault.start
         runs = ", ".join(
-            x.describe(start) for x in self.runs.get(attempt.request_id, ())
+            x.describe(start) for x in self.runs.get(attempt.key, ())
         )
         marks = " (slow reader)" if attempt.slow else ""
         if attempt.behind:
@@ -303,8 +306,8 @@
     checker = PlannedWorkChecker(log=log, bounds=bounds)
     return [
         message
-        for request_id, message in checker.find_interrupted_by_stops().items()
-        if not checker.is_dropped_behind(request_id)
+        for key, message in checker.find_interrupted_by_stops().items()
+        if not checker.is_dropped_behind(key)
     ]
 
 
@@ -313,8 +316,8 @@
     checker = PlannedWorkChecker(log=log, bounds=bounds)
     return [
         message
-        for request_id, message in checker.find_interrupted_by_reloads().items()
-        if not checker.is_dropped_behind(request_id)
+        for key, message in checker.find_interrupted_by_reloads().items()
+        if not checker.is_dropped_behind(key)
     ]
 
 
@@ -325,6 +328,6 @@
     found = checker.find_interrupted_by_reloads() | found
     return [
         f"dropped behind an open request: {message}"
-        for request_id, message in found.items()
-        if checker.is_dropped_behind(request_id)
+        for key, message in found.items()
+        if checker.is_dropped_behind(key)
     ]
