Believe a reused key "not run" only with a read quorum of holders

What callers see: a caller that uses an idempotency key again after its retention, for a call with other content, and repeats that call, may be told 422 idempotency_key_reused with execution not_run although the call ran.

Cause: one holder with a stored answer for other content decided a claim. Holders drop expired keys once in ten seconds, each at a moment and by a clock of its own; meanwhile the others grant the key again. The proof in claimants.py, that the older claim had a majority and so no other content ever had one, does not hold across the retention.

Change: the refusal says not_run only if a read quorum of holders has nothing but the other answer, or no claim of the key. A stored answer to the same content is preferred, whichever holder replies first. With fewer replies the refusal is the same with execution unknown, after the time limit of a claim. No message or record changes.

Why this works: a claim with this content that had a majority is stored at a member of each read quorum, as for claims_full.

--- a/rattanroute/systems/claimants.py
+++ b/rattanroute/systems/claimants.py
@@ -3,8 +3,11 @@
 Execution status of refusals. A refusal carries `not_run` only if neither this
 request nor an earlier one with the same key and content has run:
 - The key is missing or too long, so it was never accepted.
-- The key has a stored answer for other content. That claim had a majority, so
-  no claim with this content ever had one.
+- The key has a stored answer for other content, and `read_quorum` holders have
+  nothing but that answer or no claim of the key. A claim with this content that
+  had a majority would be stored at one of them. One holder with such an answer
+  is no proof: holders drop a key at different times after its retention, so
+  that the others may have granted it again.
 - `read_quorum` holders replied that they do not have the key and have no room
   for it. An earlier claim with a majority would be stored at one of them.
 Every other refusal carries `unknown`: this request was not dispatched, but
@@ -157,30 +160,39 @@
         """Returns the decision, or None while more replies are needed."""
         self.drop_outdated()
         replies = list(self.replies.values())
-        for reply in replies:
-            if (
-                reply.outcome == Outcome.TAKEN
-                and reply.state == ClaimState.DONE
-            ):
+        taken = [r for r in replies if r.outcome == Outcome.TAKEN]
+        for reply in taken:
+            if reply.state == ClaimState.DONE and reply.same_content:
                 return self.conclude_completed(reply)
         granted = count_outcomes(replies, Outcome.GRANTED)
+        full = count_outcomes(replies, Outcome.FULL)
+        reused = sum(has_other_answer(reply) for reply in taken)
+        if reused and granted + full + reused >= self.holder_set.read_quorum:
+            return self.refuse(REUSED_DONE_REFUSAL)
         if granted >= self.holder_set.majority:
             return ClaimDecision(request_id=self.request_id, granted=True)
-        taken = [r for r in replies if r.outcome == Outcome.TAKEN]
-        full = count_outcomes(replies, Outcome.FULL)
         left = len(self.holder_set.holders) - len(taken) - full
         if left >= self.holder_set.majority:
             return None
+        return self.refuse_without_majority(taken, granted + full)
+
+    def refuse_without_majority(
+        self, taken: list[ClaimReply], unclaimed: int
+    ) -> ClaimDecision | None:
+        """Returns the decision on a claim that cannot get a majority.
+
+        Args:
+            taken: Replies of holders at which the key has a claim.
+            unclaimed: Number of holders at which it had none.
+        """
         if taken:
             return self.refuse_taken(taken)
-        if granted + full >= self.holder_set.read_quorum:
+        if unclaimed >= self.holder_set.read_quorum:
             return self.refuse(FULL_REFUSAL)
         return None
 
     def conclude_completed(self, reply: ClaimReply) -> ClaimDecision:
-        """Returns the decision on a key whose request has completed."""
-        if not reply.same_content:
-            return self.refuse(REUSED_DONE_REFUSAL)
+        """Returns the decision on a completed request with this content."""
         if reply.answer is None:
             return self.refuse(NOT_KEPT_REFUSAL)
         return ClaimDecision(
@@ -198,6 +210,8 @@
         other_content = sum(not reply.same_content for reply in taken)
         if other_content >= self.holder_set.majority:
             return self.refuse(REUSED_REFUSAL)
+        if other_content == len(taken) and any(map(has_other_answer, taken)):
+            return self.refuse(REUSED_REFUSAL)
         if any(reply.state == ClaimState.UNKNOWN for reply in taken):
             return self.refuse(UNKNOWN_REFUSAL)
         return self.refuse(IN_PROGRESS_REFUSAL)
@@ -224,6 +238,11 @@
     return sum(reply.outcome == outcome for reply in replies)
 
 
+def has_other_answer(reply: ClaimReply) -> bool:
+    """Whether a holder of a taken key has the answer to other content."""
+    return reply.state == ClaimState.DONE and not reply.same_content
+
+
 def find_outdated(epochs_by_index: dict[int, tuple[int, ...]]) -> list[int]:
     """Returns the holders whose message predates their latest known epoch.
 
