Test: name the request that takes a returned connection

The test called take_idle without the identifier that it needs since, and was red since then. It checks what it did before: the connection of a complete stream is not closed while another request uses it.

--- a/rattanroute/tests/test_gateway_stream_forwarders.py
+++ b/rattanroute/tests/test_gateway_stream_forwarders.py
@@ -274,7 +274,7 @@
 
         def take_at_once(connection: ClientConnection) -> None:
             put(connection)
-            again = self.pool.take_idle(connection.address)
+            again = self.pool.take_idle(connection.address, "other")
             again.sink = object()
             again.parser.receiver = again
             taken.append(again)
