Test: count the processor time of concurrent requests as well

Seen: test_requests_run_concurrently was red in one of four runs at a load of 28 to 44: 0.563 s, 0.5 allowed.

Cause: the test. Three requests that are served at once wait 0.2 s for the engine; the bound took the time that the machine needs for the rest, with nine waits that a busy machine prolongs, from the remaining 0.3 s.

Only a call that blocks the loop without using the processor is no longer seen: the clock cannot tell it from a busy machine.

--- a/rattanroute/tests/test_standins.py
+++ b/rattanroute/tests/test_standins.py
@@ -148,6 +148,7 @@
         works = ConcurrentWorks(host, count=3)
         client = EngineClient(session=self.session)
         texts: list[list[str]] = [[], [], []]
+        processor_started = time.process_time()
         with works.observe():
             await asyncio.gather(
                 *(
@@ -161,7 +162,8 @@
                 )
             )
         self.assertEqual(len(works.tasks), 3)
-        self.assertLess(works.longest_seconds(), 0.5)
+        processor_seconds = time.process_time() - processor_started
+        self.assertLess(works.longest_seconds() + processor_seconds, 0.5)
         for found in texts:
             self.assertEqual(found, reference_tokens("one two three", 8, 8))
 
