Test: fill the buffers of a stalled reader without the engine's timers

Seen: test_stalled_reader_is_disconnected was red in one of two runs at a load of 15 to 33: "False is not true : 0", the request ended before the engine had been paused.

Cause: the test. The buffers hold 1,937 tokens. With a timer before each token the engine sends about 370 tokens/s on a calm machine, so that they are full after 5.3 s of the 12 s that the request has, and the pause is seen up to 2 s later. Below half that pace the deadline comes first.

Without timers the buffers are full after 0.5 s (2,259 tokens). All checks and bounds are unchanged.

As strict: it is red without backpressure in the daemon ("False is not true : 0"), and when the connection of the stalled reader is not aborted.

--- a/rattanroute/tests/integration/test_backpressure.py
+++ b/rattanroute/tests/integration/test_backpressure.py
@@ -22,6 +22,9 @@
 # The engine reports 20 000 tokens/s, so that a long answer is admitted, and
 # then sends each of the 50 readers 200 tokens/s.
 SLOW_FACTOR = 100.0
+# The engine waits for no timer between tokens: its waits, each of which lasts
+# longer on a busy machine, would keep the buffers from filling in time.
+UNPACED_FACTOR = 1e-3
 STALLED_DEADLINE_SECONDS = 12.0
 START_SECONDS = 10.0
 # The buffers of all connections must fill first; less than the deadline of
@@ -181,7 +184,7 @@
 
     async def test_stalled_reader_is_disconnected(self) -> None:
         """Guards against a stalled reader that holds a connection forever."""
-        await self.set_target_faults("engine-a", slow_factor=SLOW_FACTOR / 4)
+        await self.set_target_faults("engine-a", slow_factor=UNPACED_FACTOR)
         reader = self.open_reader(deadline_s=STALLED_DEADLINE_SECONDS)
         started = time.monotonic()
         await self.wait_paused(1)
