Load certificates again that were replaced during the start

What happens: a VM whose certificate files are replaced between their first load and the reading of their metadata never loads the new ones.

Change: the metadata counts as unknown at the start, so that the first connection loads the files again. Cost: one load more.

Evidence: test_files_replaced_during_the_start, red before, green now.

--- a/rattanroute/security.py
+++ b/rattanroute/security.py
@@ -266,7 +266,8 @@
         files: The files.
         purpose: Side of a connection that the context is for.
         latest: Context of the last successful load.
-        signature: Metadata of the files at the last load.
+        signature: Metadata of the files before the last load by `refresh`;
+            None before the first one.
         reload_error: Why the latest reload failed; empty when it did not.
     """
 
@@ -279,7 +280,8 @@
         self.files = files
         self.purpose = purpose
         self.latest = build_context(files, purpose)
-        self.signature = files.signature()
+        # The files may have changed since, so the first use loads them again.
+        self.signature: tuple[tuple[int, int, int], ...] | None = None
         self.reload_error = ""
 
     def refresh(self) -> ssl.SSLContext:
--- a/rattanroute/tests/test_security.py
+++ b/rattanroute/tests/test_security.py
@@ -2,17 +2,21 @@
 
 import logging
 import pathlib
+import ssl
 import tempfile
 import unittest
+from unittest import mock
 
 from grpclib.client import Channel
 import pydantic
 
+from rattanroute import security
 from rattanroute.errors import SettingsError
 from rattanroute.proto import operators_pb2 as pb
 from rattanroute.proto.operators_grpc import OperatorsStub
 from rattanroute.security import build_client_context
 from rattanroute.security import build_tls_files
+from rattanroute.security import ReloadingContext
 from rattanroute.security import ServerContextSelector
 from rattanroute.security import TlsFiles
 from rattanroute.security import TokenFile
@@ -71,6 +75,28 @@
         self.assertIsNotNone(tokens.authenticate("Bearer two-long"))
 
 
+class ReloadingContextTest(unittest.TestCase):
+    """Guards against certificates that stay in use after their rotation."""
+
+    def test_files_replaced_during_the_start(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        authority = CertificateAuthority(pathlib.Path(folder), "a")
+        files = authority.write("vm")
+        build = security.build_context
+
+        def build_and_rotate(
+            files: TlsFiles, purpose: ssl.Purpose
+        ) -> ssl.SSLContext:
+            context = build(files, purpose)
+            authority.write("vm")
+            return context
+
+        with mock.patch.object(security, "build_context", build_and_rotate):
+            context = ReloadingContext(files, ssl.Purpose.CLIENT_AUTH)
+        first = context.latest
+        self.assertIsNot(context.refresh(), first)
+
+
 class TlsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against unauthenticated connections and stale certificates."""
 
