--- a/rattanroute/tests/listening_targets.py
+++ b/rattanroute/tests/listening_targets.py
@@ -1,5 +1,6 @@
 """Targets that write the bytes of a test on their connections."""
 
+import abc
 import asyncio
 from collections.abc import Callable
 import contextlib
@@ -10,7 +11,31 @@
 Plan = Callable[[int], list[bytes]]
 
 
-class ListeningTarget:
+class Listener(abc.ABC):
+    """A listener on loopback.
+
+    Attributes:
+        address: Its address as `IP:port`.
+    """
+
+    async def open(self) -> None:
+        """Opens the listener."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        """Closes the listener."""
+        self.server.close()
+
+    @abc.abstractmethod
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers the requests of a connection."""
+
+
+class ListeningTarget(Listener):
     """A listener that answers each request with segments of bytes.
 
     Args:
@@ -18,7 +43,6 @@
             that the target has received before on any connection.
 
     Attributes:
-        address: Its address as `IP:port`.
         requests: Number of requests that it has received.
         connections: Number of connections that it has accepted.
     """
@@ -28,16 +52,6 @@
         self.requests = 0
         self.connections = 0
 
-    async def open(self) -> None:
-        """Opens the listener."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def close(self) -> None:
-        """Closes the listener."""
-        self.server.close()
-
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/rattanroute/tests/second_answer_targets.py
+++ b/rattanroute/tests/second_answer_targets.py
@@ -11,6 +11,7 @@
 import random
 
 from rattanroute.tests.gateway_hosts import build_events
+from rattanroute.tests.listening_targets import Listener
 
 STATUSES = (200, 200, 200, 200, 500, 504, 204, 304, 404, 503, 421)
 PROMISES = frozenset({503, 421})
@@ -74,23 +75,13 @@
     copies: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
-class RepeatingListener:
+class RepeatingListener(Listener):
     """A target that answers some of its requests several times."""
 
     def __init__(self, plays: Plays) -> None:
         self.plays = plays
         self.random = plays.random
 
-    async def open(self) -> None:
-        """Opens the listener."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def close(self) -> None:
-        """Closes the listener."""
-        self.server.close()
-
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
