Test: send the query of a stand-in's test on the kept connection

test_second_answer_precedes_a_query was red since queries have connections of their own: the pool opened another one for the query. The test is about the replica, which does not know that rule; the query names another identifier to the pool and goes out on the connection of the call, as before. It still fails if the second answer does not precede the answer to the query.

--- a/rattanroute/tests/test_standin_answers.py
+++ b/rattanroute/tests/test_standin_answers.py
@@ -102,8 +102,10 @@
         headers = [(REQUEST_ID, request_id)] if request_id else []
         head = RequestHead(method=b"GET", target=b"/", headers=headers)
         skipped: list[ResponseHead] = []
+        # The pool has connections of their own for queries.
+        identifier = request_id.decode() or "query"
         connection = await pool.take(
-            self.address, timeout_s=1.0, identifier=request_id.decode() or None
+            self.address, timeout_s=1.0, identifier=identifier
         )
         sink = AnyAnswerSink(request_id, skipped)
         connection.send(head, b"", sink)
