--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -145,6 +145,7 @@
             excluded=frozenset(avoided),
             first_targets=find_first_targets(call),
             demanded=demanded,
+            first_event_s=call.exchange.received_at + call.route.goal_s - now,
             now=now,
         )
 
@@ -179,6 +180,9 @@
             attempt.loaded = True
             now = attempt.sink.loop.time()
             self.count_load(attempt.chain, attempt.tokens, 1, now)
+            if attempt.sink.first_event_at is None:
+                attempt.prompt_counted = True
+                self.count_prompt(attempt, 1)
 
     def subtract_load(self, attempt: StreamAttempt) -> None:
         """Subtracts the load of an attempt if it is counted."""
@@ -186,6 +190,22 @@
             attempt.loaded = False
             now = attempt.sink.loop.time()
             self.count_load(attempt.chain, attempt.tokens, -1, now)
+        self.note_begun(attempt)
+
+    def note_begun(self, attempt: StreamAttempt) -> None:
+        """Subtracts the prompt of an attempt from the unread ones."""
+        if attempt.prompt_counted:
+            attempt.prompt_counted = False
+            self.count_prompt(attempt, -1)
+
+    def count_prompt(self, attempt: StreamAttempt, sign: int) -> None:
+        """Adds the prompt of an attempt to the unread ones, or subtracts it."""
+        for hop in attempt.chain:
+            layers = hop.end_layer - hop.first_layer
+            if layers:
+                self.chooser.loads.add_prompt(
+                    hop.target_id, sign * attempt.prompt_tokens * layers
+                )
 
 
 def find_first_targets(call: Call) -> frozenset[str] | None:
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -29,6 +29,7 @@
         chain: The chain.
         sink: Receives the answer.
         tokens: Tokens of the prompt and the answer, counted as load.
+        prompt_tokens: Tokens of the prompt.
         reports: Reports of the chain's targets when the request was sent.
         sent_at: Time at which it was sent, in seconds.
         checked_at: Time of the latest inspection, or of the start, in
@@ -37,6 +38,7 @@
         unreachable: Whether a suspected target of its chain also refuses
             connections.
         loaded: Whether its load is counted.
+        prompt_counted: Whether its prompt is counted as unread.
         lost: Its record as a lost attempt; None if there is none.
         resumed: Whether it has sent an event since it was suspected; reset
             once that has been handled.
@@ -45,12 +47,14 @@
     chain: tuple[ChainHop, ...]
     sink: StreamSink
     tokens: int
+    prompt_tokens: int
     sent_at: float
     checked_at: float
     reports: tuple[TargetReport, ...] = ()
     suspected: bool = False
     unreachable: bool = False
     loaded: bool = False
+    prompt_counted: bool = False
     lost: LostAttempt | None = None
     resumed: bool = False
 
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -252,12 +252,14 @@
             connection=connection,
             buffers=self.pool.buffers,
             on_metadata=self.selector.build_recorder(chain[0].target_id),
-            on_begun=functools.partial(self.crashes.note_begun, call),
+            on_begun=lambda: self.note_begun(call, attempt),
         )
+        demand = build_demand(call)
         attempt = StreamAttempt(
             chain=chain,
             sink=sink,
-            tokens=build_demand(call).tokens,
+            tokens=demand.tokens,
+            prompt_tokens=demand.prompt_tokens,
             sent_at=now,
             checked_at=now,
         )
@@ -282,6 +284,11 @@
         self.selector.limiter.note_send(attempt.first_id, now)
         connection.send(head, request.body, sink)
 
+    def note_begun(self, call: Call, attempt: StreamAttempt) -> None:
+        """Records the first event of an attempt."""
+        self.finder.note_begun(attempt)
+        self.crashes.note_begun(call)
+
     def drop(self, run: StreamRun, attempt: StreamAttempt) -> None:
         """Ends an attempt that will not be needed."""
         run.attempts.remove(attempt)
--- a/rattanroute/messages/loads.py
+++ b/rattanroute/messages/loads.py
@@ -11,11 +11,14 @@
         requests: Requests whose chain contains the target.
         cache_units: Tokens of these requests times the layers that the
             target runs for them.
+        prompt_units: The same for the tokens of prompts that the target may
+            not have read yet, as no event of their answers has arrived.
     """
 
     target_id: str
     requests: int
     cache_units: int
+    prompt_units: int = 0
 
 
 class AttemptCount(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/rattanroute/platform/manifests.py
+++ b/rattanroute/platform/manifests.py
@@ -129,6 +129,7 @@
             of context.
         read_per_s: Prompt tokens processed in a second (prefill).
         stride: Token steps in one pass through the chain.
+        chunk: Most prompt tokens processed in one pass.
         token_bytes: Memory for the cache entry of a token.
         layers: Layers of the model; 0 for a plain service.
         layer_mb: Memory for a layer, in megabytes.
@@ -147,6 +148,7 @@
     context_per_k: float = 0.0
     read_per_s: float = 0.0
     stride: int = 1
+    chunk: int = 0
     token_bytes: float = msgspec.field(name="kvTokenBytes", default=0.0)
     layers: int = 0
     layer_mb: float = msgspec.field(name="layerMb", default=0.0)
@@ -453,6 +455,7 @@
         context_step_s=item.context_per_k * MILLISECOND * PER_THOUSAND,
         prefill_s=1.0 / item.read_per_s if item.read_per_s else 0.0,
         steps_per_pass=item.stride,
+        prompt_chunk=item.chunk,
         load_s=max((model.load_s for model in item.models), default=0.0),
         concurrent_loads=max(1, item.loads_at_once),
         typical_prompt=item.usual.prompt,
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -15,6 +15,10 @@
 from rattanroute.systems.chain_searches import ChainPath
 from rattanroute.systems.chain_searches import find_chain
 from rattanroute.systems.chain_searches import StageCandidate
+from rattanroute.systems.local_chains import exclude_first_layer
+from rattanroute.systems.local_chains import exclude_first_target
+from rattanroute.systems.local_chains import LocalChainSearch
+from rattanroute.systems.prompt_backlogs import PromptBacklogs
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadRow
 from rattanroute.tables.engine_loads import EngineLoadTable
@@ -41,6 +45,9 @@
 LINK_RATE_FRACTION = 0.4
 # Time for which unused rate of these links accumulates.
 LINK_BURST_SECONDS = 2.0
+# Chains within one data centre that are considered for a request, as each one
+# takes a search.
+MAX_LOCAL_CHAINS = 6
 # Factor on the expected time of a target that is not healthy.
 UNHEALTHY_FACTOR = 3.0
 
@@ -123,6 +130,7 @@
         vms: Returns the number of VMs that share the targets.
         limiter: Keeps the limits that targets name; they count the requests
             that they receive as the first target of a chain.
+        backlogs: Estimates how long prompts wait at engines.
         link_limiter: Limits the traffic between data centres.
     """
 
@@ -133,6 +141,7 @@
     is_usable: Callable[[Target, float], bool]
     vms: Callable[[], int]
     limiter: TargetLimiter
+    backlogs: PromptBacklogs
     link_limiter: LinkRateLimiter = dataclasses.field(
         default_factory=LinkRateLimiter
     )
@@ -145,6 +154,7 @@
         excluded: frozenset[str],
         first_targets: frozenset[str] | None = None,
         demanded: set[str],
+        first_event_s: float = 0.0,
         now: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that runs each layer once; empty if there is none.
@@ -160,6 +170,7 @@
                 None for any.
             demanded: IDs of the targets with a limit for which the request has
                 been counted as demand; the choice adds to them.
+            first_event_s: Time until the first event is due, in seconds.
             now: Time in seconds.
         """
         engine = service.engine
@@ -167,7 +178,13 @@
             service, demand, excluded, first_targets, now
         )
         while True:
-            path = self.find_local_chain(engine, centres, demand)
+            search = LocalChainSearch(
+                engine=engine,
+                data_centre=self.data_centre,
+                answer_tokens=demand.answer_tokens,
+                centres=dict(centres),
+            )
+            path = self.choose_local_chain(service, search, first_event_s, now)
             if path is None:
                 path = self.find_cross_centre_chain(
                     engine, centres, demand, now
@@ -267,24 +284,42 @@
             end = max(end, range_end)
         return end >= service.engine.layers
 
-    def find_local_chain(
+    def choose_local_chain(
         self,
-        engine: Engine,
-        centres: dict[str, list[StageCandidate]],
-        demand: RequestDemand,
+        service: BackendService,
+        search: LocalChainSearch,
+        first_event_s: float,
+        now: float,
     ) -> ChainPath | None:
-        """Returns the fastest chain that stays in one data centre."""
-        best = None
-        best_seconds = math.inf
-        for centre, group in centres.items():
-            path = find_chain(group, 0, engine.layers)
+        """Returns a chain within one data centre, preferably one in time.
+
+        Args:
+            service: Service with the performance model of its engines.
+            search: Finds the chains, fastest first.
+            first_event_s: Time until the first event is due, in seconds.
+            now: Time in seconds.
+
+        Returns:
+            The fastest chain that reads the prompt in time, or else the one
+            with the shortest backlog; None if there is no chain.
+        """
+        engine = service.engine
+        arrivals = self.backlogs.draw_arrivals(service, now)
+        fallback = None
+        fallback_wait_s = math.inf
+        for _ in range(MAX_LOCAL_CHAINS):
+            path = search.find_best()
             if path is None:
-                continue
-            delay = engine.delay_s(self.data_centre, centre)
-            seconds = path.cost + delay * demand.answer_tokens
-            if seconds < best_seconds:
-                best, best_seconds = path, seconds
-        return best
+                break
+            slowest = self.backlogs.find_bottleneck(engine, path)
+            room = self.backlogs.count_room(slowest, first_event_s)
+            if self.backlogs.accepts(room, arrivals):
+                return path
+            arrivals = max(0.0, arrivals - room)
+            if slowest.wait_s < fallback_wait_s:
+                fallback, fallback_wait_s = path, slowest.wait_s
+            search.exclude(slowest.target_id)
+        return fallback
 
     def find_cross_centre_chain(
         self,
@@ -364,21 +399,6 @@
     return len(held) >= service.engine.layers
 
 
-def exclude_first_target(
-    centres: dict[str, list[StageCandidate]], target_id: str
-) -> None:
-    """Replaces a candidate by one that cannot run the first layer."""
-    for group in centres.values():
-        for number, candidate in enumerate(group):
-            if candidate.target_id == target_id:
-                group[number] = exclude_first_layer(candidate)
-
-
-def exclude_first_layer(candidate: StageCandidate) -> StageCandidate:
-    """Returns a copy of a candidate that cannot run the first layer."""
-    return dataclasses.replace(candidate, first=max(1, candidate.first))
-
-
 def cache_capacity(
     engine: Engine, accelerator: Accelerator, layers: int
 ) -> float:
--- a/rattanroute/systems/engine_loads.py
+++ b/rattanroute/systems/engine_loads.py
@@ -79,6 +79,7 @@
     def __init__(self) -> None:
         self.requests: dict[str, int] = {}
         self.units: dict[str, int] = {}
+        self.prompts: dict[str, int] = {}
         self.firsts: dict[str, int] = {}
         self.repeats: dict[str, int] = {}
         self.limits: dict[str, LimitUse] = {}
@@ -90,6 +91,7 @@
         for name, load in report.loads.items():
             self.requests[name] = self.requests.get(name, 0) + load.requests
             self.units[name] = self.units.get(name, 0) + load.cache_units
+            self.prompts[name] = self.prompts.get(name, 0) + load.prompt_units
         for count in report.attempts:
             name = count.service
             self.firsts[name] = self.firsts.get(name, 0) + count.firsts
@@ -114,6 +116,7 @@
                     target_id=name,
                     requests=count,
                     cache_units=self.units[name],
+                    prompt_units=self.prompts[name],
                 )
                 for name, count in self.requests.items()
             ),
--- a/rattanroute/systems/retry_budgets.py
+++ b/rattanroute/systems/retry_budgets.py
@@ -91,6 +91,14 @@
         times.append(now)
         self.drop_old(times, now)
 
+    def measure_rate(self, service: str, now: float) -> float:
+        """Returns the requests per second that all VMs receive."""
+        firsts = self.count(service, now).firsts
+        others = self.others.get(service)
+        if others is not None and self.has_recent_counts(now):
+            firsts += others.firsts
+        return firsts / self.window_s
+
     def drop_old(self, times: collections.deque[float], now: float) -> None:
         """Removes times older than the window."""
         while times and times[0] <= now - self.window_s:
--- a/rattanroute/tables/engine_loads.py
+++ b/rattanroute/tables/engine_loads.py
@@ -14,12 +14,17 @@
         cache_units: Tokens times layers of the requests of this VM.
         other_requests: Open requests of the other VMs, as last reported.
         other_cache_units: Tokens times layers of their requests.
+        prompt_units: Tokens times layers of the prompts of this VM whose
+            answers have not begun.
+        other_prompt_units: The same of the other VMs.
     """
 
     requests: int = 0
     cache_units: int = 0
     other_requests: int = 0
     other_cache_units: int = 0
+    prompt_units: int = 0
+    other_prompt_units: int = 0
 
     @property
     def all_requests(self) -> int:
@@ -31,6 +36,11 @@
         """Tokens times layers of the requests of all VMs."""
         return self.cache_units + self.other_cache_units
 
+    @property
+    def all_prompt_units(self) -> int:
+        """Tokens times layers of the unread prompts of all VMs."""
+        return self.prompt_units + self.other_prompt_units
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class EngineLoadTable:
@@ -57,6 +67,10 @@
         row.requests += requests
         row.cache_units += cache_units
 
+    def add_prompt(self, target_id: str, units: int) -> None:
+        """Adds to the unread prompts of this VM; may be negative."""
+        self.get(target_id).prompt_units += units
+
     def own_loads(self) -> tuple[EngineLoad, ...]:
         """Returns the load that this VM has put on targets."""
         return tuple(
@@ -64,6 +78,7 @@
                 target_id=target_id,
                 requests=row.requests,
                 cache_units=row.cache_units,
+                prompt_units=row.prompt_units,
             )
             for target_id, row in self.rows.items()
             if row.requests
@@ -77,9 +92,11 @@
             if target_id not in reported:
                 row.other_requests = 0
                 row.other_cache_units = 0
+                row.other_prompt_units = 0
                 if not row.requests:
                     del self.rows[target_id]
         for target_id, load in reported.items():
             row = self.get(target_id)
             row.other_requests = load.requests
             row.other_cache_units = load.cache_units
+            row.other_prompt_units = load.prompt_units
--- a/rattanroute/tables/routes.py
+++ b/rattanroute/tables/routes.py
@@ -101,6 +101,8 @@
             in seconds.
         prefill_s: Prefill time of one prompt token over all layers, in seconds.
         steps_per_pass: Decode steps in one pass.
+        prompt_chunk: Most prompt tokens that an engine reads in one pass; 0
+            if not stated.
         load_s: Time to load all layers, in seconds.
         concurrent_loads: Concurrent loads beyond which each one slows down.
         typical_prompt: Mean tokens of a prompt.
@@ -124,6 +126,7 @@
     context_step_s: float
     prefill_s: float
     steps_per_pass: int = 1
+    prompt_chunk: int = 0
     load_s: float = 0.0
     concurrent_loads: int = 1
     typical_prompt: float = 0.0
--- a/rattanroute/tests/gateway_hosts.py
+++ b/rattanroute/tests/gateway_hosts.py
@@ -31,6 +31,7 @@
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.crash_bans import CrashBanSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
+from rattanroute.systems.prompt_backlogs import PromptBacklogs
 from rattanroute.systems.retry_budgets import RetryBudget
 from rattanroute.systems.version_freshness import ConfigurationLag
 from rattanroute.tables.engine_loads import EngineLoadTable
@@ -254,6 +255,7 @@
         engine_control = EngineControlClient(
             pool=self.pool, codec=ReplicaCodec()
         )
+        loads = EngineLoadTable()
         self.streams = StreamForwarder(
             **shared,
             probes=probes,
@@ -262,11 +264,17 @@
                 chooser=ChainChooser(
                     data_centre="dc-a",
                     targets=self.targets,
-                    loads=EngineLoadTable(),
+                    loads=loads,
                     random=random.Random(1),
                     is_usable=selector.is_usable,
                     vms=lambda: 1,
                     limiter=limiter,
+                    backlogs=PromptBacklogs(
+                        targets=self.targets,
+                        loads=loads,
+                        random=random.Random(1),
+                        arrival_rate=lambda service, now: 0.0,
+                    ),
                 ),
             ),
             health=StreamHealthRecorder(
--- a/rattanroute/tests/gateway_support.py
+++ b/rattanroute/tests/gateway_support.py
@@ -5,6 +5,7 @@
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.layer_assignments import LayerHolder
 from rattanroute.systems.layer_assignments import plan_loads
+from rattanroute.systems.prompt_backlogs import PromptBacklogs
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.routes import Accelerator
@@ -88,10 +89,11 @@
 
 def build_targets(
     centres: dict[str, dict[str, int]] | None = None,
+    engine: Engine | None = None,
 ) -> TargetTable:
     """Builds a table of engines that hold their planned layers."""
     holders = build_holders(centres)
-    plan = plan_loads(build_engine(), holders)
+    plan = plan_loads(engine or build_engine(), holders)
     targets = TargetTable()
     for number, holder in enumerate(holders):
         layers = plan[holder.target_id]
@@ -110,21 +112,32 @@
 
 
 def build_chooser(
-    targets: TargetTable, *, data_centre: str = "dc-a", vms: int = 1
+    targets: TargetTable,
+    *,
+    data_centre: str = "dc-a",
+    vms: int = 1,
+    arrival_rate: float = 0.0,
 ) -> ChainChooser:
     """Builds a chooser of reachable targets that are not leaving."""
 
     def is_usable(target: Target, now: float) -> bool:
         return target.reachable and not target.report.leaving
 
+    loads = EngineLoadTable()
     return ChainChooser(
         data_centre=data_centre,
         targets=targets,
-        loads=EngineLoadTable(),
+        loads=loads,
         random=random.Random(1),
         is_usable=is_usable,
         vms=lambda: vms,
         limiter=build_limiter(targets, vms=vms),
+        backlogs=PromptBacklogs(
+            targets=targets,
+            loads=loads,
+            random=random.Random(2),
+            arrival_rate=lambda service, now: arrival_rate,
+        ),
     )
 
 
--- /dev/null
+++ b/rattanroute/tests/test_prompt_backlogs.py
@@ -0,0 +1,217 @@
+"""Tests of the distribution of prompts over chains by many VMs.
+
+The load is one that the fastest chain cannot serve alone. The VMs learn of
+each other's requests with a delay.
+"""
+
+import collections
+import dataclasses
+import heapq
+import random
+import unittest
+
+from rattanroute.messages.loads import EngineLoad
+from rattanroute.systems.chain_choices import ChainChooser
+from rattanroute.systems.chain_choices import RequestDemand
+from rattanroute.systems.prompt_backlogs import REPORT_DELAY_SECONDS
+from rattanroute.tables.routes import Accelerator
+from rattanroute.tests.gateway_support import build_chooser
+from rattanroute.tests.gateway_support import build_service
+from rattanroute.tests.gateway_support import build_targets
+from rattanroute.tests.gateway_support import SERVICE
+
+VMS = 60
+GOAL_SECONDS = 0.5
+REPORT_SECONDS = 0.25
+STREAM_SECONDS = 3.0
+# Engines of three kinds in uneven data centres: memory in bytes, factor on the
+# decode time and factor on the prefill time.
+KINDS = {
+    "big": (72e9, 2.4, 3.2),
+    "tiny": (14.4e9, 5.3, 7.9),
+    "small": (21.6e9, 16.0, 8.2),
+}
+CENTRES = {
+    "dc-a": {"big": 4, "tiny": 10, "small": 11},
+    "dc-b": {"big": 3, "tiny": 14, "small": 16},
+    "dc-c": {"big": 2, "tiny": 24, "small": 9},
+}
+MODEL = {
+    "cache_token_bytes": 984e3,
+    "step_s": 1.02e-3,
+    "request_step_s": 7.64e-6,
+    "context_step_s": 1.024e-8,
+    "prefill_s": 1 / 196e3,
+    "steps_per_pass": 5,
+    "prompt_chunk": 512,
+    "accelerators": {
+        name: Accelerator(
+            name=name,
+            memory_bytes=memory,
+            step_factor=step,
+            prefill_factor=prefill,
+        )
+        for name, (memory, step, prefill) in KINDS.items()
+    },
+}
+DEMAND = RequestDemand(service=SERVICE, prompt_tokens=774, answer_tokens=203)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Deployment:
+    """VMs that share the engines of three data centres.
+
+    Each target reads the prompts that reach it one after the other, at the
+    rate of the performance model.
+
+    Attributes:
+        arrival_rate: Requests per second of all VMs.
+        choosers: Chooser of each VM.
+        free_at: Time at which a target has read all prompts.
+        ends: Heap of (time, VM, chain, whether only the prompt ends).
+        lateness: Time until the prompt of each request was read.
+    """
+
+    arrival_rate: float
+    seed: int = 1
+    choosers: list[ChainChooser] = dataclasses.field(default_factory=list)
+    free_at: dict[str, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
+    ends: list[tuple] = dataclasses.field(default_factory=list)
+    lateness: list[float] = dataclasses.field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.service = build_service(**MODEL)
+        self.targets = build_targets(CENTRES, self.service.engine)
+        self.random = random.Random(self.seed)
+        for number in range(VMS):
+            chooser = build_chooser(
+                self.targets,
+                data_centre=f"dc-{'abc'[number % 3]}",
+                vms=VMS,
+                arrival_rate=self.arrival_rate,
+            )
+            chooser.random = random.Random(number)
+            chooser.backlogs.random = random.Random(number)
+            self.choosers.append(chooser)
+        self.reports = collections.deque([self.list_loads()])
+
+    def list_loads(self) -> list[dict[str, EngineLoad]]:
+        """Returns the loads of each VM."""
+        return [
+            {x.target_id: x for x in chooser.loads.own_loads()}
+            for chooser in self.choosers
+        ]
+
+    def exchange(self) -> None:
+        """Gives each VM the sums of the loads of an earlier moment."""
+        self.reports.append(self.list_loads())
+        if len(self.reports) > 2:
+            self.reports.popleft()
+        reports = self.reports[0]
+        total = collections.Counter()
+        for report in reports:
+            for name, load in report.items():
+                total[name, "requests"] += load.requests
+                total[name, "cache_units"] += load.cache_units
+                total[name, "prompt_units"] += load.prompt_units
+        names = {name for name, _ in total}
+        for chooser, report in zip(self.choosers, reports, strict=True):
+            others = []
+            for name in names:
+                own = report.get(
+                    name, EngineLoad(target_id=name, requests=0, cache_units=0)
+                )
+                others.append(
+                    EngineLoad(
+                        target_id=name,
+                        requests=total[name, "requests"] - own.requests,
+                        cache_units=total[name, "cache_units"]
+                        - own.cache_units,
+                        prompt_units=total[name, "prompt_units"]
+                        - own.prompt_units,
+                    )
+                )
+            chooser.loads.take_others(tuple(others), VMS)
+
+    def count(self, vm: int, chain: tuple, sign: int) -> None:
+        """Adds a request to the load of its chain, or subtracts it."""
+        loads = self.choosers[vm].loads
+        for hop in chain:
+            units = DEMAND.tokens * (hop.end_layer - hop.first_layer)
+            loads.add(hop.target_id, requests=sign, cache_units=sign * units)
+
+    def count_prompt(self, vm: int, chain: tuple, sign: int) -> None:
+        """Adds a prompt to the unread ones, or subtracts it."""
+        loads = self.choosers[vm].loads
+        for hop in chain:
+            units = DEMAND.prompt_tokens * (hop.end_layer - hop.first_layer)
+            loads.add_prompt(hop.target_id, sign * units)
+
+    def send(self, vm: int, now: float) -> None:
+        """Sends a request over the chain that its VM chooses."""
+        chooser = self.choosers[vm]
+        chain = chooser.choose(
+            self.service,
+            DEMAND,
+            excluded=frozenset(),
+            demanded=set(),
+            first_event_s=GOAL_SECONDS,
+            now=now,
+        )
+        if not chain:
+            self.lateness.append(float("inf"))
+            return
+        at = now
+        for hop in chain:
+            stage = chooser.backlogs.estimate_stage(
+                self.service.engine,
+                hop.target_id,
+                hop.end_layer - hop.first_layer,
+            )
+            begun = max(at, self.free_at[hop.target_id])
+            self.free_at[hop.target_id] = begun + stage.prompt_s
+            # The next target begins with the first chunk.
+            at = begun + stage.prompt_s / 2
+        read_at = max(at, self.free_at[chain[-1].target_id])
+        self.lateness.append(read_at - now)
+        self.count(vm, chain, 1)
+        self.count_prompt(vm, chain, 1)
+        heapq.heappush(self.ends, (read_at, vm, chain, True))
+        heapq.heappush(self.ends, (read_at + STREAM_SECONDS, vm, chain, False))
+
+    def run(self, seconds: float) -> None:
+        """Plays arrivals at random VMs."""
+        now, exchange_at = 0.0, 0.0
+        while now < seconds:
+            now += self.random.expovariate(self.arrival_rate)
+            while exchange_at <= now:
+                self.exchange()
+                exchange_at += REPORT_SECONDS
+            while self.ends and self.ends[0][0] <= now:
+                _, vm, chain, is_prompt = heapq.heappop(self.ends)
+                if is_prompt:
+                    self.count_prompt(vm, chain, -1)
+                else:
+                    self.count(vm, chain, -1)
+            self.send(self.random.randrange(VMS), now)
+
+    def count_late(self) -> float:
+        """Returns the fraction of first events after the objective."""
+        late = sum(x > GOAL_SECONDS for x in self.lateness)
+        return late / len(self.lateness)
+
+
+class SteadyLoadTest(unittest.TestCase):
+    """Guards against VMs that all choose the same chain at the same time."""
+
+    def test_more_than_the_fastest_chain_reads(self) -> None:
+        deployment = Deployment(arrival_rate=60.0)
+        deployment.run(8.0)
+        print(deployment.count_late(), sorted(deployment.lateness)[::40])
+        self.assertLess(deployment.count_late(), 0.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
