--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -13,6 +13,31 @@
 NO_CONNECTION = "-"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LongestGap:
+    """The longest time between two events of a stream.
+
+    Attributes:
+        seconds: Its length in seconds; 0 before the second event.
+        began_s: Seconds from the arrival of the request to its start.
+        sent_s: Seconds from the arrival until the attempt that ended it was
+            sent; after the start if another attempt continued the stream.
+        waited_s: Seconds of it that were spent in the wait queue.
+        sends: Attempts made by its end.
+        failures: Reasons of the attempts that failed in it.
+    """
+
+    seconds: float = 0.0
+    began_s: float = 0.0
+    sent_s: float = 0.0
+    waited_s: float = 0.0
+    sends: int = 0
+    failures: tuple[str, ...] = ()
+
+
+NO_GAP = LongestGap()
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Call:
     """A routed and authenticated request.
@@ -33,8 +58,13 @@
         events: Events of a stream that were passed to the client.
         waited_s: Seconds spent in the wait queue.
         first_event_s: Seconds until the first event of a stream.
-        longest_gap_s: Longest time between two events, in seconds.
+        first_sent_s: Seconds until the attempt with that event was sent.
+        first_waited_s: Seconds spent in the wait queue before that event.
+        first_sends: Attempts made by then.
+        longest_gap: Longest time between two events.
         targets: Target identifiers of each attempt, in order.
+        data_centres: Data centres of the chain of each attempt of a stream, in
+            order.
         connections: Description of the connection of each attempt, in order.
         stamp: Signature of the target whose answer was passed on, or whose
             answer ended a stream.
@@ -59,8 +89,12 @@
     events: int = 0
     waited_s: float = 0.0
     first_event_s: float = 0.0
-    longest_gap_s: float = 0.0
+    first_sent_s: float = 0.0
+    first_waited_s: float = 0.0
+    first_sends: int = 0
+    longest_gap: LongestGap = NO_GAP
     targets: list[str] = dataclasses.field(default_factory=list)
+    data_centres: list[str] = dataclasses.field(default_factory=list)
     connections: list[str] = dataclasses.field(default_factory=list)
     stamp: str = ""
     failures: list[str] = dataclasses.field(default_factory=list)
@@ -108,6 +142,15 @@
         """
         return self.service.engine is None and not self.route.repeatable
 
+    @property
+    def spent_s(self) -> float:
+        """Seconds of the route's time limit that were used up on arrival.
+
+        A client that was refused and returns states the rest of its time.
+        """
+        time_limit_s = self.deadline - self.exchange.received_at
+        return round(self.route.timeout_s - time_limit_s, 3)
+
     def time_left(self, now: float) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - now
--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -173,6 +173,16 @@
             else:
                 targets.note_end(hop.target_id, now)
 
+    def describe_data_centres(self, chain: tuple[ChainHop, ...]) -> str:
+        """Returns the data centres that a chain passes through, for logs."""
+        names: list[str] = []
+        for hop in chain:
+            target = self.selector.targets.get(hop.target_id)
+            name = target.report.data_centre if target is not None else "?"
+            if names[-1:] != [name]:
+                names.append(name)
+        return "+".join(names)
+
     def add_load(self, attempt: StreamAttempt) -> None:
         """Counts the load of an attempt unless it is counted already."""
         if not attempt.loaded:
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -153,6 +153,7 @@
     def log(self, call: Call, status: int, reason: str) -> None:
         """Logs the outcome of a call."""
         now = call.exchange.connection.loop.time()
+        gap = call.longest_gap
         log.info(
             "request ended",
             request_id=call.metadata.request_id,
@@ -171,6 +172,19 @@
             draining=call.exchange.draining_s,
             waited=call.waited_s,
             first_event=call.first_event_s,
-            longest_gap=call.longest_gap_s,
+            longest_gap=gap.seconds,
             seconds=now - call.exchange.received_at,
+            priority=call.priority,
+            goal=call.route.goal_s,
+            gap_goal=call.route.gap_s,
+            spent=call.spent_s,
+            first_sent=call.first_sent_s,
+            first_waited=call.first_waited_s,
+            first_sends=call.first_sends,
+            gap_at=gap.began_s,
+            gap_sent=gap.sent_s,
+            gap_waited=gap.waited_s,
+            gap_sends=gap.sends,
+            gap_failures=";".join(gap.failures),
+            data_centres=",".join(call.data_centres),
         )
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -211,6 +211,7 @@
         first = chain[0]
         call.sends += 1
         call.targets.append("+".join(hop.target_id for hop in chain))
+        call.data_centres.append(self.finder.describe_data_centres(chain))
         self.finder.count_load(chain, build_demand(call).tokens, 1, loop.time())
         try:
             connection = await self.pool.take(
--- a/rattanroute/gateway/stream_sinks.py
+++ b/rattanroute/gateway/stream_sinks.py
@@ -7,6 +7,7 @@
 
 from rattanroute.errors import RouterError
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.calls import LongestGap
 from rattanroute.gateway.header_codecs import AnswerMetadata
 from rattanroute.gateway.header_codecs import HeaderCodec
 from rattanroute.gateway.outcomes import Answered
@@ -50,6 +51,8 @@
         head: Head of the first answer; those of retries are not forwarded.
         event_at: Time of the latest event, in seconds of the event loop's
             clock.
+        failures_before: Failed attempts before the latest event.
+        waited_before_s: Seconds in the wait queue before the latest event.
         shortage: Why the latest search found no chain.
     """
 
@@ -57,6 +60,8 @@
     last_event_id: bytes = b""
     head: ResponseHead | None = None
     event_at: float = 0.0
+    failures_before: int = 0
+    waited_before_s: float = 0.0
     shortage: Shortage = Shortage.ROOM
 
 
@@ -190,15 +195,36 @@
         now = self.loop.time()
         call = self.state.call
         if not call.exchange.started:
-            call.first_event_s = now - call.exchange.received_at
-        else:
-            gap = now - self.state.event_at
-            call.longest_gap_s = max(call.longest_gap_s, gap)
+            self.note_first_event(now)
+        elif now - self.state.event_at > call.longest_gap.seconds:
+            self.note_longest_gap(now)
         self.event_at = self.state.event_at = now
+        self.state.failures_before = len(call.failures)
+        self.state.waited_before_s = call.waited_s
         if self.first_event_at is None:
             self.first_event_at = now
             self.on_begun()
 
+    def note_first_event(self, now: float) -> None:
+        """Records what the time to the first event consists of."""
+        call = self.state.call
+        call.first_event_s = now - call.exchange.received_at
+        call.first_sent_s = self.connection.sent_at - call.exchange.received_at
+        call.first_waited_s = call.waited_s
+        call.first_sends = call.sends
+
+    def note_longest_gap(self, now: float) -> None:
+        """Records the gap that ends now, and what happened in it."""
+        state, call = self.state, self.state.call
+        call.longest_gap = LongestGap(
+            seconds=now - state.event_at,
+            began_s=state.event_at - call.exchange.received_at,
+            sent_s=self.connection.sent_at - call.exchange.received_at,
+            waited_s=call.waited_s - state.waited_before_s,
+            sends=call.sends,
+            failures=tuple(call.failures[state.failures_before :]),
+        )
+
     def may_be_empty(self) -> bool:
         """Whether nothing may be left to send.
 
