Answers without a valid status fail the attempt

Cause: the response parser took every status below 200 for an interim response, and nothing limited a status upwards. aiohttp returns undefined statuses and an unrequested 101 as answers.

Change: `is_valid_status` decides for both programs. The response parser refuses other heads before any part of them is passed on; the sessions of the daemon refuse them in a middleware, where a WebSocket handshake may still switch protocols. `contains_status_line` moves to `http1/heads.py`, which keeps the parsers' module short.

--- a/rattanroute/clients/failures.py
+++ b/rattanroute/clients/failures.py
@@ -9,9 +9,12 @@
 import socket
 
 import aiohttp
+from aiohttp import hdrs
 
 from rattanroute.clients.attempts import AttemptError
 from rattanroute.events import Provenance
+from rattanroute.http1.heads import is_valid_status
+from rattanroute.http1.heads import SWITCHING_PROTOCOLS
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_RETRY_AFTER_S = 600.0
@@ -40,6 +43,33 @@
 paused."""
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """An answer has no valid status, so that it is no answer."""
+
+
+async def check_status(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Sends a request and checks the status of the response.
+
+    The request may have run. None of the response is used: its headers, such
+    as `Retry-After`, are no more reliable than its status.
+
+    Raises:
+        InvalidStatusError: If the status is undefined, or switches protocols
+            without having been asked to.
+    """
+    response = await handler(request)
+    status = response.status
+    asks_to_switch = hdrs.UPGRADE in request.headers
+    if is_valid_status(status):
+        return response
+    if status == SWITCHING_PROTOCOLS and asks_to_switch:
+        return response
+    response.close()
+    raise InvalidStatusError(f"invalid status {status:03d}")
+
+
 def open_socket(addr_info: tuple[object, ...]) -> socket.socket:
     """Opens a socket with a bounded receive buffer.
 
@@ -75,6 +105,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
+        middlewares=(check_status,),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
--- a/rattanroute/http1/heads.py
+++ b/rattanroute/http1/heads.py
@@ -1,6 +1,7 @@
 """Heads of HTTP/1.1 messages; names and values stay as received."""
 
 import dataclasses
+import re
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -17,6 +18,12 @@
         b"expect",
     }
 )
+# Start of a head. Within a head it means that the head before it broke off.
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.\d \d{3}")
+# Bounds of the statuses that HTTP defines (RFC 9110, section 15).
+FIRST_STATUS = 100
+LAST_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 REASONS = {
     100: b"Continue",
     200: b"OK",
@@ -135,3 +142,23 @@
     lines += [key + b": " + value for key, value in head.headers]
     lines += [key + b": " + value for key, value in framing]
     return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def is_valid_status(status: int) -> bool:
+    """Returns whether a status may answer a request.
+
+    Targets in trouble have answered with the status 000. A request that does
+    not ask to switch protocols is not answered by a switch.
+    """
+    is_defined = FIRST_STATUS <= status <= LAST_STATUS
+    return is_defined and status != SWITCHING_PROTOCOLS
+
+
+def contains_status_line(reason: bytes, headers: Headers) -> bool:
+    """Returns whether a head contains the start of another one.
+
+    A target may send a part of a head and then a whole one. The status and
+    some headers would belong to one request, the others to another.
+    """
+    values = b"\n".join([reason, *(value for _, value in headers)])
+    return STATUS_LINE_PATTERN.search(values) is not None
--- a/rattanroute/http1/parsers.py
+++ b/rattanroute/http1/parsers.py
@@ -7,13 +7,13 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
-import re
 from typing import Protocol
 
 import httptools
 
 from rattanroute.errors import RouterError
-from rattanroute.http1.heads import Headers
+from rattanroute.http1.heads import contains_status_line
+from rattanroute.http1.heads import is_valid_status
 from rattanroute.http1.heads import Request
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
@@ -29,11 +29,8 @@
 # Bytes fed to the C parser per call. Limits are checked between calls.
 SLICE_BYTES = 16_384
 OPTIONAL_WHITE_SPACE = b" \t"
-SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
-# Start of a head. Within a head it means that the head before it broke off.
-STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.\d \d{3}")
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -435,13 +432,18 @@
         """Passes the head of a final response to the receiver.
 
         Raises:
-            ProtocolError: If the head is made of parts of several heads.
+            ProtocolError: If the head is made of parts of several heads, or
+                its status is not valid.
         """
         if contains_status_line(self.reason, self.headers):
             raise ProtocolError(
                 step="read response", message="a head within a head"
             )
         status = self.parser.get_status_code()
+        if not is_valid_status(status):
+            raise ProtocolError(
+                step="read response", message=f"invalid status {status:03d}"
+            )
         self.is_interim = status < FIRST_FINAL_STATUS
         if self.is_interim or self.receiver is None:
             self.unexpected_data |= self.receiver is None
@@ -486,13 +488,3 @@
         receiver, self.receiver = self.receiver, None
         if receiver is not None:
             receiver.receive_end()
-
-
-def contains_status_line(reason: bytes, headers: Headers) -> bool:
-    """Returns whether a head contains the start of another one.
-
-    A target may send a part of a head and then a whole one. The status and
-    some headers would belong to one request, the others to another.
-    """
-    values = b"\n".join([reason, *(value for _, value in headers)])
-    return STATUS_LINE_PATTERN.search(values) is not None
