Check of a configuration before it is sent

Cause: an operator learned only one error at a time, after sending, and nothing told of settings that are accepted but have no effect.

Change: `rattanroute check FILE` works without a server on configurations of the platform and on changes of the daemon.

--- a/rattanroute/tools/cli.py
+++ b/rattanroute/tools/cli.py
@@ -16,6 +16,7 @@
 from rattanroute.security import TokenFile
 from rattanroute.tables.changes import ANY_VERSION
 from rattanroute.tools import cli_output
+from rattanroute.tools.cli_checks import check
 from rattanroute.tools.cli_client import CliError
 from rattanroute.tools.cli_client import ExitCode
 from rattanroute.tools.cli_client import OperatorsClient
@@ -464,5 +465,8 @@
     print_list(cli_context, "Targets", pb.TargetsRequest(model=model))
 
 
+main.add_command(check)
+
+
 if __name__ == "__main__":
     main()
