Loss reports: tell a slow entry VM from slow engines

Cause: the time until a request was sent counted as the engines' time when no attempt had failed, so that a paused entry VM looked like a queue of prompts.

Change: that time is a phase of its own, `not sent yet by the entry VM`.

--- a/rattanroute/tests/test_loss_reports.py
+++ b/rattanroute/tests/test_loss_reports.py
@@ -123,6 +123,10 @@
             failures="stalled at t1",
         )
 
+    def test_busy_entry_vm(self) -> None:
+        """Guards against engines that are blamed for a slow entry VM."""
+        self.check(Cause.UNSENT, 0.2, first_event=0.7, first_sent=0.6)
+
     def test_client_that_returned(self) -> None:
         """Guards against lateness that the refusal before has caused."""
         self.check(Cause.RETURNED, 0.3, first_event=0.2, spent=0.6)
--- a/rattanroute/tools/loss_causes.py
+++ b/rattanroute/tools/loss_causes.py
@@ -45,6 +45,7 @@
     RETURNED = "returned after a refusal"
     WAITED = "waited for capacity"
     ANOTHER_ATTEMPT = "another attempt"
+    UNSENT = "not sent yet by the entry VM"
     QUEUED = "prompt queued at the engines"
     SLOW_TARGET = "slow target"
     LOST_ENGINE = "lost engine"
@@ -139,34 +140,30 @@
     The engines' own time is the cause only if no other phase suffices, as
     each request needs it.
     """
-    waited_s, failures_s = measure_first_event(record)
-    phases = {
-        Cause.RETURNED: record.spent_s,
-        Cause.WAITED: waited_s,
-        Cause.ANOTHER_ATTEMPT: failures_s,
-    }
+    phases = {Cause.RETURNED: record.spent_s, **split_first_event(record)}
     longest = max(phases, key=phases.__getitem__)
-    engines_s = record.first_event_s - waited_s - failures_s
+    before_s = sum(phases.values()) - record.spent_s
+    engines_s = record.first_event_s - before_s
     if phases[longest] >= min(excess_s, engines_s):
         return longest
     return Cause.QUEUED
 
 
-def measure_first_event(record: RequestRecord) -> tuple[float, float]:
-    """Returns the seconds of waiting and of failed attempts before it.
+def split_first_event(record: RequestRecord) -> dict[Cause, float]:
+    """Returns the seconds before the engines began, by cause.
 
     Older logs tell neither when a failure happened nor what came of a wait.
     A failure belongs to the longest pause if that was longer.
     """
     phases = record.phases
-    if phases is not None:
-        other_s = max(0.0, phases.first_sent_s - phases.first_waited_s)
-        failures_s = other_s if phases.first_sends > 1 else 0.0
-        return phases.first_waited_s, failures_s
-    waited_s = min(record.waited_s, record.first_event_s)
-    if record.failures and record.first_event_s >= record.gap_s:
-        return waited_s, record.first_event_s - waited_s
-    return waited_s, 0.0
+    if phases is None:
+        waited_s = min(record.waited_s, record.first_event_s)
+        failed = record.failures and record.first_event_s >= record.gap_s
+        other_s = record.first_event_s - waited_s if failed else 0.0
+        return {Cause.WAITED: waited_s, Cause.ANOTHER_ATTEMPT: other_s}
+    other_s = max(0.0, phases.first_sent_s - phases.first_waited_s)
+    cause = Cause.ANOTHER_ATTEMPT if phases.first_sends > 1 else Cause.UNSENT
+    return {Cause.WAITED: phases.first_waited_s, cause: other_s}
 
 
 def find_late_answer(
