--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -154,7 +154,7 @@
                         targets=self.targets,
                         loads=self.loads,
                         random=self.random,
-                        arrival_rate=self.retry_budget.measure_rate,
+                        arrival_rate=self.measure_arrivals,
                     ),
                     note_choice=lambda choice: self.metrics.chain_choices.inc(
                         {"choice": choice}
@@ -184,6 +184,11 @@
             refusal_age_s=self.boot.bounds.config_apply_ms / 1000,
         )
 
+    def measure_arrivals(self, service: str, now: float) -> float:
+        """Returns the requests per second that all VMs receive now."""
+        vms = self.control.count_serving_vms()
+        return self.retry_budget.measure_rate(service, vms=vms, now=now)
+
     def suspect_attempts_at(self, target_id: str) -> None:
         """Looks for other chains for the streams at an unreachable target."""
         log.info("target unreachable", target=target_id)
--- a/rattanroute/systems/retry_budgets.py
+++ b/rattanroute/systems/retry_budgets.py
@@ -33,6 +33,8 @@
 PROPAGATION_SECONDS = 1.0
 # Time over which the present rate of requests is measured.
 RECENT_SECONDS = 1.0
+# Time from the first request until the counts of other VMs cover that time.
+SETTLING_SECONDS = 1.5
 # Nothing is borrowed when the counts of the other VMs are older than this.
 COUNTS_EXPIRY_SECONDS = 2.0
 
@@ -94,12 +96,27 @@
         times.append(now)
         self.drop_old(times, now)
 
-    def measure_rate(self, service: str, now: float) -> float:
-        """Returns the requests per second that all VMs receive now."""
-        recent = self.count(service, now).recent
+    def measure_rate(self, service: str, *, vms: int, now: float) -> float:
+        """Returns the requests per second that all VMs receive now.
+
+        The counts of other VMs say little about the first requests after a
+        pause or a start of all VMs. Until they do, the others are assumed to
+        receive as many as this VM.
+
+        Args:
+            service: The service.
+            vms: Number of VMs that receive requests.
+            now: Current time in seconds.
+        """
+        own = self.count(service, now).recent
+        recent = own
         others = self.others.get(service)
         if others is not None and self.has_recent_counts(now):
             recent += others.recent
+        firsts = self.firsts[service]
+        if not firsts or now - firsts[0] < SETTLING_SECONDS:
+            # The mean of the requests with and without the one that asks.
+            recent = max(recent, (own + 0.5) * vms)
         return recent / RECENT_SECONDS
 
     def drop_old(self, times: collections.deque[float], now: float) -> None:
--- a/rattanroute/tests/test_retry_budgets.py
+++ b/rattanroute/tests/test_retry_budgets.py
@@ -204,3 +204,45 @@
                     while budget.try_retry("s", vms=self.VMS, now=now):
                         self.repeats.append(now)
         self.assertLessEqual(self.count_window(self.repeats, 0.0), self.EXTRA)
+
+
+class ArrivalRateTest(unittest.TestCase):
+    """Guards against a wrong idea of the present load of all VMs."""
+
+    def setUp(self) -> None:
+        self.budget = RetryBudget(ratio=0.2, extra=10, window_s=10)
+
+    def note_firsts(self, start: float, count: int) -> None:
+        """Records requests of this VM, ten per second."""
+        for number in range(count):
+            self.budget.note_first("s", start + number / 10)
+
+    def test_sum_of_all_vms(self) -> None:
+        self.note_firsts(0.0, 50)
+        self.budget.update_others(
+            (AttemptCount(service="s", firsts=900, repeats=0, recent=90),),
+            vms=10,
+            now=4.8,
+        )
+        rate = self.budget.measure_rate("s", vms=10, now=4.9)
+        self.assertAlmostEqual(rate, 100.0)
+
+    def test_burst_after_a_pause_is_not_taken_for_few_requests(self) -> None:
+        self.note_firsts(0.0, 5)
+        self.budget.update_others(
+            (AttemptCount(service="s", firsts=1, repeats=0, recent=1),),
+            vms=10,
+            now=0.4,
+        )
+        rate = self.budget.measure_rate("s", vms=10, now=0.4)
+        self.assertGreaterEqual(rate, 50.0)
+
+    def test_old_counts_of_others_do_not_count(self) -> None:
+        self.note_firsts(0.0, 100)
+        self.budget.update_others(
+            (AttemptCount(service="s", firsts=900, repeats=0, recent=90),),
+            vms=10,
+            now=1.0,
+        )
+        rate = self.budget.measure_rate("s", vms=10, now=9.9)
+        self.assertAlmostEqual(rate, 10.0)
