--- a/rattanroute/platform/manifests.py
+++ b/rattanroute/platform/manifests.py
@@ -129,7 +129,7 @@
             of context.
         read_per_s: Prompt tokens processed in a second (prefill).
         stride: Token steps in one pass through the chain.
-        chunk: Most prompt tokens processed in one step.
+        chunk: Most prompt tokens processed in one pass.
         token_bytes: Memory for the cache entry of a token.
         layers: Layers of the model; 0 for a plain service.
         layer_mb: Memory for a layer, in megabytes.
--- a/rattanroute/systems/chain_rooms.py
+++ b/rattanroute/systems/chain_rooms.py
@@ -30,6 +30,8 @@
 # Shortest wait that is allowed, so that a request that is nearly late, or has
 # no objective, is also sent where it waits least.
 MIN_WAIT_SECONDS = 0.05
+# Fraction of the requests that should end within a time that count as ended.
+ENDED_FRACTION = 0.5
 # Fraction of the cache memory (memory not used by layers) that requests may
 # use. The rest covers answers that are longer than expected and requests of
 # other VMs that are not known yet.
@@ -89,9 +91,10 @@
         steps = path.steps()
         first_id = steps[0][0].target_id
         busy = self.loads.get(first_id).all_first_requests
-        # Some requests end meanwhile.
+        # Some requests end meanwhile. On full engines they take longer than
+        # the expected time.
         ended = busy * min(1.0, REPORT_DELAY_SECONDS / path.total)
-        slots = engine.slots - busy + ended
+        slots = engine.slots - busy + ENDED_FRACTION * ended
         rooms = [
             ChainRoom(
                 requests=max(0.0, slots), target_id=first_id, only_first=True
@@ -171,8 +174,8 @@
 ) -> float:
     """Returns the time in which a target reads one token of a prompt.
 
-    With each decode step of the requests that are at the target it reads at
-    most a chunk of prompt tokens.
+    A pass reads at most a chunk of prompt tokens, beside the decode steps of
+    the requests that are at the target.
 
     Args:
         engine: Performance model of the engines.
@@ -190,5 +193,6 @@
     step_s = engine.step_s + batch * (
         engine.request_step_s + engine.context_step_s * context
     )
-    decode_s = fraction * step_s * accelerator.step_factor
+    decode_s = fraction * engine.steps_per_pass * step_s
+    decode_s *= accelerator.step_factor
     return read_s + decode_s / engine.prompt_chunk
--- a/rattanroute/tables/routes.py
+++ b/rattanroute/tables/routes.py
@@ -101,7 +101,7 @@
             in seconds.
         prefill_s: Prefill time of one prompt token over all layers, in seconds.
         steps_per_pass: Decode steps in one pass.
-        prompt_chunk: Most prompt tokens that an engine reads in one step; 0
+        prompt_chunk: Most prompt tokens that an engine reads in one pass; 0
             if not stated.
         load_s: Time to load all layers, in seconds.
         concurrent_loads: Concurrent loads beyond which each one slows down.
