Hedging decision in a module of its own, with decay and settings

Cause: HedgeSystem was a part of systems/retries.py, kept all durations since the start of the process and had fixed limits. The gateway needs the same decision with limits that operators set.

Change: systems/hedges.py keeps the times of one to two minutes by service or model, limits hedges to a fraction of the requests and a number per second, and has no clock or random source. The daemon uses it with the limits it had, which are settings now (hedging.ratio, hedging.per_second, hedging.percentile).

Conclusion: test_hedges, test_retries, test_settings, test_cores, test_chat_sessions and test_core_properties pass. test_retries only imports a constant from its new module.

--- a/rattanroute/requests/core_systems.py
+++ b/rattanroute/requests/core_systems.py
@@ -11,9 +11,11 @@
 from rattanroute.systems.attempts import AttemptSystem
 from rattanroute.systems.crash_bans import CrashBanSystem
 from rattanroute.systems.expirations import ExpirationSystem
+from rattanroute.systems.hedges import HEDGE_BURST
+from rattanroute.systems.hedges import HedgeSettings
+from rattanroute.systems.hedges import HedgeSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.quarantines import QuarantineSystem
-from rattanroute.systems.retries import HedgeSystem
 from rattanroute.systems.retries import RetrySystem
 from rattanroute.systems.routing import RoutingSystem
 from rattanroute.systems.selections import ChainPlanner
@@ -38,6 +40,7 @@
         hedging: Whether a late request without streaming is also sent to a
             second target. The host must then be able to run two attempts of
             a request concurrently.
+        hedges: Limits of these hedges.
     """
 
     max_queued: int = 1000
@@ -45,6 +48,7 @@
     heartbeat_timeout_s: float = 2.5
     max_attempts: int = 4
     hedging: bool = False
+    hedges: HedgeSettings = dataclasses.field(default_factory=HedgeSettings)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -112,7 +116,9 @@
         self.retries = RetrySystem(
             random=self.random, max_attempts=self.settings.max_attempts
         )
-        self.hedges = HedgeSystem()
+        self.hedges = HedgeSystem(settings=self.settings.hedges)
+        # The daemon may hedge from its start on.
+        self.hedges.budget.tokens = HEDGE_BURST
         self.attempts = AttemptSystem(
             targets=self.targets,
             gate=self.gate,
--- a/rattanroute/requests/cores.py
+++ b/rattanroute/requests/cores.py
@@ -97,7 +97,7 @@
         self.requests.add(request)
         self.expirations.watch(request)
         self.retries.budget.earn()
-        self.hedges.budget.earn()
+        self.hedges.earn()
         if request.kind is RequestKind.CHAT:
             request.pool = self.routing.find_pool_key(request)
             work = self.selections.run_seconds(request)
@@ -403,6 +403,6 @@
         if len(self.admissions.queue(request.pool)):
             return []
         target = self.selections.hedge_target(request, now)
-        if target is None or not self.hedges.budget.spend():
+        if target is None or not self.hedges.spend(now):
             return []
         return self.dispatch(request, (build_hop(target),), now)
--- a/rattanroute/routers.py
+++ b/rattanroute/routers.py
@@ -1,6 +1,7 @@
 """Host of the request core: builds its systems and executes its actions."""
 
 from collections.abc import Callable
+import math
 import random as randoms
 import time
 
@@ -13,7 +14,9 @@
 from rattanroute.requests.cores import RequestCore
 from rattanroute.requests.sessions import SessionRegistry
 from rattanroute.settings import DaemonSettings
+from rattanroute.settings import HedgingSettings
 from rattanroute.systems.crash_bans import CrashBanSystem
+from rattanroute.systems.hedges import HedgeSettings
 from rattanroute.systems.memberships import MembershipSystem
 from rattanroute.systems.pipelines import PipelinePlanner
 from rattanroute.systems.quarantines import QuarantineSystem
@@ -121,7 +124,8 @@
                 max_queued=settings.limits.max_queued,
                 max_wait_s=settings.limits.max_queue_wait_s,
                 heartbeat_timeout_s=timeout_s,
-                hedging=True,
+                hedging=settings.hedging.ratio > 0,
+                hedges=build_hedge_settings(settings.hedging),
             ),
             random=random,
             planner=planner,
@@ -176,3 +180,13 @@
                 self.send(action.peer, action.message)
             else:
                 self.sessions.deliver(action)
+
+
+def build_hedge_settings(settings: HedgingSettings) -> HedgeSettings:
+    """Returns the limits of hedges from the settings of the daemon."""
+    per_second = settings.per_second
+    return HedgeSettings(
+        ratio=settings.ratio,
+        per_second=math.inf if per_second is None else per_second,
+        percentile=settings.percentile,
+    )
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -11,6 +11,8 @@
 
 from rattanroute.addresses import parse_address
 from rattanroute.errors import SettingsError
+from rattanroute.systems.hedges import HEDGE_PERCENTILE
+from rattanroute.systems.hedges import HEDGE_RATIO
 
 
 class Section(pydantic.BaseModel):
@@ -196,6 +198,31 @@
     )
 
 
+class HedgingSettings(Section):
+    """When a late request without streaming also goes to a second target."""
+
+    ratio: float = pydantic.Field(
+        default=HEDGE_RATIO,
+        ge=0,
+        le=1,
+        description="Hedges per request; 0 switches hedging off.",
+    )
+    per_second: float | None = pydantic.Field(
+        default=None,
+        gt=0,
+        description="Most hedges of this VM per second; no limit by default.",
+    )
+    percentile: float = pydantic.Field(
+        default=HEDGE_PERCENTILE,
+        ge=50,
+        lt=100,
+        description=(
+            "Percentile of the recent times of a model past which an attempt "
+            "counts as late."
+        ),
+    )
+
+
 class SecuritySettings(Section):
     """Authentication of operators and peers."""
 
@@ -304,6 +331,7 @@
     limits: LimitsSettings = LimitsSettings()
     targets: TargetsSettings = TargetsSettings()
     placement: PlacementSettings = PlacementSettings()
+    hedging: HedgingSettings = HedgingSettings()
     security: SecuritySettings = SecuritySettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
--- a/rattanroute/systems/attempts.py
+++ b/rattanroute/systems/attempts.py
@@ -8,10 +8,10 @@
 from rattanroute.events import AttemptSucceeded
 from rattanroute.systems.admissions import AdmissionSystem
 from rattanroute.systems.admissions import ShareLimiter
+from rattanroute.systems.hedges import HedgeSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.quarantines import QuarantineSystem
 from rattanroute.systems.quarantines import RUN_EXPIRY_SECONDS
-from rattanroute.systems.retries import HedgeSystem
 from rattanroute.systems.routing import RoutingSystem
 from rattanroute.tables.requests import Attempt
 from rattanroute.tables.requests import Request
@@ -157,6 +157,7 @@
                 model=request.model,
                 seconds=seconds,
                 expected=self.routing.run_seconds(request, row),
+                now=now,
             )
         if not request.stream:
             self.detections.note_duration(
--- a/rattanroute/systems/retries.py
+++ b/rattanroute/systems/retries.py
@@ -1,11 +1,9 @@
-"""Retries with a budget and back-off, and hedging of late requests."""
+"""Retries with a budget and back-off."""
 
 import dataclasses
 import heapq
 import random as randoms
 
-from hdrh.histogram import HdrHistogram
-
 from rattanroute.actions import Refusal
 from rattanroute.events import AttemptFailed
 from rattanroute.events import Provenance
@@ -16,14 +14,6 @@
 # covers the requests of one large target that fails.
 RETRY_RATIO = 0.1
 RETRY_BURST = 50.0
-# The same for hedges, which are optional and need no large reserve.
-HEDGE_RATIO = 0.05
-HEDGE_BURST = 5.0
-HEDGE_PERCENTILE = 95.0
-MIN_HEDGE_SAMPLES = 20
-# A hedge that starts sooner than this after the dispatch only adds load.
-MIN_HEDGE_SECONDS = 0.05
-PERCENTILE_REFRESH_SECONDS = 1.0
 INITIAL_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 1.0
 
@@ -153,92 +143,3 @@
         while self.delayed and self.delayed[0][0] <= now:
             released.append(heapq.heappop(self.delayed)[1])
         return released
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class DurationRatios:
-    """Durations of answers as multiples of the expected duration.
-
-    Attributes:
-        histogram: Multiples in thousandths.
-        late_ratio: Multiple past which an answer is late; 0 if not known.
-        refreshed_at: Time at which `late_ratio` was computed, in seconds.
-    """
-
-    histogram: HdrHistogram = dataclasses.field(
-        default_factory=lambda: HdrHistogram(1, 100_000, 2)
-    )
-    late_ratio: float = 0.0
-    refreshed_at: float = float("-inf")
-
-    def add(self, ratio: float) -> None:
-        """Adds a duration as a multiple of the expected one."""
-        self.histogram.record_value(max(1, min(100_000, int(ratio * 1000))))
-
-    def find_late_ratio(self, now: float) -> float:
-        """Returns the multiple past which an answer is late; 0 if not known."""
-        if now - self.refreshed_at >= PERCENTILE_REFRESH_SECONDS:
-            self.refreshed_at = now
-            if self.histogram.get_total_count() >= MIN_HEDGE_SAMPLES:
-                value = self.histogram.get_value_at_percentile(HEDGE_PERCENTILE)
-                self.late_ratio = value / 1000
-        return self.late_ratio
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class HedgeSystem:
-    """Finds late attempts that a second target may complete sooner.
-
-    Attributes:
-        budget: Budget of hedges.
-        duration_ratios: Relative durations by model.
-        due: Heap of running attempts as (time at which the attempt is late,
-            request id, attempt number).
-    """
-
-    budget: RatioBudget = dataclasses.field(
-        default_factory=lambda: RatioBudget(
-            ratio_per_request=HEDGE_RATIO, burst=HEDGE_BURST, tokens=HEDGE_BURST
-        )
-    )
-    duration_ratios: dict[str, DurationRatios] = dataclasses.field(
-        default_factory=dict
-    )
-    due: list[tuple[float, str, int]] = dataclasses.field(default_factory=list)
-
-    def watch(
-        self,
-        *,
-        request_id: str,
-        attempt: int,
-        model: str,
-        expected: float,
-        now: float,
-    ) -> None:
-        """Schedules the check of an attempt at the 95th percentile duration."""
-        duration_ratios = self.duration_ratios.get(model)
-        ratio = (
-            duration_ratios.find_late_ratio(now)
-            if duration_ratios is not None
-            else 0.0
-        )
-        if ratio:
-            due = now + max(MIN_HEDGE_SECONDS, ratio * expected)
-            heapq.heappush(self.due, (due, request_id, attempt))
-
-    def record_duration(
-        self, *, model: str, seconds: float, expected: float
-    ) -> None:
-        """Records the duration of a complete answer."""
-        duration_ratios = self.duration_ratios.get(model)
-        if duration_ratios is None:
-            duration_ratios = self.duration_ratios[model] = DurationRatios()
-        duration_ratios.add(seconds / max(expected, 1e-6))
-
-    def take_late(self, now: float) -> list[tuple[str, int]]:
-        """Removes and returns the attempts that are late."""
-        found = []
-        while self.due and self.due[0][0] <= now:
-            _, request_id, attempt = heapq.heappop(self.due)
-            found.append((request_id, attempt))
-        return found
--- a/rattanroute/tests/test_retries.py
+++ b/rattanroute/tests/test_retries.py
@@ -13,7 +13,7 @@
 from rattanroute.events import Provenance
 from rattanroute.events import RequestArrived
 from rattanroute.requests.core_systems import CoreSettings
-from rattanroute.systems.retries import MIN_HEDGE_SAMPLES
+from rattanroute.systems.hedges import MIN_HEDGE_SAMPLES
 from rattanroute.systems.retries import RETRY_BURST
 from rattanroute.systems.retries import RetrySystem
 from rattanroute.tables.requests import RequestKind
