Hedging of repeatable calls in the gateway, and the means for streams

Cause: a repeatable call waits for a slow target until max(goal, 0.4 x time left), although other targets would have answered long before.

The first answer wins and the other connection is closed. The target that lost is neither suspected nor reported. Without a hedger nothing changes.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -1,6 +1,7 @@
 """State of a client's request while the gateway handles it."""
 
 import dataclasses
+import enum
 
 import xxhash
 
@@ -13,6 +14,14 @@
 NO_CONNECTION = "-"
 
 
+class HedgeEvent(enum.StrEnum):
+    """What has become of the second attempt of a late request."""
+
+    STARTED = "started"
+    WON = "won"
+    CANCELLED = "cancelled"
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Call:
     """A routed and authenticated request.
@@ -39,6 +48,7 @@
         stamp: Signature of the target whose answer was passed on, or whose
             answer ended a stream.
         failures: Reasons of the failed attempts, in order.
+        hedge: What has become of its hedge; None if there is none.
         begun: Whether a target has begun to write an answer, in any attempt.
         digest: Cached fingerprint; empty until it is first read.
         part_digests: Cached fingerprints of the shared parts of the prompt;
@@ -64,6 +74,7 @@
     connections: list[str] = dataclasses.field(default_factory=list)
     stamp: str = ""
     failures: list[str] = dataclasses.field(default_factory=list)
+    hedge: HedgeEvent | None = None
     begun: bool = False
     digest: str = ""
     part_digests: tuple[str, ...] | None = None
--- a/rattanroute/gateway/crash_detectors.py
+++ b/rattanroute/gateway/crash_detectors.py
@@ -105,11 +105,7 @@
         latest lost attempt. If its parts were in several crashes, it also
         waits until the voters have judged the latest one.
         """
-        suspects = self.bans.suspects
-        if not suspects:
-            return None
-        names = (call.fingerprint, *call.part_fingerprints)
-        if not any(name in suspects for name in names):
+        if not self.is_suspect(call):
             return None
         await self.wait_for_verdict(call)
         await self.wait_for_judgement(call)
@@ -118,6 +114,14 @@
             self.log_trial(call)
         return ban
 
+    def is_suspect(self, call: Call) -> bool:
+        """Returns whether targets have crashed under a request or its parts."""
+        suspects = self.bans.suspects
+        if not suspects:
+            return False
+        names = (call.fingerprint, *call.part_fingerprints)
+        return any(name in suspects for name in names)
+
     def log_trial(self, call: Call) -> None:
         """Logs that a call is sent to find out whether a ban must go on."""
         suspect = self.bans.find_trial(
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -166,6 +166,7 @@
             connections=",".join(call.connections),
             stamp=call.stamp,
             failures=";".join(call.failures),
+            hedge=call.hedge or "",
             parts=",".join(call.metadata.shared_parts),
             events=call.events,
             draining=call.exchange.draining_s,
--- a/rattanroute/gateway/send_budgets.py
+++ b/rattanroute/gateway/send_budgets.py
@@ -26,3 +26,9 @@
             self.retry_budget.note_first(service, now)
             return True
         return self.retry_budget.try_retry(service, vms=self.vms(), now=now)
+
+    def allows_optional(self, call: Call, now: float) -> bool:
+        """Returns whether the budget leaves room for an optional attempt."""
+        return self.retry_budget.allows_optional(
+            call.service.name, vms=self.vms(), now=now
+        )
--- a/rattanroute/gateway/service_attempts.py
+++ b/rattanroute/gateway/service_attempts.py
@@ -25,6 +25,8 @@
         report: The target's report; None until the target is chosen.
         connection: The connection; None until there is one.
         sent: Whether the call was sent to the target.
+        sent_at: Time at which it was sent, in seconds.
+        hedge: Whether it was started because the first attempt took long.
         late: Whether there is no answer although another target could have
             answered.
         task: Runs the attempt; its result is None if no target may be tried.
@@ -33,13 +35,17 @@
     report: TargetReport | None = None
     connection: ClientConnection | None = None
     sent: bool = False
+    sent_at: float = 0.0
+    hedge: bool = False
     late: bool = False
     task: asyncio.Task[Outcome | None] | None = None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class ServiceRun:
-    """A call with its open attempts, of which at most one is not late.
+    """A call with its open attempts.
+
+    At most one of them is not late, beside a hedge.
 
     Attributes:
         call: The call.
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -21,6 +21,7 @@
 from rattanroute.gateway.send_budgets import SendBudget
 from rattanroute.gateway.service_attempts import ServiceAttempt
 from rattanroute.gateway.service_attempts import ServiceRun
+from rattanroute.gateway.service_hedges import ServiceHedger
 from rattanroute.gateway.stream_events import ends_event
 from rattanroute.gateway.stream_events import is_event_stream
 from rattanroute.gateway.target_selectors import LIMIT_POLL_SECONDS
@@ -62,6 +63,7 @@
         budget: Retry budget.
         finisher: Refuses calls without an answer and logs outcomes.
         crashes: Detects requests that crash targets.
+        hedger: Starts second attempts of late calls; None for no hedging.
         waiting: Number of calls that wait for the limits of targets, by
             service.
         runs: Open calls with their attempts.
@@ -73,6 +75,7 @@
     budget: SendBudget
     finisher: CallFinisher
     crashes: CrashDetector
+    hedger: ServiceHedger | None = None
     waiting: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -87,6 +90,8 @@
     async def send_until_answered(self, call: Call) -> None:
         """Sends a call to targets until one answers or none may be tried."""
         run = ServiceRun(call=call)
+        if self.hedger is not None:
+            self.hedger.policy.note_call(call)
         self.runs.add(run)
         try:
             outcome = await self.run_attempts(run)
@@ -111,9 +116,14 @@
             if run.failed is not None and left <= 0:
                 return run.failed
             await run.wait(left if run.failed is not None else None)
-            for answered in [self.collect(run, x) for x in run.take_ended()]:
-                if answered is not None:
-                    return answered
+            ended = run.take_ended()
+            answers = [self.collect(run, attempt) for attempt in ended]
+            for attempt, answered in zip(ended, answers, strict=True):
+                if answered is None:
+                    continue
+                if self.hedger is not None:
+                    self.hedger.note_answer(run, attempt)
+                return answered
 
     def start(self, run: ServiceRun) -> None:
         """Starts an attempt at a target that is still to be chosen."""
@@ -124,6 +134,24 @@
         attempt.task = asyncio.create_task(self.try_target(run, attempt))
         run.add(attempt)
 
+    def hedge(self, run: ServiceRun, first: ServiceAttempt) -> None:
+        """Sends a call that takes long to a second target, if that is allowed.
+
+        Args:
+            run: The call with its attempts.
+            first: Its only attempt, which goes on.
+        """
+        waiting = self.waiting[run.call.service.name]
+        if run not in self.runs or not self.may_send_beside(run.call):
+            return
+        target = self.hedger.choose(run, first, waiting=waiting)
+        if target is None:
+            return
+        run.excluded.add(target.report.target_id)
+        attempt = ServiceAttempt(report=target.report, hedge=True)
+        attempt.task = asyncio.create_task(self.attempt(run, attempt))
+        run.add(attempt)
+
     def collect(
         self, run: ServiceRun, attempt: ServiceAttempt
     ) -> Answered | None:
@@ -281,11 +309,17 @@
                     run.note_possible_run(attempt.report)
                     run.changed.set()
 
-    def may_send_beside(self, call: Call) -> bool:
-        """Returns whether an attempt may be started beside an open one."""
+    def may_send_beside(self, call: Call, *, others: int = 0) -> bool:
+        """Returns whether an attempt may be started beside an open one.
+
+        Args:
+            call: The call.
+            others: Number of further open attempts that are not late.
+        """
         if not call.route.repeatable:
             return False
-        return len(call.possible_runners) + 1 < call.route.max_attempts
+        runners = len(call.possible_runners) + 1 + others
+        return runners < call.route.max_attempts
 
     def note_late(self, run: ServiceRun, attempt: ServiceAttempt) -> None:
         """Records that an attempt has no answer in its part of the time.
@@ -355,15 +389,13 @@
             ),
         )
         run.sinks.append(sink)
-        timer: asyncio.TimerHandle | None = None
-        if self.may_send_beside(call):
-            part = max(call.route.goal_s, FIRST_ATTEMPT_FRACTION * remaining_s)
-            timer = loop.call_later(part, self.note_late, run, attempt)
+        timers = self.start_timers(run, attempt, remaining_s)
         try:
             attempt.connection = connection
             connection.send(head, request.body, sink)
             self.selector.limiter.note_send(report.target_id, loop.time())
             attempt.sent = True
+            attempt.sent_at = loop.time()
             await wait_for_reply(
                 sink.done, remaining_s + ANSWER_AFTER_DEADLINE_SECONDS
             )
@@ -372,13 +404,36 @@
         except RouterError as error:
             return Unknown(reason=error.message)
         finally:
-            if timer is not None:
+            for timer in timers:
                 timer.cancel()
             if connection.sink is sink:
                 connection.cancel()
             self.record_metadata(report, sink)
         return self.classify_answer(call, sink)
 
+    def start_timers(
+        self, run: ServiceRun, attempt: ServiceAttempt, remaining_s: float
+    ) -> list[asyncio.TimerHandle]:
+        """Starts the timers of an attempt that is about to be sent.
+
+        Args:
+            run: The call with its attempts.
+            attempt: The attempt.
+            remaining_s: Time left of the call, in seconds.
+        """
+        call = run.call
+        timers = []
+        loop = asyncio.get_running_loop()
+        # The first attempt of a hedge may run as well.
+        others = sum(not x.late for x in run.attempts) - 1
+        if self.may_send_beside(call, others=others):
+            part = max(call.route.goal_s, FIRST_ATTEMPT_FRACTION * remaining_s)
+            timers.append(loop.call_later(part, self.note_late, run, attempt))
+        if self.hedger is not None:
+            timer = self.hedger.schedule(run, attempt, self.hedge)
+            timers += [timer] if timer is not None else []
+        return timers
+
     def record_metadata(
         self, report: TargetReport, sink: CollectingSink
     ) -> None:
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import math
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.crash_detectors import LostAttempt
@@ -20,6 +22,9 @@
 from rattanroute.systems.crash_bans import Ban
 from rattanroute.tables.targets import TargetReport
 
+# From an engine's stall time to its answer.
+STALL_MARGIN_SECONDS = 0.25
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class StreamAttempt:
@@ -40,6 +45,9 @@
         lost: Its record as a lost attempt; None if there is none.
         resumed: Whether it has sent an event since it was suspected; reset
             once that has been handled.
+        hedge: Whether it was started because the first attempt took long.
+        hedge_at: Time at which it is late and a hedge is considered, in
+            seconds.
     """
 
     chain: tuple[ChainHop, ...]
@@ -53,6 +61,8 @@
     loaded: bool = False
     lost: LostAttempt | None = None
     resumed: bool = False
+    hedge: bool = False
+    hedge_at: float = math.inf
 
     @property
     def first_id(self) -> str:
@@ -65,11 +75,14 @@
         return tuple(hop.target_id for hop in self.chain)
 
 
+ClaimHandler = Callable[[StreamAttempt, list[StreamAttempt]], None]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class StreamRun:
     """A call with its open attempts.
 
-    At most one open attempt is not suspected.
+    At most one open attempt is not suspected, beside a hedge.
 
     Attributes:
         call: The call.
@@ -83,6 +96,9 @@
         failure: Error answer of a target, which ends the search for others.
         waiter: Wakes the task that waits for a change of the attempts.
         changed: Whether they have changed since that task last waited.
+        hedging: Task that starts a hedge; None if there is none.
+        on_claim: Called with the attempt that goes on and the open ones that
+            are not needed.
     """
 
     call: Call
@@ -96,6 +112,22 @@
     failure: Answered | None = None
     waiter: asyncio.Future[None] | None = None
     changed: bool = False
+    hedging: asyncio.Task[None] | None = None
+    on_claim: ClaimHandler = lambda attempt, others: None
+
+    @property
+    def hold_end(self) -> float:
+        """Time until which suspected attempts may still send an event.
+
+        An engine whose chain has failed says so after its stall time, or
+        breaks off. A client that has a part of the answer cannot get the rest
+        otherwise.
+        """
+        engine = self.call.service.engine
+        if self.call.exchange.started or engine is None:
+            return math.inf
+        stall_s = engine.stall_s + STALL_MARGIN_SECONDS
+        return max(attempt.sent_at for attempt in self.attempts) + stall_s
 
     @property
     def trusted(self) -> StreamAttempt | None:
@@ -171,12 +203,19 @@
             attempt.resumed = True
             self.ban = None
             self.avoided.difference_update(attempt.target_ids)
-        for other in self.attempts:
-            if other is not attempt:
-                self.note_possible_run(other)
-                other.sink.supersede()
+        others = [x for x in self.attempts if x is not attempt]
+        unneeded = [x for x in others if not x.sink.ended.done()]
+        for other in others:
+            self.note_possible_run(other)
+            other.sink.supersede()
+        self.on_claim(attempt, unneeded)
         self.wake()
 
+    def cancel_hedge(self) -> None:
+        """Gives up a hedge that has not been sent."""
+        if self.hedging is not None:
+            self.hedging.cancel()
+
     def resume_reading(self) -> None:
         """Resumes reading of all attempts once a slow client has caught up."""
         for attempt in self.attempts:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection
 import dataclasses
 import functools
-import math
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.calls import NO_CONNECTION
@@ -27,6 +26,7 @@
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
 from rattanroute.gateway.stream_health import StreamHealthRecorder
+from rattanroute.gateway.stream_hedges import StreamHedger
 from rattanroute.gateway.stream_sinks import OK
 from rattanroute.gateway.stream_sinks import Shortage
 from rattanroute.gateway.stream_sinks import StreamSink
@@ -48,8 +48,6 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is aborted.
 DEADLINE_MARGIN_SECONDS = 0.1
-# From an engine's stall time to its answer.
-STALL_MARGIN_SECONDS = 0.25
 # Interval of the search for another chain while all attempts are suspected.
 SEARCH_INTERVAL_SECONDS = 0.2
 
@@ -71,6 +69,7 @@
         inspector: Finds the target at which a stream stalls.
         crashes: Detects requests that crash targets.
         probes: Checks whether suspected targets accept connections.
+        hedger: Starts second attempts of late streams; None for no hedging.
         runs: Open calls with their attempts.
     """
 
@@ -84,6 +83,7 @@
     inspector: StallInspector
     crashes: CrashDetector
     probes: TargetProbes
+    hedger: StreamHedger | None = None
     runs: set[StreamRun] = dataclasses.field(default_factory=set)
 
     def suspect_attempts_at(self, target_id: str) -> None:
@@ -109,11 +109,14 @@
         call.exchange.on_disconnect = asyncio.current_task().cancel
         run = StreamRun(call=call, state=StreamState(call=call))
         call.exchange.on_writable = run.resume_reading
+        if self.hedger is not None:
+            self.hedger.begin(run, self)
         self.runs.add(run)
         try:
             with self.finisher.log_disconnects(call), run.note_open_attempts():
                 await self.send_until_answered(run)
         finally:
+            run.cancel_hedge()
             self.runs.discard(run)
             for attempt in run.attempts:
                 self.release(attempt)
@@ -126,6 +129,7 @@
         """
         while True:
             if run.trusted is None and run.may_start:
+                run.cancel_hedge()
                 await self.start_replacement(run)
             if not run.attempts:
                 break
@@ -242,6 +246,8 @@
         run: StreamRun,
         chain: tuple[ChainHop, ...],
         connection: ClientConnection,
+        *,
+        hedge: bool = False,
     ) -> None:
         """Sends the request to the first target of a chain."""
         call = run.call
@@ -260,6 +266,7 @@
             tokens=build_demand(call).tokens,
             sent_at=now,
             checked_at=now,
+            hedge=hedge,
         )
         attempt.reports = self.crashes.list_reports(attempt.target_ids)
         request = call.exchange.request
@@ -278,6 +285,8 @@
             if other.unreachable or other.first_id == attempt.first_id:
                 self.drop(run, other)
         run.add(attempt)
+        if self.hedger is not None:
+            self.hedger.watch(run, attempt)
         self.finder.add_load(attempt)
         self.selector.limiter.note_send(attempt.first_id, now)
         connection.send(head, request.body, sink)
@@ -322,37 +331,26 @@
             return
         attempt = run.trusted
         if attempt is None:
-            end = min(end, self.find_hold_end(run))
+            end = min(end, run.hold_end)
             if now >= end:
                 for attempt in run.attempts:
                     attempt.sink.finish(Unknown(reason=run.reason))
                 return
             await run.wait(min(end - now, SEARCH_INTERVAL_SECONDS))
             return
+        if now >= attempt.hedge_at:
+            self.hedger.start(run, attempt, self)
         sink = attempt.sink
         limit = EVENT_GAP_SECONDS if sink.events else FIRST_EVENT_SECONDS
         due = max(sink.event_at, attempt.checked_at) + limit
         if now < due:
-            await run.wait(min(end, due) - now)
+            await run.wait(min(end, due, attempt.hedge_at) - now)
         elif not run.call.exchange.writable:
             attempt.checked_at = now
         else:
             attempt.checked_at = now
             await self.inspect(run, attempt)
 
-    def find_hold_end(self, run: StreamRun) -> float:
-        """Returns until when suspected attempts may still send an event.
-
-        An engine whose chain has failed says so after its stall time, or
-        breaks off. A client that has a part of the answer cannot get the rest
-        otherwise.
-        """
-        engine = run.call.service.engine
-        if run.call.exchange.started or engine is None:
-            return math.inf
-        stall_s = engine.stall_s + STALL_MARGIN_SECONDS
-        return max(attempt.sent_at for attempt in run.attempts) + stall_s
-
     async def inspect(self, run: StreamRun, attempt: StreamAttempt) -> None:
         """Suspects an attempt whose engine is silent for a wrong reason."""
         sink = attempt.sink
--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -31,6 +31,12 @@
             "Attempts that ended for an unknown reason, by whether their "
             "target was found to have crashed.",
         )
+        self.hedges = self.counter(
+            "rattanroute_hedges_total",
+            "Second attempts of late requests, by service and event: started, "
+            "won (its answer was passed on), cancelled (the first attempt "
+            "answered before it).",
+        )
         self.tokens = self.counter(
             "rattanroute_tokens_total", "Tokens passed to callers by model."
         )
--- a/rattanroute/systems/retry_budgets.py
+++ b/rattanroute/systems/retry_budgets.py
@@ -22,6 +22,9 @@
 
 # Fraction of the budget that is divided equally among the VMs.
 GUARANTEED_FRACTION = 0.5
+# Fraction of the budget beyond which optional attempts are not made, so that
+# retries after failures find the rest.
+OPTIONAL_FRACTION = 0.5
 # Fraction of the budget up to which VMs borrow. The rest covers VMs whose
 # membership view has fewer members than exist.
 USABLE_FRACTION = 0.95
@@ -181,6 +184,27 @@
             return now < self.blocked_until
         return self.count_remaining(service, own, vms=vms) <= 0
 
+    def allows_optional(self, service: str, *, vms: int, now: float) -> bool:
+        """Returns whether an attempt that no failure requires may be made.
+
+        It may if at most half of the budget is used, of the whole system as
+        far as known, and of the equal part of this VM otherwise.
+
+        Args:
+            service: The service.
+            vms: Number of VMs that share the budget.
+            now: Current time in seconds.
+        """
+        own = self.count(service, now)
+        if self.has_recent_counts(now):
+            allowed, used = self.sum_counts(service, own, vms=vms)
+        elif now < self.blocked_until:
+            return False
+        else:
+            allowed = self.ratio * own.firsts + self.extra / max(1, vms)
+            used = own.repeats
+        return used + 1 <= OPTIONAL_FRACTION * allowed
+
     def has_recent_counts(self, now: float) -> bool:
         """Returns whether the counts of the other VMs are recent."""
         return now - self.others_updated_at <= COUNTS_EXPIRY_SECONDS
@@ -189,6 +213,16 @@
         self, service: str, own: AttemptCount, *, vms: int
     ) -> float:
         """Returns the retries left to all VMs by the last known counts."""
+        allowed, used = self.sum_counts(service, own, vms=vms)
+        return max(0.0, USABLE_FRACTION * allowed - used)
+
+    def sum_counts(
+        self, service: str, own: AttemptCount, *, vms: int
+    ) -> tuple[float, int]:
+        """Returns the retries that all VMs may make and those they have made.
+
+        The counts are the last known ones.
+        """
         others = self.others.get(service)
         firsts, repeats = own.firsts, own.repeats
         if others is not None:
@@ -197,7 +231,7 @@
         # The part of VMs that are not in the counts is reserved for them.
         reporting_fraction = min(1.0, self.reporting_vms / max(1, vms))
         allowed = self.ratio * firsts + self.extra * reporting_fraction
-        return max(0.0, USABLE_FRACTION * allowed - repeats)
+        return allowed, repeats
 
     def compute_borrow_rate(
         self, service: str, own: AttemptCount, *, vms: int, now: float
