--- a/rattanroute/tests/test_hedged_calls.py
+++ b/rattanroute/tests/test_hedged_calls.py
@@ -1,7 +1,9 @@
 """Tests of calls of plain services that are hedged."""
 
 import asyncio
+from unittest import mock
 
+from rattanroute.gateway import outcomes
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import PLAIN_SERVICE
@@ -103,6 +105,16 @@
                 await target.disconnected.wait()
         self.assertEqual(self.services.runs, set())
 
+    async def test_log_line_names_the_end_of_the_hedge(self) -> None:
+        """Guards against hedges that an operator cannot find."""
+        with mock.patch.object(outcomes, "log") as log:
+            first, _ = await self.add_pair(answer_late, answer)
+            await self.call("/safe/")
+            first.script = answer
+            await self.call("/safe/")
+        lines = [x.kwargs["hedge"] for x in log.info.call_args_list]
+        self.assertEqual(lines, ["won", ""])
+
     def check_no_suspicion(self) -> None:
         """Checks that a hedge is no sign of a failure."""
         self.assertEqual(self.suspected, [])
