Options of the front program that enable hedging

Cause: hedging is off by default and its limits are the operators' choice. The settings file belongs to the platform.

One alone, a value out of range and the options for core are usage errors. deploy/system.toml is unchanged.

--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -9,12 +9,15 @@
 from rattanroute.gateway.crash_detectors import CHECK_INTERVAL_SECONDS
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.handlers import GatewayHandler
+from rattanroute.gateway.hedges import HedgePolicy
 from rattanroute.gateway.outcomes import CallFinisher
 from rattanroute.gateway.send_budgets import SendBudget
 from rattanroute.gateway.service_forwarders import ServiceForwarder
+from rattanroute.gateway.service_hedges import ServiceHedger
 from rattanroute.gateway.stall_inspectors import StallInspector
 from rattanroute.gateway.stream_forwarders import StreamForwarder
 from rattanroute.gateway.stream_health import StreamHealthRecorder
+from rattanroute.gateway.stream_hedges import StreamHedger
 from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.heads import ResponseHead
@@ -27,6 +30,8 @@
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import is_served
 from rattanroute.systems.engine_loads import EngineLoadSystem
+from rattanroute.systems.hedges import HedgeSettings
+from rattanroute.systems.hedges import HedgeSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.retry_budgets import COUNTS_EXPIRY_SECONDS
 from rattanroute.systems.retry_budgets import RetryBudget
@@ -61,9 +66,16 @@
     Args:
         path: Path of the settings file.
         boot: Content of the settings file.
+        hedging: Limits of second attempts of late requests; None for none.
     """
 
-    def __init__(self, *, path: pathlib.Path, boot: BootSettings) -> None:
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        boot: BootSettings,
+        hedging: HedgeSettings | None = None,
+    ) -> None:
         super().__init__(path=path, boot=boot)
         self.loads = EngineLoadTable()
         bounds = boot.bounds
@@ -98,6 +110,8 @@
         self.startup_done = asyncio.Event()
         self.usable_counts: dict[tuple[str, str], int] = {}
         self.handler = self.build_handler()
+        if hedging is not None:
+            self.enable_hedging(hedging)
         self.inspections.on_unreachable = self.suspect_attempts_at
         self.tunnel_server = TunnelServer(
             links=self.links, is_target=self.is_target
@@ -174,6 +188,28 @@
             refusal_age_s=self.boot.bounds.config_apply_ms / 1000,
         )
 
+    def enable_hedging(self, settings: HedgeSettings) -> None:
+        """Lets the forwarders start second attempts of late requests."""
+        policy = HedgePolicy(
+            hedges=HedgeSystem(settings=settings),
+            budget=self.services.budget,
+            crashes=self.crashes,
+            is_stopping=lambda: self.stopping,
+            events=self.metrics.hedges,
+        )
+        self.services.hedger = ServiceHedger(
+            policy=policy, selector=self.selector
+        )
+        self.streams.hedger = StreamHedger(
+            policy=policy, finder=self.streams.finder, pool=self.pool
+        )
+        log.info(
+            "hedging enabled",
+            ratio=settings.ratio,
+            per_second=settings.per_second,
+            percentile=settings.percentile,
+        )
+
     def suspect_attempts_at(self, target_id: str) -> None:
         """Looks for other chains for the streams at an unreachable target."""
         log.info("target unreachable", target=target_id)
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import math
 import os
 import pathlib
 import signal
@@ -19,12 +20,14 @@
 from rattanroute.platform.settings import load_boot_settings
 from rattanroute.platform.settings import PATH_VARIABLE
 from rattanroute.startup import freeze_startup_objects
+from rattanroute.systems.hedges import HedgeSettings
 
 # Only the module of the chosen role is imported, to shorten the start.
 ROLES = {
     "front": ("rattanroute.platform.fronts", "FrontDaemon"),
     "core": ("rattanroute.platform.cores", "CoreDaemon"),
 }
+HEDGING_ROLE = "front"
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -40,12 +43,27 @@
     type=click.Path(path_type=pathlib.Path),
     help=f"Settings file; by default the one that {PATH_VARIABLE} names.",
 )
+@click.option(
+    "--hedge-ratio",
+    type=click.FloatRange(min=0.0, max=1.0),
+    help="Second attempts of late requests, as a fraction of the requests "
+    "that may be repeated; only for `front`, together with --hedge-rate. "
+    "Without both options, or with 0, there are none.",
+)
+@click.option(
+    "--hedge-rate",
+    type=click.FloatRange(min=0.0),
+    help="Most second attempts of this VM per second.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.pass_obj
 def start(
     reload_requests: list[int],
+    *,
     role: str,
     path: pathlib.Path | None,
+    hedge_ratio: float | None,
+    hedge_rate: float | None,
     check: bool,
 ) -> None:
     """Run a program of rattanroute on the platform.
@@ -53,6 +71,7 @@
     Exit codes: 0 after a planned stop, 1 when the program cannot run, 2 when
     the settings are wrong.
     """
+    options = build_options(role, ratio=hedge_ratio, per_second=hedge_rate)
     path = path or pathlib.Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         boot = load_boot_settings(path)
@@ -63,7 +82,7 @@
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
-        daemon = build_daemon(path=path, boot=boot)
+        daemon = build_daemon(path=path, boot=boot, **options)
         uvloop.run(run_process(daemon, reload_requests))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
@@ -71,6 +90,33 @@
         sys.exit(SETTINGS_EXIT_CODE if wrong else FAILURE_EXIT_CODE)
 
 
+def build_options(
+    role: str, *, ratio: float | None, per_second: float | None
+) -> dict[str, HedgeSettings]:
+    """Returns the arguments of a daemon that the command line sets.
+
+    Args:
+        role: Role of the program.
+        ratio: Hedges per request; None if not set, 0 for no hedging.
+        per_second: Hedges per second; None if not set, 0 for no hedging.
+
+    Raises:
+        click.UsageError: If only one of the limits is set, one is no number,
+            or the role forwards no requests.
+    """
+    if ratio is None and per_second is None:
+        return {}
+    if ratio is None or per_second is None:
+        raise click.UsageError("--hedge-ratio and --hedge-rate belong together")
+    if math.isnan(ratio) or math.isnan(per_second):
+        raise click.UsageError("--hedge-ratio and --hedge-rate are numbers")
+    if role != HEDGING_ROLE:
+        raise click.UsageError(f"only {HEDGING_ROLE} forwards requests")
+    if not ratio or not per_second:
+        return {}
+    return {"hedging": HedgeSettings(ratio=ratio, per_second=per_second)}
+
+
 def run_program(*, reload_requests: list[int]) -> None:
     """Runs the program that the command line selects.
 
