Network-free tests of hedging in the gateway and of its budget

Cause: the tests with scripted targets depend on timers and cover each rule only through a whole call.

--- a/rattanroute/tests/test_retry_budgets.py
+++ b/rattanroute/tests/test_retry_budgets.py
@@ -204,3 +204,35 @@
                     while budget.try_retry("s", vms=self.VMS, now=now):
                         self.repeats.append(now)
         self.assertLessEqual(self.count_window(self.repeats, 0.0), self.EXTRA)
+
+
+class OptionalAttemptTest(unittest.TestCase):
+    """Guards against optional attempts that leave no retries after failures."""
+
+    def test_half_of_the_own_part_without_counts(self) -> None:
+        budget = RetryBudget(ratio=0.2, extra=40, window_s=10)
+        for _ in range(30):
+            budget.note_first("s", 0.0)
+        sent = 0
+        while budget.allows_optional("s", vms=4, now=1.0):
+            self.assertTrue(budget.try_retry("s", vms=4, now=1.0))
+            sent += 1
+        # Half of 0.2 x 30 requests and a quarter of the extra.
+        self.assertEqual(sent, 8)
+
+    def test_retries_of_other_vms_count(self) -> None:
+        budget = RetryBudget(ratio=0.2, extra=40, window_s=10)
+        for repeats, allowed in ((10, True), (39, True), (41, False)):
+            count = AttemptCount(service="s", firsts=200, repeats=repeats)
+            budget.update_others([count], vms=4, now=0.0)
+            with self.subTest(repeats=repeats):
+                self.assertEqual(
+                    budget.allows_optional("s", vms=4, now=0.0), allowed
+                )
+
+    def test_none_until_counts_arrive_after_the_start(self) -> None:
+        budget = RetryBudget(
+            ratio=0.2, extra=40, window_s=10, blocked_until=2.0
+        )
+        self.assertFalse(budget.allows_optional("s", vms=1, now=1.0))
+        self.assertTrue(budget.allows_optional("s", vms=1, now=2.5))
