--- a/rattanroute/gateway/stream_hedges.py
+++ b/rattanroute/gateway/stream_hedges.py
@@ -10,6 +10,7 @@
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.calls import HedgeEvent
+from rattanroute.gateway.calls import NO_CONNECTION
 from rattanroute.gateway.chain_finders import build_demand
 from rattanroute.gateway.chain_finders import build_hop
 from rattanroute.gateway.chain_finders import ChainFinder
@@ -216,7 +217,12 @@
         sender: AttemptSender,
     ) -> None:
         """Sends a call over a second chain unless the first one has begun."""
-        connection = await sender.connect(run, chain)
+        try:
+            connection = await sender.connect(run, chain)
+        except asyncio.CancelledError:
+            # The log lists a connection for each chain.
+            run.call.connections.append(NO_CONNECTION)
+            raise
         if connection is None:
             return
         if is_waiting(run, first):
--- a/rattanroute/tests/test_hedged_streams.py
+++ b/rattanroute/tests/test_hedged_streams.py
@@ -1,7 +1,9 @@
 """Tests of streams that are hedged before their first event."""
 
 import asyncio
+from unittest import mock
 
+from rattanroute.gateway import outcomes
 from rattanroute.http1.servers import Exchange
 from rattanroute.systems.wait_queues import WaitQueue
 from rattanroute.tables.targets import TargetHealth
@@ -183,6 +185,38 @@
         self.assertEqual([len(x.seen) for x in (*engines, third)], [1, 1, 0])
         self.assertEqual(self.count_events(SERVICE), (1, 1, 0))
 
+    async def test_first_engine_fails_before_the_hedge_is_sent(self) -> None:
+        """Guards against a third run, and a log without a connection.
+
+        The second engine accepts the connection only after a while.
+        """
+        first, second = await self.add_engines(hang_up, stream)
+        open_direct = self.pool.open
+
+        async def open_slowly(address: str) -> object:
+            if address == second.address and not hanging.is_set():
+                hanging.set()
+                await asyncio.sleep(LEAVE_SECONDS)
+            return await open_direct(address)
+
+        async def hang_up_meanwhile(
+            target: FakeTarget, exchange: Exchange
+        ) -> None:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await hanging.wait()
+            await hang_up(target, exchange)
+
+        hanging = asyncio.Event()
+        first.script = hang_up_meanwhile
+        self.pool.open = open_slowly
+        with mock.patch.object(outcomes, "log") as log:
+            await self.check_whole_stream()
+        self.assertEqual((len(first.seen), len(second.seen)), (1, 1))
+        fields = log.info.call_args.kwargs
+        self.assertEqual(fields["targets"], "t1,t2,t2")
+        connections = fields["connections"].split(",")
+        self.assertEqual([x == "-" for x in connections], [False, True, False])
+
     async def test_both_engines_reject(self) -> None:
         """Guards against a failure that does not say "not run"."""
         await self.add_engines(reject_late, reject)
--- a/rattanroute/tests/test_hedging_options.py
+++ b/rattanroute/tests/test_hedging_options.py
@@ -12,6 +12,8 @@
 from rattanroute.platform.programs import start
 from rattanroute.platform.settings import BootSettings
 from rattanroute.platform.settings import ListenSettings
+from rattanroute.routers import build_hedge_settings
+from rattanroute.settings import HedgingSettings
 from rattanroute.systems.hedges import HedgeSettings
 
 ADDRESS = "127.0.0.1"
@@ -69,6 +71,21 @@
         self.assertNotIn("Usage", result.output)
 
 
+class HedgingSettingsTest(unittest.TestCase):
+    """Guards against a daemon that hedges otherwise than it is set to."""
+
+    def test_defaults_are_those_without_settings(self) -> None:
+        settings = build_hedge_settings(HedgingSettings())
+        self.assertEqual(settings, HedgeSettings())
+
+    def test_all_settings(self) -> None:
+        section = HedgingSettings(ratio=0.1, per_second=3.0, percentile=90.0)
+        self.assertEqual(
+            build_hedge_settings(section),
+            HedgeSettings(ratio=0.1, per_second=3.0, percentile=90.0),
+        )
+
+
 class HedgingFrontTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a front that hedges without the options."""
 
