--- a/rattanroute/tests/test_hedge_policies.py
+++ b/rattanroute/tests/test_hedge_policies.py
@@ -211,6 +211,8 @@
         """Guards against failures that find no budget left."""
         self.hedges.budget.tokens = 100.0
         self.hedges.rate.per_second = math.inf
+        # With recent counts a VM may also borrow from the other half.
+        self.retry_budget.update_others((), vms=1, now=0.1)
         sent = 0
         for _ in range(100):
             if self.policy.may_start(self.call, 0.1):
--- a/rattanroute/tests/test_hedged_calls.py
+++ b/rattanroute/tests/test_hedged_calls.py
@@ -5,6 +5,7 @@
 
 from rattanroute.gateway import outcomes
 from rattanroute.http1.servers import Exchange
+from rattanroute.messages.loads import AttemptCount
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import PLAIN_SERVICE
@@ -164,11 +165,13 @@
         await self.check_one_run()
 
     async def test_half_of_the_retry_budget_is_used(self) -> None:
+        """Guards against hedges beside many retries of other VMs."""
         budget = self.streams.budget.retry_budget
-        budget.extra = 10
+        count = AttemptCount(
+            service=PLAIN_SERVICE, firsts=0, repeats=int(0.6 * budget.extra)
+        )
         now = asyncio.get_running_loop().time()
-        budget.count(PLAIN_SERVICE, now)
-        budget.repeats[PLAIN_SERVICE].extend([now] * 5)
+        budget.update_others([count], vms=2, now=now)
         await self.check_one_run()
 
     async def test_planned_stop(self) -> None:
--- a/rattanroute/tests/test_hedged_streams.py
+++ b/rattanroute/tests/test_hedged_streams.py
@@ -5,6 +5,7 @@
 
 from rattanroute.gateway import outcomes
 from rattanroute.http1.servers import Exchange
+from rattanroute.messages.loads import AttemptCount
 from rattanroute.systems.wait_queues import WaitQueue
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import build_events
@@ -361,11 +362,13 @@
         await self.check_one_run()
 
     async def test_half_of_the_retry_budget_is_used(self) -> None:
+        """Guards against hedges beside many retries of other VMs."""
         budget = self.streams.budget.retry_budget
-        budget.extra = 10
+        count = AttemptCount(
+            service=SERVICE, firsts=0, repeats=int(0.6 * budget.extra)
+        )
         now = asyncio.get_running_loop().time()
-        budget.count(SERVICE, now)
-        budget.repeats[SERVICE].extend([now] * 5)
+        budget.update_others([count], vms=2, now=now)
         await self.check_one_run()
 
     async def test_planned_stop(self) -> None:
