--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -36,6 +36,12 @@
             "Chains chosen for streams: the fastest one, another one, or one "
             "without room for a start in time.",
         )
+        self.hedges = self.counter(
+            "rattanroute_hedges_total",
+            "Second attempts of late requests, by service and event: started, "
+            "won (its answer was passed on), cancelled (the first attempt "
+            "answered before it).",
+        )
         self.tokens = self.counter(
             "rattanroute_tokens_total", "Tokens passed to callers by model."
         )
