--- a/rattanroute/tests/test_hedge_policies.py
+++ b/rattanroute/tests/test_hedge_policies.py
@@ -393,6 +393,7 @@
         parser=SimpleNamespace(until_close=False),
         request_count=1,
         usable=True,
+        sent_at=sent_at,
     )
     sink = StreamSink(
         state=run.state,
