Avoid cut-off data centres, charge no budget before a request was sent

Broken streams ended at once when the budget was used up for a moment.

Change: after a timeout a stream avoids the data centre of the target if others serve all layers; after timeouts of two targets a VM tries other data centres first for 3 s or until an answer. The budget counts attempts whose request was sent. A broken stream waits up to 1.7 s for the budget.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -62,6 +62,7 @@
             loop's clock.
         revision: Revision of the manifest that was used for routing.
         sends: Attempts so far, including those that did not run.
+        dispatches: Attempts whose request was sent to a target.
         may_have_run: Whether a target may have run the request.
         possible_runners: Targets that may have run the request.
         events: Events of a stream that were passed to the client.
@@ -94,6 +95,7 @@
     deadline: float
     revision: int
     sends: int = 0
+    dispatches: int = 0
     may_have_run: bool = False
     possible_runners: set[str] = dataclasses.field(default_factory=set)
     events: int = 0
--- a/rattanroute/gateway/send_budgets.py
+++ b/rattanroute/gateway/send_budgets.py
@@ -20,11 +20,17 @@
     vms: Callable[[], int]
 
     def take(self, call: Call, now: float) -> bool:
-        """Counts the next attempt of a call; returns whether it is allowed."""
+        """Counts the next attempt of a call; returns whether it is allowed.
+
+        Attempts that ended before the request was sent reached no target and
+        are no repetitions.
+        """
         service = call.service.name
         if call.sends == 0:
             self.retry_budget.note_first(service, now)
             return True
+        if call.dispatches == 0:
+            return True
         return self.retry_budget.try_retry(service, vms=self.vms(), now=now)
 
     def allows_optional(self, call: Call, now: float) -> bool:
--- a/rattanroute/gateway/service_forwarders.py
+++ b/rattanroute/gateway/service_forwarders.py
@@ -392,6 +392,7 @@
         timers = self.start_timers(run, attempt, remaining_s)
         try:
             attempt.connection = connection
+            call.dispatches += 1
             connection.send(head, request.body, sink)
             self.selector.limiter.note_send(report.target_id, loop.time())
             attempt.sent = True
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -6,7 +6,7 @@
 import functools
 
 from rattanroute.gateway.calls import Call
-from rattanroute.gateway.calls import NO_CONNECTION
+from rattanroute.gateway.chain_connectors import ChainConnector
 from rattanroute.gateway.chain_finders import build_demand
 from rattanroute.gateway.chain_finders import ChainFinder
 from rattanroute.gateway.crash_detectors import BANNED_REASON
@@ -35,12 +35,10 @@
 from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.http1.clients import ClientConnection
-from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
+from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
 
-# Connecting within a region takes a few milliseconds.
-CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_SENDS = 5
 # A stream is inspected after this long without an event. Clients give up after
 # about two seconds without an event, and recovery takes up to half a second.
@@ -48,6 +46,8 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is aborted.
 DEADLINE_MARGIN_SECONDS = 0.1
+# Interval at which a broken stream without retry budget tries again.
+BUDGET_POLL_SECONDS = 0.05
 # Interval of the search for another chain while all attempts are suspected.
 SEARCH_INTERVAL_SECONDS = 0.2
 
@@ -71,6 +71,7 @@
         probes: Checks whether suspected targets accept connections.
         hedger: Starts second attempts of late streams; None for no hedging.
         runs: Open calls with their attempts.
+        connector: Opens connections for attempts.
     """
 
     codec: HeaderCodec
@@ -85,6 +86,12 @@
     probes: TargetProbes
     hedger: StreamHedger | None = None
     runs: set[StreamRun] = dataclasses.field(default_factory=set)
+    connector: ChainConnector = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.connector = ChainConnector(
+            pool=self.pool, selector=self.selector, finder=self.finder
+        )
 
     def suspect_attempts_at(self, target_id: str) -> None:
         """Looks for other chains for the streams at an unreachable target."""
@@ -189,6 +196,8 @@
                 run.reason = run.reason or run.state.shortage
                 return
             if not self.budget.take(call, loop.time()):
+                if await self.may_wait_for_budget(run):
+                    continue
                 run.reason = f"no budget to repeat after {call.failures[-1]}"
                 return
             connection = await self.connect(run, chain)
@@ -200,6 +209,20 @@
                 self.send(run, chain, connection)
             return
 
+    async def may_wait_for_budget(self, run: StreamRun) -> bool:
+        """Waits a moment with a broken stream; returns whether it may go on.
+
+        The budget grows with each request and with time, and a part of an
+        answer is of no use to its client.
+        """
+        if not run.call.exchange.started:
+            return False
+        now = asyncio.get_running_loop().time()
+        if now - run.state.event_at > MAX_RESUME_WAIT_SECONDS:
+            return False
+        await asyncio.sleep(BUDGET_POLL_SECONDS)
+        return True
+
     def may_send(self, call: Call, now: float) -> bool:
         """Returns whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
@@ -210,37 +233,7 @@
         self, run: StreamRun, chain: tuple[ChainHop, ...]
     ) -> ClientConnection | None:
         """Connects to the first target of a chain; None if that fails."""
-        call = run.call
-        loop = asyncio.get_running_loop()
-        first = chain[0]
-        call.sends += 1
-        call.targets.append("+".join(hop.target_id for hop in chain))
-        call.data_centres.append(self.finder.describe_data_centres(chain))
-        self.finder.count_load(chain, build_demand(call).tokens, 1, loop.time())
-        try:
-            connection = await self.pool.take(
-                first.address,
-                timeout_s=min(
-                    CONNECT_TIMEOUT_SECONDS, call.time_left(loop.time())
-                ),
-                identifier=call.metadata.request_id,
-                # What broke one connection may have broken all idle ones.
-                fresh=call.sends > 1 or call.needs_new_connection,
-            )
-        except ConnectError as error:
-            call.connections.append(NO_CONNECTION)
-            self.selector.note_failure(
-                first.target_id, now=loop.time(), crashed=True
-            )
-            run.avoided.add(first.target_id)
-            run.note_failure(str(error))
-            return None
-        finally:
-            self.finder.count_load(
-                chain, build_demand(call).tokens, -1, loop.time()
-            )
-        call.connections.append(connection.describe_use())
-        return connection
+        return await self.connector.connect(run, chain)
 
     def send(
         self,
@@ -292,6 +285,7 @@
             self.hedger.watch(run, attempt)
         self.finder.add_load(attempt)
         self.selector.limiter.note_send(attempt.first_id, now)
+        call.dispatches += 1
         connection.send(head, request.body, sink)
 
     def note_begun(self, call: Call, attempt: StreamAttempt) -> None:
--- a/rattanroute/gateway/target_selectors.py
+++ b/rattanroute/gateway/target_selectors.py
@@ -8,6 +8,7 @@
 from rattanroute.gateway.engine_control_clients import MAX_PAUSE_SECONDS
 from rattanroute.gateway.header_codecs import AnswerMetadata
 from rattanroute.logs import get_logger
+from rattanroute.systems.centre_reachabilities import CentreReachability
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.target_limits import note_limit
 from rattanroute.systems.target_limits import TargetLimiter
@@ -53,6 +54,7 @@
         suspect: Requests an inspection of a target.
         announce_departure: Sends the departure of a target to the other VMs.
         random: Source of the jitter.
+        centres: Data centres that seem unreachable.
     """
 
     data_centre: str
@@ -63,6 +65,9 @@
     suspect: Callable[[Target], None]
     announce_departure: Callable[[TargetReport], None]
     random: randoms.Random
+    centres: CentreReachability = dataclasses.field(
+        default_factory=CentreReachability
+    )
 
     def is_current(self, target: Target, now: float) -> bool:
         """Returns whether the latest sign of a target is recent enough.
@@ -139,6 +144,7 @@
         if row is None or row.report.incarnation != report.incarnation:
             return
         row.answered_at = now
+        self.centres.note_answer(report.data_centre)
         self.note_limit(row, metadata, now)
         if metadata.pause_s is None:
             return
@@ -282,6 +288,17 @@
         row.full_until = now + min(backoff_s, MAX_FULL_BACKOFF_SECONDS) * spread
         self.suspect(row)
 
+    def note_connect_timeout(self, target_id: str, now: float) -> None:
+        """Records that a connection attempt to a target timed out."""
+        row = self.targets.get(target_id)
+        if row is None:
+            return
+        data_centre = row.report.data_centre
+        before = self.centres.is_suspect(data_centre, now)
+        self.centres.note_timeout(data_centre, target_id, now)
+        if not before and self.centres.is_suspect(data_centre, now):
+            log.info("data centre seems unreachable", data_centre=data_centre)
+
     def note_failure(
         self, target_id: str, *, now: float, crashed: bool = False
     ) -> None:
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -170,6 +170,7 @@
                         random=self.random,
                         arrival_rate=self.measure_arrivals,
                     ),
+                    is_suspect=selector.centres.is_suspect,
                     note_choice=lambda choice: self.metrics.chain_choices.inc(
                         {"choice": choice}
                     ),
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -138,6 +138,7 @@
             that they receive as the first target of a chain.
         rooms: Estimates how long prompts wait at engines.
         link_limiter: Limits the traffic between data centres.
+        is_suspect: Returns whether a data centre seems unreachable at a time.
         note_choice: Called with the kind of each choice within one data
             centre.
     """
@@ -153,6 +154,7 @@
     link_limiter: LinkRateLimiter = dataclasses.field(
         default_factory=LinkRateLimiter
     )
+    is_suspect: Callable[[str, float], bool] = lambda data_centre, now: False
     note_choice: Callable[[ChainChoice], None] = lambda choice: None
 
     def choose(
@@ -187,13 +189,19 @@
             service, demand, excluded, first_targets, now
         )
         while True:
-            search = LocalChainSearch(
-                engine=engine,
-                data_centre=self.data_centre,
-                answer_tokens=demand.answer_tokens,
-                centres=dict(centres),
-            )
-            path = self.choose_local_chain(service, search, first_event_s, now)
+            path = None
+            for group in self.list_groups(centres, now):
+                search = LocalChainSearch(
+                    engine=engine,
+                    data_centre=self.data_centre,
+                    answer_tokens=demand.answer_tokens,
+                    centres=group,
+                )
+                path = self.choose_local_chain(
+                    service, search, first_event_s, now
+                )
+                if path is not None:
+                    break
             if path is None:
                 path = self.find_cross_centre_chain(
                     engine, centres, demand, now
@@ -293,6 +301,16 @@
             end = max(end, range_end)
         return end >= service.engine.layers
 
+    def list_groups(
+        self, centres: dict[str, list[StageCandidate]], now: float
+    ) -> list[dict[str, list[StageCandidate]]]:
+        """Returns the candidates in data centres, reachable ones first."""
+        suspects = {x for x in centres if self.is_suspect(x, now)}
+        if not suspects:
+            return [dict(centres)]
+        reachable = {x: y for x, y in centres.items() if x not in suspects}
+        return [reachable, dict(centres)]
+
     def choose_local_chain(
         self,
         service: BackendService,
