--- a/rattanroute/tests/test_loss_fields.py
+++ b/rattanroute/tests/test_loss_fields.py
@@ -26,7 +26,7 @@
 
     def read_record(self) -> RequestRecord:
         """Returns the record of the only request."""
-        reader = RecordReader()
+        reader = RecordReader(counts_spent=True)
         records = list(reader.read(self.lines))
         self.assertEqual((len(records), reader.skipped), (1, 0))
         return records[0]
--- a/rattanroute/tests/test_loss_reports.py
+++ b/rattanroute/tests/test_loss_reports.py
@@ -432,6 +432,16 @@
         result = self.run_command("--goal", "chat=1", "--gap-goal", "*=1")
         self.assertIn("(none)", result.stdout)
 
+    def test_clients_with_less_patience_than_their_route(self) -> None:
+        """Guards against in-time answers that count as late returns."""
+        log = self.folder / "patience.log"
+        line = build_line(first_event=0.2, spent=1.4, longest_gap=0.0)
+        log.write_text(line, encoding="utf-8")
+        self.logs = [str(log)]
+        self.assertIn("(none)", self.run_command().stdout)
+        counted = self.run_command("--count-spent").stdout
+        self.assertIn("returned after a refusal 1", counted)
+
     def test_wrong_objective(self) -> None:
         """Guards against a misspelt option that changes nothing."""
         for value in ("chat", "chat=", "chat=0", "chat=nan", "=1"):
--- a/rattanroute/tools/loss_lines.py
+++ b/rattanroute/tools/loss_lines.py
@@ -121,9 +121,13 @@
 
     Attributes:
         skipped: Lines of the events in question that are malformed or cut.
+        counts_spent: Whether the time limit that was used up on arrival counts.
+            Where clients state less than the limit of their route from the
+            start, it says nothing about returns.
     """
 
     skipped: int = 0
+    counts_spent: bool = False
 
     def read(self, lines: Iterable[str]) -> Iterator[RequestRecord]:
         """Yields the records of lines; other lines are left out."""
@@ -131,9 +135,13 @@
             if not any(mark in line for mark in EVENT_MARKS):
                 continue
             try:
-                yield parse_record(line)
+                record = parse_record(line)
             except LineError:
                 self.skipped += 1
+                continue
+            if not self.counts_spent:
+                record = dataclasses.replace(record, spent_s=0.0)
+            yield record
 
 
 def parse_record(line: str) -> RequestRecord:
--- a/rattanroute/tools/loss_reports.py
+++ b/rattanroute/tools/loss_reports.py
@@ -88,6 +88,12 @@
     show_default=True,
     help="Length of a window in seconds.",
 )
+@click.option(
+    "--count-spent",
+    is_flag=True,
+    help="Count the part of the time limit that was used up on arrival. Only "
+    "where all clients first state the whole limit of their route.",
+)
 @click.option(
     "--output",
     type=click.Choice(["table", "json"]),
@@ -101,6 +107,7 @@
     goal: dict[str, float],
     gap_goal: dict[str, float],
     window: float,
+    count_spent: bool,
     output: str,
     plot: pathlib.Path | None,
 ) -> None:
@@ -110,7 +117,7 @@
     """
     objectives = Objectives(first_event_s=goal, gap_s=gap_goal)
     report = LossReport(objectives=objectives, window_s=window)
-    reader = RecordReader()
+    reader = RecordReader(counts_spent=count_spent)
     for log in logs:
         report.add_all(reader.read(log))
     print_notes(report, reader)
