Forward the ranks of requests to engines

Engines serve waiting requests by rank, and treat one without a rank as rank 5. The header codec could write the rank, but nothing set it, so that urgent requests waited behind others in the queues of engines.

The routing table now holds the services with engines whose routes or keys have different priorities, found once when it is built, and each attempt over a chain carries the rank of its call there, clamped to the ten ranks of engines. The metadata of an attempt is built in a module of its own.

Services whose requests are all alike send no rank, as before.

--- a/rattanroute/gateway/calls.py
+++ b/rattanroute/gateway/calls.py
@@ -24,6 +24,8 @@
         service: Service that handles the request.
         workspace: Workspace of the client; empty on a public route.
         priority: Rank among the waiting calls; 0 is served first.
+        ranked: Whether the calls of its service have different ranks and
+            compete for engines.
         deadline: Time at which the answer is due, in seconds of the event
             loop's clock.
         revision: Revision of the manifest that was used for routing.
@@ -53,6 +55,7 @@
     priority: int
     deadline: float
     revision: int
+    ranked: bool = False
     sends: int = 0
     may_have_run: bool = False
     possible_runners: set[str] = dataclasses.field(default_factory=set)
--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -207,13 +207,15 @@
             priority = owner.priority
         if metadata.time_left_s is not None:
             remaining_s = min(remaining_s, metadata.time_left_s)
+        service = table.services[self.choose_split(route.splits)]
         return Call(
             exchange=exchange,
             metadata=metadata,
             route=route,
-            service=table.services[self.choose_split(route.splits)],
+            service=service,
             workspace=owner.workspace,
             priority=priority,
+            ranked=service.name in table.ranked_services,
             deadline=exchange.received_at + remaining_s,
             revision=table.revision,
         )
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -14,7 +14,6 @@
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.header_codecs import ChainHop
 from rattanroute.gateway.header_codecs import HeaderCodec
-from rattanroute.gateway.header_codecs import UpstreamMetadata
 from rattanroute.gateway.outcomes import Answered
 from rattanroute.gateway.outcomes import CallFinisher
 from rattanroute.gateway.outcomes import NotRun
@@ -34,6 +33,7 @@
 from rattanroute.gateway.target_probes import ProbeResult
 from rattanroute.gateway.target_probes import TargetProbes
 from rattanroute.gateway.target_selectors import TargetSelector
+from rattanroute.gateway.upstream_metadata import build_stream_metadata
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
@@ -265,12 +265,11 @@
         request = call.exchange.request
         head = self.codec.build_request(
             request.head,
-            UpstreamMetadata(
-                target_id=chain[0].target_id,
-                time_left_s=call.time_left(now),
-                workspace=call.workspace,
+            build_stream_metadata(
+                call,
+                chain,
                 last_event_id=run.state.last_event_id,
-                chain=chain if call.service.engine is not None else (),
+                now=now,
             ),
         )
         for other in list(run.attempts):
--- a/rattanroute/tables/routes.py
+++ b/rattanroute/tables/routes.py
@@ -220,6 +220,8 @@
         services: Services by name.
         keys: Workspaces by key; None when no keys are required.
         limits: Limits on requests and connections of clients.
+        ranked_services: Services with engines whose requests may have
+            different priorities; found once, as the table does not change.
     """
 
     revision: int
@@ -229,6 +231,10 @@
     )
     keys: dict[str, WorkspaceKey] | None = None
     limits: ClientLimits = ClientLimits()
+    ranked_services: frozenset[str] = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.ranked_services = find_ranked_services(self)
 
     def find_route(self, host: str, path: bytes) -> Route | None:
         """Returns the route with the longest prefix that matches a path."""
@@ -236,6 +242,33 @@
         return routes.find(path) if routes is not None else None
 
 
+def find_ranked_services(table: RoutingTable) -> frozenset[str]:
+    """Returns the services with engines that get different priorities.
+
+    A key is valid on every route, and its priority, if it has one, overrides
+    that of the route.
+    """
+    owners = table.keys.values() if table.keys is not None else ()
+    of_keys = {x.priority for x in owners if x.priority is not None}
+    uses_routes = table.keys is None or any(x.priority is None for x in owners)
+    priorities: dict[str, set[int]] = {}
+    for routes in table.routes.values():
+        for route in routes:
+            for split in route.splits:
+                if not split.weight:
+                    continue
+                found = priorities.setdefault(split.service, set())
+                if uses_routes or route.public:
+                    found.add(route.priority)
+    return frozenset(
+        name
+        for name, found in priorities.items()
+        if len(found | of_keys) > 1
+        and name in table.services
+        and table.services[name].engine is not None
+    )
+
+
 def index_routes(routes: Iterable[Route]) -> dict[str, HostRoutes]:
     """Returns routes by host; the first one of a host and prefix counts."""
     groups: dict[str, dict[bytes, Route]] = {}
