Exchange the queues of services with the loads of engines

A VM knows its own waiting requests only, so that it cannot tell whether more urgent ones wait elsewhere.

The messages of loads carry, as their last field, the numbers of waiting, refused and granted requests by service and rank. Aggregators sum them with the loads; no message is added. Sums that are older than a second, or that come from a former aggregator, do not count. A VM with waiting requests reports each 0.25 s even if it has no load on engines.

Nothing fills the queues yet.

--- a/rattanroute/messages/loads.py
+++ b/rattanroute/messages/loads.py
@@ -52,6 +52,24 @@
     demand: int
 
 
+class ServiceQueue(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Requests of one rank that need the engines of a service.
+
+    Attributes:
+        service: The service.
+        priority: The rank; 0 is served first.
+        waiting: Requests that wait now.
+        refused: Requests that got no capacity in the last second.
+        granted: Requests that got capacity in the last second.
+    """
+
+    service: str
+    priority: int
+    waiting: int
+    refused: int
+    granted: int
+
+
 class OwnLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Load that the sending VM has put on engines.
 
@@ -60,12 +78,14 @@
         attempts: Its attempts by service.
         process: Identifier of the sending process of the VM.
         limits: Its requests to targets that name a limit.
+        queues: Its queues of services whose requests have different ranks.
     """
 
     loads: tuple[EngineLoad, ...]
     attempts: tuple[AttemptCount, ...] = ()
     process: int = 0
     limits: tuple[LimitUse, ...] = ()
+    queues: tuple[ServiceQueue, ...] = ()
 
 
 class OtherLoads(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -77,12 +97,14 @@
         attempts: The sums by service, including attempts of earlier processes
             of VMs within the window.
         limits: The sums by target that names a limit.
+        queues: The sums by service and rank.
     """
 
     loads: tuple[EngineLoad, ...]
     vms: int
     attempts: tuple[AttemptCount, ...] = ()
     limits: tuple[LimitUse, ...] = ()
+    queues: tuple[ServiceQueue, ...] = ()
 
 
 KINDS: dict[int, type] = {220: OwnLoads, 221: OtherLoads}
--- a/rattanroute/systems/engine_loads.py
+++ b/rattanroute/systems/engine_loads.py
@@ -1,8 +1,9 @@
 """Exchange of engine loads and attempt counts between VMs.
 
 Each VM learns the load that the other VMs put on engines, and their attempts
-at services, which count against the shared retry budget, and their requests to
-targets that name a limit.
+at services, which count against the shared retry budget, their requests to
+targets that name a limit, and their queues of services whose requests have
+different ranks.
 
 A voter of each data centre is its aggregator. Each VM sends its own load there
 at a short interval, or a longer one while it has none, and receives the load
@@ -29,9 +30,13 @@
 from rattanroute.messages.loads import LimitUse
 from rattanroute.messages.loads import OtherLoads
 from rattanroute.messages.loads import OwnLoads
+from rattanroute.messages.loads import ServiceQueue
 from rattanroute.systems.retry_budgets import RetryBudget
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadTable
+from rattanroute.tables.service_queues import EXPIRY_SECONDS as QUEUE_SECONDS
+from rattanroute.tables.service_queues import QueueCounts
+from rattanroute.tables.service_queues import ServiceQueueTable
 
 # Intervals at which a VM with and without load reports to its aggregator.
 REPORT_INTERVAL_SECONDS = 0.25
@@ -63,6 +68,7 @@
         received_at: Time at which it was received, in seconds.
         process: Identifies the process of the reporting VM; 0 for sums.
         limits: Requests to targets that name a limit.
+        queues: Queues by service and rank.
     """
 
     loads: dict[str, EngineLoad]
@@ -71,6 +77,7 @@
     received_at: float
     process: int = 0
     limits: tuple[LimitUse, ...] = ()
+    queues: tuple[ServiceQueue, ...] = ()
 
 
 class LoadSum:
@@ -82,6 +89,7 @@
         self.firsts: dict[str, int] = {}
         self.repeats: dict[str, int] = {}
         self.limits: dict[str, LimitUse] = {}
+        self.queues: dict[tuple[str, int], QueueCounts] = {}
         self.vms = 0
 
     def add(self, report: ReportedLoads, now: float) -> None:
@@ -95,6 +103,8 @@
             self.firsts[name] = self.firsts.get(name, 0) + count.firsts
             self.repeats[name] = self.repeats.get(name, 0) + count.repeats
         held_s = now - report.received_at
+        if held_s <= QUEUE_SECONDS:
+            self.add_queues(report.queues)
         for use in report.limits:
             held = msgspec.structs.replace(use, age_s=use.age_s + held_s)
             known = self.limits.get(use.target_id)
@@ -102,6 +112,12 @@
                 held if known is None else add_uses(known, held)
             )
 
+    def add_queues(self, queues: tuple[ServiceQueue, ...]) -> None:
+        """Adds queues by service and rank."""
+        for queue in queues:
+            key = (queue.service, queue.priority)
+            self.queues.setdefault(key, QueueCounts()).add(queue)
+
     def build(self, vms: int) -> OtherLoads:
         """Returns the sums as a message.
 
@@ -125,6 +141,16 @@
                 for name, count in self.firsts.items()
             ),
             limits=tuple(self.limits.values()),
+            queues=tuple(
+                ServiceQueue(
+                    service=service,
+                    priority=priority,
+                    waiting=counts.waiting,
+                    refused=counts.refused,
+                    granted=counts.granted,
+                )
+                for (service, priority), counts in self.queues.items()
+            ),
         )
 
 
@@ -155,6 +181,8 @@
         window_s: Window of the retry budget, in seconds.
         limiter: Keeps the limits that targets name; None on a VM that serves
             no clients.
+        queues: Queues of the services whose requests have different ranks;
+            None on a VM that serves no clients.
     """
 
     message_types: tuple[type, ...] = (OwnLoads, OtherLoads)
@@ -170,6 +198,7 @@
         process: int = 0,
         window_s: float = 0.0,
         limiter: TargetLimiter | None = None,
+        queues: ServiceQueueTable | None = None,
     ) -> None:
         self.vm_id = vm_id
         self.process = process
@@ -179,6 +208,8 @@
         self.loads = loads
         self.budget = budget
         self.limiter = limiter
+        self.queues = queues
+        self.aggregator = ""
         self.next_send_at = 0.0
         self.answered_at = 0.0
         self.reported: dict[str, ReportedLoads] = {}
@@ -207,6 +238,7 @@
             received_at=now,
             process=message.process if is_own else 0,
             limits=message.limits,
+            queues=message.queues,
         )
         if is_own:
             known = self.reported.get(peer)
@@ -224,6 +256,9 @@
             )
         if self.limiter is not None:
             self.limiter.take_others(message.limits, now)
+        if self.queues is not None and peer == self.aggregator:
+            # A former aggregator that was frozen answers with old sums.
+            self.queues.take_others(message.queues, now)
         self.loads.take_others(message.loads, message.vms)
         return []
 
@@ -263,7 +298,9 @@
     def retain_attempts(self, report: ReportedLoads) -> None:
         """Keeps the attempt counts of an ended process, without its load."""
         if report.attempts:
-            ended = dataclasses.replace(report, loads={}, vms=0, limits=())
+            ended = dataclasses.replace(
+                report, loads={}, vms=0, limits=(), queues=()
+            )
             self.ended_processes.append(ended)
 
     def tick(self, *, now: float) -> list[Action]:
@@ -274,9 +311,10 @@
             return self.send_sums(now)
         own_loads = self.loads.own_loads()
         limits = self.limiter.list_own(now) if self.limiter else ()
+        queues = self.queues.count_own(now) if self.queues else ()
         self.next_send_at = now + (
             REPORT_INTERVAL_SECONDS
-            if own_loads or limits
+            if own_loads or limits or queues
             else IDLE_REPORT_INTERVAL_SECONDS
         )
         if now - self.answered_at > ANSWER_TIMEOUT_SECONDS:
@@ -286,15 +324,16 @@
         voters = self.list_voters()
         if not voters:
             return []
-        aggregator = voters[self.voter_index % len(voters)]
+        self.aggregator = voters[self.voter_index % len(voters)]
         attempts = self.budget.count_own(now) if self.budget else ()
         message = OwnLoads(
             loads=own_loads,
             attempts=attempts,
             process=self.process,
             limits=limits,
+            queues=queues,
         )
-        return [SendMessage(peer=aggregator, message=message)]
+        return [SendMessage(peer=self.aggregator, message=message)]
 
     def send_sums(self, now: float) -> list[Action]:
         """Sends the sums of this aggregator to the other voters."""
