Serve the most urgent requests of all VMs first

A VM served its own waiting requests by rank, but capacity that became free went to whichever VM noticed it first. Less urgent requests also kept urgent ones out of the queue of their VM, when it was full or recent waits had timed out.

Within a rank, the request whose client waits the shortest time goes first, except that a workspace whose recent waits all timed out goes before others. Retry-After of a stream without capacity follows from the queue of all VMs and the rate of grants, and a stream whose estimated wait is twice its longest one is refused at once.

--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.chain_queues import ChainQueue
 from rattanroute.gateway.header_codecs import ChainHop
+from rattanroute.gateway.priority_admissions import PriorityAdmission
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
 from rattanroute.gateway.stream_sinks import Shortage
@@ -31,11 +33,18 @@
         selector: Health of targets.
         chooser: Selects chains.
         queue: Calls that wait for capacity.
+        admission: Ranks of calls, where priorities differ.
     """
 
     selector: TargetSelector
     chooser: ChainChooser
     queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
+    admission: PriorityAdmission = dataclasses.field(
+        default_factory=PriorityAdmission
+    )
+
+    def __post_init__(self) -> None:
+        self.queue.may_pass = self.admission.may_pass
 
     async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a chain with capacity, waiting for a short time if needed.
@@ -56,9 +65,11 @@
             state.shortage = Shortage.TARGETS
             return ()
         service = call.service
-        if not self.queue.wait_queue.has_waiting(service.name):
+        up_to = call.priority if call.ranked else None
+        if not self.queue.wait_queue.has_waiting(service.name, up_to):
             chain = choose()
             if chain:
+                self.admission.note_outcome(call, granted=True)
                 return chain
         if not self.chooser.is_covered(service, excluded=avoided, now=now):
             state.shortage = Shortage.LAYERS
@@ -71,12 +82,40 @@
         if not underway and self.estimate_limit_wait(run) > max_wait_s:
             state.shortage = Shortage.LIMITS
             return ()
-        chain = await self.queue.wait(
-            call, choose, max_wait_s=max_wait_s, underway=underway
-        )
+        chain = await self.wait_for_room(call, choose, max_wait_s)
         call.waited_s += asyncio.get_running_loop().time() - now
         return chain
 
+    async def wait_for_room(
+        self,
+        call: Call,
+        choose: Callable[[], tuple[ChainHop, ...]],
+        max_wait_s: float,
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain as soon as one has capacity; empty if none does.
+
+        Args:
+            call: The call.
+            choose: Returns a chain with capacity; empty if there is none.
+            max_wait_s: Maximum wait in seconds.
+        """
+        underway = call.exchange.started
+        if not call.ranked:
+            return await self.queue.wait(
+                call, choose, max_wait_s=max_wait_s, underway=underway
+            )
+        chain: tuple[ChainHop, ...] = ()
+        if underway or not self.admission.is_hopeless(
+            call, self.queue.wait_queue, max_wait_s
+        ):
+            queues = self.admission.reservations.queues
+            with queues.note_waiting(call.service.name, call.priority):
+                chain = await self.queue.wait(
+                    call, choose, max_wait_s=max_wait_s, underway=underway
+                )
+        self.admission.note_outcome(call, granted=bool(chain))
+        return chain
+
     async def find_target(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a target of a service without engines; empty if none.
 
@@ -127,6 +166,17 @@
         ahead = self.queue.wait_queue.count_waiting(service.name)
         return min((ahead + 1) / rate, WINDOW_SECONDS)
 
+    def estimate_queue_wait(self, run: StreamRun) -> float | None:
+        """Estimates the wait for capacity of a call that found none.
+
+        Returns:
+            The wait in seconds; None if it is unknown, if the call was refused
+            for another reason, or if priorities do not differ.
+        """
+        if run.ban is not None or run.state.shortage is not Shortage.ROOM:
+            return None
+        return self.admission.estimate_wait(run.call)
+
     def choose_chain(
         self, call: Call, avoided: set[str], demanded: set[str]
     ) -> tuple[ChainHop, ...]:
@@ -145,6 +195,7 @@
             excluded=frozenset(avoided),
             first_targets=find_first_targets(call),
             demanded=demanded,
+            reservation=self.admission.find_reservation(call, now),
             now=now,
         )
 
--- a/rattanroute/gateway/chain_queues.py
+++ b/rattanroute/gateway/chain_queues.py
@@ -6,6 +6,8 @@
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.header_codecs import ChainHop
+from rattanroute.systems.wait_queues import BlockedTurns
+from rattanroute.systems.wait_queues import RankedWait
 from rattanroute.systems.wait_queues import WaitingRequest
 from rattanroute.systems.wait_queues import WaitQueue
 
@@ -36,6 +38,8 @@
     Attributes:
         wait_queue: Order of the waiting calls.
         pending: Chain selection of each waiting call.
+        may_pass: Returns whether a waiting request goes before more urgent
+            ones at a time.
         poller: Task that looks for capacity while any call waits.
     """
 
@@ -43,6 +47,9 @@
     pending: dict[WaitingRequest, PendingChoice] = dataclasses.field(
         default_factory=dict
     )
+    may_pass: Callable[[WaitingRequest, float], bool] = lambda request, now: (
+        False
+    )
     poller: asyncio.Task[None] | None = None
 
     async def wait(
@@ -69,6 +76,7 @@
             goal_s=call.route.goal_s,
             max_wait_s=max_wait_s,
             underway=underway,
+            rank=build_rank(call),
             now=loop.time(),
         )
         if waiting is None:
@@ -98,22 +106,26 @@
         """Assigns a chain to the first call that can get one.
 
         A call without a chain blocks those behind it of the same service, so
-        that small requests do not starve large ones.
+        that small requests do not starve large ones; where priorities differ,
+        only those that are not more urgent.
 
         Returns:
             Whether a call got a chain.
         """
-        without_capacity: set[str] = set()
-        for waiting in self.wait_queue.sort_by_turn(now):
+        blocked = BlockedTurns()
+        requests = self.wait_queue.sort_by_turn(
+            now, lambda request: self.may_pass(request, now)
+        )
+        for waiting in requests:
             pending = self.pending.get(waiting)
-            if pending is None or waiting.service in without_capacity:
+            if pending is None or blocked.covers(waiting):
                 continue
             chain = pending.choose()
             if chain:
                 self.wait_queue.grant(waiting, now)
                 self.resolve(waiting, chain)
                 return True
-            without_capacity.add(waiting.service)
+            blocked.add(waiting)
         return False
 
     def resolve(self, waiting: WaitingRequest, chain: Chain) -> None:
@@ -122,3 +134,10 @@
         pending = self.pending.pop(waiting, None)
         if pending is not None and not pending.chosen.done():
             pending.chosen.set_result(chain)
+
+
+def build_rank(call: Call) -> RankedWait | None:
+    """Returns what counts for the turn of a call where priorities differ."""
+    if not call.ranked:
+        return None
+    return RankedWait(workspace=call.workspace, client_until=call.deadline)
--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -99,6 +99,8 @@
         refusal_age_s: Seconds since the configuration in force was known to
             be current, up to which it suffices to refuse a request for an
             unknown route or key.
+        ranks_enabled: Whether different priorities of a service count at its
+            engines and beyond the queue of this VM.
         lookup: Finds routes and keys, of a newer configuration if needed.
     """
 
@@ -110,6 +112,7 @@
     startup_done: asyncio.Event
     configuration: GatewayConfiguration
     refusal_age_s: float = 2.0
+    ranks_enabled: bool = True
     shutdown: Callable[[], ShutdownSchedule | None] = lambda: None
     lookup: ConfirmedLookup = dataclasses.field(init=False)
 
@@ -215,7 +218,9 @@
             service=service,
             workspace=owner.workspace,
             priority=priority,
-            ranked=service.name in table.ranked_services,
+            ranked=(
+                self.ranks_enabled and service.name in table.ranked_services
+            ),
             deadline=exchange.received_at + remaining_s,
             revision=table.revision,
         )
--- a/rattanroute/gateway/outcomes.py
+++ b/rattanroute/gateway/outcomes.py
@@ -10,6 +10,7 @@
 from rattanroute.gateway.header_codecs import HeaderCodec
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.logs import get_logger
+from rattanroute.systems import retry_delays
 
 # Bounds of `Retry-After` as fractions of the time left. Clients have few
 # retries and honour at most a third of their time left; the later they return,
@@ -82,6 +83,7 @@
         *,
         timed_out: bool,
         available_at: float | None = None,
+        queue_wait_s: float | None = None,
     ) -> None:
         """Ends a call that no target answered.
 
@@ -94,6 +96,8 @@
             timed_out: Whether the call or its last attempt timed out.
             available_at: Time at which the first target accepts work again,
                 when all refuse it for a while.
+            queue_wait_s: Estimated wait for capacity behind the requests of
+                all VMs, if it found none and the wait is known.
         """
         exchange = call.exchange
         if exchange.disconnected:
@@ -106,7 +110,9 @@
         retry_after_s = None
         if not call.may_have_run:
             status = 503
-            retry_after_s = self.choose_retry_delay(call, available_at)
+            retry_after_s = self.choose_retry_delay(
+                call, available_at, queue_wait_s
+            )
         else:
             status = 504 if timed_out else 502
         exchange.send(
@@ -119,11 +125,21 @@
         self.log(call, status, reason)
 
     def choose_retry_delay(
-        self, call: Call, available_at: float | None
+        self,
+        call: Call,
+        available_at: float | None,
+        queue_wait_s: float | None = None,
     ) -> float:
-        """Returns the seconds after which a refused client should retry."""
+        """Returns the seconds after which a refused client should retry.
+
+        The arguments are those of `refuse`.
+        """
         now = call.exchange.connection.loop.time()
         remaining_s = call.time_left(now)
+        if queue_wait_s is not None:
+            return retry_delays.choose_retry_delay(
+                queue_wait_s, remaining_s, self.random
+            )
         fraction = self.random.uniform(MIN_RETRY_FRACTION, MAX_RETRY_FRACTION)
         seconds = max(MIN_RETRY_SECONDS, fraction * remaining_s)
         if available_at is not None:
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -151,6 +151,7 @@
             run.reason,
             timed_out=call.time_left(now) <= 0,
             available_at=available_at,
+            queue_wait_s=self.finder.estimate_queue_wait(run),
         )
 
     async def start_replacement(self, run: StreamRun) -> None:
--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -73,6 +73,15 @@
             "Responses dropped since the start because too many bytes of "
             "responses were buffered.",
         )
+        self.reserved_fraction = self.gauge(
+            "rattanroute_reserved_fraction",
+            "Fraction of the engines that requests of a rank leave free for "
+            "more urgent ones, by service and rank.",
+        )
+        self.queued_requests = self.gauge(
+            "rattanroute_queued_requests",
+            "Requests of all VMs that wait for engines, by service and rank.",
+        )
         self.first_token = self.histogram(
             "rattanroute_first_token_seconds",
             "Time from arrival to the first token.",
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -10,6 +10,7 @@
 from rattanroute.gateway.crash_detectors import CrashDetector
 from rattanroute.gateway.handlers import GatewayHandler
 from rattanroute.gateway.outcomes import CallFinisher
+from rattanroute.gateway.priority_admissions import PriorityAdmission
 from rattanroute.gateway.send_budgets import SendBudget
 from rattanroute.gateway.service_forwarders import ServiceForwarder
 from rattanroute.gateway.stall_inspectors import StallInspector
@@ -23,17 +24,23 @@
 from rattanroute.logs import get_logger
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.headers import PlatformHeaderCodec
+from rattanroute.platform.priority_monitors import MONITOR_INTERVAL_SECONDS
+from rattanroute.platform.priority_monitors import PriorityMonitor
 from rattanroute.platform.settings import BootSettings
 from rattanroute.systems.chain_choices import ChainChooser
 from rattanroute.systems.chain_choices import is_served
 from rattanroute.systems.engine_loads import EngineLoadSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
+from rattanroute.systems.priority_reservations import AdmissionSettings
+from rattanroute.systems.priority_reservations import DEFAULT_ADMISSION
+from rattanroute.systems.priority_reservations import PriorityReservations
 from rattanroute.systems.retry_budgets import COUNTS_EXPIRY_SECONDS
 from rattanroute.systems.retry_budgets import RetryBudget
 from rattanroute.systems.shutdown_schedules import ShutdownSchedule
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.systems.target_links import SILENCE_SECONDS
 from rattanroute.tables.engine_loads import EngineLoadTable
+from rattanroute.tables.service_queues import ServiceQueueTable
 from rattanroute.tables.targets import Target
 from rattanroute.tables.targets import TargetReport
 from rattanroute.tunnels.servers import TunnelServer
@@ -61,11 +68,24 @@
     Args:
         path: Path of the settings file.
         boot: Content of the settings file.
+        admission: Settings of the admission by priority.
     """
 
-    def __init__(self, *, path: pathlib.Path, boot: BootSettings) -> None:
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        boot: BootSettings,
+        admission: AdmissionSettings = DEFAULT_ADMISSION,
+    ) -> None:
         super().__init__(path=path, boot=boot)
         self.loads = EngineLoadTable()
+        self.admission = admission
+        self.reservations = PriorityReservations(
+            queues=ServiceQueueTable(),
+            random=self.random,
+            minimum_share=admission.minimum_share,
+        )
         bounds = boot.bounds
         self.retry_budget = RetryBudget(
             ratio=bounds.retry_budget_ratio,
@@ -89,6 +109,7 @@
                 process=self.control.membership.own_record.incarnation,
                 window_s=bounds.budget_window_s,
                 limiter=self.limiter,
+                queues=self.reservations.queues,
             )
         )
         self.limits = RequestLimits()
@@ -97,6 +118,9 @@
         self.shutdown: ShutdownSchedule | None = None
         self.startup_done = asyncio.Event()
         self.usable_counts: dict[tuple[str, str], int] = {}
+        self.priority_monitor = PriorityMonitor(
+            reservations=self.reservations, metrics=self.metrics
+        )
         self.handler = self.build_handler()
         self.inspections.on_unreachable = self.suspect_attempts_at
         self.tunnel_server = TunnelServer(
@@ -150,6 +174,7 @@
                     vms=self.control.count_serving_vms,
                     limiter=self.limiter,
                 ),
+                admission=PriorityAdmission(reservations=self.reservations),
             ),
             health=StreamHealthRecorder(
                 selector=selector, crashes=self.crashes
@@ -171,6 +196,7 @@
             startup_done=self.startup_done,
             shutdown=lambda: self.shutdown,
             configuration=self.control.configurations,
+            ranks_enabled=self.admission.enabled,
             refusal_age_s=self.boot.bounds.config_apply_ms / 1000,
         )
 
@@ -233,6 +259,9 @@
             TARGET_LOG_INTERVAL_SECONDS, self.log_targets
         )
         self.control.start_periodic(CHECK_INTERVAL_SECONDS, self.crashes.check)
+        self.control.start_periodic(
+            MONITOR_INTERVAL_SECONDS, self.priority_monitor.run
+        )
 
     async def open_tunnel_listener(self) -> None:
         """Opens the listener for VMs that have lost their links.
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -19,12 +19,16 @@
 from rattanroute.platform.settings import load_boot_settings
 from rattanroute.platform.settings import PATH_VARIABLE
 from rattanroute.startup import freeze_startup_objects
+from rattanroute.systems.priority_reservations import AdmissionSettings
+from rattanroute.systems.priority_reservations import MINIMUM_SHARE
 
 # Only the module of the chosen role is imported, to shorten the start.
 ROLES = {
     "front": ("rattanroute.platform.fronts", "FrontDaemon"),
     "core": ("rattanroute.platform.cores", "CoreDaemon"),
 }
+# Two less urgent priorities then get all capacity that is granted.
+MAX_MINIMUM_SHARE = 0.5
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -40,6 +44,19 @@
     type=click.Path(path_type=pathlib.Path),
     help=f"Settings file; by default the one that {PATH_VARIABLE} names.",
 )
+@click.option(
+    "--ranked-admission/--no-ranked-admission",
+    default=True,
+    show_default=True,
+    help="front: Serve the most urgent requests of all machines first.",
+)
+@click.option(
+    "--minimum-share",
+    type=click.FloatRange(0.0, MAX_MINIMUM_SHARE),
+    default=MINIMUM_SHARE,
+    show_default=True,
+    help="front: Part of the granted capacity that each priority may use.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.pass_obj
 def start(
@@ -47,6 +64,9 @@
     role: str,
     path: pathlib.Path | None,
     check: bool,
+    *,
+    ranked_admission: bool,
+    minimum_share: float,
 ) -> None:
     """Run a program of rattanroute on the platform.
 
@@ -63,7 +83,12 @@
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
-        daemon = build_daemon(path=path, boot=boot)
+        options: dict[str, object] = {}
+        if role == "front":
+            options["admission"] = AdmissionSettings(
+                enabled=ranked_admission, minimum_share=minimum_share
+            )
+        daemon = build_daemon(path=path, boot=boot, **options)
         uvloop.run(run_process(daemon, reload_requests))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -15,6 +15,8 @@
 from rattanroute.systems.chain_searches import ChainPath
 from rattanroute.systems.chain_searches import find_chain
 from rattanroute.systems.chain_searches import StageCandidate
+from rattanroute.systems.priority_reservations import NOTHING_RESERVED
+from rattanroute.systems.priority_reservations import Reservation
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadRow
 from rattanroute.tables.engine_loads import EngineLoadTable
@@ -145,6 +147,7 @@
         excluded: frozenset[str],
         first_targets: frozenset[str] | None = None,
         demanded: set[str],
+        reservation: Reservation = NOTHING_RESERVED,
         now: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that runs each layer once; empty if there is none.
@@ -160,11 +163,17 @@
                 None for any.
             demanded: IDs of the targets with a limit for which the request has
                 been counted as demand; the choice adds to them.
+            reservation: What the request must leave free of each engine.
             now: Time in seconds.
         """
         engine = service.engine
         centres = self.group_candidates(
-            service, demand, excluded, first_targets, now
+            service,
+            demand,
+            excluded,
+            first_targets,
+            now,
+            reservation=reservation,
         )
         while True:
             path = self.find_local_chain(engine, centres, demand)
@@ -197,6 +206,8 @@
         excluded: frozenset[str],
         first_targets: frozenset[str] | None,
         now: float,
+        *,
+        reservation: Reservation,
     ) -> dict[str, list[StageCandidate]]:
         """Returns the targets with room for a request, by data centre.
 
@@ -209,7 +220,9 @@
                 continue
             if target.full_until > now or not self.is_usable(target, now):
                 continue
-            candidate = self.build_candidate(target, engine, demand)
+            candidate = self.build_candidate(
+                target, engine, demand, reservation
+            )
             if candidate is not None:
                 if (
                     first_targets is not None
@@ -323,7 +336,11 @@
         return path
 
     def build_candidate(
-        self, target: Target, engine: Engine, demand: RequestDemand
+        self,
+        target: Target,
+        engine: Engine,
+        demand: RequestDemand,
+        reservation: Reservation = NOTHING_RESERVED,
     ) -> StageCandidate | None:
         """Returns a target's stage costs; None when it has no room for more."""
         report = target.report
@@ -333,8 +350,10 @@
             return None
         load = self.loads.get(report.target_id)
         room = cache_capacity(engine, accelerator, layers)
-        room = room * MAX_CACHE_FILL - load.all_cache_units
-        if room < demand.tokens * layers or load.all_requests >= engine.slots:
+        room = reservation.limit_room(room * MAX_CACHE_FILL)
+        room -= load.all_cache_units
+        slots = reservation.limit_slots(engine.slots)
+        if room < demand.tokens * layers or load.all_requests >= slots:
             return None
         seconds = estimate_layer_seconds(engine, accelerator, load, demand)
         if target.health is not TargetHealth.HEALTHY:
--- a/rattanroute/tables/service_queues.py
+++ b/rattanroute/tables/service_queues.py
@@ -1,6 +1,8 @@
 """Requests that wait, were refused or got capacity, by service and rank."""
 
 import collections
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from rattanroute.messages.loads import ServiceQueue
@@ -91,6 +93,17 @@
             row = self.rows[service, priority] = QueueRow()
         return row
 
+    @contextlib.contextmanager
+    def note_waiting(self, service: str, priority: int) -> Iterator[None]:
+        """Counts a request as waiting while the context is entered."""
+        # A row with a waiting request is never dropped.
+        row = self.get(service, priority)
+        row.waiting += 1
+        try:
+            yield
+        finally:
+            row.waiting -= 1
+
     def note_refused(self, service: str, priority: int, now: float) -> None:
         """Counts a request that got no capacity."""
         self.get(service, priority).refused_at.append(now)
