--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -56,6 +56,7 @@
             return await self.find_target(run)
         now = asyncio.get_running_loop().time()
         call, state, avoided = run.call, run.state, run.avoided
+        self.admission.note_search(run)
 
         def choose() -> tuple[ChainHop, ...]:
             return self.choose_chain(call, avoided, run.demanded)
@@ -69,7 +70,7 @@
         if not self.queue.wait_queue.has_waiting(service.name, up_to):
             chain = choose()
             if chain:
-                self.admission.note_outcome(call, granted=True)
+                self.admission.note_granted(run)
                 return chain
         if not self.chooser.is_covered(service, excluded=avoided, now=now):
             state.shortage = Shortage.LAYERS
@@ -82,23 +83,24 @@
         if not underway and self.estimate_limit_wait(run) > max_wait_s:
             state.shortage = Shortage.LIMITS
             return ()
-        chain = await self.wait_for_room(call, choose, max_wait_s)
+        chain = await self.wait_for_room(run, choose, max_wait_s)
         call.waited_s += asyncio.get_running_loop().time() - now
         return chain
 
     async def wait_for_room(
         self,
-        call: Call,
+        run: StreamRun,
         choose: Callable[[], tuple[ChainHop, ...]],
         max_wait_s: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain as soon as one has capacity; empty if none does.
 
         Args:
-            call: The call.
+            run: The call.
             choose: Returns a chain with capacity; empty if there is none.
             max_wait_s: Maximum wait in seconds.
         """
+        call = run.call
         underway = call.exchange.started
         if not call.ranked:
             return await self.queue.wait(
@@ -113,7 +115,10 @@
                 chain = await self.queue.wait(
                     call, choose, max_wait_s=max_wait_s, underway=underway
                 )
-        self.admission.note_outcome(call, granted=bool(chain))
+        if chain:
+            self.admission.note_granted(run)
+        else:
+            self.admission.note_refused(call)
         return chain
 
     async def find_target(self, run: StreamRun) -> tuple[ChainHop, ...]:
@@ -173,7 +178,8 @@
             The wait in seconds; None if it is unknown, if the call was refused
             for another reason, or if priorities do not differ.
         """
-        if run.ban is not None or run.state.shortage is not Shortage.ROOM:
+        is_short = run.state.shortage is Shortage.ROOM and not run.rejected
+        if run.ban is not None or not is_short:
             return None
         return self.admission.estimate_wait(run.call)
 
--- a/rattanroute/gateway/priority_admissions.py
+++ b/rattanroute/gateway/priority_admissions.py
@@ -9,6 +9,7 @@
 import random as randoms
 
 from rattanroute.gateway.calls import Call
+from rattanroute.gateway.stream_attempts import StreamRun
 from rattanroute.systems.priority_reservations import NOTHING_RESERVED
 from rattanroute.systems.priority_reservations import PriorityReservations
 from rattanroute.systems.priority_reservations import Reservation
@@ -56,16 +57,38 @@
             request.service, request.priority, now
         )
 
-    def note_outcome(self, call: Call, *, granted: bool) -> None:
-        """Counts a call that got capacity, or that must be refused."""
+    def note_granted(self, run: StreamRun) -> None:
+        """Counts a call that found a chain with capacity."""
+        call = run.call
         if not call.ranked:
             return
         now = asyncio.get_running_loop().time()
-        name, priority = call.service.name, call.priority
-        if granted:
-            self.reservations.note_granted(name, priority, now)
-        else:
-            self.reservations.queues.note_refused(name, priority, now)
+        run.granted_at = now
+        self.reservations.note_granted(call.service.name, call.priority, now)
+
+    def note_search(self, run: StreamRun) -> None:
+        """Takes back the grant of a call that did not run and needs another.
+
+        A call that an engine has rejected counts as refused. That is the first
+        sign of a shortage, as the loads that VMs know of are some time old.
+        """
+        call = run.call
+        granted_at, run.granted_at = run.granted_at, None
+        if granted_at is not None and not call.may_have_run:
+            self.reservations.retract_grant(
+                call.service.name, call.priority, granted_at
+            )
+        if run.rejected:
+            run.rejected = False
+            self.note_refused(call)
+
+    def note_refused(self, call: Call) -> None:
+        """Counts a call that found no capacity."""
+        if call.ranked:
+            now = asyncio.get_running_loop().time()
+            self.reservations.queues.note_refused(
+                call.service.name, call.priority, now
+            )
 
     def estimate_wait(self, call: Call) -> float | None:
         """Estimates how long a call would wait behind those of all VMs.
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -83,6 +83,10 @@
         failure: Error answer of a target, which ends the search for others.
         waiter: Wakes the task that waits for a change of the attempts.
         changed: Whether they have changed since that task last waited.
+        granted_at: Time at which it last got capacity, in seconds; None
+            before that, and where priorities do not differ.
+        rejected: Whether an engine without capacity has rejected the latest
+            attempt.
     """
 
     call: Call
@@ -96,6 +100,8 @@
     failure: Answered | None = None
     waiter: asyncio.Future[None] | None = None
     changed: bool = False
+    granted_at: float | None = None
+    rejected: bool = False
 
     @property
     def trusted(self) -> StreamAttempt | None:
--- a/rattanroute/gateway/stream_health.py
+++ b/rattanroute/gateway/stream_health.py
@@ -88,4 +88,5 @@
             run.avoided.add(target_id)
             self.selector.note_failure(target_id, now=now, crashed=True)
         else:
+            run.rejected = True
             self.selector.note_full(target_id, now)
--- a/rattanroute/messages/loads.py
+++ b/rattanroute/messages/loads.py
@@ -59,7 +59,8 @@
         service: The service.
         priority: The rank; 0 is served first.
         waiting: Requests that wait now.
-        refused: Requests that got no capacity in the last second.
+        refused: Refusals for lack of capacity in the last second, including
+            those by engines.
         granted: Requests that got capacity in the last second.
     """
 
--- a/rattanroute/systems/priority_reservations.py
+++ b/rattanroute/systems/priority_reservations.py
@@ -19,18 +19,18 @@
 
 # Fraction that is reserved as soon as more urgent requests lack capacity. It
 # must exceed what one request takes of an engine, or a less urgent request
-# takes the room of the first one that ends; the engines of the known
-# deployments run more than ten requests at once.
-FIRST_FRACTION = 0.1
-# Growth while more urgent requests lack capacity, per second.
+# takes the room of the first one that ends. In simulated surges, 0.1 let the
+# most urgent rank fall behind, and 0.2 cost the others more.
+FIRST_FRACTION = 0.15
+# Growth while more urgent requests wait, per second.
 RISE_PER_SECOND = 0.2
-# Decline while none do, per second; from the maximum to 0 in half a second, as
-# refusals count for one second.
+# Decline while none do, per second; from the maximum to 0 in a third of a
+# second, as refusals count for one second.
 FALL_PER_SECOND = 0.6
 # Leaves most of the capacity to less urgent requests where the sums are wrong,
 # or where an urgent request is too large for any engine. More is not needed:
 # on engines with a higher load, each fraction keeps them out.
-MAX_FRACTION = 0.3
+MAX_FRACTION = 0.2
 # Interval of the computation for one rank. Waiting requests look for capacity
 # at this interval.
 UPDATE_INTERVAL_SECONDS = 0.02
@@ -101,22 +101,24 @@
     reservation: Reservation = NOTHING_RESERVED
     allowance: float = 0.0
 
-    def update(self, *, is_scarce: bool, rate: float, now: float) -> None:
+    def update(self, *, urgent: QueueCounts, rate: float, now: float) -> None:
         """Computes the state from the sums.
 
         Args:
-            is_scarce: Whether more urgent requests lack capacity.
+            urgent: Counts of the more urgent requests of all VMs. Refused ones
+                alone, which are counted for a second, raise nothing.
             rate: Rate at which the allowance grows, in requests per second.
             now: Time in seconds.
         """
         elapsed = now - self.updated_at
         step = min(elapsed, MAX_STEP_SECONDS)
         fraction = self.reservation.fraction
-        if is_scarce:
-            grown = fraction + RISE_PER_SECOND * step if fraction else 0.0
-            fraction = min(MAX_FRACTION, max(FIRST_FRACTION, grown))
+        least = FIRST_FRACTION if urgent.unserved else 0.0
+        if urgent.waiting and fraction >= least:
+            fraction = min(MAX_FRACTION, fraction + RISE_PER_SECOND * step)
         else:
-            fraction = max(0.0, fraction - FALL_PER_SECOND * elapsed)
+            fraction -= FALL_PER_SECOND * elapsed
+        fraction = max(least, fraction)
         if fraction != self.reservation.fraction:
             self.reservation = Reservation(fraction=fraction)
         # What exceeds one request by less than a step is kept, or the share
@@ -166,6 +168,15 @@
         state = self.get(service, priority, now)
         state.allowance = max(0.0, state.allowance - 1.0)
 
+    def retract_grant(
+        self, service: str, priority: int, granted_at: float
+    ) -> None:
+        """Takes back a grant of which a request could make no use."""
+        self.queues.retract_grant(service, priority, granted_at)
+        state = self.states.get((service, priority))
+        if state is not None:
+            state.allowance = min(1.0, state.allowance + 1.0)
+
     def get(self, service: str, priority: int, now: float) -> RankState:
         """Returns the state of a rank that a request needs."""
         state = self.states.get((service, priority))
@@ -182,11 +193,11 @@
     ) -> None:
         """Computes the state of a rank from the queues of all VMs."""
         sums = self.queues.sum_ranks(service, now)
+        urgent = [counts for rank, counts in sums.items() if rank < priority]
         state.update(
-            is_scarce=any(
-                counts.unserved
-                for rank, counts in sums.items()
-                if rank < priority
+            urgent=QueueCounts(
+                waiting=sum(counts.waiting for counts in urgent),
+                refused=sum(counts.refused for counts in urgent),
             ),
             rate=self.compute_share_rate(sums, service, priority),
             now=now,
--- a/rattanroute/tables/service_queues.py
+++ b/rattanroute/tables/service_queues.py
@@ -22,7 +22,8 @@
 
     Attributes:
         waiting: Requests that wait now.
-        refused: Requests that got no capacity in the last second.
+        refused: Refusals for lack of capacity in the last second, including
+            those by engines.
         granted: Requests that got capacity in the last second.
     """
 
@@ -112,6 +113,14 @@
         """Counts a request that got capacity."""
         self.get(service, priority).granted_at.append(now)
 
+    def retract_grant(
+        self, service: str, priority: int, granted_at: float
+    ) -> None:
+        """Takes back a grant, unless it is too old to be counted."""
+        times = self.get(service, priority).granted_at
+        if granted_at in times:
+            times.remove(granted_at)
+
     def count_own(self, now: float) -> tuple[ServiceQueue, ...]:
         """Returns the queues of this VM; drops rows without requests."""
         queues = []
--- a/rattanroute/tests/test_ranked_streams.py
+++ b/rattanroute/tests/test_ranked_streams.py
@@ -14,6 +14,7 @@
 from rattanroute.tests.gateway_support import SERVICE
 from rattanroute.tests.test_forwarded_ranks import RANK
 from rattanroute.tests.test_forwarded_ranks import rank_routes
+from rattanroute.tests.test_gateway_stream_forwarders import reject_first
 from rattanroute.tests.test_gateway_stream_forwarders import stream
 
 URGENT_PATH = "/stream/"
@@ -118,6 +119,15 @@
         self.assertEqual(sums[2].refused, 1)
         self.assertEqual(sums[0].granted, 1)
 
+    async def test_rejection_by_an_engine(self) -> None:
+        """Guards against grants of which requests could make no use."""
+        self.engine.script = reject_first
+        answer = await self.call(URGENT_PATH)
+        self.assertEqual(answer.status, 200)
+        now = asyncio.get_running_loop().time()
+        counts = self.queues.sum_ranks(SERVICE, now)[0]
+        self.assertEqual((counts.granted, counts.refused), (1, 1))
+
     async def test_client_that_leaves_no_longer_waits(self) -> None:
         """Guards against capacity that is reserved for nobody."""
         self.load(SLOTS)
