--- a/rattanroute/gateway/chain_finders.py
+++ b/rattanroute/gateway/chain_finders.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from rattanroute.gateway.calls import Call
 from rattanroute.gateway.chain_queues import ChainQueue
 from rattanroute.gateway.header_codecs import ChainHop
+from rattanroute.gateway.priority_admissions import PriorityAdmission
 from rattanroute.gateway.stream_attempts import StreamAttempt
 from rattanroute.gateway.stream_attempts import StreamRun
 from rattanroute.gateway.stream_sinks import Shortage
@@ -31,11 +33,18 @@
         selector: Health of targets.
         chooser: Selects chains.
         queue: Calls that wait for capacity.
+        admission: Ranks of calls, where priorities differ.
     """
 
     selector: TargetSelector
     chooser: ChainChooser
     queue: ChainQueue = dataclasses.field(default_factory=ChainQueue)
+    admission: PriorityAdmission = dataclasses.field(
+        default_factory=PriorityAdmission
+    )
+
+    def __post_init__(self) -> None:
+        self.queue.may_pass = self.admission.may_pass
 
     async def find_chain(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a chain with capacity, waiting for a short time if needed.
@@ -47,6 +56,7 @@
             return await self.find_target(run)
         now = asyncio.get_running_loop().time()
         call, state, avoided = run.call, run.state, run.avoided
+        self.admission.note_search(run)
 
         def choose() -> tuple[ChainHop, ...]:
             return self.choose_chain(call, avoided, run.demanded)
@@ -56,9 +66,11 @@
             state.shortage = Shortage.TARGETS
             return ()
         service = call.service
-        if not self.queue.wait_queue.has_waiting(service.name):
+        up_to = call.priority if call.ranked else None
+        if not self.queue.wait_queue.has_waiting(service.name, up_to):
             chain = choose()
             if chain:
+                self.admission.note_granted(run)
                 return chain
         if not self.chooser.is_covered(service, excluded=avoided, now=now):
             state.shortage = Shortage.LAYERS
@@ -71,12 +83,44 @@
         if not underway and self.estimate_limit_wait(run) > max_wait_s:
             state.shortage = Shortage.LIMITS
             return ()
-        chain = await self.queue.wait(
-            call, choose, max_wait_s=max_wait_s, underway=underway
-        )
+        chain = await self.wait_for_room(run, choose, max_wait_s)
         call.waited_s += asyncio.get_running_loop().time() - now
         return chain
 
+    async def wait_for_room(
+        self,
+        run: StreamRun,
+        choose: Callable[[], tuple[ChainHop, ...]],
+        max_wait_s: float,
+    ) -> tuple[ChainHop, ...]:
+        """Returns a chain as soon as one has capacity; empty if none does.
+
+        Args:
+            run: The call.
+            choose: Returns a chain with capacity; empty if there is none.
+            max_wait_s: Maximum wait in seconds.
+        """
+        call = run.call
+        underway = call.exchange.started
+        if not call.ranked:
+            return await self.queue.wait(
+                call, choose, max_wait_s=max_wait_s, underway=underway
+            )
+        chain: tuple[ChainHop, ...] = ()
+        if underway or not self.admission.is_hopeless(
+            call, self.queue.wait_queue, max_wait_s
+        ):
+            queues = self.admission.reservations.queues
+            with queues.note_waiting(call.service.name, call.priority):
+                chain = await self.queue.wait(
+                    call, choose, max_wait_s=max_wait_s, underway=underway
+                )
+        if chain:
+            self.admission.note_granted(run)
+        else:
+            self.admission.note_refused(call)
+        return chain
+
     async def find_target(self, run: StreamRun) -> tuple[ChainHop, ...]:
         """Returns a target of a service without engines; empty if none.
 
@@ -127,6 +171,18 @@
         ahead = self.queue.wait_queue.count_waiting(service.name)
         return min((ahead + 1) / rate, WINDOW_SECONDS)
 
+    def estimate_queue_wait(self, run: StreamRun) -> float | None:
+        """Estimates the wait for capacity of a call that found none.
+
+        Returns:
+            The wait in seconds; None if it is unknown, if the call was refused
+            for another reason, or if priorities do not differ.
+        """
+        is_short = run.state.shortage is Shortage.ROOM and not run.rejected
+        if run.ban is not None or not is_short:
+            return None
+        return self.admission.estimate_wait(run.call)
+
     def choose_chain(
         self, call: Call, avoided: set[str], demanded: set[str]
     ) -> tuple[ChainHop, ...]:
@@ -146,6 +202,7 @@
             first_targets=find_first_targets(call),
             demanded=demanded,
             first_event_s=call.exchange.received_at + call.route.goal_s - now,
+            reservation=self.admission.find_reservation(call, now),
             now=now,
         )
 
--- a/rattanroute/gateway/handlers.py
+++ b/rattanroute/gateway/handlers.py
@@ -99,6 +99,8 @@
         refusal_age_s: Seconds since the configuration in force was known to
             be current, up to which it suffices to refuse a request for an
             unknown route or key.
+        ranks_enabled: Whether different priorities of a service count at its
+            engines and beyond the queue of this VM.
         lookup: Finds routes and keys, of a newer configuration if needed.
     """
 
@@ -110,6 +112,7 @@
     startup_done: asyncio.Event
     configuration: GatewayConfiguration
     refusal_age_s: float = 2.0
+    ranks_enabled: bool = True
     shutdown: Callable[[], ShutdownSchedule | None] = lambda: None
     lookup: ConfirmedLookup = dataclasses.field(init=False)
 
@@ -207,13 +210,17 @@
             priority = owner.priority
         if metadata.time_left_s is not None:
             remaining_s = min(remaining_s, metadata.time_left_s)
+        service = table.services[self.choose_split(route.splits)]
         return Call(
             exchange=exchange,
             metadata=metadata,
             route=route,
-            service=table.services[self.choose_split(route.splits)],
+            service=service,
             workspace=owner.workspace,
             priority=priority,
+            ranked=(
+                self.ranks_enabled and service.name in table.ranked_services
+            ),
             deadline=exchange.received_at + remaining_s,
             revision=table.revision,
         )
--- a/rattanroute/gateway/stream_attempts.py
+++ b/rattanroute/gateway/stream_attempts.py
@@ -103,6 +103,10 @@
         hedging: Task that starts a hedge; None if there is none.
         on_claim: Called with the attempt that goes on and the open ones that
             are not needed.
+        granted_at: Time at which it last got capacity, in seconds; None
+            before that, and where priorities do not differ.
+        rejected: Whether an engine without capacity has rejected the latest
+            attempt.
     """
 
     call: Call
@@ -116,6 +120,8 @@
     failure: Answered | None = None
     waiter: asyncio.Future[None] | None = None
     changed: bool = False
+    granted_at: float | None = None
+    rejected: bool = False
     hedging: asyncio.Task[None] | None = None
     on_claim: ClaimHandler = lambda attempt, others: None
 
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -21,13 +21,17 @@
 from rattanroute.platform.settings import PATH_VARIABLE
 from rattanroute.startup import freeze_startup_objects
 from rattanroute.systems.hedges import HedgeSettings
+from rattanroute.systems.priority_reservations import AdmissionSettings
+from rattanroute.systems.priority_reservations import MINIMUM_SHARE
 
 # Only the module of the chosen role is imported, to shorten the start.
 ROLES = {
     "front": ("rattanroute.platform.fronts", "FrontDaemon"),
     "core": ("rattanroute.platform.cores", "CoreDaemon"),
 }
-HEDGING_ROLE = "front"
+REQUEST_ROLE = "front"
+# Two less urgent priorities then get all capacity that is granted.
+MAX_MINIMUM_SHARE = 0.5
 FAILURE_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -55,6 +59,19 @@
     type=click.FloatRange(min=0.0),
     help="Most second attempts of this VM per second.",
 )
+@click.option(
+    "--ranked-admission/--no-ranked-admission",
+    default=True,
+    show_default=True,
+    help="front: Serve the most urgent requests of all machines first.",
+)
+@click.option(
+    "--minimum-share",
+    type=click.FloatRange(0.0, MAX_MINIMUM_SHARE),
+    default=MINIMUM_SHARE,
+    show_default=True,
+    help="front: Part of the granted capacity that each priority may use.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.pass_obj
 def start(
@@ -65,13 +82,21 @@
     hedge_ratio: float | None,
     hedge_rate: float | None,
     check: bool,
+    ranked_admission: bool,
+    minimum_share: float,
 ) -> None:
     """Run a program of rattanroute on the platform.
 
     Exit codes: 0 after a planned stop, 1 when the program cannot run, 2 when
     the settings are wrong.
     """
-    options = build_options(role, ratio=hedge_ratio, per_second=hedge_rate)
+    options: dict[str, object] = {
+        **build_options(role, ratio=hedge_ratio, per_second=hedge_rate)
+    }
+    if role == REQUEST_ROLE:
+        options["admission"] = AdmissionSettings(
+            enabled=ranked_admission, minimum_share=minimum_share
+        )
     path = path or pathlib.Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         boot = load_boot_settings(path)
@@ -110,8 +135,8 @@
         raise click.UsageError("--hedge-ratio and --hedge-rate belong together")
     if math.isnan(ratio) or math.isnan(per_second):
         raise click.UsageError("--hedge-ratio and --hedge-rate are numbers")
-    if role != HEDGING_ROLE:
-        raise click.UsageError(f"only {HEDGING_ROLE} forwards requests")
+    if role != REQUEST_ROLE:
+        raise click.UsageError(f"only {REQUEST_ROLE} forwards requests")
     if not ratio or not per_second:
         return {}
     return {"hedging": HedgeSettings(ratio=ratio, per_second=per_second)}
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -21,6 +21,8 @@
 from rattanroute.systems.local_chains import exclude_first_layer
 from rattanroute.systems.local_chains import exclude_first_target
 from rattanroute.systems.local_chains import LocalChainSearch
+from rattanroute.systems.priority_reservations import NOTHING_RESERVED
+from rattanroute.systems.priority_reservations import Reservation
 from rattanroute.systems.target_limits import TargetLimiter
 from rattanroute.tables.engine_loads import EngineLoadRow
 from rattanroute.tables.engine_loads import EngineLoadTable
@@ -166,6 +168,7 @@
         first_targets: frozenset[str] | None = None,
         demanded: set[str],
         first_event_s: float = 0.0,
+        reservation: Reservation = NOTHING_RESERVED,
         now: float,
     ) -> tuple[ChainHop, ...]:
         """Returns a chain that runs each layer once; empty if there is none.
@@ -182,11 +185,17 @@
             demanded: IDs of the targets with a limit for which the request has
                 been counted as demand; the choice adds to them.
             first_event_s: Time until the first event is due, in seconds.
+            reservation: What the request must leave free of each engine.
             now: Time in seconds.
         """
         engine = service.engine
         centres = self.group_candidates(
-            service, demand, excluded, first_targets, now
+            service,
+            demand,
+            excluded,
+            first_targets,
+            now,
+            reservation=reservation,
         )
         while True:
             path = None
@@ -198,7 +207,11 @@
                     centres=group,
                 )
                 path = self.choose_local_chain(
-                    service, search, first_event_s, now
+                    service,
+                    search,
+                    first_event_s,
+                    now,
+                    reservation=reservation,
                 )
                 if path is not None:
                     break
@@ -231,6 +244,8 @@
         excluded: frozenset[str],
         first_targets: frozenset[str] | None,
         now: float,
+        *,
+        reservation: Reservation,
     ) -> dict[str, list[StageCandidate]]:
         """Returns the targets with room for a request, by data centre.
 
@@ -243,7 +258,9 @@
                 continue
             if target.full_until > now or not self.is_usable(target, now):
                 continue
-            candidate = self.build_candidate(target, engine, demand)
+            candidate = self.build_candidate(
+                target, engine, demand, reservation
+            )
             if candidate is not None:
                 if (
                     first_targets is not None
@@ -317,6 +334,8 @@
         search: LocalChainSearch,
         first_event_s: float,
         now: float,
+        *,
+        reservation: Reservation,
     ) -> ChainPath | None:
         """Returns a chain within one data centre, preferably one with room.
 
@@ -325,6 +344,7 @@
             search: Finds the chains, fastest first.
             first_event_s: Time until the first event is due, in seconds.
             now: Time in seconds.
+            reservation: What the request must leave free of each engine.
 
         Returns:
             The fastest chain with room for the requests that other VMs send
@@ -338,7 +358,9 @@
             path = search.find_best()
             if path is None:
                 break
-            room = self.rooms.find_room(service.engine, path, first_event_s)
+            room = self.rooms.find_room(
+                service.engine, path, first_event_s, reservation
+            )
             if self.rooms.accepts(room.requests, arrivals):
                 choice = ChainChoice.OTHER if number else ChainChoice.FASTEST
                 self.note_choice(choice)
@@ -388,7 +410,11 @@
         return path
 
     def build_candidate(
-        self, target: Target, engine: Engine, demand: RequestDemand
+        self,
+        target: Target,
+        engine: Engine,
+        demand: RequestDemand,
+        reservation: Reservation = NOTHING_RESERVED,
     ) -> StageCandidate | None:
         """Returns a target's stage costs; None when it has no room for more."""
         report = target.report
@@ -398,11 +424,13 @@
             return None
         load = self.loads.get(report.target_id)
         room = cache_capacity(engine, accelerator, layers)
-        room = room * MAX_CACHE_FILL - load.all_cache_units
+        room = reservation.limit_room(room * MAX_CACHE_FILL)
+        room -= load.all_cache_units
         if room < demand.tokens * layers:
             return None
         # Only requests that a target receives as the first one take a slot.
-        is_full = load.all_first_requests >= engine.slots
+        slots = reservation.limit_slots(engine.slots)
+        is_full = load.all_first_requests >= slots
         seconds = estimate_layer_seconds(engine, accelerator, load, demand)
         if target.health is not TargetHealth.HEALTHY:
             seconds *= UNHEALTHY_FACTOR
--- a/rattanroute/systems/chain_rooms.py
+++ b/rattanroute/systems/chain_rooms.py
@@ -17,6 +17,8 @@
 import random as randoms
 
 from rattanroute.systems.chain_searches import ChainPath
+from rattanroute.systems.priority_reservations import NOTHING_RESERVED
+from rattanroute.systems.priority_reservations import Reservation
 from rattanroute.tables.engine_loads import EngineLoadRow
 from rattanroute.tables.engine_loads import EngineLoadTable
 from rattanroute.tables.routes import Accelerator
@@ -79,7 +81,11 @@
         return self.arrival_rate(service.name, now) * REPORT_DELAY_SECONDS
 
     def find_room(
-        self, engine: Engine, path: ChainPath, first_event_s: float
+        self,
+        engine: Engine,
+        path: ChainPath,
+        first_event_s: float,
+        reservation: Reservation = NOTHING_RESERVED,
     ) -> ChainRoom:
         """Returns how many more requests a chain can begin in time.
 
@@ -87,6 +93,7 @@
             engine: Performance model of the engines.
             path: The chain.
             first_event_s: Time until the first event is due, in seconds.
+            reservation: What the request must leave free of each engine.
         """
         steps = path.steps()
         first_id = steps[0][0].target_id
@@ -94,7 +101,8 @@
         # Some requests end meanwhile. On full engines they take longer than
         # the expected time.
         ended = busy * min(1.0, REPORT_DELAY_SECONDS / path.total)
-        slots = engine.slots - busy + ENDED_FRACTION * ended
+        slots = reservation.limit_slots(engine.slots) - busy
+        slots += ENDED_FRACTION * ended
         rooms = [
             ChainRoom(
                 requests=max(0.0, slots), target_id=first_id, only_first=True
@@ -103,20 +111,27 @@
         allowed_s = max(MIN_WAIT_SECONDS, WAIT_FRACTION * first_event_s)
         for candidate, begin, end in steps:
             target_id, layers = candidate.target_id, end - begin
-            rooms.append(self.find_memory_room(engine, target_id, layers))
+            rooms.append(
+                self.find_memory_room(engine, target_id, layers, reservation)
+            )
             rooms.append(
                 self.find_prompt_room(engine, target_id, layers, allowed_s)
             )
         return min(rooms, key=lambda room: room.requests)
 
     def find_memory_room(
-        self, engine: Engine, target_id: str, layers: int
+        self,
+        engine: Engine,
+        target_id: str,
+        layers: int,
+        reservation: Reservation,
     ) -> ChainRoom:
         """Returns for how many more requests a target has memory."""
         report = self.targets.get(target_id).report
         accelerator = engine.accelerators[report.accelerator]
         held = report.last_layer + 1 - report.first_layer
         room = MAX_CACHE_FILL * cache_capacity(engine, accelerator, held)
+        room = reservation.limit_room(room)
         room -= self.loads.get(target_id).all_cache_units
         tokens = engine.typical_prompt + engine.typical_answer
         return ChainRoom(
--- a/rattanroute/tests/test_hedge_policies.py
+++ b/rattanroute/tests/test_hedge_policies.py
@@ -112,6 +112,7 @@
         deadline=DEADLINE_SECONDS,
         revision=1,
         sends=1,
+        dispatches=1,
     )
 
 
--- a/rattanroute/tests/test_hedged_streams.py
+++ b/rattanroute/tests/test_hedged_streams.py
@@ -329,7 +329,7 @@
 
     looks = 0
 
-    def has_waiting(self, service: str) -> bool:
+    def has_waiting(self, service: str, up_to: int | None = None) -> bool:
         """Returns whether requests of a service wait."""
         self.looks += 1
         return self.looks > 1
