--- a/rattanroute/tests/priority_simulations.py
+++ b/rattanroute/tests/priority_simulations.py
@@ -25,8 +25,8 @@
 from rattanroute.gateway.target_selectors import TargetSelector
 from rattanroute.platform.headers import PlatformHeaderCodec
 from rattanroute.systems.chain_choices import ChainChooser
-from rattanroute.systems.chain_rooms import ChainRoomEstimator
 from rattanroute.systems.chain_choices import MAX_CACHE_FILL
+from rattanroute.systems.chain_rooms import ChainRoomEstimator
 from rattanroute.systems.engine_loads import EngineLoadSystem
 from rattanroute.systems.outlier_detections import OutlierDetectionSystem
 from rattanroute.systems.priority_reservations import PriorityReservations
