Tests of two rules of hedged calls that no test covered

Cause: on changed scratch copies the tests still passed when the time of the losing call was not recorded, and when a hedge was timed as late although no third target may run the call.

Change: a test of each; both fail on those copies.

Conclusion: test_hedged_calls and test_hedge_policies pass.

--- a/rattanroute/tests/test_hedged_calls.py
+++ b/rattanroute/tests/test_hedged_calls.py
@@ -4,11 +4,16 @@
 from unittest import mock
 
 from rattanroute.gateway import outcomes
+from rattanroute.gateway.service_attempts import ServiceAttempt
+from rattanroute.gateway.service_attempts import ServiceRun
 from rattanroute.http1.servers import Exchange
 from rattanroute.messages.loads import AttemptCount
+from rattanroute.systems.hedges import MIN_HEDGE_SAMPLES
+from rattanroute.tables.routes import RouteKind
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import FakeTarget
 from rattanroute.tests.gateway_hosts import PLAIN_SERVICE
+from rattanroute.tests.hedge_builders import build_call
 from rattanroute.tests.hedging_support import answer
 from rattanroute.tests.hedging_support import answer_late
 from rattanroute.tests.hedging_support import hang_up
@@ -17,6 +22,7 @@
 from rattanroute.tests.hedging_support import LEAVE_SECONDS
 from rattanroute.tests.hedging_support import never_answer
 from rattanroute.tests.hedging_support import reject
+from rattanroute.tests.hedging_support import USUAL_SECONDS
 from rattanroute.tests.hedging_support import wait_for_request
 
 
@@ -114,6 +120,32 @@
                 await target.disconnected.wait()
         self.assertEqual(self.services.runs, set())
 
+    async def test_times_of_both_attempts(self) -> None:
+        """Guards against a percentile that falls with each hedge."""
+        await self.add_pair(never_answer, answer)
+        await self.call("/safe/")
+        samples = self.hedges.recent[(PLAIN_SERVICE, "repeatable")].samples
+        seconds = [value for _, value in samples][MIN_HEDGE_SAMPLES:]
+        self.assertEqual(len(seconds), 2)
+        self.assertGreaterEqual(max(seconds), USUAL_SECONDS)
+
+    async def test_hedge_is_not_late_where_no_third_target_may_run(
+        self,
+    ) -> None:
+        """Guards against blame for an attempt that nothing can replace."""
+        self.services.hedger = None
+        run = ServiceRun(call=build_call(kind=RouteKind.REPEATABLE))
+        first, hedge = ServiceAttempt(), ServiceAttempt(hedge=True)
+        for attempts, timed, count in (
+            ([first], first, 1),
+            ([first, hedge], hedge, 0),
+        ):
+            run.attempts = attempts
+            timers = self.services.start_timers(run, timed, 1.0)
+            for timer in timers:
+                timer.cancel()
+            self.assertEqual(len(timers), count)
+
     async def test_log_line_names_the_end_of_the_hedge(self) -> None:
         """Guards against hedges that an operator cannot find."""
         with mock.patch.object(outcomes, "log") as log:
