--- a/rattanroute/tests/test_hedged_calls.py
+++ b/rattanroute/tests/test_hedged_calls.py
@@ -1,6 +1,7 @@
 """Tests of calls of plain services that are hedged."""
 
 import asyncio
+from types import SimpleNamespace
 from unittest import mock
 
 from rattanroute.gateway import outcomes
@@ -146,6 +147,33 @@
                 timer.cancel()
             self.assertEqual(len(timers), count)
 
+    async def test_call_without_recent_times_has_no_timer(self) -> None:
+        """Guards against a timer that never ends."""
+        self.hedges.recent.clear()
+        run = ServiceRun(call=build_call(kind=RouteKind.REPEATABLE))
+        run.call.deadline += asyncio.get_running_loop().time()
+        timer = self.services.hedger.schedule(
+            run, ServiceAttempt(), self.services.hedge
+        )
+        self.assertIsNone(timer)
+
+    async def test_answer_arrives_with_the_timer(self) -> None:
+        """Guards against a hedge of a call that has been answered."""
+        await self.add_pair(answer, answer)
+        run = ServiceRun(call=build_call(kind=RouteKind.REPEATABLE))
+        run.call.service = self.table.services[PLAIN_SERVICE]
+        run.call.deadline += asyncio.get_running_loop().time()
+        connection = SimpleNamespace(sink=None)
+        report = self.targets.get("t1").report
+        first = ServiceAttempt(report=report, connection=connection)
+        run.attempts = [first]
+        self.targets.get("t1").in_flight = 1
+        hedger = self.services.hedger
+        self.assertIsNone(hedger.choose(run, first, waiting=0))
+        connection.sink = object()
+        target = hedger.choose(run, first, waiting=0)
+        self.assertEqual(target.report.target_id, "t2")
+
     async def test_log_line_names_the_end_of_the_hedge(self) -> None:
         """Guards against hedges that an operator cannot find."""
         with mock.patch.object(outcomes, "log") as log:
--- a/rattanroute/tests/test_hedged_streams.py
+++ b/rattanroute/tests/test_hedged_streams.py
@@ -186,19 +186,44 @@
         self.assertEqual([len(x.seen) for x in (*engines, third)], [1, 1, 0])
         self.assertEqual(self.count_events(SERVICE), (1, 1, 0))
 
+    def delay_connections(
+        self, target: FakeTarget, seconds: float
+    ) -> asyncio.Event:
+        """Delays the first connection to a target; returns when it begins."""
+        begun = asyncio.Event()
+        open_direct = self.pool.open
+
+        async def open_slowly(address: str) -> object:
+            if address == target.address and not begun.is_set():
+                begun.set()
+                await asyncio.sleep(seconds)
+            return await open_direct(address)
+
+        self.pool.open = open_slowly
+        return begun
+
+    async def test_first_engine_begins_before_the_hedge_is_sent(self) -> None:
+        """Guards against an engine that is asked for nothing."""
+
+        async def stream_meanwhile(
+            target: FakeTarget, exchange: Exchange
+        ) -> None:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await connecting.wait()
+            await stream(target, exchange)
+
+        first, second = await self.add_engines(stream_meanwhile, stream)
+        connecting = self.delay_connections(second, 2 * GAP_SECONDS)
+        await self.check_whole_stream()
+        self.assertEqual((len(first.seen), len(second.seen)), (1, 0))
+
     async def test_first_engine_fails_before_the_hedge_is_sent(self) -> None:
         """Guards against a third run, and a log without a connection.
 
         The second engine accepts the connection only after a while.
         """
         first, second = await self.add_engines(hang_up, stream)
-        open_direct = self.pool.open
-
-        async def open_slowly(address: str) -> object:
-            if address == second.address and not hanging.is_set():
-                hanging.set()
-                await asyncio.sleep(LEAVE_SECONDS)
-            return await open_direct(address)
+        hanging = self.delay_connections(second, LEAVE_SECONDS)
 
         async def hang_up_meanwhile(
             target: FakeTarget, exchange: Exchange
@@ -207,9 +232,7 @@
                 await hanging.wait()
             await hang_up(target, exchange)
 
-        hanging = asyncio.Event()
         first.script = hang_up_meanwhile
-        self.pool.open = open_slowly
         with mock.patch.object(outcomes, "log") as log:
             await self.check_whole_stream()
         self.assertEqual((len(first.seen), len(second.seen)), (1, 1))
@@ -323,6 +346,35 @@
         self.assertEqual(len(first.seen), 1)
         self.assertEqual(self.count_events(SERVICE), (0, 0, 0))
 
+    async def test_first_target_takes_no_part_in_the_second_chain(
+        self,
+    ) -> None:
+        """Guards against a hedge that waits for the same slow engine."""
+        await self.add_target("t1", never_answer, service=SERVICE)
+        self.targets.get("t1").report.data_centre = "dc-a"
+        third = await self.add_half("t3", 0)
+        self.targets.get("t3").pace = 5.0
+        answer = await self.call("/stream/", deadline_ms=500)
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(third.seen, [])
+        self.assertEqual(self.count_events(SERVICE), (0, 0, 0))
+
+    async def test_second_chain_does_not_begin_at_a_later_target(
+        self,
+    ) -> None:
+        """Guards against an engine that gets one identifier twice."""
+        first = await self.add_half("t1", 0)
+        self.targets.get("t1").pace = 0.1
+        second = await self.add_target("t2", stream, service=SERVICE)
+        self.targets.get("t2").report.data_centre = "dc-a"
+        answer = await self.call("/stream/", deadline_ms=500)
+        self.assertEqual(answer.status, 504)
+        self.assertIn(
+            second.address.encode(), first.header(0, b"rattanroute-hop-count")
+        )
+        self.assertEqual(second.seen, [])
+        self.assertEqual(self.count_events(SERVICE), (0, 0, 0))
+
 
 class FilledQueue(WaitQueue):
     """A queue in which a request waits from the second look on."""
