Import without garbage collection in the platform's programs

Cause: the modules of a program allocate some 100,000 objects that live as long as the process, and each collection during the imports visits them.

Change: collection is disabled before the first import and enabled after the last one, with the imported objects excluded from it.

--- a/rattanroute/platform/__main__.py
+++ b/rattanroute/platform/__main__.py
@@ -3,9 +3,11 @@
 The default action of SIGHUP would end the process, so the handler is installed
 before anything else is imported. The program reloads its settings once it runs.
 With the interpreter's option `-S`, which halves its own start, the folders of
-packages are added after that.
+packages are added after that. Garbage collection is disabled until all modules
+have been imported.
 """
 
+import gc
 import importlib
 import signal
 import sys
@@ -20,6 +22,7 @@
     signal.signal(
         signal.SIGHUP, lambda number, frame: reload_requests.append(number)
     )
+    gc.disable()
     if sys.flags.no_site:
         importlib.import_module("site").main()
     programs = importlib.import_module(PROGRAMS_MODULE)
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -19,6 +19,7 @@
 from rattanroute.platform.daemons import PlatformDaemon
 from rattanroute.platform.settings import load_boot_settings
 from rattanroute.platform.settings import PATH_VARIABLE
+from rattanroute.startup import enable_collection
 from rattanroute.startup import freeze_startup_objects
 from rattanroute.systems.hedges import HedgeSettings
 from rattanroute.systems.priority_reservations import AdmissionSettings
@@ -107,6 +108,7 @@
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
+        enable_collection()
         daemon = build_daemon(path=path, boot=boot, **options)
         uvloop.run(run_process(daemon, reload_requests))
     except RouterError as error:
--- a/rattanroute/startup.py
+++ b/rattanroute/startup.py
@@ -7,6 +7,17 @@
 COLLECTION_THRESHOLDS = (2_000, 5, 50)
 
 
+def enable_collection() -> None:
+    """Enables garbage collection after imports that ran without it.
+
+    The imported objects are excluded, as the first collection would otherwise
+    visit all of them. Imports produce little garbage, but collections during
+    the imports took a tenth of their processor time.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 def freeze_startup_objects() -> None:
     """Excludes the objects created at startup from garbage collection.
 
