Spread the trials after a ban by xxhash in place of BLAKE2

Cause: `hashlib`, with the OpenSSL hashes, was imported for one fraction that spreads the VMs over time and needs no cryptographic hash.

--- a/rattanroute/systems/crash_trials.py
+++ b/rattanroute/systems/crash_trials.py
@@ -5,7 +5,7 @@
 time, until an answer clears the suspect or a crash bans it again.
 """
 
-import hashlib
+import xxhash
 
 from rattanroute.tables.crash_suspects import CrashSuspect
 
@@ -15,7 +15,7 @@
 # A VM sends the next such request after this time. The verdict on a lost
 # attempt takes up to about 3 s.
 TRIAL_SECONDS = 3.0
-HASH_BYTES = 8
+HASH_BITS = 64
 
 
 def find_trial_start(vm_id: str, fingerprint: str, row: CrashSuspect) -> float:
@@ -26,10 +26,8 @@
         fingerprint: Fingerprint of the suspect.
         row: Its row.
     """
-    digest = hashlib.blake2b(
-        f"{vm_id} {fingerprint}".encode(), digest_size=HASH_BYTES
-    ).digest()
-    fraction = int.from_bytes(digest) / 256**HASH_BYTES
+    digest = xxhash.xxh3_64_intdigest(f"{vm_id} {fingerprint}".encode())
+    fraction = digest / 2**HASH_BITS
     return row.banned_until + fraction * TRIAL_SPREAD_SECONDS
 
 
