Draw among full chains by room, wait for the retry budget before the first event

A VM that has just started has no retry budget for up to 2 s and refused them with a return after seconds; and all VMs that found no chain with room for the expected requests chose the same one.

Change: a request that may be repeated waits for the budget as it waits for capacity, at most 1 s from its arrival.

--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -38,6 +38,7 @@
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
 from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
+from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
 
 MAX_SENDS = 5
 # A stream is inspected after this long without an event. Clients give up after
@@ -211,15 +212,17 @@
             return
 
     async def may_wait_for_budget(self, run: StreamRun) -> bool:
-        """Waits a moment with a broken stream; returns whether it may go on.
+        """Waits a moment; returns whether the stream may try again.
 
-        The budget grows with each request and with time, and a part of an
-        answer is of no use to its client.
+        The budget grows with each request and with time. After a start, it is
+        known within a second. A part of an answer is of no use to its client,
+        and a refused client would return seconds later.
         """
-        if not run.call.exchange.started:
-            return False
-        now = asyncio.get_running_loop().time()
-        if now - run.state.event_at > MAX_RESUME_WAIT_SECONDS:
+        exchange = run.call.exchange
+        since, limit = exchange.received_at, MAX_WAIT_SECONDS
+        if exchange.started:
+            since, limit = run.state.event_at, MAX_RESUME_WAIT_SECONDS
+        if asyncio.get_running_loop().time() - since > limit:
             return False
         await asyncio.sleep(BUDGET_POLL_SECONDS)
         return True
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -348,12 +348,10 @@
 
         Returns:
             The fastest chain with room for the requests that other VMs send
-            at the same time, or else the one with the most room; None if
-            there is no chain.
+            at the same time, or else any one, by room; None if there is none.
         """
         arrivals = self.rooms.draw_arrivals(service, now)
-        fallback = None
-        most_room = 0.0
+        passed_over: list[tuple[ChainPath, float]] = []
         for number in range(MAX_LOCAL_CHAINS):
             path = search.find_best()
             if path is None:
@@ -366,12 +364,15 @@
                 self.note_choice(choice)
                 return path
             arrivals = max(0.0, arrivals - room.requests)
-            if fallback is None or room.requests > most_room:
-                fallback, most_room = path, room.requests
+            passed_over.append((path, room.requests))
             search.exclude(room.target_id, only_first=room.only_first)
-        if fallback is not None:
-            self.note_choice(ChainChoice.LATE)
-        return fallback
+        if not passed_over:
+            return None
+        self.note_choice(ChainChoice.LATE)
+        paths, rooms = zip(*passed_over, strict=True)
+        if not any(rooms):
+            return paths[0]
+        return self.random.choices(paths, rooms)[0]
 
     def find_cross_centre_chain(
         self,
