--- a/rattanroute/platform/trial_deployments.py
+++ b/rattanroute/platform/trial_deployments.py
@@ -4,10 +4,12 @@
 platform's names.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 import functools
 import hashlib
+import types
 
 import msgspec
 
@@ -187,6 +189,7 @@
     folder: str | None,
     peer_routes: dict[str, str],
     bounds: SoakBounds,
+    limits: Mapping[str, float] = types.MappingProxyType({}),
 ) -> bytes:
     """Builds the content of a machine's settings file.
 
@@ -198,6 +201,7 @@
         folder: Folder of the replicated log; None if it is no voter.
         peer_routes: Addresses to dial instead of the peers' own addresses.
         bounds: Limits of the soak.
+        limits: Size of the machine, as the fields of `limits`.
     """
     address = machine.address
     listen = {"control": f"{address}:{CONTROL_PORT}"}
@@ -225,6 +229,7 @@
                 "budgetExtra": bounds.retry_extra,
             },
             "faultTolerance": {"machines": 1, "zones": 1},
+            "limits": dict(limits),
             "peerRoutes": peer_routes,
         }
     )
--- a/rattanroute/tests/integration/platform_support.py
+++ b/rattanroute/tests/integration/platform_support.py
@@ -1,6 +1,8 @@
 """Base of tests that run the platform's programs as processes."""
 
 import asyncio
+from collections.abc import Mapping
+import types
 import unittest
 
 import aiohttp
@@ -34,6 +36,7 @@
         crash_marker: str = "",
         crash_part: str = "",
         options: ReplicaOptions = DEFAULT_REPLICA_OPTIONS,
+        limits: Mapping[str, float] = types.MappingProxyType({}),
     ) -> None:
         """Starts a deployment and configures it.
 
@@ -42,6 +45,8 @@
             crash_marker: Text in a request body that crashes replicas.
             crash_part: Part of a prompt that crashes replicas.
             options: Options of the replicas.
+            limits: Size of the machines, as the fields of `limits` in their
+                settings.
         """
         self.fleet = SoakFleet(
             bounds=SoakBounds(),
@@ -49,6 +54,7 @@
             crash_marker=crash_marker,
             crash_part=crash_part,
             options=options,
+            limits=limits,
         )
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
--- a/rattanroute/tools/soak_fleets.py
+++ b/rattanroute/tools/soak_fleets.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+from collections.abc import Mapping
 import contextlib
 import pathlib
 import resource
 import shutil
 import signal
 import time
+import types
 
 import aiohttp
 import msgspec
@@ -60,6 +62,8 @@
             begins to write an answer; empty for none.
         shape: Size of the engines and of the streams.
         options: Options of the replicas.
+        limits: Size of the machines, as the fields of `limits` in their
+            settings.
     """
 
     def __init__(
@@ -71,8 +75,10 @@
         crash_part: str = "",
         shape: DeploymentShape = SHORT_STREAMS,
         options: ReplicaOptions = DEFAULT_REPLICA_OPTIONS,
+        limits: Mapping[str, float] = types.MappingProxyType({}),
     ) -> None:
         super().__init__()
+        self.limits = limits
         self.bounds = bounds
         self.crash_marker = crash_marker
         self.crash_part = crash_part
@@ -196,6 +202,7 @@
                 folder=str(folder) if folder else None,
                 peer_routes=self.peer_routes[name],
                 bounds=self.bounds,
+                limits=self.limits,
             )
         )
         self.start_counts[name] += 1
