Bound the memory and the connections of clients of the HTTP server

Cause: each limit was one of a request or of one kind of bytes. Heads, pipelined requests, unread responses and received bytes that waited had no limit together, and neither had connections.

Change: one memory budget for a process (http1/memory_budgets.py) counts what each connection holds (http1/connection_memory.py) and the buffered responses; above it, the connection that holds most for longest is refused with 503, unless its client waits for an answer. Requests are parsed one by one (http1/request_parsers.py): the next one waits for the response before it, and for its client to read it. A limit of client connections (http1/connection_limits.py) closes idle ones first. Both follow from memoryMb and maxFds, or from two options of the programs.

A head that grows slowly is kept as a body is, at 4 KB/s after the first 3 s.

--- a/rattanroute/http1/heads.py
+++ b/rattanroute/http1/heads.py
@@ -73,12 +73,14 @@
         target: Request target (path and query), exactly as received.
         headers: Headers in the order received.
         keep_alive: Whether the connection stays open after the response.
+        size: Bytes of the target and the headers; 0 if not counted.
     """
 
     method: bytes
     target: bytes
     headers: Headers
     keep_alive: bool = True
+    size: int = 0
 
     @property
     def path(self) -> bytes:
--- a/rattanroute/http1/paced_readers.py
+++ b/rattanroute/http1/paced_readers.py
@@ -45,20 +45,24 @@
     """Passes the bytes of a connection on in slices, at a bounded cost.
 
     Args:
-        read: Called with each slice.
+        read: Called with each slice; returns what it has not read yet, if
+            anything.
         on_wait: Called when no further bytes should be received for now.
         on_resume: Called when they may be received again.
 
     Attributes:
         unread: Slices that have not been passed on.
         waiting: Whether the connection has to wait.
+        held: Whether nothing is passed on for now.
+        retained_bytes: Bytes that have not been passed on, with what shares
+            their memory.
         credit_s: Processor time in seconds that may be used now.
     """
 
     def __init__(
         self,
         *,
-        read: Callable[[bytes | memoryview], None],
+        read: Callable[[bytes | memoryview], bytes | memoryview | None],
         on_wait: Callable[[], None],
         on_resume: Callable[[], None],
         pacer: ReadPacer = PROCESS_PACER,
@@ -70,6 +74,8 @@
         self.loop = asyncio.get_running_loop()
         self.unread: collections.deque[bytes | memoryview] = collections.deque()
         self.waiting = False
+        self.held = False
+        self.retained_bytes = 0
         self.credit_s = MAX_READ_SECONDS
         self.credited_at = self.loop.time()
         self.timer: asyncio.TimerHandle | None = None
@@ -77,12 +83,30 @@
 
     def feed(self, data: bytes) -> None:
         """Passes bytes on, now or after a wait."""
-        if self.waiting or self.unread:
-            self.unread.extend(slice_data(data))
+        if self.waiting or self.held or self.unread:
+            self.keep(data)
         elif len(data) <= UNMEASURED_BYTES:
-            self.read(data)
+            rest = self.read(data)
+            if rest:
+                self.keep(rest)
+                self.read_unread()
         else:
-            self.unread.extend(slice_data(data))
+            self.keep(data)
+            self.read_unread()
+
+    def keep(self, data: bytes) -> None:
+        """Keeps bytes to pass them on later."""
+        self.unread.extend(slice_data(data))
+        self.retained_bytes += len(data)
+
+    def hold(self) -> None:
+        """Passes nothing on until `release`."""
+        self.held = True
+
+    def release(self) -> None:
+        """Goes on after `hold`."""
+        self.held = False
+        if self.unread and not self.waiting:
             self.read_unread()
 
     def finish(self, at_end: Callable[[], None]) -> None:
@@ -97,10 +121,14 @@
         self.add_credit()
         started = time.thread_time()
         used = 0.0
-        while self.unread and used <= self.credit_s:
-            self.read(self.unread.popleft())
+        while self.unread and not self.held and used <= self.credit_s:
+            rest = self.read(self.unread.popleft())
+            if rest:
+                self.unread.appendleft(rest)
             used = time.thread_time() - started
         self.credit_s -= used
+        if not self.unread:
+            self.retained_bytes = 0
         if self.credit_s < 0:
             self.wait()
         elif self.at_end is not None:
@@ -140,4 +168,5 @@
         """Drops the bytes that have not been passed on."""
         self.end_wait()
         self.unread.clear()
+        self.retained_bytes = 0
         self.at_end = None
--- a/rattanroute/http1/response_buffers.py
+++ b/rattanroute/http1/response_buffers.py
@@ -7,8 +7,8 @@
 
 from rattanroute.logs import get_logger
 
-# A quarter to a third of the memory of a small VM. Two copies of one response
-# may exist for a moment in addition.
+# Limit without a memory budget. Two copies of one response may exist for a
+# moment in addition.
 MAX_BUFFERED_BYTES = 67_108_864
 
 log = get_logger(__name__)
@@ -81,6 +81,7 @@
         held_bytes: Bytes of all buffers.
         open: Buffers of incomplete responses.
         evictions: Number of buffers that were evicted.
+        on_growth: Called after a buffer has grown.
     """
 
     def __init__(self, *, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
@@ -88,6 +89,7 @@
         self.held_bytes = 0
         self.open: set[ResponseBuffer] = set()
         self.evictions = 0
+        self.on_growth: Callable[[], None] = ignore_growth
 
     def create(
         self, *, peer: str, on_evicted: Callable[[], None]
@@ -104,7 +106,15 @@
             return
         self.open.add(buffer)
         if self.held_bytes > self.max_bytes:
-            self.evict(max(self.open, key=lambda x: x.size))
+            self.evict_largest()
+        self.on_growth()
+
+    def evict_largest(self) -> int:
+        """Drops the largest incomplete response and returns its size."""
+        buffer = max(self.open, key=lambda x: x.size)
+        size = buffer.size
+        self.evict(buffer)
+        return size
 
     def evict(self, buffer: ResponseBuffer) -> None:
         """Drops the bytes of a buffer."""
@@ -124,3 +134,7 @@
 
 def ignore_eviction() -> None:
     """Does nothing; a released buffer cannot be evicted."""
+
+
+def ignore_growth() -> None:
+    """Does nothing; the buffers are not part of a budget."""
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from rattanroute.http1.connection_limits import CloseCause
+from rattanroute.http1.connection_memory import ConnectionMemory
 from rattanroute.http1.exchanges import Disconnect
 from rattanroute.http1.exchanges import Exchange
 from rattanroute.http1.heads import encode_response_head
@@ -12,21 +14,27 @@
 from rattanroute.http1.lingering_closes import LingeringClose
 from rattanroute.http1.lingering_closes import MAX_DISCARDED_BYTES
 from rattanroute.http1.paced_readers import PacedReader
+from rattanroute.http1.paced_readers import UNMEASURED_BYTES
 from rattanroute.http1.parsers import ProtocolError
-from rattanroute.http1.parsers import RequestParser
+from rattanroute.http1.request_parsers import build_request_error
+from rattanroute.http1.request_parsers import RequestParser
 from rattanroute.logs import get_logger
 
 if TYPE_CHECKING:
     from rattanroute.http1.servers import HttpServer
 
-# Unanswered requests per connection; reading is paused at this number.
-MAX_PIPELINED_REQUESTS = 16
+# Bytes behind an open request that are not parsed yet; above this number,
+# reading is paused. One more read of the transport may be kept.
+MAX_UNREAD_BYTES = 16_384
+# Unsent bytes of responses above which the next request of the connection is
+# not parsed. Many responses are smaller than what a write costs in memory.
+MAX_PIPELINED_UNSENT_BYTES = 8_192
 # Response bytes buffered for a slow caller before the source is paused.
 WRITE_BUFFER_BYTES = 65_536
 # After this time in seconds a caller whose body was refused may return.
 BODY_RETRY_SECONDS = 0.5
-# A slower upload only occupies the connection and is refused.
-MIN_BODY_BYTES_PER_SECOND = 4_096
+# A slower request only occupies the connection and is refused.
+MIN_BYTES_PER_SECOND = 4_096
 
 log = get_logger(__name__)
 
@@ -41,15 +49,18 @@
         closing: Whether the connection is closing; further bytes are ignored.
         linger: Close in progress after the last response; None before it.
         reader: Passes the received bytes to the parser.
-        paused: Whether reading is paused because of pipelined requests or of
-            bytes behind an invalid one.
+        memory: What the connection holds.
+        paused: Whether reading is paused because of bytes behind an invalid
+            request.
+        reading: Whether the transport reads.
+        awaits_reader: Whether the next request waits until the caller reads
+            the responses before it.
         active_at: Time of the event loop of the latest bytes or response.
         reading_since: Time at which the incomplete request started.
-        progress_at: Time at which its body last grew.
-        progress_bytes: Size of its body at that time.
+        progress_at: Time at which its head or body last grew.
+        progress_bytes: Size of its head and body at that time.
         request_error: Error of the request that cannot be read.
         ignored_bytes: Bytes that arrived behind it.
-        held_bytes: Bytes of the bodies of its requests.
         on_written: Called once few bytes are unsent, or the connection is
             closed.
         disconnect_reason: Why the connection closed, if it closes before the
@@ -63,7 +74,7 @@
         self.reader = PacedReader(
             read=self.parse,
             on_wait=self.update_reading,
-            on_resume=self.update_reading,
+            on_resume=self.handle_unread,
         )
         self.exchange: Exchange | None = None
         self.task: asyncio.Task[None] | None = None
@@ -72,13 +83,15 @@
         self.closing = False
         self.linger: LingeringClose | None = None
         self.paused = False
+        self.reading = True
+        self.awaits_reader = False
         self.active_at = self.loop.time()
         self.reading_since: float | None = None
         self.progress_at = self.active_at
         self.progress_bytes = 0
         self.request_error: ProtocolError | None = None
         self.ignored_bytes = 0
-        self.held_bytes = 0
+        self.memory = ConnectionMemory(connection=self, budget=server.budget)
         self.on_written: list[Callable[[], None]] = []
         self.disconnect_reason = Disconnect.CALLER
 
@@ -89,31 +102,52 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self.server.connections.add(self)
+        self.memory.start()
+        self.server.connection_limit.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Passes bytes from the caller to the parser."""
         if self.linger is not None:
             self.linger.discard(len(data))
-        if not self.closing:
-            self.active_at = self.loop.time()
-            self.reader.feed(data)
-
-    def parse(self, data: bytes | memoryview) -> None:
-        """Parses bytes from the caller and starts the next request."""
         if self.closing:
             return
+        self.active_at = self.loop.time()
         if self.request_error is not None:
             self.ignore(len(data))
             return
+        self.reader.feed(data)
+        if self.reader.unread or len(data) > UNMEASURED_BYTES:
+            self.handle_unread()
+
+    def handle_unread(self) -> None:
+        """Counts the bytes that wait, and pauses or resumes reading."""
+        self.memory.update()
+        self.update_reading()
+
+    def parse(self, data: bytes | memoryview) -> bytes | memoryview | None:
+        """Parses bytes from the caller and starts the next request.
+
+        Returns:
+            The bytes that were not parsed, if any.
+        """
+        if self.closing:
+            return None
+        if self.request_error is not None:
+            self.ignore(len(data))
+            return None
         now = self.loop.time()
+        used = len(data)
         try:
-            self.parser.feed(data)
+            used = self.parser.feed_request(data)
         except ProtocolError as error:
             self.request_error = error
         self.update_progress(now)
-        self.update_held_bytes()
-        self.server.limit_bodies()
+        # A request may be refused for its memory until it is handed over.
+        self.memory.update()
         self.start_next_request()
+        if used == len(data) or self.closing or self.request_error is not None:
+            return None
+        return data[used:]
 
     def ignore(self, size: int) -> None:
         """Counts bytes behind an invalid request; stops reading at a limit.
@@ -129,31 +163,29 @@
         if not self.parser.is_reading:
             self.reading_since = None
             return
-        received = len(self.parser.body)
+        received = self.parser.received_bytes
         if self.reading_since is None or received != self.progress_bytes:
             self.progress_at = now
         self.reading_since = self.reading_since or now
         self.progress_bytes = received
 
-    def update_held_bytes(self) -> None:
-        """Counts the bodies of the requests that are not answered yet."""
-        held = len(self.parser.body)
-        held += sum(len(request.body) for request in self.parser.requests)
-        if self.exchange is not None:
-            held += len(self.exchange.request.body)
-        self.server.held_bytes += held - self.held_bytes
-        self.held_bytes = held
-
-    def refuse_body(self) -> None:
-        """Refuses the request whose body is incomplete, and frees it."""
-        self.request_error = ProtocolError(
-            step="read request",
-            message="too many bytes of requests are held",
-            status=503,
+    def refuse_unhandled(self) -> None:
+        """Refuses what was received and not handed over, and frees it."""
+        self.request_error = build_request_error(
+            503, "clients hold too much memory"
         )
-        self.parser.body = bytearray()
-        self.update_held_bytes()
-        self.start_next_request()
+        self.reader.close()
+        self.parser.discard()
+        self.reading_since = None
+        if not self.awaits_reader:
+            self.start_next_request()
+
+    def break_off(self) -> None:
+        """Closes the connection at once; unsent bytes are lost."""
+        self.closing = True
+        self.reader.close()
+        self.parser.discard()
+        self.transport.abort()
 
     def eof_received(self) -> bool:
         """Cancels the open request and lets the transport close.
@@ -170,34 +202,44 @@
         """Notifies the open exchange that its caller has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
+        self.log_dropped_requests()
         self.reader.close()
         if self.linger is not None:
             self.linger.cancel()
         if self.exchange is not None:
             self.exchange.handle_disconnect()
         self.notify_written()
-        self.log_dropped_requests()
-        self.server.held_bytes -= self.held_bytes
-        self.held_bytes = 0
+        self.memory.end()
+        self.server.connection_limit.discard(self)
         self.server.check_empty()
 
     def log_dropped_requests(self) -> None:
-        """Logs requests that were read but will not be handled."""
-        if self.parser.requests:
+        """Logs what was read behind a request and will not be handled."""
+        if self.request_error is not None:
+            return
+        unread = sum(len(data) for data in self.reader.unread)
+        if self.parser.requests or unread:
             log.info(
                 "pipelined requests dropped",
                 requests=len(self.parser.requests),
+                unread_bytes=unread,
                 draining=self.server.draining,
             )
 
     def pause_writing(self) -> None:
         """Marks the write buffer as full."""
         self.writable = False
+        self.memory.update()
 
     def resume_writing(self) -> None:
         """Marks the write buffer as drained and notifies the open exchange."""
         self.writable = True
+        self.memory.update()
         self.notify_written()
+        if self.awaits_reader:
+            self.awaits_reader = False
+            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            self.continue_reading()
         exchange = self.exchange
         if exchange is not None and exchange.on_writable is not None:
             exchange.on_writable()
@@ -229,31 +271,53 @@
         """Pauses or resumes reading."""
         if self.closing or self.transport.is_closing():
             return
-        if self.paused or self.reader.waiting:
+        reader = self.reader
+        pauses = self.paused or reader.waiting or self.awaits_reader
+        if reader.held and reader.retained_bytes > MAX_UNREAD_BYTES:
+            pauses = True
+        if pauses and self.reading:
             self.transport.pause_reading()
-        else:
+        elif not (pauses or self.reading):
             self.transport.resume_reading()
+        self.reading = not pauses
 
     # Requests.
 
     def start_next_request(self) -> None:
         """Starts the next request unless one is being answered."""
-        if self.exchange is not None:
-            full = len(self.parser.requests) >= MAX_PIPELINED_REQUESTS
-            if full and not self.paused:
-                self.pause()
-            return
-        if self.closing:
+        if self.exchange is not None or self.closing:
             return
         if self.parser.requests:
             request = self.parser.requests.popleft()
             self.exchange = Exchange(request=request, connection=self)
+            self.reader.hold()
+            self.memory.begin_exchange()
             self.task = self.loop.create_task(self.run_handler(self.exchange))
         elif self.request_error is not None:
-            self.reject_request(self.request_error.status)
-        elif self.parser.expects_continue and self.parser.is_reading:
+            self.reject_request(self.request_error)
+        elif self.parser.expects_continue and not self.reader.unread:
             self.request_body()
 
+    def continue_reading(self) -> None:
+        """Parses and starts the next request after a response.
+
+        It waits while the caller does not read the responses before it, so
+        that a caller cannot pile them up.
+        """
+        if self.closing:
+            return
+        behind = self.reader.unread or self.parser.requests
+        if behind and self.has_unsent(MAX_PIPELINED_UNSENT_BYTES):
+            self.awaits_reader = True
+            self.transport.set_write_buffer_limits(
+                high=MAX_PIPELINED_UNSENT_BYTES
+            )
+        else:
+            self.start_next_request()
+            if self.exchange is None and not self.closing:
+                self.reader.release()
+        self.handle_unread()
+
     def request_body(self) -> None:
         """Sends the 100 response that the caller waits for.
 
@@ -275,34 +339,36 @@
         if not exchange.ended:
             exchange.abort()
 
-    def reject_request(self, status: int) -> None:
+    def reject_request(self, error: ProtocolError) -> None:
         """Refuses an invalid or slow request and closes the connection."""
-        log.info(
-            "invalid or slow request refused",
-            status=status,
-            error=self.request_error,
-        )
+        if error.status != 503:
+            log.info(
+                "invalid or slow request refused",
+                status=error.status,
+                error=error,
+            )
+        self.write_refusal(error.status)
+        self.close_after_response()
+
+    def write_refusal(self, status: int) -> None:
+        """Writes the response to a request that is not handled."""
         head = ResponseHead(status=status)
         framing = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         if status == 503:
             framing.append((b"Retry-After", b"%.1f" % BODY_RETRY_SECONDS))
         self.write(encode_response_head(head, framing))
-        self.close_after_response()
 
     def finish_exchange(self, exchange: Exchange) -> None:
         """Starts the next request, or closes the connection."""
         if exchange is not self.exchange:
             return
         self.exchange = None
-        self.update_held_bytes()
+        self.memory.exchange_bytes = 0
         self.active_at = self.loop.time()
         if exchange.last:
             self.close_after_response()
             return
-        if self.paused:
-            self.paused = False
-            self.update_reading()
-        self.start_next_request()
+        self.continue_reading()
         if self.server.closing_idle:
             self.sweep(self.active_at)
 
@@ -317,7 +383,10 @@
         if not self.server.draining:
             return False
         return not (
-            self.parser.requests or self.parser.is_reading or self.reader.unread
+            self.parser.requests
+            or self.parser.is_reading
+            or self.reader.unread
+            or self.request_error is not None
         )
 
     # Output.
@@ -325,13 +394,17 @@
     def write(self, data: bytes) -> None:
         """Writes bytes unless the connection is closing."""
         if not (self.closing or self.transport.is_closing()):
+            self.memory.note_write()
             self.transport.write(data)
 
     def close_after_response(self) -> None:
         """Closes the connection so that the caller gets the whole response."""
         if not (self.closing or self.transport.is_closing()):
             self.closing = True
+            self.log_dropped_requests()
             self.reader.close()
+            self.parser.discard()
+            self.memory.update()
             self.linger = LingeringClose(transport=self.transport)
 
     def close(self) -> None:
@@ -361,32 +434,60 @@
     def is_too_slow(self, now: float) -> bool:
         """Returns whether the incomplete request arrives too slowly.
 
-        A head has a fixed timeout. A body must not stop growing for that
-        time, and must keep `MIN_BODY_BYTES_PER_SECOND` on average.
+        It must not stop growing for the timeout, and must keep
+        `MIN_BYTES_PER_SECOND` on average after that time.
         """
         seconds = self.parser.head_timeout_s
         elapsed = now - self.reading_since
-        if not self.parser.head_complete:
-            return elapsed > seconds
-        grown = len(self.parser.body) / MIN_BODY_BYTES_PER_SECOND
+        grown = self.parser.received_bytes / MIN_BYTES_PER_SECOND
         return now - self.progress_at > seconds or elapsed > seconds + grown
 
     def sweep(self, now: float) -> None:
         """Closes the connection if it is idle or its request is too slow."""
-        if self.exchange is not None or self.closing or self.reader.unread:
+        self.memory.check_progress(now)
+        if self.exchange is not None or self.closing:
+            return
+        if self.awaits_reader:
+            if now - self.memory.progress_at > self.parser.idle_timeout_s:
+                self.break_off()
+            return
+        if self.reader.unread:
             return
         if self.reading_since is not None:
             if self.is_too_slow(now):
-                self.request_error = self.request_error or ProtocolError(
-                    step="read request", message="timed out", status=408
+                self.request_error = self.request_error or build_request_error(
+                    408, "timed out"
                 )
-                self.reject_request(self.request_error.status)
+                self.reject_request(self.request_error)
         elif (
             now - self.active_at > self.parser.idle_timeout_s
             or self.server.closing_idle
         ):
             self.close_idle()
 
+    # Calls of the limit of connections.
+
+    def close_cause(self) -> CloseCause | None:
+        """Returns the state; None if the caller waits for an answer."""
+        if self.exchange is not None:
+            return None
+        if self.linger is not None:
+            return CloseCause.ANSWERED
+        if self.closing:
+            return None
+        if self.reader.unread or self.parser.is_reading:
+            return CloseCause.READING
+        return None if self.has_unsent(0) else CloseCause.IDLE
+
+    def close_for_another(self, cause: CloseCause) -> None:
+        """Closes the connection, so that another one gets its descriptor."""
+        if cause is CloseCause.ANSWERED:
+            self.break_off()
+            return
+        if cause is not CloseCause.IDLE:
+            self.write_refusal(503)
+        self.close()
+
     def close_idle(self) -> None:
         """Closes the connection; bytes that a caller never reads are lost."""
         if self.has_unsent(0):
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -5,17 +5,15 @@
 from collections.abc import Callable
 import contextlib
 
+from rattanroute.http1.connection_limits import ConnectionLimit
 from rattanroute.http1.exchanges import Disconnect
 from rattanroute.http1.exchanges import Exchange
+from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.server_connections import ServerConnection
 from rattanroute.tasks import wait_for_event
 
 SWEEP_INTERVAL_SECONDS = 0.5
-# Bodies of requests of all connections together; about a fifth of the memory of
-# a small VM.
-MAX_HELD_BODY_BYTES = 50_331_648
-BACKLOG = 1_024
 # Steps of the event loop that accept a connection, read from it and start the
 # handler of its request.
 READ_STEPS = 10
@@ -29,6 +27,10 @@
     Args:
         handler: Called to answer each request.
         limits: Limits of requests; its fields may be changed at any time.
+        budget: Memory of all clients of the process; by default one of the
+            server's own.
+        connection_limit: Limit of the connections of all clients of the
+            process; by default there is none.
 
     Attributes:
         connections: Open connections.
@@ -36,23 +38,29 @@
             before that.
         draining: Whether connections close once the requests that were read
             are answered.
-        max_held_bytes: Limit of the bodies of all requests.
-        held_bytes: Bytes of the bodies that are held.
         closing_idle: Whether connections without a request are closed.
         empty: Set after `stop_accepting` once no connection is open.
     """
 
-    def __init__(self, *, handler: Handler, limits: RequestLimits) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: RequestLimits,
+        budget: MemoryBudget | None = None,
+        connection_limit: ConnectionLimit | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
         self.connections: set[ServerConnection] = set()
-        self.max_held_bytes = MAX_HELD_BODY_BYTES
-        self.held_bytes = 0
         self.draining = False
         self.draining_at: float | None = None
         self.closing_idle = False
         self.empty = asyncio.Event()
         self.loop = asyncio.get_running_loop()
+        clock = self.loop.time
+        self.budget = budget or MemoryBudget(clock=clock)
+        self.connection_limit = connection_limit or ConnectionLimit(clock=clock)
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -64,7 +72,10 @@
         """
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: ServerConnection(server=self), host, port, backlog=BACKLOG
+            lambda: ServerConnection(server=self),
+            host,
+            port,
+            backlog=self.connection_limit.backlog,
         )
         self.sweeper = loop.create_task(self.sweep())
 
@@ -81,15 +92,6 @@
         """Number of requests that are being answered."""
         return sum(x.exchange is not None for x in self.connections)
 
-    def limit_bodies(self) -> None:
-        """Refuses the largest incomplete body if too many bytes are held."""
-        if self.held_bytes <= self.max_held_bytes:
-            return
-        incomplete = [x for x in self.connections if x.parser.body]
-        if incomplete:
-            largest = max(incomplete, key=lambda x: len(x.parser.body))
-            largest.refuse_body()
-
     def check_empty(self) -> None:
         """Sets `empty` if the server has stopped accepting and has drained."""
         if self.closing_idle and not self.connections:
--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -73,6 +73,31 @@
             "Responses dropped since the start because too many bytes of "
             "responses were buffered.",
         )
+        self.client_memory = self.gauge(
+            "rattanroute_client_memory_bytes",
+            "Memory that clients hold, buffered responses included.",
+        )
+        self.client_memory_limit = self.gauge(
+            "rattanroute_client_memory_limit_bytes",
+            "Memory that clients may hold.",
+        )
+        self.client_evictions = self.gauge(
+            "rattanroute_client_evictions",
+            "Connections and responses that had to free their memory since "
+            "the start, by what they held.",
+        )
+        self.client_connections = self.gauge(
+            "rattanroute_client_connections", "Open connections of clients."
+        )
+        self.client_connection_limit = self.gauge(
+            "rattanroute_client_connection_limit",
+            "Connections that clients may hold open.",
+        )
+        self.client_closes = self.gauge(
+            "rattanroute_client_closes",
+            "Connections of clients closed for others since the start, by "
+            "their state.",
+        )
         self.first_token = self.histogram(
             "rattanroute_first_token_seconds",
             "Time from arrival to the first token.",
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -9,6 +9,8 @@
 from rattanroute.gateway.layer_orders import LayerOrderer
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.logs import get_logger
+from rattanroute.platform.client_limits import ClientLimitOptions
+from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
 from rattanroute.platform.control_handlers import ControlHandler
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.settings import BootSettings
@@ -28,10 +30,22 @@
     Args:
         path: Path of the settings file.
         boot: Content of the settings file.
+        client_limits: Limits of clients from the command line.
     """
 
-    def __init__(self, *, path: pathlib.Path, boot: BootSettings) -> None:
-        super().__init__(path=path, boot=boot, build_voter=build_voter)
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        boot: BootSettings,
+        client_limits: ClientLimitOptions = DEFAULT_CLIENT_LIMITS,
+    ) -> None:
+        super().__init__(
+            path=path,
+            boot=boot,
+            client_limits=client_limits,
+            build_voter=build_voter,
+        )
         self.control.add(
             EngineLoadSystem(
                 vm_id=self.vm_id,
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -24,6 +24,11 @@
 from rattanroute.http1.servers import HttpServer
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.platform.client_limits import build_connection_limit
+from rattanroute.platform.client_limits import build_memory_budget
+from rattanroute.platform.client_limits import ClientLimitOptions
+from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
+from rattanroute.platform.client_limits import update_client_metrics
 from rattanroute.platform.manifests import ManifestDecoder
 from rattanroute.platform.replica_codecs import ReplicaCodec
 from rattanroute.platform.settings import BootSettings
@@ -71,6 +76,11 @@
         boot: Content of the settings file.
         build_voter: Builds the components of a voter; None if the program is
             no voter.
+        client_limits: Limits of clients from the command line.
+
+    Attributes:
+        budget: Memory of the clients of all listeners.
+        connection_limit: Limit of the connections of these clients.
     """
 
     def __init__(
@@ -79,9 +89,14 @@
         path: pathlib.Path,
         boot: BootSettings,
         build_voter: VoterBuilder | None = None,
+        client_limits: ClientLimitOptions = DEFAULT_CLIENT_LIMITS,
     ) -> None:
         self.path = path
         self.boot = boot
+        self.budget = build_memory_budget(boot.limits, client_limits)
+        self.connection_limit = build_connection_limit(
+            boot.limits, client_limits
+        )
         self.random = randoms.Random()
         self.metrics = MetricsRegistry()
         self.control = ControlPlane(
@@ -93,6 +108,7 @@
         self.vm_id = self.control.settings.vm_id
         self.targets = TargetTable()
         self.pool = ConnectionPool()
+        self.budget.include(self.pool.buffers)
         self.loop_monitor = EventLoopMonitor(
             gauge=self.metrics.event_loop_delay
         )
@@ -161,7 +177,12 @@
         Raises:
             RouterError: If the address cannot be used.
         """
-        server = HttpServer(handler=handler, limits=limits)
+        server = HttpServer(
+            handler=handler,
+            limits=limits,
+            budget=self.budget,
+            connection_limit=self.connection_limit,
+        )
         try:
             await server.start(*parse_address(address))
         except OSError as error:
@@ -200,8 +221,9 @@
             self.pool.close_idle_where(lambda x: not x.tunnelled)
 
     def update_metrics(self) -> None:
-        """Updates the metrics of buffered responses."""
+        """Updates the metrics of clients and of buffered responses."""
         buffers = self.pool.buffers
+        update_client_metrics(self.metrics, self.budget, self.connection_limit)
         self.metrics.buffered_responses.set({}, buffers.held_bytes)
         self.metrics.dropped_responses.set({}, buffers.evictions)
 
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -21,6 +21,8 @@
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.servers import Exchange
 from rattanroute.logs import get_logger
+from rattanroute.platform.client_limits import ClientLimitOptions
+from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.headers import PlatformHeaderCodec
 from rattanroute.platform.settings import BootSettings
@@ -61,10 +63,17 @@
     Args:
         path: Path of the settings file.
         boot: Content of the settings file.
+        client_limits: Limits of clients from the command line.
     """
 
-    def __init__(self, *, path: pathlib.Path, boot: BootSettings) -> None:
-        super().__init__(path=path, boot=boot)
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        boot: BootSettings,
+        client_limits: ClientLimitOptions = DEFAULT_CLIENT_LIMITS,
+    ) -> None:
+        super().__init__(path=path, boot=boot, client_limits=client_limits)
         self.loads = EngineLoadTable()
         bounds = boot.bounds
         self.retry_budget = RetryBudget(
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -15,6 +15,7 @@
 from rattanroute.logs import BoundedSink
 from rattanroute.logs import configure_logs
 from rattanroute.logs import get_logger
+from rattanroute.platform.client_limits import ClientLimitOptions
 from rattanroute.platform.daemons import PlatformDaemon
 from rattanroute.platform.settings import load_boot_settings
 from rattanroute.platform.settings import PATH_VARIABLE
@@ -40,12 +41,27 @@
     type=click.Path(path_type=pathlib.Path),
     help=f"Settings file; by default the one that {PATH_VARIABLE} names.",
 )
+@click.option(
+    "--client-memory-mb",
+    type=click.FloatRange(min=0),
+    default=0.0,
+    help="Memory for clients in MB; 0 derives it from the machine's.",
+)
+@click.option(
+    "--max-client-connections",
+    type=click.IntRange(min=0),
+    default=0,
+    help="Client connections; 0 derives them from the machine's descriptors.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.pass_obj
 def start(
     reload_requests: list[int],
+    *,
     role: str,
     path: pathlib.Path | None,
+    client_memory_mb: float,
+    max_client_connections: int,
     check: bool,
 ) -> None:
     """Run a program of rattanroute on the platform.
@@ -63,7 +79,10 @@
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
-        daemon = build_daemon(path=path, boot=boot)
+        client_limits = ClientLimitOptions(
+            memory_mb=client_memory_mb, max_connections=max_client_connections
+        )
+        daemon = build_daemon(path=path, boot=boot, client_limits=client_limits)
         uvloop.run(run_process(daemon, reload_requests))
     except RouterError as error:
         click.echo(f"rattanroute: {error}", err=True)
--- a/rattanroute/platform/settings.py
+++ b/rattanroute/platform/settings.py
@@ -61,9 +61,13 @@
 
     Attributes:
         link_mbps: Rate of its link, in Mbit/s; 0 if unknown.
+        memory_mb: Memory in MB; 0 if unknown.
+        max_fds: File descriptors of a process; 0 if unknown.
     """
 
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class FaultToleranceSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/rattanroute/tests/test_http1_parsers.py
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -14,8 +14,8 @@
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
-from rattanroute.http1.parsers import RequestParser
 from rattanroute.http1.parsers import ResponseParser
+from rattanroute.http1.request_parsers import RequestParser
 
 
 class RequestParserTest(unittest.TestCase):
