--- a/rattanroute/http1/memory_budgets.py
+++ b/rattanroute/http1/memory_budgets.py
@@ -32,6 +32,8 @@
 # Far above the budget, as a multiple of it.
 OVERRUN_RATIO = 1.25
 LOG_INTERVAL_SECONDS = 1.0
+# Less is not worth the time to return it to the system.
+MIN_RELEASED_BYTES = 8_388_608
 
 log = get_logger(__name__)
 
@@ -99,6 +101,8 @@
         responses: Buffered responses, whose limit becomes a part of the
             budget; None if they are not counted.
         evictions: Number of evictions, by cause.
+        peak_bytes: Most bytes held since the last call of `note_release`
+            that returned true.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self.client_bytes = 0
         self.responses: ResponseBuffers | None = None
         self.evictions = dict.fromkeys(Eviction, 0)
+        self.peak_bytes = 0
         self.logged_at = -LOG_INTERVAL_SECONDS
         self.unlogged = 0
 
@@ -139,6 +144,15 @@
         user.held_bytes = size
         if grows:
             self.enforce()
+            self.peak_bytes = max(self.peak_bytes, self.client_bytes)
+
+    def note_release(self) -> bool:
+        """Returns whether much memory was freed since the last time."""
+        held = self.client_bytes
+        if self.peak_bytes - held < max(held, MIN_RELEASED_BYTES):
+            return False
+        self.peak_bytes = held
+        return True
 
     def remove(self, user: MemoryUser) -> None:
         """Forgets a connection that has closed."""
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from rattanroute.addresses import parse_address
+from rattanroute.allocators import release_free_memory
 from rattanroute.control.control_planes import ControlPlane
 from rattanroute.control.control_planes import VoterBuilder
 from rattanroute.control.crash_ban_logs import log_ban
@@ -202,6 +203,7 @@
         )
         self.control.start_periodic(1.0, self.pool.sweep)
         self.control.start_periodic(1.0, self.update_metrics)
+        self.control.start_periodic(1.0, self.release_memory)
         self.control.start_periodic(INTERVAL_SECONDS, self.loop_monitor.run)
         self.control.start_periodic(
             CHECK_INTERVAL_SECONDS, self.link_checker.run
@@ -227,6 +229,11 @@
         self.metrics.buffered_responses.set({}, buffers.held_bytes)
         self.metrics.dropped_responses.set({}, buffers.evictions)
 
+    def release_memory(self) -> None:
+        """Returns memory to the system that clients no longer hold."""
+        if self.budget.note_release():
+            release_free_memory()
+
     async def serve_metrics(self, exchange: Exchange) -> None:
         """Answers a request with all metrics as plain text."""
         body, headers = self.metrics.render(["text/plain"])
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -10,6 +10,7 @@
 import click
 import uvloop
 
+from rattanroute.allocators import keep_large_blocks_mapped
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
 from rattanroute.logs import BoundedSink
@@ -76,6 +77,7 @@
             click.echo(f"{path}: settings are correct")
             return
         sink = BoundedSink(descriptor=sys.stdout.fileno())
+        keep_large_blocks_mapped()
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
