Run the modules of client crowds alone, after all other tests

They fill the machine with clients and start their own deployments; beside other modules both would disturb each other. test_run_tests passes.

--- a/rattanroute/tests/test_run_tests.py
+++ b/rattanroute/tests/test_run_tests.py
@@ -8,6 +8,7 @@
 from rattanroute.tools.run_tests import get_failed_test_ids
 from rattanroute.tools.run_tests import read_known_failures
 from rattanroute.tools.run_tests import run_module_process
+from rattanroute.tools.run_tests import split_exclusive_modules
 from rattanroute.tools.run_tests import split_known_failures
 
 
@@ -50,3 +51,12 @@
         self.assertIn(__name__, modules)
         self.assertIn("rattanroute.tests.integration.test_stops", modules)
         self.assertEqual(len(modules), len(set(modules)))
+
+    def test_crowds_run_alone(self) -> None:
+        """Guards against crowds beside tests that depend on the load."""
+        modules = find_test_modules()
+        parallel, exclusive = split_exclusive_modules(modules)
+        self.assertEqual(
+            exclusive, ["rattanroute.tests.integration.test_client_crowds"]
+        )
+        self.assertEqual(set(parallel), set(modules) - set(exclusive))
--- a/rattanroute/tools/run_tests.py
+++ b/rattanroute/tools/run_tests.py
@@ -1,6 +1,7 @@
 """Runs the test suite; failures that KNOWN-RED.txt lists do not fail it.
 
 Each test module runs in a separate process, with a few processes in parallel.
+Modules whose name ends with `_crowds` run alone, after all others.
 A line of KNOWN-RED.txt without indentation names a test that is known to fail;
 the indented lines below it describe the failure. Listed tests run like all
 others.
@@ -20,6 +21,9 @@
 TESTS_FOLDER = "rattanroute/tests"
 # Each integration test starts a cluster of a few dozen processes.
 PARALLEL_MODULES = 4
+# Ends the names of modules that fill the machine with clients. Beside other
+# tests they would slow these down.
+EXCLUSIVE_SUFFIX = "_crowds"
 # Well above the duration of the slowest module; a module that hangs fails.
 MODULE_TIMEOUT_SECONDS = 900
 
@@ -122,11 +126,25 @@
     )
 
 
-def run_all_modules() -> list[ModuleResult]:
-    """Runs all modules and prints the output of those with failures."""
+def split_exclusive_modules(
+    modules: Iterable[str],
+) -> tuple[list[str], list[str]]:
+    """Splits modules into those that run in parallel and those that do not."""
+    modules = list(modules)
+    exclusive = [name for name in modules if name.endswith(EXCLUSIVE_SUFFIX)]
+    return [name for name in modules if name not in exclusive], exclusive
+
+
+def run_modules(modules: list[str], processes: int) -> list[ModuleResult]:
+    """Runs modules and prints the output of those with failures.
+
+    Args:
+        modules: Names of the modules.
+        processes: Number of modules that run at the same time.
+    """
     results = []
-    with concurrent.futures.ThreadPoolExecutor(PARALLEL_MODULES) as executor:
-        for result in executor.map(run_module_process, find_test_modules()):
+    with concurrent.futures.ThreadPoolExecutor(processes) as executor:
+        for result in executor.map(run_module_process, modules):
             result_text = "failed" if result.failures else "ok"
             print(
                 f"{result.module}: {result.tests} tests in "
@@ -139,6 +157,13 @@
     return results
 
 
+def run_all_modules() -> list[ModuleResult]:
+    """Runs all modules."""
+    parallel, exclusive = split_exclusive_modules(find_test_modules())
+    results = run_modules(parallel, PARALLEL_MODULES)
+    return results + run_modules(exclusive, 1)
+
+
 def main() -> None:
     """Run the suite, or one module of it."""
     if len(sys.argv) > 1:
