--- a/rattanroute/http1/request_parsers.py
+++ b/rattanroute/http1/request_parsers.py
@@ -23,7 +23,8 @@
 HEADER_BYTES = 176
 # Memory of a request without its bytes and headers.
 REQUEST_BYTES = 1_024
-HEAD_END = re.compile(rb"\r\n\r\n")
+END_OF_HEAD = b"\r\n\r\n"
+HEAD_END = re.compile(END_OF_HEAD)
 # End of a chunked body without trailers. With trailers, the rest of the slice
 # is parsed at once.
 CHUNKS_END = re.compile(rb"0\r\n\r\n")
@@ -75,6 +76,7 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
+        self.head_tail = b""
         self.head_size = 0
         self.body = bytearray()
         self.body_left: int | None = None
@@ -121,7 +123,8 @@
             ProtocolError: If the bytes are invalid or exceed a limit.
         """
         position = 0
-        while position < len(data) and not self.requests:
+        count = len(self.requests)
+        while position < len(data) and len(self.requests) == count:
             end = self.find_end(data, position)
             whole = position == 0 and end == len(data)
             self.feed_slice(data if whole else data[position:end])
@@ -131,13 +134,26 @@
     def find_end(self, data: bytes | memoryview, start: int) -> int:
         """Returns the end of the head or of the body, or of the data."""
         if not self.head_complete:
-            while start < len(data) and data[start] in LINE_BREAKS:
-                start += 1
-            found = HEAD_END.search(data, start)
-        elif self.body_left:
+            return self.find_head_end(data, start)
+        if self.body_left:
             return min(len(data), start + self.body_left)
-        else:
-            found = CHUNKS_END.search(data, start)
+        found = CHUNKS_END.search(data, start)
+        return found.end() if found else len(data)
+
+    def find_head_end(self, data: bytes | memoryview, start: int) -> int:
+        """Returns the end of the head, or of the data.
+
+        The empty line may have begun in the slice before.
+        """
+        if self.head_bytes and not start:
+            joined = self.head_tail + bytes(data[: len(END_OF_HEAD) - 1])
+            found = joined.find(END_OF_HEAD)
+            if found >= 0:
+                return found + len(END_OF_HEAD) - len(self.head_tail)
+        # Empty lines before a request do not end it.
+        while start < len(data) and data[start] in LINE_BREAKS:
+            start += 1
+        found = HEAD_END.search(data, start)
         return found.end() if found else len(data)
 
     def feed(self, data: bytes) -> None:
@@ -147,7 +163,9 @@
             ProtocolError: If the bytes are invalid or exceed a limit.
         """
         for part in slice_data(data):
-            self.feed_slice(part)
+            position = 0
+            while position < len(part):
+                position += self.feed_request(part[position:])
 
     def feed_slice(self, data: bytes | memoryview) -> None:
         """Parses at most `SLICE_BYTES` bytes and checks the limits.
@@ -178,19 +196,21 @@
         if not self.is_reading:
             return
         if not self.head_complete:
-            self.add_head_bytes(len(data))
+            self.add_head_bytes(data)
         elif in_body:
             self.framing.count(len(data), self.total_body_bytes - body_before)
             if self.framing.exceeded:
                 raise build_request_error(400, "the body has too much framing")
 
-    def add_head_bytes(self, size: int) -> None:
+    def add_head_bytes(self, data: bytes | memoryview) -> None:
         """Counts bytes of an incomplete head.
 
         Raises:
             ProtocolError: If the head is too long.
         """
-        self.head_bytes += size
+        self.head_bytes += len(data)
+        size = len(END_OF_HEAD) - 1
+        self.head_tail = (self.head_tail + bytes(data[-size:]))[-size:]
         if self.head_bytes > self.max_head_bytes:
             raise build_request_error(431, "the head is too long")
 
@@ -245,9 +265,9 @@
     def check_head_size(self, text_bytes: int) -> None:
         """Checks the size of the complete head.
 
-        The C parser does not tell the white space, nor, if requests are fed
-        together, where the head began. The head is too long only if it is so
-        by all that is known.
+        The C parser does not tell the white space, nor, behind a chunked
+        request, where the head began. The head is too long only if it is so by
+        all that is known.
 
         Args:
             text_bytes: Bytes of the target, of all names and of all values.
--- a/rattanroute/tests/test_http1_parsers.py
+++ b/rattanroute/tests/test_http1_parsers.py
@@ -4,17 +4,20 @@
 import itertools
 import unittest
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
 
 from rattanroute.http1.heads import drop_connection_headers
 from rattanroute.http1.heads import encode_request
+from rattanroute.http1.heads import Request
 from rattanroute.http1.heads import RequestHead
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import ResponseParser
+from rattanroute.http1.parsers import slice_data
 from rattanroute.http1.request_parsers import RequestParser
 
 
@@ -105,6 +108,24 @@
         self.parser.feed(request[30:])
         self.assertEqual(len(self.parser.requests), 1)
 
+    def test_longest_head_of_the_shortest_lines(self) -> None:
+        """Guards against refusing a head for spaces that it does not have."""
+        start = b"GET / HTTP/1.1\r\n"
+        size = RequestLimits().max_head_bytes
+        lines = b"a:\r\n" * ((size - len(start) - 2) // 4)
+        head = start + lines + b"\r\n"
+        self.assertGreater(len(head), size - 4)
+        for piece in (len(head), 1_000, len(head) - 1, len(head) - 3):
+            with self.subTest(piece=piece):
+                parser = RequestParser(limits=RequestLimits())
+                for part in split_data(head + head, [piece]):
+                    parser.feed(part)
+                self.assertEqual(len(parser.requests), 2)
+        with self.assertRaises(ProtocolError) as caught:
+            too_long = start + lines + b"a:\r\n" * 2 + b"\r\n"
+            RequestParser(limits=RequestLimits()).feed(too_long)
+        self.assertEqual(caught.exception.status, 431)
+
     def test_trailers_are_dropped(self) -> None:
         """Guards against a trailer that overrides a validated header."""
         self.parser.feed(
@@ -322,6 +343,48 @@
 )
 
 
+EMPTY_LINE = b"a:\r\n"
+HEADER_LINES = strategies.sampled_from(
+    [EMPTY_LINE, b"!!:\r\n", b"~~:\xff\r\n", b"A: b\r\n", b"x:\t \r\n"]
+)
+EMPTY_LINES = b"GET / HTTP/1.1\r\n" + EMPTY_LINE * 4_000 + b"\r\n"
+TRAILERS = (
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\n\r\n\r\n0\r\n0\r\na: b\r\n\r\n"
+)
+# What clients sent that made a process hold much memory.
+CROWD_REQUESTS = strategies.lists(
+    strategies.one_of(
+        strategies.builds(
+            lambda line, count: b"GET / HTTP/1.1\r\n" + line * count + b"\r\n",
+            HEADER_LINES,
+            strategies.integers(0, 2_000),
+        ),
+        strategies.builds(
+            lambda chunk, count: (
+                b"POST / HTTP/1.1\r\n"
+                + encode_body(chunk * count, [len(chunk)] * count)
+            ),
+            strategies.sampled_from([b"x", b"\r\n\r\n", b"0\r\n\r\n"]),
+            strategies.integers(0, 3_000),
+        ),
+        strategies.just(TRAILERS),
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+def read_one_by_one(
+    parser: RequestParser, data: bytes | memoryview
+) -> Iterator[Request]:
+    """Yields the requests that a slice completes."""
+    while data:
+        data = data[parser.feed_request(data) :]
+        while parser.requests:
+            yield parser.requests.popleft()
+
+
 class SplitTest(unittest.TestCase):
     """Guards against results that depend on how messages are segmented."""
 
@@ -344,6 +407,30 @@
         ]
         self.assertEqual(found, expected)
 
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(requests=CROWD_REQUESTS, pieces=PIECES)
+    @example(requests=[b"GET / HTTP/1.1\r\n\r\n"] * 900, pieces=[16_384])
+    @example(requests=[b"\r\n" * 50 + EMPTY_LINES], pieces=[16_384])
+    @example(requests=[TRAILERS] * 300, pieces=[16_384, 1])
+    def test_requests_one_by_one(
+        self, requests: list[bytes], pieces: list[int]
+    ) -> None:
+        """Guards against requests that depend on where parsing pauses."""
+        data = b"".join(requests)
+        parser = RequestParser(limits=RequestLimits())
+        found = []
+        for piece in split_data(data, pieces):
+            for part in slice_data(piece):
+                found += read_one_by_one(parser, part)
+        expected = []
+        for request in requests:
+            alone = RequestParser(limits=RequestLimits())
+            alone.feed(request)
+            expected += alone.requests
+        self.assertEqual(found, expected)
+        self.assertEqual(len(found), len(requests))
+        self.assertFalse(parser.is_reading)
+
     @settings(derandomize=True, deadline=None, max_examples=150)
     @given(bodies=BODIES, pieces=PIECES)
     def test_responses(
