--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from rattanroute.addresses import parse_address
+from rattanroute.allocators import release_free_memory
 from rattanroute.control.control_planes import ControlPlane
 from rattanroute.control.control_planes import VoterBuilder
 from rattanroute.control.crash_ban_logs import log_ban
@@ -24,6 +25,11 @@
 from rattanroute.http1.servers import HttpServer
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.platform.client_limits import build_connection_limit
+from rattanroute.platform.client_limits import build_memory_budget
+from rattanroute.platform.client_limits import ClientLimitOptions
+from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
+from rattanroute.platform.client_limits import update_client_metrics
 from rattanroute.platform.manifests import ManifestDecoder
 from rattanroute.platform.replica_codecs import ReplicaCodec
 from rattanroute.platform.settings import BootSettings
@@ -71,6 +77,11 @@
         boot: Content of the settings file.
         build_voter: Builds the components of a voter; None if the program is
             no voter.
+        client_limits: Limits of clients from the command line.
+
+    Attributes:
+        budget: Memory of the clients of all listeners.
+        connection_limit: Limit of the connections of these clients.
     """
 
     def __init__(
@@ -79,9 +90,14 @@
         path: pathlib.Path,
         boot: BootSettings,
         build_voter: VoterBuilder | None = None,
+        client_limits: ClientLimitOptions = DEFAULT_CLIENT_LIMITS,
     ) -> None:
         self.path = path
         self.boot = boot
+        self.budget = build_memory_budget(boot.limits, client_limits)
+        self.connection_limit = build_connection_limit(
+            boot.limits, client_limits
+        )
         self.random = randoms.Random()
         self.metrics = MetricsRegistry()
         self.control = ControlPlane(
@@ -93,6 +109,7 @@
         self.vm_id = self.control.settings.vm_id
         self.targets = TargetTable()
         self.pool = ConnectionPool()
+        self.budget.include(self.pool.buffers)
         self.loop_monitor = EventLoopMonitor(
             gauge=self.metrics.event_loop_delay
         )
@@ -161,7 +178,12 @@
         Raises:
             RouterError: If the address cannot be used.
         """
-        server = HttpServer(handler=handler, limits=limits)
+        server = HttpServer(
+            handler=handler,
+            limits=limits,
+            budget=self.budget,
+            connection_limit=self.connection_limit,
+        )
         try:
             await server.start(*parse_address(address))
         except OSError as error:
@@ -181,6 +203,7 @@
         )
         self.control.start_periodic(1.0, self.pool.sweep)
         self.control.start_periodic(1.0, self.update_metrics)
+        self.control.start_periodic(1.0, self.release_memory)
         self.control.start_periodic(INTERVAL_SECONDS, self.loop_monitor.run)
         self.control.start_periodic(
             CHECK_INTERVAL_SECONDS, self.link_checker.run
@@ -200,11 +223,17 @@
             self.pool.close_idle_where(lambda x: not x.tunnelled)
 
     def update_metrics(self) -> None:
-        """Updates the metrics of buffered responses."""
+        """Updates the metrics of clients and of buffered responses."""
         buffers = self.pool.buffers
+        update_client_metrics(self.metrics, self.budget, self.connection_limit)
         self.metrics.buffered_responses.set({}, buffers.held_bytes)
         self.metrics.dropped_responses.set({}, buffers.evictions)
 
+    def release_memory(self) -> None:
+        """Returns memory to the system that clients no longer hold."""
+        if self.budget.note_release():
+            release_free_memory()
+
     async def serve_metrics(self, exchange: Exchange) -> None:
         """Answers a request with all metrics as plain text."""
         body, headers = self.metrics.render(["text/plain"])
--- a/rattanroute/platform/fronts.py
+++ b/rattanroute/platform/fronts.py
@@ -25,6 +25,8 @@
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.servers import Exchange
 from rattanroute.logs import get_logger
+from rattanroute.platform.client_limits import ClientLimitOptions
+from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
 from rattanroute.platform.daemons import BaseDaemon
 from rattanroute.platform.headers import PlatformHeaderCodec
 from rattanroute.platform.priority_monitors import MONITOR_INTERVAL_SECONDS
@@ -76,6 +78,7 @@
         boot: Content of the settings file.
         hedging: Limits of second attempts of late requests; None for none.
         admission: Settings of the admission by priority.
+        client_limits: Limits of clients from the command line.
     """
 
     def __init__(
@@ -85,8 +88,9 @@
         boot: BootSettings,
         hedging: HedgeSettings | None = None,
         admission: AdmissionSettings = DEFAULT_ADMISSION,
+        client_limits: ClientLimitOptions = DEFAULT_CLIENT_LIMITS,
     ) -> None:
-        super().__init__(path=path, boot=boot)
+        super().__init__(path=path, boot=boot, client_limits=client_limits)
         self.loads = EngineLoadTable()
         self.admission = admission
         self.reservations = PriorityReservations(
--- a/rattanroute/platform/programs.py
+++ b/rattanroute/platform/programs.py
@@ -11,11 +11,13 @@
 import click
 import uvloop
 
+from rattanroute.allocators import keep_large_blocks_mapped
 from rattanroute.errors import RouterError
 from rattanroute.errors import SettingsError
 from rattanroute.logs import BoundedSink
 from rattanroute.logs import configure_logs
 from rattanroute.logs import get_logger
+from rattanroute.platform.client_limits import ClientLimitOptions
 from rattanroute.platform.daemons import PlatformDaemon
 from rattanroute.platform.settings import load_boot_settings
 from rattanroute.platform.settings import PATH_VARIABLE
@@ -73,6 +75,18 @@
     show_default=True,
     help="front: Part of the granted capacity that each priority may use.",
 )
+@click.option(
+    "--client-memory-mb",
+    type=click.FloatRange(min=0),
+    default=0.0,
+    help="Memory for clients in MB; 0 derives it from the machine's.",
+)
+@click.option(
+    "--max-client-connections",
+    type=click.IntRange(min=0),
+    default=0,
+    help="Client connections; 0 derives them from the machine's descriptors.",
+)
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.pass_obj
 def start(
@@ -82,6 +96,8 @@
     path: pathlib.Path | None,
     hedge_ratio: float | None,
     hedge_rate: float | None,
+    client_memory_mb: float,
+    max_client_connections: int,
     check: bool,
     ranked_admission: bool,
     minimum_share: float,
@@ -94,6 +110,9 @@
     options: dict[str, object] = {
         **build_options(role, ratio=hedge_ratio, per_second=hedge_rate)
     }
+    options["client_limits"] = ClientLimitOptions(
+        memory_mb=client_memory_mb, max_connections=max_client_connections
+    )
     if role == REQUEST_ROLE:
         options["admission"] = AdmissionSettings(
             enabled=ranked_admission, minimum_share=minimum_share
@@ -105,6 +124,7 @@
             click.echo(f"{path}: settings are correct")
             return
         sink = BoundedSink(descriptor=sys.stdout.fileno())
+        keep_large_blocks_mapped()
         configure_logs(level="INFO", vm_id=boot.node, sink=sink)
         module, name = ROLES[role]
         build_daemon = getattr(importlib.import_module(module), name)
