--- a/rattanroute/systems/priority_reservations.py
+++ b/rattanroute/systems/priority_reservations.py
@@ -20,7 +20,7 @@
 # Fraction that is reserved as soon as more urgent requests lack capacity. It
 # must exceed what one request takes of an engine, or a less urgent request
 # takes the room of the first one that ends. In simulated surges, 0.1 let the
-# most urgent rank fall behind, and 0.2 cost the others more.
+# most urgent rank fall behind, and 0.2 cost rank 1 more.
 FIRST_FRACTION = 0.15
 # Growth while more urgent requests wait, per second.
 RISE_PER_SECOND = 0.2
