Bound memory and connections of the daemon's clients, peers and operators

Cause: bodies, small chunks and HTTP/2 headers were held without a common bound, answers to HTTP/2 pings without any, and a crowd of connections took all descriptors, so that the VM could not reach its targets.

Change: one budget for all listeners of a daemon (`limits.client_memory_mb`, 48, and `limits.max_client_connections`, derived from the limit on open files). Above it, the costliest and least advanced connection is refused: 503 with Retry-After for a body that is being received, otherwise a close. A client that waits for its answer and reads it is kept.

--- a/rattanroute/daemons.py
+++ b/rattanroute/daemons.py
@@ -6,11 +6,9 @@
 import time
 
 from aiohttp import web
-from grpclib.server import Server
 
 from rattanroute.actions import Action
 from rattanroute.actions import MemberChanged
-from rattanroute.addresses import parse_address
 from rattanroute.clients.engines import EngineClient
 from rattanroute.clients.failures import build_session
 from rattanroute.clients.peer_links import PeerLinkRegistry
@@ -24,7 +22,6 @@
 from rattanroute.control.ledger_hosts import LedgerHost
 from rattanroute.control.placement_hosts import PlacementHost
 from rattanroute.control.voters import build_voter
-from rattanroute.errors import RouterError
 from rattanroute.event_loop_monitors import EventLoopMonitor
 from rattanroute.event_loop_monitors import INTERVAL_SECONDS
 from rattanroute.events import Event
@@ -34,8 +31,10 @@
 from rattanroute.requests.drains import RequestDrain
 from rattanroute.routers import RequestRouter
 from rattanroute.security import DaemonCredentials
-from rattanroute.security import protect_server
 from rattanroute.servers.callers import CallersServer
+from rattanroute.servers.client_guards import ClientGuard
+from rattanroute.servers.grpc_servers import build_listen_error
+from rattanroute.servers.grpc_servers import GuardedServer
 from rattanroute.servers.listeners import HttpListener
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
@@ -82,6 +81,7 @@
     def __init__(self, *, settings: DaemonSettings) -> None:
         self.settings = settings
         self.metrics = MetricsRegistry()
+        self.clients = ClientGuard(limits=settings.limits, metrics=self.metrics)
         self.traces = TraceRecorder(
             vm_id=settings.vm_id,
             file=settings.telemetry.trace_file,
@@ -139,7 +139,7 @@
             self.subsystems.add(subsystem)
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[HttpListener] = []
-        self.servers: list[Server] = []
+        self.servers: list[GuardedServer] = []
 
     def build_membership(self) -> MembershipSystem:
         """Builds the membership system with this VM as its only member."""
@@ -292,9 +292,10 @@
         application = callers.build_application()
         ServicesServer(host=self, callers=callers).add_routes(application)
         self.callers_listener = await self.open_http(
-            application, self.settings.listen.callers
+            "callers", application, self.settings.listen.callers
         )
         self.targets_listener = await self.open_http(
+            "targets",
             self.build_targets_server().build_application(),
             self.settings.listen.targets,
         )
@@ -319,19 +320,20 @@
 
     async def open_peers(self) -> None:
         """Opens the gRPC interface for peers."""
-        server = Server(
-            [
-                PeersServer(
-                    vm_id=self.settings.vm_id,
-                    deliver=self.subsystems.deliver,
-                    learn=lambda peer, address: self.links.learn(
-                        peer=peer, address=address
-                    ),
-                    metrics=self.metrics,
-                )
-            ]
+        peers = PeersServer(
+            vm_id=self.settings.vm_id,
+            deliver=self.subsystems.deliver,
+            learn=lambda peer, address: self.links.learn(
+                peer=peer, address=address
+            ),
+            metrics=self.metrics,
+        )
+        server = GuardedServer(
+            name="peers",
+            service=peers,
+            tokens=self.credentials.peers,
+            clients=self.clients,
         )
-        protect_server(server, self.credentials.peers)
         await self.start_server(server, self.settings.listen.peers)
 
     async def open_operators(self) -> None:
@@ -347,24 +349,27 @@
             members_source=source,
             targets_source=source,
         )
-        server = build_server(operators, self.credentials.operators)
+        server = build_server(
+            operators, self.credentials.operators, self.clients
+        )
         await self.start_server(server, self.settings.listen.operators)
 
-    async def start_server(self, server: Server, address: str) -> None:
+    async def start_server(self, server: GuardedServer, address: str) -> None:
         """Starts a gRPC server, with mutual TLS if the settings enable it."""
         contexts = self.credentials.server_contexts
-        ssl = contexts.context if contexts is not None else None
         self.servers.append(server)
-        try:
-            await server.start(*parse_address(address), ssl=ssl)
-        except OSError as error:
-            raise build_listen_error(address, error) from error
+        await server.open(address, contexts.context if contexts else None)
 
     async def open_http(
-        self, application: web.Application, address: str
+        self, name: str, application: web.Application, address: str
     ) -> HttpListener:
         """Opens an HTTP interface."""
-        listener = HttpListener(application=application, address=address)
+        listener = HttpListener(
+            name=name,
+            application=application,
+            address=address,
+            clients=self.clients,
+        )
         self.listeners.append(listener)
         try:
             await listener.open()
@@ -408,6 +413,7 @@
         """Updates gauges, exports spans and closes idle links."""
         self.publish_status()
         self.ledger.update_holders()
+        self.clients.run_housekeeping()
         self.router.update_delays(self.compute_delays())
         self.metrics.open_requests.set({}, len(self.sessions.sessions))
         self.metrics.known_targets.set({}, len(self.targets))
@@ -491,9 +497,3 @@
         await self.services.close()
         await self.client.close()
         log.info("daemon stopped")
-
-
-def build_listen_error(address: str, error: OSError) -> RouterError:
-    """Returns the error of a listener that cannot be opened."""
-    reason = error.strerror or str(error)
-    return RouterError(step="listen", peer=address, message=reason)
--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -73,6 +73,19 @@
             "Responses dropped since the start because too many bytes of "
             "responses were buffered.",
         )
+        self.refused_connections = self.counter(
+            "rattanroute_refused_connections_total",
+            "Connections that were refused or closed to protect memory and "
+            "descriptors, by listener and cause.",
+        )
+        self.client_connections = self.gauge(
+            "rattanroute_client_connections",
+            "Open connections to the listeners of this VM.",
+        )
+        self.client_bytes = self.gauge(
+            "rattanroute_client_bytes",
+            "Memory that the connections to this VM are charged with.",
+        )
         self.first_token = self.histogram(
             "rattanroute_first_token_seconds",
             "Time from arrival to the first token.",
--- a/rattanroute/requests/bodies.py
+++ b/rattanroute/requests/bodies.py
@@ -10,7 +10,12 @@
 import pydantic
 
 from rattanroute.actions import Refusal
+from rattanroute.requests.body_meters import BodyMeter
+from rattanroute.requests.body_meters import find_meter
+from rattanroute.requests.body_meters import OVERLOADED
 
+# Memory of a piece of a body besides its content.
+PIECE_BYTES = 64
 MAX_MESSAGES = 4096
 MAX_NAME_CHARACTERS = 128
 DEFAULT_MAX_TOKENS = 256
@@ -56,35 +61,58 @@
     )
 
 
+def build_too_large_refusal(max_bytes: int) -> Refusal:
+    """Returns the refusal of a body above the size limit."""
+    return build_invalid_refusal(f"body exceeds {max_bytes} bytes", status=413)
+
+
 async def read_body(
     http_request: web.Request, *, max_bytes: int, timeout_s: float
 ) -> Result[bytes, Refusal]:
     """Reads a body of limited size within a time limit.
 
+    It is refused with 503 if the bodies of all clients take too much memory.
+
     Args:
         http_request: The caller's request.
         max_bytes: Largest accepted size, in bytes.
         timeout_s: Longest time to receive the body, in seconds.
     """
     declared = http_request.content_length
-    too_large = build_invalid_refusal(
-        f"body exceeds {max_bytes} bytes", status=413
-    )
     if declared is not None and declared > max_bytes:
-        return Error(too_large)
-    received = bytearray()
+        return Error(build_too_large_refusal(max_bytes))
+    meter = find_meter(http_request)
+    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            async for piece in http_request.content.iter_any():
-                received += piece
-                if len(received) > max_bytes:
-                    return Error(too_large)
+        async with asyncio.timeout(timeout_s) as scope:
+            meter.start_body(lambda: scope.reschedule(loop.time()))
+            result = await receive_body(http_request, max_bytes, meter)
     except TimeoutError:
+        if not meter.note_body(0):
+            return Error(OVERLOADED)
         message = f"body did not arrive within {timeout_s:g} s"
         return Error(build_invalid_refusal(message, status=408))
     except web.RequestPayloadError as error:
         return Error(build_invalid_refusal(f"body is incomplete: {error}"))
-    return Ok(bytes(received))
+    if result.is_ok() and not meter.finish_body(result.ok):
+        return Error(OVERLOADED)
+    return result
+
+
+async def receive_body(
+    http_request: web.Request, max_bytes: int, meter: BodyMeter
+) -> Result[bytes, Refusal]:
+    """Receives a body up to its end, a size or a refusal by the meter."""
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in http_request.content.iter_any():
+        pieces.append(piece)
+        size += len(piece)
+        if size > max_bytes:
+            return Error(build_too_large_refusal(max_bytes))
+        if not meter.note_body(size + PIECE_BYTES * len(pieces)):
+            return Error(OVERLOADED)
+    return Ok(b"".join(pieces))
 
 
 def decode_json(data: bytes, *, max_depth: int) -> Result[object, Refusal]:
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 from aiohttp import web
@@ -12,6 +13,11 @@
 from rattanroute.requests.bodies import build_invalid_refusal
 from rattanroute.requests.refusals import build_refusal_response
 from rattanroute.requests.refusals import INTERNAL
+from rattanroute.servers.client_guards import choose_backlog
+from rattanroute.servers.client_guards import ClientGuard
+from rattanroute.settings import LimitsSettings
+from rattanroute.systems.client_budgets import MEMORY_CAUSE
+from rattanroute.tables.client_connections import ClientConnectionRow
 
 # Longest time until the first request's headers are complete. Connections
 # without a request must not exhaust the file descriptors.
@@ -20,6 +26,12 @@
 # Longest wait for handlers that are still running when a listener closes.
 # Before that, a planned stop waits for them and ends those that are left.
 HANDLER_END_SECONDS = 1.0
+# Received bytes of a body that are buffered before reading stops. The buffer
+# keeps an object for each chunk, up to one chunk for 16 bytes of this.
+READ_BUFFER_BYTES = 32_768
+# Time for a client to receive the refusal of a body that it still sends.
+REFUSED_LINGER_SECONDS = 2.0
+FIRST_REQUEST_CAUSE = "first_request"
 
 
 def build_error_response(status: int, message: str) -> web.Response:
@@ -47,11 +59,16 @@
 class JsonRequestHandler(web.RequestHandler):
     """Answers requests that cannot be parsed with a JSON error.
 
+    It is the `BodyMeter` of its requests.
+
     Attributes:
         guard: Registers the connection while it is open.
+        row: What the connection makes the process hold.
+        abandon: Stops receiving the body of the current request; None while
+            no body is received.
     """
 
-    __slots__ = ("guard",)
+    __slots__ = ("abandon", "guard", "row")
 
     def __init__(
         self,
@@ -66,13 +83,95 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection."""
         super().connection_made(transport)
+        self.abandon: Callable[[], None] | None = None
         self.guard.add(self, transport)
+        self.row: ClientConnectionRow = self.guard.clients.open(
+            self.guard.name, self.refuse
+        )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Removes the connection; its buffered data has been sent or lost."""
         self.guard.remove(self)
+        self.guard.clients.remove(self.row)
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Counts the bytes and parses them, unless they are refused.
+
+        Without data, it parses what was received while parsing was paused.
+        """
+        if data:
+            self.row.used_at = self._loop.time()
+            size = self.row.unparsed_bytes + len(data)
+            if not self.row.refused:
+                self.set_part("unparsed_bytes", size)
+            if self.row.refused:
+                return
+        super().data_received(data)
+
+    def pause_writing(self) -> None:
+        """Counts the answers that the client does not read."""
+        super().pause_writing()
+        if self.transport is not None and not self.row.refused:
+            size = self.transport.get_write_buffer_size()
+            self.set_part("unsent_bytes", size)
+
+    def resume_writing(self) -> None:
+        """Counts them no more."""
+        super().resume_writing()
+        self.set_part("unsent_bytes", 0)
+
+    def set_part(self, part: str, size: int) -> None:
+        """Sets a part of the connection's cost."""
+        self.guard.clients.set_part(self.row, part, size)
+
+    def refuse(self, cause: str) -> None:
+        """Refuses the body that is being received, or closes the connection."""
+        if self.abandon is not None and cause == MEMORY_CAUSE:
+            self._lingering_time = REFUSED_LINGER_SECONDS
+            self.abandon()
+        elif self.transport is not None:
+            self.transport.abort()
+
+    def start_request(self) -> None:
+        """Notes that a request is handled; its head is parsed."""
+        self.row.waiting = True
+        self.note_parsed()
+
+    def note_parsed(self) -> None:
+        """Notes that received bytes are parsed, unless parsing is paused."""
+        if not self._reading_paused and not self._buffer_paused:
+            self.set_part("unparsed_bytes", 0)
+
+    def start_body(self, abandon: Callable[[], None]) -> None:
+        """Notes that a body is being received."""
+        self.abandon = abandon
+        self.row.waiting = False
+
+    def note_body(self, size: int) -> bool:
+        """Notes the bytes received so far; returns whether to go on."""
+        if not self.row.refused:
+            self.note_parsed()
+            self.set_part("body_bytes", size)
+        return not self.row.refused
+
+    def finish_body(self, body: bytes) -> bool:
+        """Notes a complete body; returns whether to serve the request."""
+        if not self.row.refused:
+            self.guard.clients.hold_body(self.row, body)
+        self.abandon = None
+        self.row.waiting = not self.row.refused
+        return self.row.waiting
+
+    def note_answered(self) -> None:
+        """Notes that the answer to the current request is written."""
+        self.abandon = None
+        self.row.waiting = False
+        self.row.answered += 1
+        self.row.used_at = self._loop.time()
+        self.set_part("body_bytes", 0)
+        self.note_parsed()
+
     async def finish_response(
         self,
         request: web.BaseRequest,
@@ -83,6 +182,7 @@
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
+            self.note_answered()
             self.guard.note_answered(self)
 
     def handle_error(
@@ -132,7 +232,10 @@
         await super().start()
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self.open_connection, self.host, self.port, backlog=1024
+            self.open_connection,
+            self.host,
+            self.port,
+            backlog=choose_backlog(),
         )
 
     def open_connection(self) -> asyncio.Protocol:
@@ -143,6 +246,7 @@
             loop=asyncio.get_running_loop(),
             keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
             access_log=None,
+            read_bufsize=READ_BUFFER_BYTES,
         )
 
 
@@ -151,6 +255,10 @@
 
     It aborts connections whose first request does not arrive in time.
 
+    Args:
+        name: Name of the listener.
+        clients: Applies the budget of clients.
+
     Attributes:
         transports: Transports of the open connections. A connection that is
             being closed stays open until its buffered data is sent.
@@ -162,7 +270,9 @@
         closing: Whether answers announce that their connections close.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, name: str, clients: ClientGuard) -> None:
+        self.name = name
+        self.clients = clients
         self.transports: dict[asyncio.Protocol, asyncio.BaseTransport] = {}
         self.closed = asyncio.Event()
         self.closed.set()
@@ -178,8 +288,10 @@
         """Marks the connection as used and its request as unanswered."""
         self.waiting.discard(http_request.protocol)
         self.unanswered.add(http_request.protocol)
+        http_request.protocol.start_request()
         response = await handler(http_request)
-        if self.closing and not response.prepared:
+        refused = http_request.protocol.row.refused
+        if (self.closing or refused) and not response.prepared:
             response.force_close()
         return response
 
@@ -212,6 +324,8 @@
         if protocol not in self.waiting:
             return
         self.waiting.discard(protocol)
+        if not protocol.row.refused:
+            self.clients.count(self.name, FIRST_REQUEST_CAUSE)
         self.transports[protocol].abort()
 
     def abort_all(self) -> None:
@@ -226,11 +340,24 @@
     Args:
         application: The application; its middlewares are extended.
         address: Listening address as `IP:port`.
+        name: Name of the listener in metrics and logs.
+        clients: Applies the budget of clients; None for one of its own with
+            the default settings.
     """
 
-    def __init__(self, *, application: web.Application, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        application: web.Application,
+        address: str,
+        name: str = "callers",
+        clients: ClientGuard | None = None,
+    ) -> None:
         self.address = address
-        self.guard = ConnectionGuard()
+        self.guard = ConnectionGuard(
+            name=name,
+            clients=clients or ClientGuard(limits=LimitsSettings()),
+        )
         application.middlewares.extend(
             [self.guard.middleware, convert_client_errors]
         )
--- a/rattanroute/servers/operators.py
+++ b/rattanroute/servers/operators.py
@@ -10,7 +10,6 @@
 from expression import Result
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server
 from grpclib.server import Stream
 import msgspec
 
@@ -20,9 +19,10 @@
 from rattanroute.proto import operators_pb2 as pb
 from rattanroute.proto.operators_grpc import OperatorsBase
 from rattanroute.security import IDENTITY_METADATA
-from rattanroute.security import protect_server
 from rattanroute.security import TokenFile
 from rattanroute.servers import operator_messages as messages
+from rattanroute.servers.client_guards import ClientGuard
+from rattanroute.servers.grpc_servers import GuardedServer
 from rattanroute.servers.operator_sources import AccountsSource
 from rattanroute.servers.operator_sources import ConfigurationLog
 from rattanroute.servers.operator_sources import MembersSource
@@ -418,9 +418,9 @@
 
 
 def build_server(
-    operators: OperatorsServer, tokens: TokenFile | None
-) -> Server:
+    operators: OperatorsServer, tokens: TokenFile | None, clients: ClientGuard
+) -> GuardedServer:
     """Builds the gRPC server; it requires a valid token of each caller."""
-    server = Server([operators])
-    protect_server(server, tokens)
-    return server
+    return GuardedServer(
+        name="operators", service=operators, tokens=tokens, clients=clients
+    )
--- a/rattanroute/settings.py
+++ b/rattanroute/settings.py
@@ -12,6 +12,10 @@
 from rattanroute.addresses import parse_address
 from rattanroute.errors import SettingsError
 
+BYTES_PER_MB = 1_000_000
+# A request within the limits is served when there is no pressure.
+MIN_BODIES_IN_BUDGET = 4
+
 
 class Section(pydantic.BaseModel):
     """A group of settings; unknown names are errors."""
@@ -125,6 +129,26 @@
     max_body_bytes: int = pydantic.Field(
         default=1_048_576, gt=0, description="Largest request body."
     )
+    client_memory_mb: float = pydantic.Field(
+        default=48.0,
+        gt=0,
+        description=(
+            "Memory that clients, targets, and peers and operators before "
+            "their authentication may make the daemon hold: partial requests, "
+            "bodies and unread answers. Above it, the costliest connections "
+            "are refused. It never counts as less than four times "
+            "`max_body_bytes`."
+        ),
+    )
+    max_client_connections: int = pydantic.Field(
+        default=0,
+        ge=0,
+        description=(
+            "Largest number of connections to all listeners together; idle "
+            "ones are closed first. 0 derives it from the limit on open files, "
+            "of which 200 are reserved."
+        ),
+    )
     max_json_depth: int = pydantic.Field(
         default=32, gt=0, description="Deepest nesting of a JSON body."
     )
@@ -154,6 +178,14 @@
         description="Longest time a graceful shutdown waits for requests.",
     )
 
+    @property
+    def client_memory_bytes(self) -> int:
+        """Memory that clients may hold; it has room for a few bodies."""
+        return max(
+            int(self.client_memory_mb * BYTES_PER_MB),
+            MIN_BODIES_IN_BUDGET * self.max_body_bytes,
+        )
+
 
 class TargetsSettings(Section):
     """How targets are monitored."""
--- a/rattanroute/tests/operator_support.py
+++ b/rattanroute/tests/operator_support.py
@@ -13,6 +13,7 @@
 from rattanroute.errors import NotProposedError
 from rattanroute.errors import RouterError
 from rattanroute.security import TokenFile
+from rattanroute.servers.client_guards import ClientGuard
 from rattanroute.servers.operator_sources import AccountTotal
 from rattanroute.servers.operator_sources import MemberStatus
 from rattanroute.servers.operator_sources import ShareUse
@@ -22,6 +23,7 @@
 from rattanroute.servers.operator_sources import VmStatus
 from rattanroute.servers.operators import build_server
 from rattanroute.servers.operators import OperatorsServer
+from rattanroute.settings import LimitsSettings
 from rattanroute.systems.configuration_state_machines import (
     ConfigurationStateMachine,
 )
@@ -166,7 +168,9 @@
     context: ssl.SSLContext | None = None,
 ) -> tuple[Server, int]:
     """Starts a server on a free port; returns the server and the port."""
-    server = build_server(operators, tokens)
+    server = build_server(
+        operators, tokens, ClientGuard(limits=LimitsSettings())
+    )
     await server.start("127.0.0.1", 0, ssl=context)
     listener = server._server  # The library has no accessor for the port.
     return server, listener.sockets[0].getsockname()[1]
