Bound what the askers and targets of tunnels hold

Cause: a read of 256 KB could wait unsent in each direction of a tunnel, connections without a command were not counted, idle tunnels excluded other VMs for good, and bytes of a target could precede the reply to the command.

Nothing is read from a target before the reply is sent.

--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -16,6 +16,10 @@
 from rattanroute.tunnels.frames import encode_frame
 from rattanroute.tunnels.frames import END_FRAME
 from rattanroute.tunnels.frames import MAX_LINE_BYTES
+from rattanroute.tunnels.tunnel_limits import IDLE_SECONDS
+from rattanroute.tunnels.tunnel_limits import LimitedProtocol
+from rattanroute.tunnels.tunnel_limits import RefusalCounter
+from rattanroute.tunnels.tunnel_limits import UNUSED_SECONDS
 
 # Shorter than the connect timeout of the VM that asks.
 CONNECT_TIMEOUT_SECONDS = 0.15
@@ -23,6 +27,9 @@
 # Two descriptors each.
 MAX_TUNNELS = 300
 BACKLOG = 256
+# Connections whose command has not arrived; the oldest ones are closed first.
+# The event loop accepts a whole backlog before it reads a command.
+MAX_ASKING = BACKLOG
 # Closes with a reset, so that a broken answer does not look complete.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -40,20 +47,21 @@
     transport.abort()
 
 
-class TunnelEnd(asyncio.Protocol):
+class TunnelEnd(LimitedProtocol):
     """The connection to a target; passes its bytes on in frames."""
 
     def __init__(self, *, tunnel: "Tunnel") -> None:
         self.tunnel = tunnel
-        self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport."""
-        self.transport = transport
+        """Stores the transport; reads nothing before the reply is sent."""
+        self.limit(transport)
+        transport.pause_reading()
         set_user_timeout(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         """Passes bytes of the target on."""
+        self.tunnel.used_at = self.tunnel.loop.time()
         self.tunnel.write_back(encode_frame(data))
 
     def eof_received(self) -> bool:
@@ -74,34 +82,41 @@
         self.tunnel.resume_reading()
 
 
-class Tunnel(asyncio.Protocol):
+class Tunnel(LimitedProtocol):
     """A connection of another VM that asks for a target.
 
     Args:
         server: The server that accepted it.
+
+    Attributes:
+        used: Whether bytes were sent to the target.
+        used_at: When bytes last passed, on the event loop's clock.
     """
 
     def __init__(self, *, server: "TunnelServer") -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
-        self.line = bytearray()
-        self.transport: asyncio.Transport | None = None
+        self.line = b""
+        self.used = False
+        self.used_at = self.loop.time()
         self.task: asyncio.Task[None] | None = None
         self.target: TunnelEnd | None = None
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the command."""
-        self.transport = transport
+        self.limit(transport)
         set_user_timeout(transport)
-        self.server.tunnels.add(self)
+        self.server.add(self)
         self.timer = self.loop.call_later(
             COMMAND_TIMEOUT_SECONDS, transport.abort
         )
 
-    def data_received(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         """Reads the command, or passes bytes on to the target."""
         if self.target is not None:
+            self.used = True
+            self.used_at = self.loop.time()
             self.target.transport.write(data)
             return
         if self.task is not None:
@@ -109,20 +124,23 @@
             self.transport.abort()
             return
         self.line += data
-        if b"\n" in self.line:
+        if len(self.line) > MAX_LINE_BYTES:
+            self.transport.abort()
+        elif b"\n" in self.line:
             self.timer.cancel()
+            self.server.asking.pop(self, None)
             self.task = self.loop.create_task(self.connect())
-        elif len(self.line) > MAX_LINE_BYTES:
-            self.transport.abort()
 
     async def connect(self) -> None:
         """Connects to the target and replies."""
-        reply = await self.try_connect(decode_command(bytes(self.line)))
+        reply = await self.try_connect(decode_command(self.line))
         if self.transport.is_closing():
             return
         self.transport.write(reply.value)
         if reply is not TunnelReply.CONNECTED:
             self.transport.close()
+        else:
+            self.resume_writing()
 
     async def try_connect(self, address: str) -> TunnelReply:
         """Connects to a target and returns the reply."""
@@ -148,6 +166,7 @@
             target.transport.abort()
             return TunnelReply.UNREACHED
         self.target = target
+        self.used_at = self.loop.time()
         return TunnelReply.CONNECTED
 
     def write_back(self, data: bytes) -> None:
@@ -207,6 +226,8 @@
 
     Attributes:
         tunnels: Open connections.
+        asking: Those of them whose command has not arrived, oldest first.
+        refusals: Counts the connections that were closed to admit others.
         draining: Whether no further connection is made.
         empty: Set once no connection is open after `start_draining`.
     """
@@ -217,6 +238,8 @@
         self.links = links
         self.is_target = is_target
         self.tunnels: set[Tunnel] = set()
+        self.asking: dict[Tunnel, None] = {}
+        self.refusals = RefusalCounter()
         self.draining = False
         self.empty = asyncio.Event()
         self.listener: asyncio.Server | None = None
@@ -240,15 +263,50 @@
             return TunnelReply.DRAINING
         if self.links.lost:
             return TunnelReply.LINKS_LOST
-        if len(self.tunnels) > MAX_TUNNELS:
-            return TunnelReply.BUSY
         if not self.is_target(address):
             return TunnelReply.UNKNOWN_TARGET
+        if not self.make_room():
+            return TunnelReply.BUSY
         return None
 
+    def add(self, tunnel: Tunnel) -> None:
+        """Adds a connection; closes the oldest one that asks for nothing."""
+        self.tunnels.add(tunnel)
+        self.asking[tunnel] = None
+        if len(self.asking) > MAX_ASKING:
+            oldest = next(iter(self.asking))
+            del self.asking[oldest]
+            self.refusals.note("silent")
+            oldest.transport.abort()
+
+    def make_room(self) -> bool:
+        """Returns whether a tunnel may be opened; closes an idle one for it.
+
+        The connection that asks is among those that have sent their command.
+        """
+        if len(self.tunnels) - len(self.asking) <= MAX_TUNNELS:
+            return True
+        now = asyncio.get_running_loop().time()
+        idle = [
+            tunnel
+            for tunnel in self.tunnels
+            if tunnel.target is not None
+            and not tunnel.transport.is_closing()
+            and now - tunnel.used_at
+            > (IDLE_SECONDS if tunnel.used else UNUSED_SECONDS)
+        ]
+        if not idle:
+            self.refusals.note("busy")
+            return False
+        # An abort ends the connection to the target as well.
+        min(idle, key=lambda x: x.used_at).transport.abort()
+        self.refusals.note("idle")
+        return True
+
     def discard(self, tunnel: Tunnel) -> None:
         """Removes a closed connection."""
         self.tunnels.discard(tunnel)
+        self.asking.pop(tunnel, None)
         if self.draining and not self.tunnels:
             self.empty.set()
 
