--- a/rattanroute/requests/bodies.py
+++ b/rattanroute/requests/bodies.py
@@ -94,6 +94,8 @@
         return Error(build_invalid_refusal(message, status=408))
     except web.RequestPayloadError as error:
         return Error(build_invalid_refusal(f"body is incomplete: {error}"))
+    finally:
+        meter.stop_body()
     if result.is_ok() and not meter.finish_body(result.ok):
         return Error(OVERLOADED)
     return result
--- a/rattanroute/requests/body_meters.py
+++ b/rattanroute/requests/body_meters.py
@@ -31,6 +31,10 @@
         """Notes the bytes received so far; returns whether to go on."""
         ...
 
+    def stop_body(self) -> None:
+        """Notes that no body is being received; nothing can be abandoned."""
+        ...
+
     def finish_body(self, body: bytes) -> bool:
         """Notes a complete body; returns whether to serve the request."""
         ...
@@ -47,6 +51,9 @@
         del size
         return True
 
+    def stop_body(self) -> None:
+        """Does nothing."""
+
     def finish_body(self, body: bytes) -> bool:
         """Serves the request."""
         del body
--- a/rattanroute/servers/client_guards.py
+++ b/rattanroute/servers/client_guards.py
@@ -88,7 +88,7 @@
             listener=listener, refuse=refuse, opened_at=now, used_at=now
         )
         self.table.add(row)
-        while found := self.budget.choose_for_connections():
+        while found := self.budget.choose_for_connections(now):
             self.refuse(found, CONNECTIONS_CAUSE)
             self.table.remove(found)
         return row
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -66,9 +66,10 @@
         row: What the connection makes the process hold.
         abandon: Stops receiving the body of the current request; None while
             no body is received.
+        handling: Whether a request has no complete answer yet.
     """
 
-    __slots__ = ("abandon", "guard", "row")
+    __slots__ = ("abandon", "guard", "handling", "row")
 
     def __init__(
         self,
@@ -84,6 +85,7 @@
         """Registers the connection."""
         super().connection_made(transport)
         self.abandon: Callable[[], None] | None = None
+        self.handling = False
         self.guard.add(self, transport)
         self.row: ClientConnectionRow = self.guard.clients.open(
             self.guard.name, self.refuse
@@ -127,14 +129,18 @@
 
     def refuse(self, cause: str) -> None:
         """Refuses the body that is being received, or closes the connection."""
-        if self.abandon is not None and cause == MEMORY_CAUSE:
+        row = self.row
+        if cause == MEMORY_CAUSE and self.handling and not row.waiting:
+            # The handler answers with the refusal, or does so already.
             self._lingering_time = REFUSED_LINGER_SECONDS
-            self.abandon()
+            if self.abandon is not None:
+                self.abandon()
         elif self.transport is not None:
             self.transport.abort()
 
     def start_request(self) -> None:
         """Notes that a request is handled; its head is parsed."""
+        self.handling = True
         self.row.waiting = True
         self.note_parsed()
 
@@ -147,6 +153,7 @@
         """Notes that a body is being received."""
         self.abandon = abandon
         self.row.waiting = False
+        self.row.receiving = True
 
     def note_body(self, size: int) -> bool:
         """Notes the bytes received so far; returns whether to go on."""
@@ -155,17 +162,21 @@
             self.set_part("body_bytes", size)
         return not self.row.refused
 
+    def stop_body(self) -> None:
+        """Notes that no body is being received."""
+        self.abandon = None
+        self.row.receiving = False
+
     def finish_body(self, body: bytes) -> bool:
         """Notes a complete body; returns whether to serve the request."""
         if not self.row.refused:
             self.guard.clients.hold_body(self.row, body)
-        self.abandon = None
         self.row.waiting = not self.row.refused
         return self.row.waiting
 
     def note_answered(self) -> None:
         """Notes that the answer to the current request is written."""
-        self.abandon = None
+        self.handling = False
         self.row.waiting = False
         self.row.answered += 1
         self.row.used_at = self._loop.time()
--- a/rattanroute/systems/client_budgets.py
+++ b/rattanroute/systems/client_budgets.py
@@ -18,6 +18,8 @@
 ELEMENT_BYTES = 64
 # The body is held once as received and once as decoded text.
 BODY_COPIES = 2
+# Longest time between two parts of a body that makes progress.
+PROGRESS_SECONDS = 1.0
 MEMORY_CAUSE = "memory"
 CONNECTIONS_CAUSE = "connections"
 
@@ -64,12 +66,16 @@
             default=None,
         )
 
-    def choose_for_connections(self) -> ClientConnectionRow | None:
+    def choose_for_connections(self, now: float) -> ClientConnectionRow | None:
         """Returns the connection to close; None if none must or can be.
 
         It belongs to the listener with the most connections: clients do not
         displace the targets that report to another listener. Of these, the one
-        that has been idle for the longest time is closed.
+        that has been idle for the longest time is closed; a body that makes
+        progress is not idle.
+
+        Args:
+            now: Present time on the monotonic clock.
         """
         if len(self.table.rows) <= self.max_connections:
             return None
@@ -77,7 +83,11 @@
         candidates = [row for row in self.table.rows if row.refusable]
         return max(
             candidates,
-            key=lambda row: (counts[row.listener], -row.used_at),
+            key=lambda row: (
+                counts[row.listener],
+                not row.receiving or now - row.used_at > PROGRESS_SECONDS,
+                -row.used_at,
+            ),
             default=None,
         )
 
--- a/rattanroute/tables/client_connections.py
+++ b/rattanroute/tables/client_connections.py
@@ -16,6 +16,7 @@
         used_at: When it last sent something, on the same clock.
         answered: Number of requests answered so far.
         waiting: Whether a complete request has no complete answer yet.
+        receiving: Whether the body of a request is being received.
         trusted: Whether it belongs to an authenticated peer or operator.
         unparsed_bytes: Received bytes that are not yet part of a request.
         body_bytes: Memory of the request's body, encoded and decoded.
@@ -29,6 +30,7 @@
     used_at: float
     answered: int = 0
     waiting: bool = False
+    receiving: bool = False
     trusted: bool = False
     unparsed_bytes: int = 0
     body_bytes: int = 0
