--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -31,6 +31,7 @@
 READ_BUFFER_BYTES = 32_768
 # Time for a client to receive the refusal of a body that it still sends.
 REFUSED_LINGER_SECONDS = 2.0
+MALFORMED_CAUSE = "malformed"
 FIRST_REQUEST_CAUSE = "first_request"
 
 
@@ -203,8 +204,17 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Logs an error and returns its response; the connection closes."""
-        super().handle_error(request, status, exc, message)
+        """Logs an error and returns its response; the connection closes.
+
+        Malformed requests are only counted: the library would log a traceback
+        for each, which lets clients fill the log.
+        """
+        if status >= INTERNAL.status:
+            super().handle_error(request, status, exc, message)
+        else:
+            self.guard.clients.count(self.guard.name, MALFORMED_CAUSE)
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer to a request has begun")
         response = build_error_response(status, message or "malformed request")
         response.force_close()
         return response
