--- a/rattanroute/metrics.py
+++ b/rattanroute/metrics.py
@@ -118,6 +118,11 @@
             "Connections of clients closed for others since the start, by "
             "their state.",
         )
+        self.refused_connections = self.counter(
+            "rattanroute_refused_connections_total",
+            "Connections that were refused or closed to protect memory and "
+            "descriptors, by listener and cause.",
+        )
         self.first_token = self.histogram(
             "rattanroute_first_token_seconds",
             "Time from arrival to the first token.",
