--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 import unittest
 
 import uvloop
@@ -27,6 +28,8 @@
 HELD_BODY_BYTES = 50_000
 TEST_SECONDS = 60.0
 STEP_SECONDS = 0.05
+# More than the kernel buffers for a connection.
+KERNEL_BYTES = 8_388_608
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -254,6 +257,61 @@
         self.run_test(test)
 
 
+class StalledReaderTest(PressureTestCase):
+    """Guards against responses that wait in memory for ever."""
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answers with more than the kernel takes."""
+        self.answered.append(exchange)
+        size = 2 * KERNEL_BYTES if exchange.request.head.target == b"/" else 0
+        exchange.send(ResponseHead(status=200), bytes(size))
+
+    async def stall(self, data: bytes) -> socket.socket:
+        """Sends requests on a connection that is not read."""
+        client = socket.socket()
+        self.addCleanup(client.close)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        listener = self.server.listener.sockets[0]
+        await loop.sock_connect(client, listener.getsockname())
+        await loop.sock_sendall(client, data)
+        return client
+
+    def test_response_of_a_stalled_client_gives_way(self) -> None:
+        async def test() -> None:
+            self.budget.max_bytes = 100 * KERNEL_BYTES
+            await self.stall(REQUEST)
+            await self.wait_until_read(1)
+            await self.wait_until(lambda: self.budget.held_bytes > KERNEL_BYTES)
+            (stalled,) = self.server.connections
+            await self.wait_until(lambda: stalled.memory.is_stalled)
+            self.budget.max_bytes = self.budget.held_bytes + BODY_BYTES
+            head = crowd_patterns.build_start(b"POST", b"/other", HOST)
+            head += b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+            reader, _ = await self.connect(head + bytes(BODY_BYTES))
+            self.assertIn(b" 200 ", await reader.readline())
+            self.assertEqual(self.budget.evictions[Eviction.RESPONSE], 1)
+            await self.wait_until(
+                lambda: stalled not in self.server.connections
+            )
+
+        self.run_test(test)
+
+    def test_client_that_pipelines_and_never_reads(self) -> None:
+        """Guards against a connection that no timeout ends."""
+
+        async def test() -> None:
+            self.server.limits.idle_timeout_s = 1.0
+            await self.stall(REQUEST * 3)
+            await self.wait_until_read(1)
+            await self.wait_until(lambda: not self.server.connections)
+            self.assertEqual(len(self.answered), 1)
+            self.assertEqual(self.budget.held_bytes, 0)
+
+        self.run_test(test)
+
+
 class ConnectionsTest(PressureTestCase):
     """Guards against a flood of clients that locks ordinary ones out."""
 
