Count the end of a read that waits behind a request as what it holds

The last slice of a read of up to 256 KB kept all of it alive while it counted as 16 KB. The rest is copied now.

--- a/rattanroute/http1/paced_readers.py
+++ b/rattanroute/http1/paced_readers.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import time
 
+from rattanroute.http1.parsers import SLICE_BYTES
 from rattanroute.http1.parsers import slice_data
 
 # Processor time that a connection may use at once: several times that of a full
@@ -127,7 +128,7 @@
                 self.retained_bytes = len(data)
             rest = self.read(data)
             if rest:
-                self.unread.appendleft(rest)
+                self.put_back(rest)
             used = time.thread_time() - started
         self.credit_s -= used
         if not self.unread:
@@ -138,6 +139,13 @@
             at_end, self.at_end = self.at_end, None
             at_end()
 
+    def put_back(self, rest: bytes | memoryview) -> None:
+        """Keeps the rest of a slice; the last one without the whole read."""
+        if not self.unread and isinstance(rest, memoryview):
+            shared = len(rest.obj) > SLICE_BYTES
+            rest = memoryview(bytes(rest)) if shared else rest
+        self.unread.appendleft(rest)
+
     def add_credit(self) -> None:
         """Adds the processor time that has become due since the last call."""
         now = self.loop.time()
--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -15,6 +15,7 @@
 from rattanroute.http1.memory_budgets import Eviction
 from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.parsers import SLICE_BYTES
 from rattanroute.http1.servers import HttpServer
 from rattanroute.tests import crowd_patterns
 
@@ -163,6 +164,24 @@
 
         self.run_test(test)
 
+    def test_end_of_a_read_does_not_keep_all_of_it(self) -> None:
+        """Guards against memory that is held and not counted."""
+
+        async def test() -> None:
+            size = 200_000
+            head = crowd_patterns.build_start(b"POST", b"/", HOST)
+            head += b"Content-Length: %d\r\n\r\n" % size
+            data = head + b"x" * size + HELD_REQUEST + REQUEST
+            await self.connect(data)
+            await self.wait_until_read(2)
+            (connection,) = self.server.connections
+            (rest,) = connection.reader.unread
+            held = rest.obj if isinstance(rest, memoryview) else rest
+            self.assertLessEqual(len(held), SLICE_BYTES)
+            self.assertLess(self.budget.held_bytes, size)
+
+        self.run_test(test)
+
     def test_pipelined_requests_in_a_planned_stop(self) -> None:
         """Guards against requests that were read and get no answer."""
 
@@ -260,6 +279,8 @@
 class StalledReaderTest(PressureTestCase):
     """Guards against responses that wait in memory for ever."""
 
+    max_bytes = 100 * KERNEL_BYTES
+
     async def answer(self, exchange: Exchange) -> None:
         """Answers with more than the kernel takes."""
         self.answered.append(exchange)
@@ -280,7 +301,6 @@
 
     def test_response_of_a_stalled_client_gives_way(self) -> None:
         async def test() -> None:
-            self.budget.max_bytes = 100 * KERNEL_BYTES
             await self.stall(REQUEST)
             await self.wait_until_read(1)
             await self.wait_until(lambda: self.budget.held_bytes > KERNEL_BYTES)
