Tell new members the voters at once

Cause: after a power failure of all machines each front asks three seeds for the members.

Change: a new member gets the records of the voters, about 500 bytes, outside the budget. test_all_members_start_at_once fails without it.

--- a/rattanroute/systems/member_synchronisers.py
+++ b/rattanroute/systems/member_synchronisers.py
@@ -21,6 +21,10 @@
 # Maximum failed members per reply. After a partition most members of the other
 # side are considered failed, and sending these records would waste bytes.
 MAX_FAILED_SENT = 8
+# Maximum voters whose records a new member gets at once, outside the budget;
+# about 500 bytes. When all members start at once the budget lasts for two of
+# them, and a new member can do nothing before it knows a voter.
+MAX_INTRODUCED = 8
 
 
 class MemberSynchroniser:
@@ -79,6 +83,11 @@
             more=bool(differing),
         )
 
+    def list_voters(self) -> tuple[MemberRecord, ...]:
+        """Returns the records that a new member needs first."""
+        voters = [build_record(x) for x in self.table.present() if x.voter]
+        return tuple(voters[:MAX_INTRODUCED])
+
     def find_newer(self, piece: SyncPiece) -> tuple[MemberRecord, ...]:
         """Returns records that the sender of a piece lacks or has outdated."""
         sent = {record.vm_id: record for record in piece.records}
--- a/rattanroute/systems/memberships.py
+++ b/rattanroute/systems/memberships.py
@@ -425,8 +425,16 @@
     def on_sync_request(
         self, peer: str, message: SyncRequest, now: float
     ) -> list[Action]:
-        """Answers with one piece of the differing records."""
+        """Answers with one piece of the differing records.
+
+        A new member gets the records of voters first.
+        """
+        is_new = self.table.get(peer) is None
         actions = self.view.merge(peer, Gossip(records=(message.record,)), now)
+        voters = self.sync.list_voters() if is_new else ()
+        if voters:
+            introduction = Gossip(records=voters)
+            actions.append(SendMessage(peer=peer, message=introduction))
         piece = self.sync.build_piece(message, now)
         if piece is not None:
             actions.append(SendMessage(peer=peer, message=piece))
--- a/rattanroute/tests/test_memberships.py
+++ b/rattanroute/tests/test_memberships.py
@@ -30,6 +30,9 @@
 # subsystems.
 MAX_BYTES_PER_SECOND = 16_000
 IDLE_BYTES_PER_SECOND = 1_000
+# Time to reach a seed and get an answer; a fifth of that in which a VM that
+# starts with all others should serve.
+JOIN_SECONDS = 0.1
 
 
 class MemberCluster:
@@ -205,6 +208,22 @@
         self.assertGreater(largest, 0)
         self.assertLess(largest * 40, 2 * SYNC_PIECE_BYTES)
 
+    def test_all_members_start_at_once(self) -> None:
+        """Guards against members that know no voter for a second.
+
+        The answers to new members have a budget, and without a voter a member
+        has no configuration.
+        """
+        for seed in range(5):
+            cluster = MemberCluster(110, seed=seed, voters=3)
+            cluster.run(JOIN_SECONDS)
+            without = [
+                name
+                for name, system in cluster.systems.items()
+                if not any(x.voter for x in system.alive())
+            ]
+            self.assertEqual(without, [])
+
 
 class FailureTest(unittest.TestCase):
     """Guards against late or false failure detection."""
