Drop what a refused gRPC connection has received at once

Change: a refusal closes the library's state of the connection, unless that is parsing at the moment.

--- a/rattanroute/servers/grpc_servers.py
+++ b/rattanroute/servers/grpc_servers.py
@@ -36,12 +36,18 @@
     Args:
         server: The server that accepted it.
         handler: Runs its calls.
+
+    Attributes:
+        feeding: Whether the library is parsing bytes or sending answers.
+        dropped: Whether the state of the connection was dropped at a refusal.
     """
 
     def __init__(self, *, server: "GuardedServer", handler: Handler) -> None:
         super().__init__(handler, server._config, server._h2_config)
         self.server = server
         self.clients = server.clients
+        self.feeding = False
+        self.dropped = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts the timeout of its first call."""
@@ -72,7 +78,11 @@
             self.clients.set_part(row, "unparsed_bytes", size)
             if row.refused:
                 return
-        super().data_received(data)
+        self.feeding = True
+        try:
+            super().data_received(data)
+        finally:
+            self.feeding = False
 
     def accept(self) -> None:
         """Notes that a call was accepted."""
@@ -86,9 +96,17 @@
             self.clients.refuse(self.row, UNAUTHENTICATED_CAUSE)
 
     def refuse(self, cause: str) -> None:
-        """Closes the connection."""
+        """Closes the connection and drops what it has received.
+
+        `connection_lost` is called only after the event loop has read from all
+        other connections of a crowd.
+        """
         del cause
         self.transport.abort()
+        if not self.feeding:
+            self.dropped = True
+            self.processor.close("refused")
+            del self.connection._connection
 
     def pause_writing(self) -> None:
         """Stops reading, as each frame may ask for another answer."""
@@ -112,7 +130,8 @@
         self.clients.remove(self.row)
         if self.server.protocols.get(self.address) is self:
             del self.server.protocols[self.address]
-        super().connection_lost(exc)
+        if not self.dropped:
+            super().connection_lost(exc)
 
 
 class GuardedServer(Server):
