--- a/rattanroute/gateway/chain_connectors.py
+++ b/rattanroute/gateway/chain_connectors.py
@@ -1,4 +1,4 @@
-"""Connects to the first targets of chains."""
+"""Connects to the first targets of chains, and waits for the retry budget."""
 
 import asyncio
 import dataclasses
@@ -13,9 +13,13 @@
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectError
 from rattanroute.http1.clients import ConnectionPool
+from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
+from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
 
 # Connecting within a region takes a few milliseconds.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# Interval at which a stream without retry budget tries again.
+BUDGET_POLL_SECONDS = 0.05
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -54,6 +58,22 @@
         call.connections.append(connection.describe_use())
         return connection
 
+    async def wait_for_budget(self, run: StreamRun) -> bool:
+        """Waits a moment; returns whether the stream may try again.
+
+        The budget grows with each request and with time. After a start, it is
+        known within a second. A part of an answer is of no use to its client,
+        and a refused client would return seconds later.
+        """
+        exchange = run.call.exchange
+        since, limit = exchange.received_at, MAX_WAIT_SECONDS
+        if exchange.started:
+            since, limit = run.state.event_at, MAX_RESUME_WAIT_SECONDS
+        if asyncio.get_running_loop().time() - since > limit:
+            return False
+        await asyncio.sleep(BUDGET_POLL_SECONDS)
+        return True
+
     async def open(self, call: Call, first: ChainHop) -> ClientConnection:
         """Returns a connection to a target.
 
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -37,8 +37,6 @@
 from rattanroute.http1.clients import ClientConnection
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.logs import get_logger
-from rattanroute.systems.wait_queues import MAX_RESUME_WAIT_SECONDS
-from rattanroute.systems.wait_queues import MAX_WAIT_SECONDS
 
 MAX_SENDS = 5
 # A stream is inspected after this long without an event. Clients give up after
@@ -47,8 +45,6 @@
 EVENT_GAP_SECONDS = 0.4
 # Time after the deadline at which a stream is aborted.
 DEADLINE_MARGIN_SECONDS = 0.1
-# Interval at which a broken stream without retry budget tries again.
-BUDGET_POLL_SECONDS = 0.05
 # Interval of the search for another chain while all attempts are suspected.
 SEARCH_INTERVAL_SECONDS = 0.2
 
@@ -198,7 +194,7 @@
                 run.reason = run.reason or run.state.shortage
                 return
             if not self.budget.take(call, loop.time()):
-                if await self.may_wait_for_budget(run):
+                if await self.connector.wait_for_budget(run):
                     continue
                 run.reason = f"no budget to repeat after {call.failures[-1]}"
                 return
@@ -211,22 +207,6 @@
                 self.send(run, chain, connection)
             return
 
-    async def may_wait_for_budget(self, run: StreamRun) -> bool:
-        """Waits a moment; returns whether the stream may try again.
-
-        The budget grows with each request and with time. After a start, it is
-        known within a second. A part of an answer is of no use to its client,
-        and a refused client would return seconds later.
-        """
-        exchange = run.call.exchange
-        since, limit = exchange.received_at, MAX_WAIT_SECONDS
-        if exchange.started:
-            since, limit = run.state.event_at, MAX_RESUME_WAIT_SECONDS
-        if asyncio.get_running_loop().time() - since > limit:
-            return False
-        await asyncio.sleep(BUDGET_POLL_SECONDS)
-        return True
-
     def may_send(self, call: Call, now: float) -> bool:
         """Returns whether another attempt is allowed."""
         if call.sends >= MAX_SENDS or call.time_left(now) <= 0:
--- a/rattanroute/tools/run_tests.py
+++ b/rattanroute/tools/run_tests.py
@@ -21,9 +21,9 @@
 TESTS_FOLDER = "rattanroute/tests"
 # Each integration test starts a cluster of a few dozen processes.
 PARALLEL_MODULES = 4
-# Ends the names of modules that fill the machine with clients. Beside other
+# Parts of the names of modules that fill the machine with clients. Beside other
 # tests they would slow these down.
-EXCLUSIVE_SUFFIX = "_crowds"
+EXCLUSIVE_MARKS = ("_crowds", ".test_untrusted_")
 # Well above the duration of the slowest module; a module that hangs fails.
 MODULE_TIMEOUT_SECONDS = 900
 
@@ -131,7 +131,11 @@
 ) -> tuple[list[str], list[str]]:
     """Splits modules into those that run in parallel and those that do not."""
     modules = list(modules)
-    exclusive = [name for name in modules if name.endswith(EXCLUSIVE_SUFFIX)]
+    exclusive = [
+        name
+        for name in modules
+        if any(mark in name for mark in EXCLUSIVE_MARKS)
+    ]
     return [name for name in modules if name not in exclusive], exclusive
 
 
