Refuse a new connection before it has a row

If every other connection was waiting for an answer, a new connection was refused while it was being registered. The refusal raised an AttributeError, and the row was counted until the daemon ended.

--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -134,8 +134,9 @@
 
     def refuse(self, cause: str) -> None:
         """Refuses the body that is being received, or closes the connection."""
-        row = self.row
-        if cause == MEMORY_CAUSE and self.handling and not row.waiting:
+        # A new connection may be refused before it has its row.
+        receives = self.handling and not self.row.waiting
+        if cause == MEMORY_CAUSE and receives:
             # The handler answers with the refusal, or does so already.
             self._lingering_time = REFUSED_LINGER_SECONDS
             if self.abandon is not None:
--- a/rattanroute/tests/test_client_guards.py
+++ b/rattanroute/tests/test_client_guards.py
@@ -1,6 +1,7 @@
 """Tests of how listeners refuse clients over the budget."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 from unittest import mock
@@ -130,6 +131,27 @@
             len(self.guard.table.rows), LIMITS.max_client_connections
         )
 
+    async def test_new_connection_is_refused_if_all_others_wait(self) -> None:
+        """Guards against a refused connection that is counted for ever."""
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "call_exception_handler") as errors:
+            for _ in range(LIMITS.max_client_connections):
+                await self.send(b"1", size=2)
+            rows = self.guard.table.rows
+            count = LIMITS.max_client_connections
+            async with asyncio.timeout(WAIT_SECONDS):
+                while sum(row.receiving for row in rows) < count:
+                    await asyncio.sleep(0.01)
+            for row in rows:
+                # As if its request were running.
+                row.waiting = True
+            reader, _ = await self.send(b"1", size=2)
+            async with asyncio.timeout(WAIT_SECONDS):
+                with contextlib.suppress(ConnectionResetError):
+                    self.assertEqual(await reader.read(), b"")
+        self.assertEqual(len(rows), count)
+        errors.assert_not_called()
+
     async def test_refusals_are_counted_and_logged_once(self) -> None:
         with mock.patch.object(client_guards.log, "warning") as warning:
             for _ in range(100):
