Close connections of clients that never read

A transport that closes waits until its unsent bytes are taken. Connections closed for new ones left the limit but kept their descriptors, and connections whose response was broken off stayed in the limit for ever.

--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -446,9 +446,10 @@
     def sweep(self, now: float) -> None:
         """Closes the connection if it is idle or its request is too slow."""
         self.memory.check_progress(now)
-        if self.exchange is not None or self.closing:
+        if self.exchange is not None or self.linger is not None:
             return
-        if self.awaits_reader:
+        if self.closing or self.awaits_reader:
+            # A transport that closes keeps its descriptor until all is sent.
             if now - self.memory.progress_at > self.parser.idle_timeout_s:
                 self.break_off()
             return
@@ -482,7 +483,7 @@
 
     def close_for_another(self, cause: CloseCause) -> None:
         """Closes the connection, so that another one gets its descriptor."""
-        if cause is CloseCause.ANSWERED:
+        if cause is CloseCause.ANSWERED or self.has_unsent(0):
             self.break_off()
             return
         if cause is not CloseCause.IDLE:
--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -276,17 +276,11 @@
         self.run_test(test)
 
 
-class StalledReaderTest(PressureTestCase):
-    """Guards against responses that wait in memory for ever."""
+class StallingClientTestCase(PressureTestCase):
+    """Adds clients that do not read, and a budget that they do not reach."""
 
     max_bytes = 100 * KERNEL_BYTES
 
-    async def answer(self, exchange: Exchange) -> None:
-        """Answers with more than the kernel takes."""
-        self.answered.append(exchange)
-        size = 2 * KERNEL_BYTES if exchange.request.head.target == b"/" else 0
-        exchange.send(ResponseHead(status=200), bytes(size))
-
     async def stall(self, data: bytes) -> socket.socket:
         """Sends requests on a connection that is not read."""
         client = socket.socket()
@@ -299,6 +293,16 @@
         await loop.sock_sendall(client, data)
         return client
 
+
+class StalledReaderTest(StallingClientTestCase):
+    """Guards against responses that wait in memory for ever."""
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answers with more than the kernel takes."""
+        self.answered.append(exchange)
+        size = 2 * KERNEL_BYTES if exchange.request.head.target == b"/" else 0
+        exchange.send(ResponseHead(status=200), bytes(size))
+
     def test_response_of_a_stalled_client_gives_way(self) -> None:
         async def test() -> None:
             await self.stall(REQUEST)
@@ -331,6 +335,48 @@
 
         self.run_test(test)
 
+    def test_stalled_clients_give_their_descriptors_to_new_ones(self) -> None:
+        """Guards against closes that wait for a client that never reads."""
+
+        async def test() -> None:
+            self.limit.max_connections = 2
+            for _ in range(self.limit.max_connections):
+                await self.stall(REQUEST * 3)
+            await self.wait_until(
+                lambda: (
+                    sum(x.awaits_reader for x in self.server.connections) == 2
+                )
+            )
+            stalled = set(self.server.connections)
+            await self.connect()
+            await self.wait_until(
+                lambda: not stalled <= self.server.connections
+            )
+            self.assertEqual(self.limit.closed[CloseCause.READING], 1)
+
+        self.run_test(test)
+
+
+class BrokenResponseTest(StallingClientTestCase):
+    """Guards against broken responses whose connections stay open."""
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Breaks off a response of which the kernel takes only a part."""
+        self.answered.append(exchange)
+        exchange.start(ResponseHead(status=200))
+        exchange.write(bytes(2 * KERNEL_BYTES))
+        exchange.abort()
+
+    def test_client_that_never_reads(self) -> None:
+        async def test() -> None:
+            self.server.limits.idle_timeout_s = 1.0
+            await self.stall(REQUEST)
+            await self.wait_until_read(1)
+            await self.wait_until(lambda: not self.server.connections)
+            self.assertEqual(self.budget.held_bytes, 0)
+
+        self.run_test(test)
+
 
 class ConnectionsTest(PressureTestCase):
     """Guards against a flood of clients that locks ordinary ones out."""
