Keep the reservation of urgent requests in hedges

The second search for the chain of a hedge, which allows shared later targets, ignored the reservation. Its chains took the room that more urgent requests of all VMs were waiting for.

--- a/rattanroute/gateway/stream_hedges.py
+++ b/rattanroute/gateway/stream_hedges.py
@@ -196,6 +196,7 @@
                 if x.report.target_id not in used
             ),
             demanded=run.demanded,
+            reservation=self.finder.admission.find_reservation(run.call, now),
             now=now,
         )
 
--- a/rattanroute/tests/test_hedged_streams.py
+++ b/rattanroute/tests/test_hedged_streams.py
@@ -4,8 +4,11 @@
 from unittest import mock
 
 from rattanroute.gateway import outcomes
+from rattanroute.gateway.priority_admissions import PriorityAdmission
 from rattanroute.http1.servers import Exchange
 from rattanroute.messages.loads import AttemptCount
+from rattanroute.systems.priority_reservations import NOTHING_RESERVED
+from rattanroute.systems.priority_reservations import Reservation
 from rattanroute.systems.wait_queues import WaitQueue
 from rattanroute.tables.targets import TargetHealth
 from rattanroute.tests.gateway_hosts import build_events
@@ -27,6 +30,7 @@
 ALL_EVENTS = build_events(1, EVENTS + 1)
 # Time between two events.
 GAP_SECONDS = 0.05
+ALL_RESERVED = Reservation(fraction=1.0)
 
 
 async def stream(target: FakeTarget, exchange: Exchange) -> None:
@@ -409,6 +413,19 @@
         self.streams.finder.queue.wait_queue = FilledQueue()
         await self.check_one_run()
 
+    async def test_capacity_is_reserved_for_urgent_requests(self) -> None:
+        """Guards against hedges in the room of more urgent requests."""
+        reservations = [NOTHING_RESERVED]
+
+        def find_reservation(*_: object) -> Reservation:
+            # Only the first attempt finds room.
+            return reservations.pop() if reservations else ALL_RESERVED
+
+        with mock.patch.object(
+            PriorityAdmission, "find_reservation", find_reservation
+        ):
+            await self.check_one_run()
+
     async def test_empty_hedge_budget(self) -> None:
         self.hedges.budget.tokens = 0.0
         await self.check_one_run()
