--- a/rattanroute/allocators.py
+++ b/rattanroute/allocators.py
@@ -1,4 +1,4 @@
-"""Settings of the C allocator that keep freed memory from staying resident."""
+"""Keeps the C allocator from retaining freed memory."""
 
 import ctypes
 
@@ -23,7 +23,7 @@
 
 
 def release_free_memory() -> None:
-    """Returns free memory of the heap to the system."""
+    """Returns free memory of the heap to the system, if the C library can."""
     malloc_trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
     if malloc_trim is not None:
         malloc_trim(0)
--- a/rattanroute/servers/client_guards.py
+++ b/rattanroute/servers/client_guards.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-import ctypes
-import resource
 import time
 
+from rattanroute.allocators import release_free_memory
+from rattanroute.http1.connection_limits import read_max_fds
 from rattanroute.logs import get_logger
 from rattanroute.metrics import MetricsRegistry
+from rattanroute.settings import BYTES_PER_MB
 from rattanroute.settings import LimitsSettings
 from rattanroute.systems.client_budgets import ClientBudget
 from rattanroute.systems.client_budgets import CONNECTIONS_CAUSE
@@ -17,7 +18,6 @@
 from rattanroute.tables.client_connections import ClientConnectionRow
 from rattanroute.tables.client_connections import ClientConnectionTable
 
-BYTES_PER_MB = 1_000_000
 LOG_INTERVAL_SECONDS = 1.0
 # The allocator keeps freed memory; returning less than this is not worth it.
 TRIM_BYTES = 16 * BYTES_PER_MB
@@ -30,14 +30,9 @@
 log = get_logger(__name__)
 
 
-def read_max_descriptors() -> int:
-    """Returns the number of descriptors that this process may open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-
-
 def choose_backlog() -> int:
     """Returns the backlog of a listener."""
-    share = read_max_descriptors() // BACKLOG_SHARE
+    share = read_max_fds() // BACKLOG_SHARE
     return max(MIN_BACKLOG, min(MAX_BACKLOG, share))
 
 
@@ -68,7 +63,7 @@
             table=self.table,
             max_bytes=limits.client_memory_bytes,
             max_connections=limits.max_client_connections
-            or derive_max_connections(read_max_descriptors()),
+            or derive_max_connections(read_max_fds()),
         )
         self.closed = 0
         self.logged_at = 0.0
@@ -155,11 +150,5 @@
             self.metrics.client_memory.set({}, self.table.held_bytes)
         if self.peak_bytes - self.table.held_bytes > TRIM_BYTES:
             self.peak_bytes = self.table.held_bytes
-            asyncio.get_running_loop().run_in_executor(None, trim_memory)
-
-
-def trim_memory() -> None:
-    """Returns freed memory to the system, if the C library can."""
-    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
-    if trim is not None:
-        trim(0)
+            loop = asyncio.get_running_loop()
+            loop.run_in_executor(None, release_free_memory)
