--- a/rattanroute/tests/test_loss_reports.py
+++ b/rattanroute/tests/test_loss_reports.py
@@ -366,7 +366,7 @@
         )
         self.assertEqual(report.windows[12.0, "chat"].requests, 20)
         total = report.totals["chat", 1]
-        self.assertEqual((total.requests, total.losers), (60, 14))
+        self.assertEqual((total.requests, total.affected), (60, 14))
 
     def test_request_with_two_losses(self) -> None:
         """Guards against one client that counts as two."""
@@ -374,7 +374,7 @@
         line = build_line(first_event=0.7, longest_gap=0.9)
         report.add_all(RecordReader().read([line]))
         total = report.totals["chat", 1]
-        self.assertEqual((total.losers, len(total.sums)), (1, 2))
+        self.assertEqual((total.affected, len(total.sums)), (1, 2))
 
     def test_route_without_an_objective(self) -> None:
         """Guards against old logs that seem to be without losses."""
--- a/rattanroute/tools/loss_output.py
+++ b/rattanroute/tools/loss_output.py
@@ -18,7 +18,7 @@
     return [
         {"time": format_time(start), "route": route, **build_cells(group)}
         for (start, route), group in sorted(report.windows.items())
-        if group.losers
+        if group.affected
     ]
 
 
@@ -53,7 +53,7 @@
     )
     return {
         "requests": group.requests,
-        "losing": group.losers,
+        "losing": group.affected,
         **counts,
         "causes": causes,
     }
@@ -88,7 +88,7 @@
     """Returns a group for JSON."""
     return {
         "requests": group.requests,
-        "losing": group.losers,
+        "losing": group.affected,
         "losses": [
             {
                 "kind": kind,
--- a/rattanroute/tools/loss_windows.py
+++ b/rattanroute/tools/loss_windows.py
@@ -44,12 +44,12 @@
 
     Attributes:
         requests: Requests that arrived.
-        losers: Requests that lost something.
+        affected: Requests that lost something.
         sums: Losses by kind and cause.
     """
 
     requests: int = 0
-    losers: int = 0
+    affected: int = 0
     sums: dict[LossKey, LossSum] = dataclasses.field(default_factory=dict)
 
     def add(self, request_id: str, loss: Loss) -> None:
@@ -107,15 +107,15 @@
         )
         total.requests += 1
         self.find_window(record.arrived_at, record.route).requests += 1
-        losers: list[LossGroup] = []
+        affected: list[LossGroup] = []
         for loss in find_losses(record, self.objectives):
             window = self.find_window(loss.at, record.route)
             for group in (window, total):
                 group.add(record.request_id, loss)
-                if not any(group is other for other in losers):
-                    losers.append(group)
-        for group in losers:
-            group.losers += 1
+                if not any(group is other for other in affected):
+                    affected.append(group)
+        for group in affected:
+            group.affected += 1
         if record.routed and not self.objectives.find_first_event(record):
             known = self.without_objective.get(record.route, 0)
             self.without_objective[record.route] = known + 1
