--- a/rattanroute/gateway/priority_admissions.py
+++ b/rattanroute/gateway/priority_admissions.py
@@ -21,7 +21,7 @@
 
 
 def build_reservations() -> PriorityReservations:
-    """Builds the reservations of a VM that hears nothing of the others."""
+    """Builds the reservations of a VM without counts of others."""
     return PriorityReservations(
         queues=ServiceQueueTable(), random=randoms.Random()
     )
--- a/rattanroute/gateway/stream_forwarders.py
+++ b/rattanroute/gateway/stream_forwarders.py
@@ -247,7 +247,14 @@
         *,
         hedge: bool = False,
     ) -> None:
-        """Sends the request to the first target of a chain."""
+        """Sends the request to the first target of a chain.
+
+        Args:
+            run: The call.
+            chain: The chain.
+            connection: A connection to its first target.
+            hedge: Whether the first attempt, which is late, goes on.
+        """
         call = run.call
         now = connection.loop.time()
         sink = StreamSink(
--- a/rattanroute/gateway/stream_hedges.py
+++ b/rattanroute/gateway/stream_hedges.py
@@ -48,7 +48,7 @@
             run: The call.
             chain: The chain.
             connection: A connection to its first target.
-            hedge: Whether the first attempt, which took long, goes on.
+            hedge: Whether the first attempt, which is late, goes on.
         """
         ...
 
--- a/rattanroute/http1/memory_budgets.py
+++ b/rattanroute/http1/memory_budgets.py
@@ -2,7 +2,7 @@
 
 Each connection counts what it holds. When the sum of all connections and of
 all buffered responses exceeds the budget, the one that costs most and has
-progressed least gives its memory back.
+progressed least is evicted.
 """
 
 from collections.abc import Callable
@@ -169,8 +169,8 @@
     def evict_one(self) -> bool:
         """Evicts a connection or a response.
 
-        Connections give first unless the responses exceed their part, since
-        an incomplete response belongs to a client that waits for it.
+        Connections are evicted first unless the responses exceed their part,
+        since an incomplete response belongs to a client that waits for it.
 
         Returns:
             Whether there was one.
--- a/rattanroute/requests/body_meters.py
+++ b/rattanroute/requests/body_meters.py
@@ -1,5 +1,6 @@
 """Accounts for the bodies of requests while they are received and served."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from aiohttp import web
@@ -19,11 +20,11 @@
 class BodyMeter(Protocol):
     """A connection that accounts for the body of its request."""
 
-    def start_body(self, abandon: object) -> None:
+    def start_body(self, abandon: Callable[[], None]) -> None:
         """Notes that a body is being received.
 
         Args:
-            abandon: Called without arguments to stop receiving it.
+            abandon: Called to stop receiving it.
         """
         ...
 
@@ -43,7 +44,7 @@
 class UnlimitedMeter:
     """Accounts for nothing; used without a listener of this program."""
 
-    def start_body(self, abandon: object) -> None:
+    def start_body(self, abandon: Callable[[], None]) -> None:
         """Does nothing."""
 
     def note_body(self, size: int) -> bool:
--- a/rattanroute/systems/chain_choices.py
+++ b/rattanroute/systems/chain_choices.py
@@ -133,12 +133,13 @@
         data_centre: Data centre of this VM.
         targets: All targets.
         loads: Open requests on engines.
-        random: Source of the jitter.
+        random: Source of the jitter, and of the choice among chains without
+            room for all requests.
         is_usable: Returns whether a target may get new work at a time.
         vms: Returns the number of VMs that share the targets.
         limiter: Keeps the limits that targets name; they count the requests
             that they receive as the first target of a chain.
-        rooms: Estimates how long prompts wait at engines.
+        rooms: Estimates how many more requests chains can begin in time.
         link_limiter: Limits the traffic between data centres.
         is_suspect: Returns whether a data centre seems unreachable at a time.
         note_choice: Called with the kind of each choice within one data
@@ -348,9 +349,10 @@
 
         Returns:
             The fastest chain with room for the requests that other VMs send
-            at the same time, or else any one, by room; None if there is none.
+            at the same time; otherwise a random one of those that were
+            considered, weighted by room. None if there is no chain.
         """
-        arrivals = self.rooms.draw_arrivals(service, now)
+        arrivals = self.rooms.estimate_arrivals(service, now)
         passed_over: list[tuple[ChainPath, float]] = []
         for number in range(MAX_LOCAL_CHAINS):
             path = search.find_best()
--- a/rattanroute/systems/chain_rooms.py
+++ b/rattanroute/systems/chain_rooms.py
@@ -66,7 +66,7 @@
     Attributes:
         targets: All targets.
         loads: Open requests and unread prompts on engines.
-        random: Source of randomness for the fraction of requests.
+        random: Decides which requests go to a chain with little room.
         arrival_rate: Returns the requests per second that all VMs receive
             for a service, at a time in seconds.
     """
@@ -76,7 +76,7 @@
     random: randoms.Random
     arrival_rate: Callable[[str, float], float]
 
-    def draw_arrivals(self, service: BackendService, now: float) -> float:
+    def estimate_arrivals(self, service: BackendService, now: float) -> float:
         """Returns the requests that arrive while a report is under way."""
         return self.arrival_rate(service.name, now) * REPORT_DELAY_SECONDS
 
--- a/rattanroute/systems/first_event_estimates.py
+++ b/rattanroute/systems/first_event_estimates.py
@@ -24,8 +24,8 @@
     """Returns the time from the dispatch to the first event, in seconds.
 
     It consists of the prompt, which each hop reads for its layers, and of one
-    step of each hop with the requests that are open there. Prompts that wait
-    at the engines are not known.
+    step of each hop with the requests that are open there. The time that the
+    prompt waits behind others is not included.
 
     Args:
         engine: Performance model of the engines.
--- a/rattanroute/systems/hedges.py
+++ b/rattanroute/systems/hedges.py
@@ -21,7 +21,7 @@
 HEDGE_RATIO = 0.05
 HEDGE_BURST = 5.0
 HEDGE_PERCENTILE = 95.0
-# Fewer times say nothing about such a percentile.
+# Fewer samples do not determine such a percentile.
 MIN_HEDGE_SAMPLES = 20
 # A hedge that starts sooner than this after the dispatch only adds load.
 MIN_HEDGE_SECONDS = 0.05
--- a/rattanroute/systems/retry_budgets.py
+++ b/rattanroute/systems/retry_budgets.py
@@ -83,7 +83,6 @@
     repeats: dict[str, collections.deque[float]] = dataclasses.field(
         default_factory=dict
     )
-
     others: dict[str, AttemptCount] = dataclasses.field(default_factory=dict)
     reporting_vms: int = 1
     others_updated_at: float = float("-inf")
@@ -102,9 +101,9 @@
     def measure_rate(self, service: str, *, vms: int, now: float) -> float:
         """Returns the requests per second that all VMs receive now.
 
-        The counts of other VMs say little about the first requests after a
-        pause or a start of all VMs. Until they do, the others are assumed to
-        receive as many as this VM.
+        The counts of other VMs do not contain the first requests after a
+        pause or a start of all VMs yet. Until they do, the others are assumed
+        to receive as many as this VM.
 
         Args:
             service: The service.
--- a/rattanroute/tables/service_queues.py
+++ b/rattanroute/tables/service_queues.py
@@ -10,7 +10,7 @@
 # Age up to which refusals and grants are counted.
 COUNT_SECONDS = 1.0
 # Counts of the other VMs that are older than this count as none, so that a VM
-# that hears nothing decides by its own queue. They arrive each 0.25 s.
+# that receives none decides by its own queue. They arrive each 0.25 s.
 EXPIRY_SECONDS = 1.0
 
 QueueKey = tuple[str, int]
