--- a/rattanroute/tests/test_request_patterns.py
+++ b/rattanroute/tests/test_request_patterns.py
@@ -14,7 +14,7 @@
 
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.parsers import RequestLimits
-from rattanroute.http1.parsers import RequestParser
+from rattanroute.http1.request_parsers import RequestParser
 from rattanroute.requests.bodies import read_body
 from rattanroute.requests.refusals import build_refusal_response
 from rattanroute.servers.client_guards import ClientGuard
