Do not take slow readers for stalled clients

The unsent bytes of a client that reads less than is written grow. Such a client was a candidate for eviction after 3 s, although it waited for its answer.

--- a/rattanroute/http1/connection_memory.py
+++ b/rattanroute/http1/connection_memory.py
@@ -42,8 +42,11 @@
         held_bytes: Bytes that the budget has counted.
         exchange_bytes: Memory of the request that is being answered.
         writes: Writes since the transport had no unsent bytes.
+        written: Bytes of all writes.
+        taken: Those of them that had been sent at the latest check.
         unsent: Unsent bytes at the latest check.
-        progress_at: Time at which they last became fewer, or began to wait.
+        progress_at: Time at which the client last took some, or they began to
+            wait.
         aborted: Whether the connection was closed to free its memory.
     """
 
@@ -55,6 +58,8 @@
         self.held_bytes = 0
         self.exchange_bytes = 0
         self.writes = 0
+        self.written = 0
+        self.taken = 0
         self.unsent = 0
         self.progress_at = connection.loop.time()
         self.aborted = False
@@ -109,8 +114,9 @@
         """Counts the request of an exchange that begins."""
         self.exchange_bytes = measure_handled(request)
 
-    def note_write(self) -> None:
-        """Counts a write that follows."""
+    def note_write(self, size: int) -> None:
+        """Counts a write of some bytes that follows."""
+        self.written += size
         transport = self.connection.transport
         if self.writes and not transport.get_write_buffer_size():
             self.writes = 0
@@ -119,15 +125,19 @@
     def check_progress(self, now: float) -> None:
         """Notes whether the client takes unsent bytes."""
         unsent = self.connection.transport.get_write_buffer_size()
-        if unsent < self.unsent or not self.unsent:
+        taken = self.written - unsent
+        if taken > self.taken or not self.unsent:
             self.progress_at = now
+        self.taken = taken
         self.unsent = unsent
 
     @property
     def is_stalled(self) -> bool:
         """Whether the client has stopped taking a response."""
         unsent = self.connection.transport.get_write_buffer_size()
-        if not unsent or unsent < self.unsent or not self.unsent:
+        if not unsent or not self.unsent:
+            return False
+        if self.written - unsent > self.taken:
             return False
         waited_s = self.connection.loop.time() - self.progress_at
         return waited_s > STALL_SECONDS
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -395,7 +395,7 @@
     def write(self, data: bytes) -> None:
         """Writes bytes unless the connection is closing."""
         if not (self.closing or self.transport.is_closing()):
-            self.memory.note_write()
+            self.memory.note_write(len(data))
             self.transport.write(data)
 
     def close_after_response(self) -> None:
--- a/rattanroute/tests/test_client_memory.py
+++ b/rattanroute/tests/test_client_memory.py
@@ -1,6 +1,7 @@
 """Tests of the decisions about the memory and connections of clients."""
 
 from collections.abc import Callable
+from types import SimpleNamespace
 import unittest
 
 import loguru
@@ -10,12 +11,14 @@
 from rattanroute.http1.connection_limits import derive_backlog
 from rattanroute.http1.connection_limits import derive_max_connections
 from rattanroute.http1.connection_limits import RESERVED_FDS
+from rattanroute.http1.connection_memory import ConnectionMemory
 from rattanroute.http1.memory_budgets import BYTES_PER_MB
 from rattanroute.http1.memory_budgets import derive_budget_bytes
 from rattanroute.http1.memory_budgets import Eviction
 from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.memory_budgets import SMALL_BYTES
 from rattanroute.http1.response_buffers import ResponseBuffers
+from rattanroute.http1.servers import SWEEP_INTERVAL_SECONDS
 from rattanroute.platform.client_limits import build_connection_limit
 from rattanroute.platform.client_limits import build_memory_budget
 from rattanroute.platform.client_limits import ClientLimitOptions
@@ -217,6 +220,42 @@
         self.on_close(cause)
 
 
+class SlowReaderTest(unittest.TestCase):
+    """Guards against evictions of clients that read slowly."""
+
+    def setUp(self) -> None:
+        """Creates the memory of a connection with a transport of a test."""
+        self.now = 0.0
+        self.unsent = 0
+        connection = SimpleNamespace(
+            loop=SimpleNamespace(time=lambda: self.now),
+            transport=SimpleNamespace(
+                get_write_buffer_size=lambda: self.unsent
+            ),
+        )
+        self.memory = ConnectionMemory(
+            connection=connection, budget=MemoryBudget(clock=lambda: self.now)
+        )
+
+    def run_checks(self, *, written: int, taken: int) -> None:
+        """Writes and takes bytes before each of the checks of five seconds."""
+        for _ in range(10):
+            self.now += SWEEP_INTERVAL_SECONDS
+            self.memory.note_write(written)
+            self.unsent += written - taken
+            self.memory.check_progress(self.now)
+
+    def test_client_that_reads_less_than_is_written(self) -> None:
+        self.run_checks(written=3_000, taken=2_000)
+        self.assertFalse(self.memory.is_stalled)
+
+    def test_client_that_reads_nothing(self) -> None:
+        self.run_checks(written=3_000, taken=0)
+        self.assertTrue(self.memory.is_stalled)
+        self.unsent -= 1
+        self.assertFalse(self.memory.is_stalled)
+
+
 class ConnectionLimitTest(unittest.TestCase):
     """Guards against clients that take all descriptors of a process."""
 
