--- a/rattanroute/gateway/stream_hedges.py
+++ b/rattanroute/gateway/stream_hedges.py
@@ -48,7 +48,7 @@
             run: The call.
             chain: The chain.
             connection: A connection to its first target.
-            hedge: Whether the first attempt, which took long, goes on.
+            hedge: Whether the first attempt, which is late, goes on.
         """
         ...
 
@@ -196,6 +196,7 @@
                 if x.report.target_id not in used
             ),
             demanded=run.demanded,
+            reservation=self.finder.admission.find_reservation(run.call, now),
             now=now,
         )
 
