Skip the client budget's decision while there is no pressure

Cause: a POST of 2,000 bytes to a listener took 70 to 74 instead of 59 to 60 microseconds of processor time, its client included.

Change: unchanged parts and a sum below the bound return early. The 13 crowd tests of clients and targets pass, as do test_client_guards (4), test_client_budgets (14) and test_request_patterns (3).

--- a/rattanroute/servers/client_guards.py
+++ b/rattanroute/servers/client_guards.py
@@ -105,11 +105,17 @@
             part: Name of the part.
             size: Its bytes.
         """
-        grows = size > getattr(row, part)
-        self.table.set_part(row, part, size)
-        if not grows:
+        previous = getattr(row, part)
+        if size == previous:
+            return
+        table = self.table
+        table.set_part(row, part, size)
+        if size < previous:
+            return
+        self.peak_bytes = max(self.peak_bytes, table.held_bytes)
+        # Spares each read a call while there is no pressure.
+        if table.held_bytes <= self.budget.max_bytes:
             return
-        self.peak_bytes = max(self.peak_bytes, self.table.held_bytes)
         while found := self.budget.choose_for_memory():
             self.refuse(found, MEMORY_CAUSE)
 
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -108,11 +108,12 @@
         Without data, it parses what was received while parsing was paused.
         """
         if data:
-            self.row.used_at = self._loop.time()
-            size = self.row.unparsed_bytes + len(data)
-            if not self.row.refused:
-                self.set_part("unparsed_bytes", size)
-            if self.row.refused:
+            row = self.row
+            row.used_at = self._loop.time()
+            if not row.refused:
+                size = row.unparsed_bytes + len(data)
+                self.guard.clients.set_part(row, "unparsed_bytes", size)
+            if row.refused:
                 return
         super().data_received(data)
 
