Show that an acknowledged leave notice can be lost

Cause: a core machine acknowledges DELETE before it has sent the notice to any other machine, and it alone repeats it.

--- a/review/support_2/replicas.py
+++ b/review/support_2/replicas.py
@@ -85,6 +85,7 @@
     Attributes:
         received: All requests, in the order of arrival.
         leaving: Whether it leaves, as its answers then say.
+        asked: Control addresses of the latest call, in the order of trial.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         self.sequence = 0
         self.received: list[Received] = []
         self.leaving = False
+        self.asked: list[tuple[str, int]] = []
         self.beating = threading.Event()
         self.loop = asyncio.new_event_loop()
         self.writers: set[asyncio.StreamWriter] = set()
@@ -217,10 +219,11 @@
         """Calls one control address after the other until one acknowledges.
 
         Returns:
-            The place of the address in the list, and its answer.
+            The place of the address in `asked`, and its answer.
         """
         answer = Answer(problem="no control address")
-        for place, address in enumerate(self.controls()):
+        self.asked = self.controls()
+        for place, address in enumerate(self.asked):
             answer = call(
                 address,
                 method,
