Show that requests sent ahead starve new callers

Cause: the event loop serves each open connection in turn, and a connection with cheap requests behind each other never waits; a new channel needs ten rounds.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 # build; this only checks that they can be imported.
 set -eu
 cd "$(dirname "$0")"
-python3 -c 'import support_2.plain_services, support_2.records'
+python3 -c 'import support_2.floods, support_2.plain_services, support_2.records'
--- a/review/8/flood.py
+++ b/review/support_2/floods.py
@@ -1,12 +1,13 @@
-"""Clients that nobody controls: requests of legal size that never end.
+"""Clients that nobody controls, with requests of legal size.
 
-Usage: flood.py IP PORT KIND CONNECTIONS SECONDS
+Usage: python3 -m support_2.floods IP PORT KIND CONNECTIONS SECONDS
 """
 
 import random
 import resource
 import select
 import socket
+import subprocess
 import sys
 import time
 
@@ -18,6 +19,8 @@
 LARGE_CHUNKS = 63
 OPENED_AT_ONCE = 50
 SENT_AT_ONCE = 262_144
+# Requests sent ahead on each connection, at a path that no route has.
+REQUESTS_AHEAD = 400
 SPARE_FDS = 100
 # "Retry-After" of a refusal of the system: a refused client returns then.
 RETURN_SECONDS = 0.5
@@ -47,6 +50,9 @@
             chunk = b"%x\r\n" % LARGE_CHUNK_BYTES
             chunk += b"y" * LARGE_CHUNK_BYTES + b"\r\n"
             return build_head(chunked) + chunk * LARGE_CHUNKS
+        case "ahead":
+            request = b"GET /nowhere/x HTTP/1.1\r\nHost: none.example\r\n\r\n"
+            return request * REQUESTS_AHEAD
     raise ValueError(kind)
 
 
@@ -92,6 +98,24 @@
     return len(sockets)
 
 
+def start_flood(
+    address: tuple[str, int], kind: str, *, connections: int, seconds: float
+) -> "subprocess.Popen[bytes]":
+    """Starts the clients as a process that prints how many stayed open.
+
+    Args:
+        address: Address of a front.
+        kind: What they send; see `build_data`.
+        connections: Connections at a time.
+        seconds: Seconds until they leave.
+    """
+    words = [*map(str, address), kind, str(connections), str(seconds)]
+    return subprocess.Popen(
+        [sys.executable, "-m", "support_2.floods", *words],
+        stdout=subprocess.PIPE,
+    )
+
+
 def main() -> None:
     """Runs the clients and prints how many connections stayed open."""
     ip, port, kind, count, seconds = sys.argv[1:]
--- a/review/support_2/plain_services.py
+++ b/review/support_2/plain_services.py
@@ -24,7 +24,7 @@
 
 
 def build_route(
-    name: str, prefix: str, kind: str, attempts: int
+    name: str, prefix: str, kind: str, attempts: int, timeout_ms: int
 ) -> dict[str, object]:
     """Returns a public route of the service."""
     return {
@@ -32,7 +32,7 @@
         "host": HOST,
         "pathPrefix": prefix,
         "kind": kind,
-        "timeoutMs": TIMEOUT_MS,
+        "timeoutMs": timeout_ms,
         "goalMs": 500,
         "priority": 1,
         "service": SERVICE,
@@ -41,13 +41,18 @@
     }
 
 
-def build_configuration(version: int) -> bytes:
-    """Returns a configuration with a route that may be repeated and another."""
+def build_configuration(version: int, timeout_ms: int) -> bytes:
+    """Returns a configuration with a route that may be repeated and another.
+
+    Args:
+        version: Its version.
+        timeout_ms: Time limit of the routes, in milliseconds.
+    """
     document = {
         "version": version,
         "routes": [
-            build_route("once", ONCE_PATH, "unsafe", 1),
-            build_route("safe", SAFE_PATH, "safe", 2),
+            build_route("once", ONCE_PATH, "unsafe", 1, timeout_ms),
+            build_route("safe", SAFE_PATH, "safe", 2, timeout_ms),
         ],
         "services": [
             {
@@ -67,14 +72,24 @@
 
     Args:
         deployment: The deployment.
+        timeout_ms: Time limit of the routes, in milliseconds.
+        deadline_ms: Time limit of the clients, in milliseconds.
 
     Attributes:
         replicas: The replicas.
         calls: Number of calls.
     """
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        timeout_ms: int = TIMEOUT_MS,
+        deadline_ms: int = TIMEOUT_MS,
+    ) -> None:
         self.deployment = deployment
+        self.timeout_ms = timeout_ms
+        self.deadline_ms = deadline_ms
         self.replicas: list[Replica] = []
         self.calls = 0
 
@@ -110,7 +125,7 @@
                 "PUT",
                 "/rattanroute/config",
                 headers={"Content-Type": "application/json"},
-                body=build_configuration(version),
+                body=build_configuration(version, self.timeout_ms),
                 timeout_s=1.0,
             ).status
             == 200
@@ -152,10 +167,10 @@
             headers={
                 "Host": HOST,
                 "Rattanroute-Request-Id": request_id,
-                "Rattanroute-Request-Deadline": str(TIMEOUT_MS),
+                "Rattanroute-Request-Deadline": str(self.deadline_ms),
             },
             body=b"order",
-            timeout_s=TIMEOUT_MS / 1000 + 1,
+            timeout_s=self.deadline_ms / 1000 + 1,
         )
         return request_id, answer
 
