Limit the kernel's buffers for connections of clients

Clients that send many requests ahead and read no response made the kernel hold their bytes: nothing set the sizes of its buffers, which grow to megabytes for each connection, and bytes that have arrived count towards the memory of a machine.

The listeners of the platform's programs now set small buffers, whose size follows from the memory and the descriptors of the machine; large bodies get a larger receive buffer while some are left, since a small one costs a round trip for each of its fillings. What a client sends ahead stays with the client.

--- a/rattanroute/http1/connection_limits.py
+++ b/rattanroute/http1/connection_limits.py
@@ -14,6 +14,8 @@
 # accepted at a listener: the event loop accepts all of them in one step.
 BACKLOG_DIVISOR = 8
 MAX_BACKLOG = 1_024
+# Listeners of a program for clients.
+LISTENERS = 3
 MIN_CONNECTIONS = 16
 # Fraction of the limit that is closed in one step, as finding idle
 # connections takes time proportional to their number.
@@ -62,9 +64,9 @@
 def derive_max_connections(max_fds: int) -> int:
     """Returns the limit of client connections.
 
-    Three listeners accept up to a backlog each before the limit is applied.
+    Each listener accepts up to a backlog before the limit is applied.
     """
-    free = max_fds - RESERVED_FDS - 3 * derive_backlog(max_fds)
+    free = max_fds - RESERVED_FDS - LISTENERS * derive_backlog(max_fds)
     return max(MIN_CONNECTIONS, free)
 
 
--- a/rattanroute/http1/memory_budgets.py
+++ b/rattanroute/http1/memory_budgets.py
@@ -20,8 +20,8 @@
 USABLE_FRACTION = 0.9
 # A program without clients, and what grows with targets and configurations.
 PROGRAM_BYTES = 60_000_000
-# The rest is for copies that exist for a moment and for memory that the
-# allocator cannot reuse.
+# The rest is for the buffers of sockets, copies that exist for a moment and
+# memory that the allocator cannot reuse.
 CLIENT_FRACTION = 0.6
 # Room for one request of the largest default size and its copy to a target.
 MIN_BUDGET_BYTES = 12_000_000
@@ -84,10 +84,15 @@
     """Returns the budget of a machine; 0 MB stand for an unknown size."""
     if not memory_mb:
         return DEFAULT_BUDGET_BYTES
-    usable = USABLE_FRACTION * memory_mb * BYTES_PER_MB - PROGRAM_BYTES
+    usable = measure_usable_bytes(memory_mb)
     return max(MIN_BUDGET_BYTES, round(CLIENT_FRACTION * usable))
 
 
+def measure_usable_bytes(memory_mb: float) -> float:
+    """Returns the memory of a machine beside the program, in bytes."""
+    return USABLE_FRACTION * memory_mb * BYTES_PER_MB - PROGRAM_BYTES
+
+
 class MemoryBudget:
     """Memory of all client connections and buffered responses of a process.
 
--- a/rattanroute/http1/request_parsers.py
+++ b/rattanroute/http1/request_parsers.py
@@ -97,6 +97,19 @@
         """Bytes of the head, as far as counted, and of the body."""
         return self.head_bytes + len(self.body)
 
+    def expects_bytes(self, size: int) -> bool:
+        """Returns whether the body is large, or is likely to become so.
+
+        Args:
+            size: Bytes that are still to come, or that have arrived of a body
+                of unknown length.
+        """
+        if not self.head_complete:
+            return False
+        if self.body_left is None:
+            return len(self.body) > size
+        return self.body_left > size
+
     def measure_incomplete(self) -> int:
         """Returns the memory of the incomplete request, in bytes."""
         text = max(self.head_bytes, self.head_size)
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -17,6 +17,7 @@
 from rattanroute.http1.parsers import ProtocolError
 from rattanroute.http1.request_parsers import build_request_error
 from rattanroute.http1.request_parsers import RequestParser
+from rattanroute.http1.socket_buffers import LARGE_BODY_BYTES
 from rattanroute.logs import get_logger
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         reading_since: Time at which the incomplete request started.
         progress_at: Time at which its head or body last grew.
         progress_bytes: Size of its head and body at that time.
+        enlarged: Whether the receive buffer of the socket is large.
         request_error: Error of the request that cannot be read.
         ignored_bytes: Bytes that arrived behind it.
         on_written: Called once few bytes are unsent, or the connection is
@@ -88,6 +90,7 @@
         self.reading_since: float | None = None
         self.progress_at = self.active_at
         self.progress_bytes = 0
+        self.enlarged = False
         self.request_error: ProtocolError | None = None
         self.ignored_bytes = 0
         self.memory = ConnectionMemory(connection=self, budget=server.budget)
@@ -141,6 +144,7 @@
         except ProtocolError as error:
             self.request_error = error
         self.update_progress(now)
+        self.update_receive_buffer()
         # A request may be refused for its memory until it is handed over.
         self.memory.update()
         self.start_next_request()
@@ -168,6 +172,18 @@
         self.reading_since = self.reading_since or now
         self.progress_bytes = received
 
+    def update_receive_buffer(self) -> None:
+        """Uses a large receive buffer while a large body arrives."""
+        buffers = self.server.buffers
+        if buffers is None:
+            return
+        if not self.parser.is_reading:
+            if self.enlarged:
+                buffers.shrink(self.transport)
+                self.enlarged = False
+        elif not self.enlarged and self.parser.expects_bytes(LARGE_BODY_BYTES):
+            self.enlarged = buffers.enlarge(self.transport)
+
     def refuse_unhandled(self) -> None:
         """Refuses what was received and not handed over, and frees it."""
         self.request_error = build_request_error(
@@ -209,6 +225,8 @@
             self.exchange.handle_disconnect()
         self.notify_written()
         self.memory.end()
+        if self.enlarged:
+            self.server.buffers.shrink(self.transport)
         self.server.connection_limit.discard(self)
         self.server.check_empty()
 
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -11,6 +11,7 @@
 from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.server_connections import ServerConnection
+from rattanroute.http1.socket_buffers import SocketBuffers
 from rattanroute.tasks import wait_for_event
 
 SWEEP_INTERVAL_SECONDS = 0.5
@@ -31,6 +32,8 @@
             server's own.
         connection_limit: Limit of the connections of all clients of the
             process; by default there is none.
+        buffers: Buffers of the sockets of these connections; by default the
+            kernel chooses them.
 
     Attributes:
         connections: Open connections.
@@ -49,6 +52,7 @@
         limits: RequestLimits,
         budget: MemoryBudget | None = None,
         connection_limit: ConnectionLimit | None = None,
+        buffers: SocketBuffers | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -61,6 +65,7 @@
         clock = self.loop.time
         self.budget = budget or MemoryBudget(clock=clock)
         self.connection_limit = connection_limit or ConnectionLimit(clock=clock)
+        self.buffers = buffers
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -71,11 +76,13 @@
             OSError: If the address is unavailable.
         """
         loop = asyncio.get_running_loop()
+        address: dict[str, object] = {"host": host, "port": port}
+        if self.buffers is not None:
+            address = {"sock": self.buffers.open_listener(host, port)}
         self.listener = await loop.create_server(
             lambda: ServerConnection(server=self),
-            host,
-            port,
             backlog=self.connection_limit.backlog,
+            **address,
         )
         self.sweeper = loop.create_task(self.sweep())
 
--- a/rattanroute/platform/client_limits.py
+++ b/rattanroute/platform/client_limits.py
@@ -6,10 +6,13 @@
 from rattanroute.http1.connection_limits import ConnectionLimit
 from rattanroute.http1.connection_limits import derive_backlog
 from rattanroute.http1.connection_limits import derive_max_connections
+from rattanroute.http1.connection_limits import LISTENERS
 from rattanroute.http1.connection_limits import read_max_fds
 from rattanroute.http1.memory_budgets import BYTES_PER_MB
 from rattanroute.http1.memory_budgets import derive_budget_bytes
 from rattanroute.http1.memory_budgets import MemoryBudget
+from rattanroute.http1.socket_buffers import derive_buffer_sizes
+from rattanroute.http1.socket_buffers import SocketBuffers
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.platform.settings import MachineLimits
 
@@ -58,6 +61,24 @@
     )
 
 
+def build_socket_buffers(
+    machine: MachineLimits, limit: ConnectionLimit
+) -> SocketBuffers:
+    """Returns the buffers of the sockets of a program's clients.
+
+    Args:
+        machine: Size of the machine.
+        limit: Limit of the connections, on all listeners.
+    """
+    return SocketBuffers(
+        sizes=derive_buffer_sizes(
+            machine.memory_mb,
+            connections=limit.max_connections,
+            waiting=LISTENERS * limit.backlog,
+        )
+    )
+
+
 def update_client_metrics(
     metrics: MetricsRegistry, budget: MemoryBudget, limit: ConnectionLimit
 ) -> None:
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -27,6 +27,7 @@
 from rattanroute.metrics import MetricsRegistry
 from rattanroute.platform.client_limits import build_connection_limit
 from rattanroute.platform.client_limits import build_memory_budget
+from rattanroute.platform.client_limits import build_socket_buffers
 from rattanroute.platform.client_limits import ClientLimitOptions
 from rattanroute.platform.client_limits import DEFAULT_CLIENT_LIMITS
 from rattanroute.platform.client_limits import update_client_metrics
@@ -82,6 +83,7 @@
     Attributes:
         budget: Memory of the clients of all listeners.
         connection_limit: Limit of the connections of these clients.
+        buffers: Buffers of the sockets of these connections.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         self.connection_limit = build_connection_limit(
             boot.limits, client_limits
         )
+        self.buffers = build_socket_buffers(boot.limits, self.connection_limit)
         self.random = randoms.Random()
         self.metrics = MetricsRegistry()
         self.control = ControlPlane(
@@ -183,6 +186,7 @@
             limits=limits,
             budget=self.budget,
             connection_limit=self.connection_limit,
+            buffers=self.buffers,
         )
         try:
             await server.start(*parse_address(address))
--- a/rattanroute/tests/crowd_patterns.py
+++ b/rattanroute/tests/crowd_patterns.py
@@ -8,6 +8,8 @@
 BODY_BYTES = 4_194_304
 TINY_CHUNKS = 40_000
 PIPELINED_REQUESTS = 3_000
+# More than the kernel takes for a connection that is not read.
+PIPELINED_BYTES = 4_000_000
 UNKNOWN_PATH = b"/nowhere"
 EMPTY_LINE = b"a:\r\n"
 # Valid names and values that ordinary clients do not send. Names of two bytes
@@ -57,3 +59,18 @@
 def build_pipelined(path: bytes, host: str) -> bytes:
     """Returns many complete requests without a body."""
     return (build_start(b"GET", path, host) + END) * PIPELINED_REQUESTS
+
+
+def repeat(request: bytes) -> bytes:
+    """Returns complete requests of `PIPELINED_BYTES`, one behind the other."""
+    return request * (PIPELINED_BYTES // len(request))
+
+
+def build_bare(method: bytes, path: bytes) -> bytes:
+    """Returns a request without any header."""
+    return method + b" " + path + b" HTTP/1.1" + END + END
+
+
+def build_with_host(method: bytes, path: bytes, host: str) -> bytes:
+    """Returns a request with the header for the host only."""
+    return build_start(method, path, host) + END
--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -17,6 +17,8 @@
 from rattanroute.http1.parsers import RequestLimits
 from rattanroute.http1.parsers import SLICE_BYTES
 from rattanroute.http1.servers import HttpServer
+from rattanroute.http1.socket_buffers import SocketBuffers
+from rattanroute.http1.socket_buffers import SocketBufferSizes
 from rattanroute.tests import crowd_patterns
 
 HOST = "h"
@@ -40,6 +42,7 @@
 
     max_bytes = SMALL_BUDGET_BYTES
     max_connections = 0
+    buffer_sizes: SocketBufferSizes | None = None
 
     def run_test(self, test: Callable[[], Awaitable[None]]) -> None:
         """Runs a test with a server and closes all connections."""
@@ -57,11 +60,15 @@
         self.limit = ConnectionLimit(
             clock=clock, max_connections=self.max_connections
         )
+        self.buffers = None
+        if self.buffer_sizes is not None:
+            self.buffers = SocketBuffers(sizes=self.buffer_sizes)
         self.server = HttpServer(
             handler=self.answer,
             limits=RequestLimits(),
             budget=self.budget,
             connection_limit=self.limit,
+            buffers=self.buffers,
         )
         await self.server.start("127.0.0.1", 0)
         try:
