Let connections with pipelined requests take turns

Beside many clients that send cheap requests ahead, new clients got no answer for seconds: each step of the event loop handled one request of each such connection, and an ordinary call takes about ten steps (accept, read, connect, send, answer).

Requests that arrived before the response to the one in front of them now wait in one queue of the process. The first request of a connection, and any that comes after the response, starts at once. Above the limit of connections, those that wait with such requests close before clients whose request is incomplete.

test_stalled_clients_give_their_descriptors_to_new_ones expects the new cause of these closes, which was counted as "request not read to its end" before.

--- a/rattanroute/http1/connection_limits.py
+++ b/rattanroute/http1/connection_limits.py
@@ -30,12 +30,18 @@
 
     IDLE = "idle"
     ANSWERED = "closing after its last response"
+    PIPELINED = "requests sent ahead that wait"
     READING = "request not read to its end"
     NEW = "new, as all others wait for answers"
 
 
 # Connections in the first state close first.
-CLOSE_ORDER = (CloseCause.IDLE, CloseCause.ANSWERED, CloseCause.READING)
+CLOSE_ORDER = (
+    CloseCause.IDLE,
+    CloseCause.ANSWERED,
+    CloseCause.PIPELINED,
+    CloseCause.READING,
+)
 
 
 class LimitedConnection(Protocol):
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -55,6 +55,8 @@
         reading: Whether the transport reads.
         awaits_reader: Whether the next request waits until the caller reads
             the responses before it.
+        awaits_turn: Whether it waits for its turn among those of other
+            connections.
         active_at: Time of the event loop of the latest bytes or response.
         reading_since: Time at which the incomplete request started.
         progress_at: Time at which its head or body last grew.
@@ -86,6 +88,7 @@
         self.paused = False
         self.reading = True
         self.awaits_reader = False
+        self.awaits_turn = False
         self.active_at = self.loop.time()
         self.reading_since: float | None = None
         self.progress_at = self.active_at
@@ -223,6 +226,7 @@
             self.linger.cancel()
         if self.exchange is not None:
             self.exchange.handle_disconnect()
+        self.server.pacer.discard(self)
         self.notify_written()
         self.memory.end()
         if self.enlarged:
@@ -316,10 +320,11 @@
             self.request_body()
 
     def continue_reading(self) -> None:
-        """Parses and starts the next request after a response.
+        """Continues with the next request after a response.
 
-        It waits while the caller does not read the responses before it, so
-        that a caller cannot pile them up.
+        A request that has arrived already waits for its turn. It also waits
+        while the caller does not read the responses before it, so that a
+        caller cannot pile them up.
         """
         if self.closing:
             return
@@ -329,10 +334,24 @@
             self.transport.set_write_buffer_limits(
                 high=MAX_PIPELINED_UNSENT_BYTES
             )
+            self.update_pressure()
+        elif behind:
+            self.awaits_turn = True
+            self.server.pacer.add(self)
+            self.update_pressure()
         else:
-            self.start_next_request()
-            if self.exchange is None and not self.closing:
-                self.reader.release()
+            self.start_pipelined()
+
+    def start_pipelined(self) -> None:
+        """Parses and starts the next request, if any."""
+        self.awaits_turn = False
+        self.start_next_request()
+        if self.exchange is None and not self.closing:
+            self.reader.release()
+        self.update_pressure()
+
+    def update_pressure(self) -> None:
+        """Counts the memory and pauses or resumes reading."""
         self.memory.update()
         if self.reader.unread or not self.reading:
             self.update_reading()
@@ -466,6 +485,8 @@
         self.memory.check_progress(now)
         if self.exchange is not None or self.linger is not None:
             return
+        if self.awaits_turn and not self.closing:
+            return
         if self.closing or self.awaits_reader:
             # A transport that closes keeps its descriptor until all is sent.
             if now - self.memory.progress_at > self.parser.idle_timeout_s:
@@ -495,6 +516,8 @@
             return CloseCause.ANSWERED
         if self.closing:
             return None
+        if self.awaits_reader or self.awaits_turn:
+            return CloseCause.PIPELINED
         if self.reader.unread or self.parser.is_reading:
             return CloseCause.READING
         return None if self.has_unsent(0) else CloseCause.IDLE
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -10,6 +10,7 @@
 from rattanroute.http1.exchanges import Exchange
 from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.pipelined_requests import PipelinePacer
 from rattanroute.http1.server_connections import ServerConnection
 from rattanroute.http1.socket_buffers import SocketBuffers
 from rattanroute.tasks import wait_for_event
@@ -34,6 +35,8 @@
             process; by default there is none.
         buffers: Buffers of the sockets of these connections; by default the
             kernel chooses them.
+        pacer: Lets connections with pipelined requests take turns, on all
+            listeners of the process; by default one of the server's own.
 
     Attributes:
         connections: Open connections.
@@ -53,6 +56,7 @@
         budget: MemoryBudget | None = None,
         connection_limit: ConnectionLimit | None = None,
         buffers: SocketBuffers | None = None,
+        pacer: PipelinePacer | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -66,6 +70,7 @@
         self.budget = budget or MemoryBudget(clock=clock)
         self.connection_limit = connection_limit or ConnectionLimit(clock=clock)
         self.buffers = buffers
+        self.pacer = pacer or PipelinePacer(clock=clock)
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
--- a/rattanroute/platform/daemons.py
+++ b/rattanroute/platform/daemons.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 import pathlib
 import random as randoms
+import time
 from typing import Protocol
 
 from rattanroute.addresses import parse_address
@@ -20,6 +21,7 @@
 from rattanroute.http1.clients import ConnectionPool
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.parsers import RequestLimits
+from rattanroute.http1.pipelined_requests import PipelinePacer
 from rattanroute.http1.servers import Exchange
 from rattanroute.http1.servers import Handler
 from rattanroute.http1.servers import HttpServer
@@ -84,6 +86,7 @@
         budget: Memory of the clients of all listeners.
         connection_limit: Limit of the connections of these clients.
         buffers: Buffers of the sockets of these connections.
+        pacer: Lets those with pipelined requests take turns.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
             boot.limits, client_limits
         )
         self.buffers = build_socket_buffers(boot.limits, self.connection_limit)
+        self.pacer = PipelinePacer(clock=time.monotonic)
         self.random = randoms.Random()
         self.metrics = MetricsRegistry()
         self.control = ControlPlane(
@@ -187,6 +191,7 @@
             budget=self.budget,
             connection_limit=self.connection_limit,
             buffers=self.buffers,
+            pacer=self.pacer,
         )
         try:
             await server.start(*parse_address(address))
