Limit the receive buffers of connections to targets

The kernel kept receiving an answer whose caller does not read it: the process pauses at 64 KB, but the buffer behind it grows to megabytes for each such caller, and these bytes count towards the memory of the machine. It is the class of the clients' requests sent ahead, in the other direction.

Connections to targets and both ends of tunnels get a receive buffer of 32 KiB.

--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-from rattanroute.http1.socket_options import set_user_timeout
+from rattanroute.http1.socket_options import set_connection_options
 from rattanroute.logs import get_logger
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.systems.target_links import TunnelReply
@@ -57,7 +57,7 @@
         """Stores the transport; reads nothing before the reply is sent."""
         self.limit(transport)
         transport.pause_reading()
-        set_user_timeout(transport)
+        set_connection_options(transport)
 
     def receive(self, data: bytes) -> None:
         """Passes bytes of the target on."""
@@ -106,7 +106,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the command."""
         self.limit(transport)
-        set_user_timeout(transport)
+        set_connection_options(transport)
         self.server.add(self)
         self.timer = self.loop.call_later(
             COMMAND_TIMEOUT_SECONDS, transport.abort
