Count the responses that the kernel holds for clients that read nothing

The budget of clients counted only what waits in the process, was applied only when a connection grew, and closed stalled connections without a reset, so that the kernel kept their unsent bytes for minutes after the close.

While many connections are open, their unsent bytes are read twice a second and count towards the budget, which is applied then as well. A connection that loses its unsent bytes anyway closes with a reset. One that only waits for the close of its client still gets the end of its response.

Evidence: UnreadResponseTest, 150 clients that read nothing of their response, a budget of 2 MB.

--- a/rattanroute/http1/connection_memory.py
+++ b/rattanroute/http1/connection_memory.py
@@ -6,6 +6,7 @@
 from rattanroute.http1.memory_budgets import Eviction
 from rattanroute.http1.memory_budgets import MemoryBudget
 from rattanroute.http1.request_parsers import HEADER_BYTES
+from rattanroute.http1.socket_options import read_unsent_bytes
 
 if TYPE_CHECKING:
     from rattanroute.http1.server_connections import ServerConnection
@@ -45,6 +46,8 @@
         written: Bytes of all writes.
         taken: Those of them that had been sent at the latest check.
         unsent: Unsent bytes at the latest check.
+        socket_bytes: Those of them that the kernel holds; 0 if they were not
+            counted.
         progress_at: Time at which the client last took some, or they began to
             wait.
         aborted: Whether the connection was closed to free its memory.
@@ -61,6 +64,7 @@
         self.written = 0
         self.taken = 0
         self.unsent = 0
+        self.socket_bytes = 0
         self.progress_at = connection.loop.time()
         self.aborted = False
 
@@ -84,7 +88,7 @@
         """Returns the memory of the connection, in bytes."""
         if self.aborted:
             return 0
-        held = CONNECTION_BYTES + self.exchange_bytes
+        held = CONNECTION_BYTES + self.exchange_bytes + self.socket_bytes
         if self.writes:
             held += self.measure_unsent()
         return held + self.measure_unhandled()
@@ -122,9 +126,19 @@
             self.writes = 0
         self.writes += 1
 
+    def count_socket(self) -> None:
+        """Counts the bytes that the kernel holds for the client."""
+        self.socket_bytes = read_unsent_bytes(self.connection.transport)
+        self.update()
+
+    def measure_untaken(self) -> int:
+        """Returns the unsent bytes, with those that were counted last."""
+        buffered = self.connection.transport.get_write_buffer_size()
+        return buffered + self.socket_bytes
+
     def check_progress(self, now: float) -> None:
         """Notes whether the client takes unsent bytes."""
-        unsent = self.connection.transport.get_write_buffer_size()
+        unsent = self.measure_untaken()
         taken = self.written - unsent
         if taken > self.taken or not self.unsent:
             self.progress_at = now
@@ -134,7 +148,7 @@
     @property
     def is_stalled(self) -> bool:
         """Whether the client has stopped taking a response."""
-        unsent = self.connection.transport.get_write_buffer_size()
+        unsent = self.measure_untaken()
         if not unsent or not self.unsent:
             return False
         if self.written - unsent > self.taken:
--- a/rattanroute/http1/lingering_closes.py
+++ b/rattanroute/http1/lingering_closes.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+from rattanroute.http1.socket_options import abort_with_reset
+
 # Longer than bytes are under way when the caller reads the end of the stream. A
 # caller that does not close its side must not hold the connection.
 LINGER_SECONDS = 0.5
@@ -56,7 +58,7 @@
             self.transport.close()
             return
         elif now - self.progress_at > MAX_STALL_SECONDS:
-            self.transport.abort()
+            abort_with_reset(self.transport)
             return
         self.unsent = unsent
         self.timer = self.loop.call_later(LINGER_SECONDS, self.check)
--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -18,6 +18,7 @@
 from rattanroute.http1.request_parsers import build_request_error
 from rattanroute.http1.request_parsers import RequestParser
 from rattanroute.http1.socket_buffers import LARGE_BODY_BYTES
+from rattanroute.http1.socket_options import abort_with_reset
 from rattanroute.logs import get_logger
 
 if TYPE_CHECKING:
@@ -203,7 +204,7 @@
         self.closing = True
         self.reader.close()
         self.parser.discard()
-        self.transport.abort()
+        abort_with_reset(self.transport)
 
     def eof_received(self) -> bool:
         """Cancels the open request and lets the transport close.
@@ -524,9 +525,13 @@
 
     def close_for_another(self, cause: CloseCause) -> None:
         """Closes the connection, so that another one gets its descriptor."""
-        if cause is CloseCause.ANSWERED or self.has_unsent(0):
+        if self.has_unsent(0):
             self.break_off()
             return
+        if cause is CloseCause.ANSWERED:
+            # The kernel still sends the end of the response.
+            self.transport.abort()
+            return
         if cause is not CloseCause.IDLE:
             self.write_refusal(503)
         self.close()
--- a/rattanroute/http1/servers.py
+++ b/rattanroute/http1/servers.py
@@ -96,8 +96,22 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+            counts_sockets = self.counts_sockets
             for connection in list(self.connections):
+                if counts_sockets or connection.memory.socket_bytes:
+                    connection.memory.count_socket()
                 connection.sweep(loop.time())
+            self.budget.enforce()
+
+    @property
+    def counts_sockets(self) -> bool:
+        """Whether unread responses in the kernel count towards the budget.
+
+        It takes a system call for each connection.
+        """
+        if self.buffers is None:
+            return False
+        return len(self.budget.users) > self.buffers.sizes.max_uncounted
 
     @property
     def busy(self) -> int:
--- a/rattanroute/http1/socket_buffers.py
+++ b/rattanroute/http1/socket_buffers.py
@@ -29,6 +29,10 @@
 # The kernel receives up to twice the size that is set.
 LARGE_HELD_BYTES = 2 * LARGE_BUFFER_BYTES
 MIN_LARGE_BUFFERS = 8
+# What the kernel holds at most of the responses of one connection: one segment
+# is filled whatever the size of the buffer.
+MAX_UNSENT_BYTES = 49_152
+MAX_UNCOUNTED = 256
 # A body of which more is still to come gets a large buffer.
 LARGE_BODY_BYTES = 65_536
 
@@ -40,10 +44,13 @@
     Attributes:
         small_bytes: Size of each buffer, in both directions.
         large_buffers: Number of connections with a large receive buffer.
+        max_uncounted: Number of connections up to which unread responses in
+            the kernel need not be counted.
     """
 
     small_bytes: int = MAX_BUFFER_BYTES
     large_buffers: int = MIN_LARGE_BUFFERS
+    max_uncounted: int = MAX_UNCOUNTED
 
 
 DEFAULT_BUFFER_SIZES = SocketBufferSizes()
@@ -69,6 +76,7 @@
     return SocketBufferSizes(
         small_bytes=min(MAX_BUFFER_BYTES, max(MIN_BUFFER_BYTES, small)),
         large_buffers=max(MIN_LARGE_BUFFERS, large),
+        max_uncounted=round(total / MAX_UNSENT_BYTES),
     )
 
 
--- a/rattanroute/http1/socket_options.py
+++ b/rattanroute/http1/socket_options.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 
 # Time without a TCP acknowledgement after which the kernel closes a
 # connection; a broken path may drop packets without a reset.
@@ -10,6 +13,8 @@
 # What the kernel receives ahead of a process that does not read is up to twice
 # this size; by default it grows to megabytes.
 RECEIVE_BUFFER_BYTES = 32_768
+# Value of `SO_LINGER` that closes with a reset.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 def set_connection_options(transport: asyncio.BaseTransport) -> None:
@@ -28,3 +33,29 @@
         found.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
+
+
+def read_unsent_bytes(transport: asyncio.BaseTransport) -> int:
+    """Returns the bytes in the kernel that the peer has not acknowledged.
+
+    They are 0 if the system does not tell.
+    """
+    found = transport.get_extra_info("socket")
+    if found is None or transport.is_closing():
+        return 0
+    with contextlib.suppress(OSError):
+        reply = fcntl.ioctl(found.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack("i", reply)[0]
+    return 0
+
+
+def abort_with_reset(transport: asyncio.Transport) -> None:
+    """Closes a connection at once and drops its unsent bytes.
+
+    Without a reset the kernel keeps them for minutes if the peer does not read.
+    """
+    found = transport.get_extra_info("socket")
+    if found is not None:
+        with contextlib.suppress(OSError):
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    transport.abort()
--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -20,6 +20,8 @@
 from rattanroute.http1.socket_buffers import SocketBuffers
 from rattanroute.http1.socket_buffers import SocketBufferSizes
 from rattanroute.tests import crowd_patterns
+from rattanroute.tests.socket_meters import SOCKETS_FILE
+from rattanroute.tests.socket_meters import sum_socket_bytes
 
 HOST = "h"
 REQUEST = crowd_patterns.build_start(b"GET", b"/", HOST) + b"\r\n"
@@ -95,6 +97,12 @@
         writer.write(data)
         return reader, writer
 
+    def measure_held(self) -> int:
+        """Returns the bytes in all sockets of the listener's port."""
+        port = self.server.listener.sockets[0].getsockname()[1]
+        table = SOCKETS_FILE.read_text(encoding="ascii")
+        return sum_socket_bytes(table, "127.0.0.1", port=port)
+
     async def wait_until(self, condition: Callable[[], bool]) -> None:
         """Waits until a condition holds."""
         while not condition():
--- a/rattanroute/tests/test_socket_buffers.py
+++ b/rattanroute/tests/test_socket_buffers.py
@@ -1,11 +1,18 @@
 """Tests of the kernel's buffers for the connections of clients."""
 
 import asyncio
+import socket
 import unittest
 
 from rattanroute.http1.connection_limits import derive_backlog
 from rattanroute.http1.connection_limits import derive_max_connections
 from rattanroute.http1.connection_limits import LISTENERS
+from rattanroute.http1.connection_memory import STALL_SECONDS
+from rattanroute.http1.exchanges import Exchange
+from rattanroute.http1.heads import ResponseHead
+from rattanroute.http1.memory_budgets import Eviction
+from rattanroute.http1.memory_budgets import OVERRUN_RATIO
+from rattanroute.http1.servers import SWEEP_INTERVAL_SECONDS
 from rattanroute.http1.socket_buffers import derive_buffer_sizes
 from rattanroute.http1.socket_buffers import LARGE_HELD_BYTES
 from rattanroute.http1.socket_buffers import MAX_BUFFER_BYTES
@@ -27,6 +34,10 @@
 # What a connection holds at most with the smallest buffer.
 MAX_HELD_BYTES = 2 * MIN_BUFFER_BYTES
 LARGE_BUFFERS = 2
+# With these sizes the kernel of the server holds 31 KB for each client.
+SILENT_CLIENTS = 150
+SILENT_BUFFER_BYTES = 65_536
+RESPONSE_BYTES = 160_000
 
 
 class DerivedSizeTest(unittest.TestCase):
@@ -66,12 +77,6 @@
         small_bytes=MIN_BUFFER_BYTES, large_buffers=LARGE_BUFFERS
     )
 
-    def measure_held(self) -> int:
-        """Returns the bytes in all sockets of the listener's port."""
-        port = self.server.listener.sockets[0].getsockname()[1]
-        table = SOCKETS_FILE.read_text(encoding="ascii")
-        return sum_socket_bytes(table, "127.0.0.1", port=port)
-
     def test_connection_that_is_not_read_holds_little(self) -> None:
         async def test() -> None:
             await self.connect(HELD_REQUEST + crowd_patterns.repeat(REQUEST))
@@ -125,6 +130,51 @@
         self.run_test(test)
 
 
+class UnreadResponseTest(PressureTestCase):
+    """Guards against responses that the kernel holds for idle clients."""
+
+    max_bytes = 2_000_000
+    buffer_sizes = SocketBufferSizes(
+        small_bytes=MIN_BUFFER_BYTES, max_uncounted=LARGE_BUFFERS
+    )
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answers with what the kernels of both sides take."""
+        self.answered.append(exchange)
+        exchange.send(ResponseHead(status=200), bytes(RESPONSE_BYTES))
+
+    async def connect_silent(self, data: bytes) -> None:
+        """Connects a client that sends bytes and reads nothing."""
+        client = socket.socket()
+        client.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SILENT_BUFFER_BYTES
+        )
+        client.setblocking(False)
+        self.addCleanup(client.close)
+        port = self.server.listener.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, ("127.0.0.1", port))
+        await loop.sock_sendall(client, data)
+        await self.wait_until(self.is_all_written)
+
+    def is_all_written(self) -> bool:
+        """Returns whether all responses are in the kernel."""
+        return not any(x.has_unsent(0) for x in self.server.connections)
+
+    def test_clients_that_read_nothing_are_closed(self) -> None:
+        async def test() -> None:
+            for _ in range(SILENT_CLIENTS):
+                await self.connect_silent(REQUEST)
+            await self.wait_until_read(SILENT_CLIENTS)
+            await asyncio.sleep(STALL_SECONDS + 2 * SWEEP_INTERVAL_SECONDS)
+            self.assertLess(self.measure_held(), OVERRUN_RATIO * self.max_bytes)
+            self.assertGreater(self.budget.evictions[Eviction.RESPONSE], 0)
+            reader, _ = await self.connect(REQUEST)
+            self.assertIn(b" 200 ", await reader.readline())
+
+        self.run_test(test)
+
+
 class SocketMeterTest(unittest.TestCase):
     """Guards against a meter that sees nothing."""
 
--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -2,10 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
-import socket
-import struct
 
+from rattanroute.http1.socket_options import abort_with_reset
 from rattanroute.http1.socket_options import set_connection_options
 from rattanroute.logs import get_logger
 from rattanroute.systems.target_links import TargetLinkSystem
@@ -30,21 +28,14 @@
 # Connections whose command has not arrived; the oldest ones are closed first.
 # The event loop accepts a whole backlog before it reads a command.
 MAX_ASKING = BACKLOG
-# Closes with a reset, so that a broken answer does not look complete.
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 log = get_logger(__name__)
 
 
 def reset(transport: asyncio.Transport | None) -> None:
-    """Closes a connection with a reset."""
-    if transport is None or transport.is_closing():
-        return
-    found = transport.get_extra_info("socket")
-    if found is not None:
-        with contextlib.suppress(OSError):
-            found.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    transport.abort()
+    """Closes a connection so that a broken answer does not look complete."""
+    if transport is not None and not transport.is_closing():
+        abort_with_reset(transport)
 
 
 class TunnelEnd(LimitedProtocol):
