Free what a lost connection had received at once

When many clients with large bodies left, a front used up to 455 MB of 222: the body of a connection is in a cycle of references, so that it lived until the next garbage collection, while the memory budget had already let it go. The kernels of the clients deliver megabytes for each of them after they have left, so that the bodies of the others grew meanwhile.

The received bytes and the incomplete request are dropped when the connection is lost.

Evidence: LeavingClientTest fails before (a body of more than 2 MB is kept).

--- a/rattanroute/http1/server_connections.py
+++ b/rattanroute/http1/server_connections.py
@@ -193,8 +193,7 @@
         self.request_error = build_request_error(
             503, "clients hold too much memory"
         )
-        self.reader.close()
-        self.parser.discard()
+        self.free_unhandled()
         self.reading_since = None
         if not self.awaits_reader:
             self.start_next_request()
@@ -202,9 +201,17 @@
     def break_off(self) -> None:
         """Closes the connection at once; unsent bytes are lost."""
         self.closing = True
+        self.free_unhandled()
+        abort_with_reset(self.transport)
+
+    def free_unhandled(self) -> None:
+        """Frees what was received and not handed over.
+
+        The connection and its parser refer to each other, so that they live
+        until the next garbage collection.
+        """
         self.reader.close()
         self.parser.discard()
-        abort_with_reset(self.transport)
 
     def eof_received(self) -> bool:
         """Cancels the open request and lets the transport close.
@@ -222,7 +229,7 @@
         self.server.connections.discard(self)
         self.closing = True
         self.log_dropped_requests()
-        self.reader.close()
+        self.free_unhandled()
         if self.linger is not None:
             self.linger.cancel()
         if self.exchange is not None:
@@ -441,8 +448,7 @@
         if not (self.closing or self.transport.is_closing()):
             self.closing = True
             self.log_dropped_requests()
-            self.reader.close()
-            self.parser.discard()
+            self.free_unhandled()
             self.memory.update()
             self.linger = LingeringClose(transport=self.transport)
 
--- a/rattanroute/tests/integration/crowd_support.py
+++ b/rattanroute/tests/integration/crowd_support.py
@@ -36,13 +36,22 @@
         address: Address that they connect to, as `IP:port`.
         data: What each of them sends.
         size: Number of clients.
+        send_s: Seconds in which they send.
     """
 
-    def __init__(self, *, address: str, data: bytes, size: int) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        data: bytes,
+        size: int,
+        send_s: float = SEND_SECONDS,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.address = (host, int(port))
         self.data = data
         self.size = size
+        self.send_s = send_s
         self.sockets: list[socket.socket] = []
 
     async def send(self) -> None:
@@ -55,7 +64,7 @@
             client.setblocking(False)
             self.sockets.append(client)
         tasks = [asyncio.create_task(self.run(x)) for x in self.sockets]
-        _, pending = await asyncio.wait(tasks, timeout=SEND_SECONDS)
+        _, pending = await asyncio.wait(tasks, timeout=self.send_s)
         for task in pending:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/rattanroute/tests/integration/test_client_crowds.py
+++ b/rattanroute/tests/integration/test_client_crowds.py
@@ -4,6 +4,8 @@
 before the programs had a memory budget and a limit of client connections.
 """
 
+import asyncio
+
 from rattanroute.platform.trial_deployments import CallKind
 from rattanroute.platform.trial_deployments import CONFIGURATION_PATH
 from rattanroute.platform.trial_deployments import HOST
@@ -11,6 +13,7 @@
 from rattanroute.tests import crowd_patterns
 from rattanroute.tests.integration.crowd_support import Crowd
 from rattanroute.tests.integration.crowd_support import CrowdTestCase
+from rattanroute.tests.integration.crowd_support import SETTLE_SECONDS
 
 # Without a bound each head takes about 0.2 MB.
 HEADS = 400
@@ -21,6 +24,10 @@
 PIPELINING_CLIENTS = 120
 # Without a bound each client costs 0.3 MB, as answers end the parsing earlier.
 OTHER_PIPELINING_CLIENTS = 360
+# Without a bound each client that has left costs up to 4 MB.
+LEAVING_CLIENTS = 200
+LEAVING_CROWDS = 10
+LEAVE_SECONDS = 1.0
 FEW_FDS = 420
 IDLE_CLIENTS = 2 * FEW_FDS
 METRICS_PORT = PEER_PORT + 1
@@ -67,6 +74,25 @@
         await self.run_front_crowd(data, PIPELINING_CLIENTS)
 
 
+class LeavingCrowdTest(CrowdTestCase):
+    """Guards against memory that crowds leave behind when they leave."""
+
+    async def test_large_chunks(self) -> None:
+        """What their kernel holds still arrives when they have left."""
+        for _ in range(LEAVING_CROWDS):
+            crowd = Crowd(
+                address=self.front.front_address,
+                data=crowd_patterns.build_large_chunk(SERVICE_PATH, HOST),
+                size=LEAVING_CLIENTS,
+                send_s=LEAVE_SECONDS,
+            )
+            await crowd.send()
+            crowd.close()
+        await asyncio.sleep(SETTLE_SECONDS)
+        await self.check_bounds(self.front)
+        await self.check_ordinary_request()
+
+
 class OtherListenerCrowdTest(CrowdTestCase):
     """Guards against crowds at the other listeners of the programs."""
 
--- a/rattanroute/tests/test_client_pressure.py
+++ b/rattanroute/tests/test_client_pressure.py
@@ -146,6 +146,29 @@
         self.run_test(test)
 
 
+class LeavingClientTest(PressureTestCase):
+    """Guards against requests that outlive their connections."""
+
+    max_bytes = 12_000_000
+
+    def test_incomplete_body_is_freed(self) -> None:
+        """Guards against bodies that wait for the garbage collection."""
+
+        async def test() -> None:
+            data = crowd_patterns.build_large_chunk(b"/", HOST)
+            _, writer = await self.connect(data)
+            await self.wait_until(lambda: len(self.server.connections) == 1)
+            (connection,) = self.server.connections
+            await self.wait_until(
+                lambda: connection.parser.received_bytes > BODY_BYTES // 2
+            )
+            writer.close()
+            await self.wait_until(lambda: not self.server.connections)
+            self.assertEqual(connection.parser.received_bytes, 0)
+
+        self.run_test(test)
+
+
 class BackPressureTest(PressureTestCase):
     """Guards against requests that are read before their turn."""
 
