--- a/rattanroute/tests/integration/test_pipelining_crowds.py
+++ b/rattanroute/tests/integration/test_pipelining_crowds.py
@@ -9,6 +9,9 @@
 from rattanroute.http1.heads import RequestHead
 from rattanroute.platform.trial_deployments import build_call
 from rattanroute.platform.trial_deployments import CallKind
+from rattanroute.platform.trial_deployments import CONFIGURATION_PATH
+from rattanroute.platform.trial_deployments import CONTROL_PORT
+from rattanroute.platform.trial_deployments import FRONT_PORT
 from rattanroute.platform.trial_deployments import HOST
 from rattanroute.platform.trial_deployments import Machine
 from rattanroute.platform.trial_deployments import READY_PATH
@@ -17,10 +20,13 @@
 from rattanroute.tests.integration.crowd_support import Crowd
 from rattanroute.tests.integration.crowd_support import CrowdTestCase
 from rattanroute.tests.integration.crowd_support import MAX_MEMORY_MB
+from rattanroute.tests.integration.test_client_crowds import METRICS_PORT
 from rattanroute.tests.socket_meters import BYTES_PER_MB
 from rattanroute.tests.socket_meters import MachineMeter
 
 CLIENTS = 400
+FEW_FDS = 420
+MORE_CLIENTS = 2 * FEW_FDS
 SERVICE_PATH = f"/{CallKind.REPEATABLE.value}/x"
 TIME_LEFT_SECONDS = 3.0
 
@@ -36,21 +42,28 @@
     """Base of tests that also count the bytes in the machine's sockets."""
 
     async def run_pipelining(
-        self, request: bytes, *, port: int | None = None
+        self,
+        request: bytes,
+        *,
+        port: int = FRONT_PORT,
+        machine: Machine | None = None,
+        size: int = CLIENTS,
     ) -> None:
-        """Runs a crowd that sends one request again and again to the front.
+        """Runs a crowd that sends one request again and again.
 
         Args:
             request: The request.
-            port: Port of the front; by default that for clients.
+            port: Port of the program; by default that for clients.
+            machine: Machine of the program; by default a front.
+            size: Number of clients.
         """
-        address = self.front.front_address
-        if port is not None:
-            address = f"{self.front.address}:{port}"
+        machine = machine or self.front
         crowd = Crowd(
-            address=address, data=crowd_patterns.repeat(request), size=CLIENTS
+            address=f"{machine.address}:{port}",
+            data=crowd_patterns.repeat(request),
+            size=size,
         )
-        await self.run_crowd(self.front, crowd)
+        await self.run_crowd(machine, crowd)
 
     async def run_crowd(self, machine: Machine, crowd: Crowd) -> None:
         """Runs a crowd while the memory of the machine is measured."""
@@ -117,3 +130,31 @@
             time_left_s=TIME_LEFT_SECONDS,
         )
         await self.run_pipelining(encode_call(head))
+
+
+class OtherListenerTest(PipeliningTestCase):
+    """Guards against requests sent ahead at the other listeners."""
+
+    async def test_metrics(self) -> None:
+        request = crowd_patterns.build_bare(b"GET", b"/metrics")
+        await self.run_pipelining(request, port=METRICS_PORT)
+
+    async def test_control(self) -> None:
+        request = crowd_patterns.build_bare(b"GET", CONFIGURATION_PATH.encode())
+        await self.run_pipelining(
+            request, port=CONTROL_PORT, machine=self.fleet.core[0]
+        )
+
+
+class FewDescriptorsTest(PipeliningTestCase):
+    """Guards against requests sent ahead on more connections than allowed."""
+
+    max_fds = FEW_FDS
+
+    async def test_unknown_route(self) -> None:
+        request = crowd_patterns.build_bare(b"GET", crowd_patterns.UNKNOWN_PATH)
+        await self.run_pipelining(request, size=MORE_CLIENTS)
+
+    async def test_ready_address(self) -> None:
+        request = crowd_patterns.build_bare(b"GET", READY_PATH.encode())
+        await self.run_pipelining(request, port=READY_PORT, size=MORE_CLIENTS)
