Acknowledge a leave notice once another voter holds it

A replica that had been told that its leave notice was taken still got requests seconds later, if the core machine that took it was killed right after the answer: the machine acknowledged before any other one had the notice, and only it repeated the notice.

The voters confirm each other's notices now, and the answer waits for the first confirmation, 0.3 s at most. Reports with the state `draining` go the same way.

--- a/rattanroute/platform/control_handlers.py
+++ b/rattanroute/platform/control_handlers.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from rattanroute.control.configuration_hosts import ConfigurationHost
+from rattanroute.control.departure_confirmations import DepartureConfirmations
 from rattanroute.gateway.routing_caches import MANIFEST
 from rattanroute.http1.heads import ResponseHead
 from rattanroute.http1.servers import Exchange
@@ -52,6 +53,7 @@
         routing: Returns the active routing table; None before the first one.
         reports: Distributes reports of targets to the other VMs.
         departures: Distributes departure notices of targets.
+        confirmations: Waits until another voter holds a notice.
         execute: Executes the actions that `reports` and `departures` return.
         manifests: Decodes and validates configurations.
     """
@@ -62,6 +64,7 @@
     routing: Callable[[], RoutingTable | None]
     reports: TargetReportSystem
     departures: DepartureSystem
+    confirmations: DepartureConfirmations
     execute: Callable[[list[object]], None]
     manifests: ManifestDecoder
 
@@ -73,9 +76,9 @@
         elif head.path == CONFIGURATION_PATH and head.method == b"GET":
             await self.get_configuration(exchange)
         elif head.path.startswith(REPLICAS_PATH) and head.method == b"PUT":
-            self.handle_liveness_report(exchange)
+            await self.handle_liveness_report(exchange)
         elif head.path.startswith(REPLICAS_PATH) and head.method == b"DELETE":
-            self.handle_leave_notice(exchange)
+            await self.handle_leave_notice(exchange)
         else:
             exchange.send(ResponseHead(status=404))
 
@@ -146,7 +149,7 @@
         body = zlib.decompress(manifest.content)
         exchange.send(ResponseHead(status=200, headers=JSON), body)
 
-    def handle_liveness_report(self, exchange: Exchange) -> None:
+    async def handle_liveness_report(self, exchange: Exchange) -> None:
         """Decodes and distributes a liveness report of a replica."""
         replica_id = read_replica_id(exchange)
         table = self.routing()
@@ -167,6 +170,8 @@
             exchange.send(ResponseHead(status=400))
             return
         self.store_report(report)
+        if report.leaving:
+            await self.confirmations.wait(replica_id)
         exchange.send(ResponseHead(status=200, headers=JSON), b"{}")
 
     def check_service(self, report: TargetReport) -> None:
@@ -210,7 +215,7 @@
             )
         self.execute(self.reports.announce(report=report, now=now))
 
-    def handle_leave_notice(self, exchange: Exchange) -> None:
+    async def handle_leave_notice(self, exchange: Exchange) -> None:
         """Handles the notice of a replica that shuts down."""
         replica_id = read_replica_id(exchange)
         target = self.reports.targets.get(replica_id)
@@ -218,6 +223,7 @@
         if target is not None:
             until = target.report.incarnation
         self.announce_departure(replica_id, until, "leaving")
+        await self.confirmations.wait(replica_id)
         exchange.send(ResponseHead(status=200, headers=JSON), b"{}")
 
     def announce_departure(
--- a/rattanroute/platform/cores.py
+++ b/rattanroute/platform/cores.py
@@ -3,6 +3,7 @@
 import pathlib
 
 from rattanroute.control.crash_ban_stores import CrashBanStore
+from rattanroute.control.departure_confirmations import DepartureConfirmations
 from rattanroute.control.leader_leases import LeaderLease
 from rattanroute.control.voters import build_voter
 from rattanroute.gateway.inspectors import TargetInspector
@@ -66,6 +67,7 @@
             routing=self.routing.current,
             reports=self.reports,
             departures=self.departures,
+            confirmations=DepartureConfirmations(departures=self.departures),
             execute=self.control.host.execute,
             manifests=self.manifests,
         )
