Keep the turns of pipelined requests going after an error

An unexpected error while one connection's request starts would have ended the turns of all connections: the next step was scheduled behind it. It is scheduled in any case now.

Evidence: test_error_of_a_connection, no request starts before the change.

--- a/rattanroute/http1/pipelined_requests.py
+++ b/rattanroute/http1/pipelined_requests.py
@@ -63,17 +63,20 @@
     def start_some(self) -> None:
         """Starts the next requests, each of another connection.
 
-        Their handlers run between the two functions that are scheduled.
+        Their handlers run between the two functions that are scheduled. An
+        error of one connection must not end the turns of the others.
         """
         loop = asyncio.get_running_loop()
         started_at = time.thread_time()
         loop.call_soon(self.begin_handlers)
-        for _ in range(min(MAX_STARTS, len(self.waiting))):
-            connection = next(iter(self.waiting))
-            del self.waiting[connection]
-            connection.start_pipelined()
-        loop.call_soon(self.end_handlers)
-        self.credit_s -= time.thread_time() - started_at
+        try:
+            for _ in range(min(MAX_STARTS, len(self.waiting))):
+                connection = next(iter(self.waiting))
+                del self.waiting[connection]
+                connection.start_pipelined()
+        finally:
+            loop.call_soon(self.end_handlers)
+            self.credit_s -= time.thread_time() - started_at
 
     def begin_handlers(self) -> None:
         """Notes the time before the handlers run."""
--- a/rattanroute/tests/test_pipelined_requests.py
+++ b/rattanroute/tests/test_pipelined_requests.py
@@ -50,6 +50,14 @@
         self.started.append(self.name)
 
 
+class FailingConnection:
+    """A connection whose request cannot start."""
+
+    def start_pipelined(self) -> None:
+        """Fails."""
+        raise RuntimeError("request not started")
+
+
 class PacerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against connections that start out of turn."""
 
@@ -87,6 +95,14 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.started, [1])
 
+    async def test_error_of_a_connection(self) -> None:
+        """Guards against turns that end with an unexpected error."""
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        self.pacer.add(FailingConnection())
+        self.add(2 * MAX_STARTS)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.started, list(range(2 * MAX_STARTS)))
+
     async def test_costly_requests_wait(self) -> None:
         """Guards against pipelined requests that use the whole time."""
         self.add(2 * MAX_STARTS, cost_s=LONG_SECONDS / MAX_STARTS)
