--- a/rattanroute/consensus/entry_logs.py
+++ b/rattanroute/consensus/entry_logs.py
@@ -138,17 +138,34 @@
         start = first - self.base_index - 1
         return self.entries[start : last - self.base_index]
 
-    def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
+    def find_base(self, index: int, *, max_entries: int, max_bytes: int) -> int:
+        """Returns the base index with the most entries up to an index.
+
+        Args:
+            index: Index of the last of these entries.
+            max_entries: Bound on their number.
+            max_bytes: Bound on their size, in bytes.
+        """
+        base = index
+        size = 0
+        for entry in reversed(self.entries[: index - self.base_index]):
+            size += estimate_entry_bytes(entry)
+            if size > max_bytes or index - base >= max_entries:
+                break
+            base -= 1
+        return base
+
+    def compact(self, snapshot: Snapshot, *, base_index: int) -> None:
         """Replaces the snapshot and drops entries that it covers.
 
         Args:
             snapshot: Newer snapshot that ends at an entry in memory.
-            keep_entries: Number of entries before the snapshot that stay.
+            base_index: Index of the last entry that is dropped.
 
         Raises:
             ValueError: If the log does not hold the snapshot's entries.
         """
-        base = max(self.base_index, snapshot.index - keep_entries)
+        base = max(self.base_index, base_index)
         term = self.term_at(base)
         if term is None:
             raise ValueError(f"snapshot {snapshot.index} is not in the log")
--- a/rattanroute/consensus/hosts.py
+++ b/rattanroute/consensus/hosts.py
@@ -48,6 +48,7 @@
 from rattanroute.consensus.raft_nodes import ConsensusNode
 from rattanroute.consensus.state_machines import StateMachine
 from rattanroute.consensus.storages import ConsensusStorage
+from rattanroute.consensus.storages import KEEP_BYTES
 from rattanroute.consensus.storages import KEEP_ENTRIES
 from rattanroute.errors import RouterError
 from rattanroute.errors import StorageError
@@ -316,7 +317,9 @@
             return
         log = node.state.log
         index = self.pending.applied
-        base = max(log.base_index, index - KEEP_ENTRIES)
+        base = log.find_base(
+            index, max_entries=KEEP_ENTRIES, max_bytes=KEEP_BYTES
+        )
         snapshot = Snapshot(
             index=index,
             term=log.term_at(index) or 0,
@@ -337,7 +340,7 @@
             if self.storage.needs_reopen:
                 self.handle_storage_failure(error, now)
             return
-        node.compact(snapshot, keep_entries=KEEP_ENTRIES)
+        node.compact(snapshot, base_index=base)
 
     def handle_storage_failure(self, error: StorageError, now: float) -> None:
         """Drops the node after its storage failed."""
--- a/rattanroute/consensus/raft_nodes.py
+++ b/rattanroute/consensus/raft_nodes.py
@@ -217,9 +217,9 @@
         membership_changes.start_transfer(self.state, vm_id, now)
         return self.finish(now)
 
-    def compact(self, snapshot: Snapshot, *, keep_entries: int) -> None:
-        """Drops entries that a durable snapshot of this node covers."""
-        self.state.log.compact(snapshot, keep_entries)
+    def compact(self, snapshot: Snapshot, *, base_index: int) -> None:
+        """Drops the entries up to an index, which a durable snapshot covers."""
+        self.state.log.compact(snapshot, base_index=base_index)
 
     def has_lease(self, *, now: float) -> bool:
         """Returns whether no other node can be leader at `now`."""
--- a/rattanroute/consensus/storages.py
+++ b/rattanroute/consensus/storages.py
@@ -41,6 +41,7 @@
 COMPACT_AFTER_BYTES = 8 * 1024 * 1024
 # Entries before a snapshot that are kept for members slightly behind.
 KEEP_ENTRIES = 200
+KEEP_BYTES = 4 * 1024 * 1024
 STORAGE_ID_BITS = 128
 LOG_NAME = re.compile(r"log-(\d{10})\.rec")
 
--- a/rattanroute/tests/consensus_support.py
+++ b/rattanroute/tests/consensus_support.py
@@ -21,6 +21,8 @@
 from rattanroute.messages.consensus import JoinRequest
 
 STEP_SECONDS = 0.1
+# Entries before a snapshot that stay in a log.
+KEPT_ENTRIES = 3
 
 
 class Register:
@@ -383,7 +385,7 @@
             membership=vm.node.membership_at(vm.applied),
             data=vm.machine.snapshot(),
         )
-        vm.node.compact(snapshot, keep_entries=3)
+        vm.node.compact(snapshot, base_index=vm.applied - KEPT_ENTRIES)
         vm.disk.snapshot = snapshot
         vm.disk.base = (log.base_index, log.base_term)
         vm.disk.entries = list(log.entries)
--- a/rattanroute/tests/test_consensus_hosts.py
+++ b/rattanroute/tests/test_consensus_hosts.py
@@ -24,6 +24,8 @@
 from rattanroute.tests.test_records import FaultyFileAccess
 from rattanroute.tests.test_records import Killed
 
+LARGE_CHANGES = 30
+LARGE_CHANGE_BYTES = 600_000
 STEP_SECONDS = 0.05
 
 
@@ -214,6 +216,19 @@
         items = self.hosts["v0"].machine.items
         self.assertEqual(items, [b"kept full", b"kept sync_fails"])
 
+    async def test_large_changes_are_not_kept_behind_a_snapshot(self) -> None:
+        """Guards against logs of large changes that fill memory and disk."""
+        self.start("v0")
+        await self.run_for(3)
+        for number in range(LARGE_CHANGES):
+            data = bytes([number]) * LARGE_CHANGE_BYTES
+            self.assertTrue((await self.propose("v0", data)).is_ok())
+            await self.run_for(STEP_SECONDS)
+        most = storages.COMPACT_AFTER_BYTES + storages.KEEP_BYTES
+        entries = self.hosts["v0"].node.state.log.entries
+        kept = sum(len(x.data) for x in entries)
+        self.assertLess(kept, most + LARGE_CHANGE_BYTES)
+
     async def test_kill_at_every_write_keeps_accepted_changes(self) -> None:
         patch = mock.patch.object(storages, "COMPACT_AFTER_ENTRIES", 5)
         with patch:
