Limit the kernel's buffers of the daemon's HTTP interfaces

The listeners of rattanrouted left the buffers of their connections to the kernel, as those of the platform's programs did. They are 64 KiB in each direction now.

--- a/rattanroute/http1/socket_options.py
+++ b/rattanroute/http1/socket_options.py
@@ -13,6 +13,9 @@
 # What the kernel receives ahead of a process that does not read is up to twice
 # this size; by default it grows to megabytes.
 RECEIVE_BUFFER_BYTES = 32_768
+# Both buffers of connections to a listener of the daemon. A body of 4 MiB then
+# takes 32 round trips.
+LISTENER_BUFFER_BYTES = 65_536
 # Value of `SO_LINGER` that closes with a reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -35,6 +38,15 @@
         )
 
 
+def limit_listener_buffers(server: asyncio.Server) -> None:
+    """Limits the buffers of the connections that a server accepts."""
+    for listening in server.sockets:
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listening.setsockopt(
+                socket.SOL_SOCKET, option, LISTENER_BUFFER_BYTES
+            )
+
+
 def read_unsent_bytes(transport: asyncio.BaseTransport) -> int:
     """Returns the bytes in the kernel that the peer has not acknowledged.
 
--- a/rattanroute/servers/listeners.py
+++ b/rattanroute/servers/listeners.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from rattanroute.addresses import parse_address
+from rattanroute.http1.socket_options import limit_listener_buffers
 from rattanroute.requests.bodies import build_invalid_refusal
 from rattanroute.requests.refusals import build_refusal_response
 from rattanroute.requests.refusals import INTERNAL
@@ -267,6 +268,7 @@
             self.port,
             backlog=choose_backlog(),
         )
+        limit_listener_buffers(self._server)
 
     def open_connection(self) -> asyncio.BufferedProtocol:
         """Returns the protocol of a new connection."""
