--- a/rattanroute/tests/test_run_tests.py
+++ b/rattanroute/tests/test_run_tests.py
@@ -61,6 +61,8 @@
             names,
             [
                 "test_client_crowds",
+                "test_pipelining_crowds",
+                "test_pipelining_daemon_crowds",
                 "test_untrusted_daemon_clients",
                 "test_untrusted_daemon_peers",
                 "test_untrusted_tunnels",
