Forget the waits for a confirmation after their timeout

A leave notice that no other voter confirms left an entry for good, one for each identifier that a caller sends.

Evidence: test_timeout_leaves_nothing fails before.

--- a/rattanroute/control/departure_confirmations.py
+++ b/rattanroute/control/departure_confirmations.py
@@ -49,3 +49,4 @@
                 await event.wait()
         except TimeoutError:
             log.warning("departure not confirmed", target=target_id)
+            self.waiting.pop(target_id, None)
