--- a/rattanroute/http1/clients.py
+++ b/rattanroute/http1/clients.py
@@ -18,7 +18,7 @@
 from rattanroute.http1.parsers import ResponseParser
 from rattanroute.http1.response_buffers import ResponseBuffers
 from rattanroute.http1.response_sinks import ResponseSink
-from rattanroute.http1.socket_options import set_connection_options
+from rattanroute.http1.socket_options import set_user_timeout
 from rattanroute.logs import get_logger
 from rattanroute.tasks import wait_for_reply
 
@@ -108,9 +108,9 @@
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Stores the transport and sets the options of its socket."""
+        """Stores the transport and sets its TCP user timeout."""
         self.transport = transport
-        set_connection_options(transport)
+        set_user_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
         """Passes bytes from the target to the parser."""
--- a/rattanroute/http1/socket_options.py
+++ b/rattanroute/http1/socket_options.py
@@ -10,9 +10,6 @@
 # Time without a TCP acknowledgement after which the kernel closes a
 # connection; a broken path may drop packets without a reset.
 TCP_USER_TIMEOUT_MS = 2_000
-# What the kernel receives ahead of a process that does not read is up to twice
-# this size; by default it grows to megabytes.
-RECEIVE_BUFFER_BYTES = 32_768
 # Both buffers of connections to a listener of the daemon. A body of 4 MiB then
 # takes 32 round trips.
 LISTENER_BUFFER_BYTES = 65_536
@@ -20,12 +17,8 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-def set_connection_options(transport: asyncio.BaseTransport) -> None:
-    """Sets the options of a connection to a target, or of a part of its way.
-
-    These are the time without an acknowledgement that closes it, and the size
-    of its receive buffer.
-    """
+def set_user_timeout(transport: asyncio.BaseTransport) -> None:
+    """Sets the time without an acknowledgement that closes a connection."""
     found = transport.get_extra_info("socket")
     if found is None:
         return
@@ -33,9 +26,6 @@
         found.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        found.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
 
 
 def limit_listener_buffers(server: asyncio.Server) -> None:
--- a/rattanroute/tunnels/servers.py
+++ b/rattanroute/tunnels/servers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from rattanroute.http1.socket_options import abort_with_reset
-from rattanroute.http1.socket_options import set_connection_options
+from rattanroute.http1.socket_options import set_user_timeout
 from rattanroute.logs import get_logger
 from rattanroute.systems.target_links import TargetLinkSystem
 from rattanroute.systems.target_links import TunnelReply
@@ -48,7 +48,7 @@
         """Stores the transport; reads nothing before the reply is sent."""
         self.limit(transport)
         transport.pause_reading()
-        set_connection_options(transport)
+        set_user_timeout(transport)
 
     def receive(self, data: bytes) -> None:
         """Passes bytes of the target on."""
@@ -97,7 +97,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the command."""
         self.limit(transport)
-        set_connection_options(transport)
+        set_user_timeout(transport)
         self.server.add(self)
         self.timer = self.loop.call_later(
             COMMAND_TIMEOUT_SECONDS, transport.abort
