--- a/rattanroute/control/departure_confirmations.py
+++ b/rattanroute/control/departure_confirmations.py
@@ -22,7 +22,7 @@
         departures: The notices of this VM.
 
     Attributes:
-        waiting: Set when the notice of a target is confirmed, by target.
+        waiting: Events by target, set when its notice is confirmed.
     """
 
     def __init__(self, *, departures: DepartureSystem) -> None:
--- a/rattanroute/http1/socket_options.py
+++ b/rattanroute/http1/socket_options.py
@@ -54,7 +54,7 @@
 def abort_with_reset(transport: asyncio.Transport) -> None:
     """Closes a connection at once and drops its unsent bytes.
 
-    Without a reset the kernel keeps them for minutes if the peer does not read.
+    Without a reset the kernel keeps them if the peer does not read.
     """
     found = transport.get_extra_info("socket")
     if found is not None:
